--- /dev/null
+++ b/src/wagtailpoint/adapters/__init__.py
@@ -0,0 +1,1 @@
+"""The implementations of the ports on top of libraries."""
--- /dev/null
+++ b/src/wagtailpoint/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests: classes, queues and refusals."""
--- /dev/null
+++ b/src/wagtailpoint/caller/__init__.py
@@ -0,0 +1,1 @@
+"""The caller library: lookup, binding and retries handled for the caller."""
--- /dev/null
+++ b/src/wagtailpoint/config/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration: objects, checks, templates and the compiled form."""
--- /dev/null
+++ b/src/wagtailpoint/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon wagtailpointd: one instance, wired together."""
--- /dev/null
+++ b/src/wagtailpoint/health/__init__.py
@@ -0,0 +1,1 @@
+"""The health of backend servers, from evidence that ages."""
--- /dev/null
+++ b/src/wagtailpoint/idempotency/__init__.py
@@ -0,0 +1,1 @@
+"""At most once: keys of non-idempotent requests and their outcomes."""
--- /dev/null
+++ b/src/wagtailpoint/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Limits that several instances spend together: seats, shares and slot permits."""
--- /dev/null
+++ b/src/wagtailpoint/lookup/__init__.py
@@ -0,0 +1,1 @@
+"""Answers to callers that ask which entry instance to use."""
--- /dev/null
+++ b/src/wagtailpoint/moves/__init__.py
@@ -0,0 +1,1 @@
+"""Moves and drains."""
--- /dev/null
+++ b/src/wagtailpoint/observe/__init__.py
@@ -0,0 +1,1 @@
+"""Logs, metrics and the time line of events."""
--- /dev/null
+++ b/src/wagtailpoint/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Retries: which are allowed, and out of which budget."""
--- /dev/null
+++ b/tests/integration/__init__.py
@@ -0,0 +1,1 @@
+"""integration."""
