Add settings, checks of JSON input and the compiled configuration

Cause: instances and the command-line tool need one judgement of what a valid setting or object is.

Region gains the latency inside the region and to its clients (both with defaults). The closing line of the test run counted every passed subtest as failed; it now counts only those that carry an exception.

Ruled out: a schema library. The messages need the object, the unit and a suggestion, and the references between objects are most of the checks.

--- /dev/null
+++ b/src/wagtailpoint/checking.py
@@ -0,0 +1,369 @@
+"""Checks of JSON input that collect every mistake instead of stopping at the first.
+
+An operator who mends a file one mistake a run loses time when it counts most. So a reader records
+what is wrong, hands out a harmless value of the right type in its place, and goes on; the caller
+looks at the collected mistakes at the end, before any value is used.
+"""
+
+import difflib
+import json
+import math
+import re
+from collections.abc import Collection, Iterable
+from ipaddress import ip_address
+from typing import Any, Final
+
+from result import Err, Ok, Result
+
+from wagtailpoint.errors import InvalidInput, Mistake
+
+MAX_PORT: Final = 65535
+_MAX_SHOWN = 60
+_NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,62}")
+NAME_RULE: Final = "a name of lower-case letters, digits, '-', '.', '_' (at most 63)"
+
+
+class _Required:
+    """The type of the marker for a field without a default."""
+
+
+REQUIRED: Final = _Required()
+
+
+def show(value: Any) -> str:
+    """Write a value as the user wrote it, shortened."""
+    text = json.dumps(value, ensure_ascii=False, default=str)
+    return text if len(text) <= _MAX_SHOWN else text[: _MAX_SHOWN - 3] + "..."
+
+
+def did_you_mean(given: str, known: Iterable[str]) -> str:
+    """Suggest the closest known name.
+
+    Returns:
+        ``"; did you mean 'x'?"``, or nothing when no name is close.
+    """
+    close = difflib.get_close_matches(given, list(known), n=1)
+    return f"; did you mean {close[0]!r}?" if close else ""
+
+
+def one_of(choices: Iterable[str]) -> str:
+    """Describe a closed set of values."""
+    listed = ", ".join(sorted(choices))
+    return f"one of: {listed}" if listed else "nothing: there is none to choose from"
+
+
+def check_reference(
+    *, path: str, given: str, known: Collection[str], what: str, mistakes: list[Mistake]
+) -> bool:
+    """Check that a name refers to something that exists.
+
+    Returns:
+        Whether it does; if not, a mistake is recorded.
+    """
+    if given in known:
+        return True
+    if not given:
+        return False  # missing or of a wrong type, which its reader has recorded
+    expected = f"{what}, {one_of(known)}{did_you_mean(given, known)}"
+    mistakes.append(Mistake(path, show(given), expected))
+    return False
+
+
+def check_name(*, path: str, given: str, mistakes: list[Mistake]) -> None:
+    """Check the form of an object's name."""
+    if not _NAME.fullmatch(given):
+        mistakes.append(Mistake(path, show(given), NAME_RULE))
+
+
+def parse_json(text: str | bytes, *, path: str) -> Result[Any, InvalidInput]:
+    """Parse JSON, naming line and column of a syntax error."""
+    try:
+        return Ok(json.loads(text))
+    except json.JSONDecodeError as error:
+        where = f"line {error.lineno}, column {error.colno}"
+        return Err(InvalidInput([Mistake(path, f"{error.msg} at {where}", "a JSON document")]))
+    except UnicodeDecodeError as error:
+        return Err(InvalidInput([Mistake(path, str(error), "a JSON document in UTF-8")]))
+
+
+class ObjectReader:
+    """Reads the fields of one JSON object.
+
+    Every method records a mistake, rather than raise, when its field is missing or wrong.
+    """
+
+    def __init__(self, *, value: Any, path: str, mistakes: list[Mistake]) -> None:
+        """Start reading.
+
+        Args:
+            value: What was parsed; a mistake is recorded if it is no object.
+            path: The place of the object; ends in ``": "`` for the top of a named object.
+            mistakes: Where mistakes are collected.
+        """
+        self._path = path
+        self._mistakes = mistakes
+        self._seen: set[str] = set()
+        self._is_object = isinstance(value, dict)
+        self._fields: dict[str, Any] = value if isinstance(value, dict) else {}
+        if not self._is_object:
+            self.mistake(None, value, "an object: {...}")
+
+    @property
+    def path(self) -> str:
+        """The place of the object."""
+        return self._path
+
+    def path_of(self, name: str | None) -> str:
+        """The place of a field, or of the whole object for None."""
+        if name is None:
+            return self._path.removesuffix(": ") or "(top)"
+        separator = "" if not self._path or self._path.endswith(": ") else "."
+        return f"{self._path}{separator}{name}"
+
+    def mistake(self, name: str | None, given: Any, expected: str) -> None:
+        """Record a mistake in a field, or in the whole object for None."""
+        self._mistakes.append(Mistake(self.path_of(name), show(given), expected))
+
+    def has(self, name: str) -> bool:
+        """Whether the field was given."""
+        return name in self._fields
+
+    def names(self) -> tuple[str, ...]:
+        """The names of the fields that were given."""
+        return tuple(self._fields)
+
+    def note(self, *names: str) -> None:
+        """Count fields as known although this object does not have them."""
+        self._seen.update(names)
+
+    def raw(self, name: str) -> Any:
+        """Read a field of any type; None when it is missing."""
+        self._seen.add(name)
+        return self._fields.get(name)
+
+    def _take(self, name: str, expected: str, default: Any) -> Any:
+        """The raw value of a field; ``REQUIRED`` when it is missing without a default."""
+        self._seen.add(name)
+        if name in self._fields:
+            return self._fields[name]
+        if default is REQUIRED and self._is_object:
+            self._mistakes.append(Mistake(self.path_of(name), "nothing", expected))
+        return default
+
+    def text(
+        self,
+        name: str,
+        *,
+        expected: str = "a string",
+        choices: Collection[str] | None = None,
+        default: str | _Required = REQUIRED,
+    ) -> str:
+        """Read a string that is not empty."""
+        wanted = one_of(choices) if choices is not None else expected
+        value = self._take(name, wanted, default)
+        if value is REQUIRED:
+            return ""
+        if not isinstance(value, str) or not value:
+            self.mistake(name, value, wanted)
+            return ""
+        if choices is not None and value not in choices:
+            self.mistake(name, value, wanted + did_you_mean(value, choices))
+        return value
+
+    def name(self, name: str) -> str:
+        """Read a string that has the form of an object's name."""
+        value = self.text(name, expected=NAME_RULE)
+        if value:
+            check_name(path=self.path_of(name), given=value, mistakes=self._mistakes)
+        return value
+
+    def ip_number(self, name: str) -> str:
+        """Read an IP number."""
+        expected = 'an IP number such as "10.0.0.7"'
+        value = self.text(name, expected=expected)
+        if value and not is_ip_number(value):
+            self.mistake(name, value, expected + "; host names are not resolved")
+        return value
+
+    def port(self, name: str) -> int:
+        """Read a port number."""
+        return self.integer(name, unit="port", minimum=1, maximum=MAX_PORT)
+
+    def flag(self, name: str, *, default: bool | _Required = REQUIRED) -> bool:
+        """Read true or false."""
+        value = self._take(name, "true or false", default)
+        if value is REQUIRED:
+            return False
+        if not isinstance(value, bool):
+            self.mistake(name, value, "true or false")
+            return False
+        return value
+
+    def number(
+        self,
+        name: str,
+        *,
+        unit: str,
+        above: float | None = None,
+        minimum: float | None = None,
+        maximum: float | None = None,
+        default: float | _Required = REQUIRED,
+    ) -> float:
+        """Read a finite number.
+
+        Args:
+            name: The field.
+            unit: For the message, for example ``seconds``.
+            above: The value must be greater.
+            minimum: The least value.
+            maximum: The greatest value.
+            default: Used when the field is missing.
+        """
+        expected = "a number" + describe_range(unit, above, minimum, maximum)
+        value = self._take(name, expected, default)
+        if value is REQUIRED:
+            return 0.0
+        if not is_number(value) or not in_range(value, above, minimum, maximum):
+            self.mistake(name, value, expected)
+            return 0.0
+        return float(value)
+
+    def optional_number(self, name: str, *, unit: str, above: float | None = None) -> float | None:
+        """Read a number that may be missing or null."""
+        if self._fields.get(name) is None:
+            self._seen.add(name)
+            return None
+        return self.number(name, unit=unit, above=above)
+
+    def integer(
+        self,
+        name: str,
+        *,
+        unit: str,
+        minimum: int | None = None,
+        maximum: int | None = None,
+        default: int | _Required = REQUIRED,
+    ) -> int:
+        """Read a whole number."""
+        expected = "a whole number" + describe_range(unit, None, minimum, maximum)
+        value = self._take(name, expected, default)
+        if value is REQUIRED:
+            return 0
+        whole = isinstance(value, int) and not isinstance(value, bool)
+        if not whole or not in_range(value, None, minimum, maximum):
+            self.mistake(name, value, expected)
+            return 0
+        return int(value)
+
+    def items(self, name: str, *, expected: str, default: Any = REQUIRED) -> list[Any]:
+        """Read a list, its items unchecked."""
+        wanted = f"a list of {expected}"
+        value = self._take(name, wanted, default)
+        if value is REQUIRED:
+            return []
+        if not isinstance(value, list):
+            self.mistake(name, value, wanted)
+            return []
+        return value
+
+    def texts(self, name: str, *, expected: str, default: Any = REQUIRED) -> tuple[str, ...]:
+        """Read a list of strings."""
+        values = self.items(name, expected=expected, default=default)
+        for index, value in enumerate(values):
+            if not isinstance(value, str) or not value:
+                self.mistake(f"{name}[{index}]", value, "a string")
+        return tuple(value for value in values if isinstance(value, str) and value)
+
+    def numbers(self, name: str, *, expected: str) -> tuple[float, ...]:
+        """Read a list of finite numbers."""
+        values = self.items(name, expected=expected)
+        for index, value in enumerate(values):
+            if not is_number(value):
+                self.mistake(f"{name}[{index}]", value, "a number")
+        return tuple(float(value) for value in values if is_number(value))
+
+    def lists(self, name: str, *, expected: str) -> "dict[str, list[ObjectReader]]":
+        """Read an object whose fields are lists of objects under names of the user's own."""
+        inner = self.child(name)
+        for key in inner.names():
+            check_name(path=inner.path_of(key), given=key, mistakes=self._mistakes)
+        return {key: inner.objects(key, expected=expected) for key in inner.names()}
+
+    def objects(self, name: str, *, expected: str, default: Any = REQUIRED) -> "list[ObjectReader]":
+        """Read a list of objects, each with a reader of its own."""
+        values = self.items(name, expected=expected, default=default)
+        return [self._reader(f"{name}[{index}]", value) for index, value in enumerate(values)]
+
+    def child(self, name: str, *, default: Any = REQUIRED) -> "ObjectReader":
+        """Read a field that is an object."""
+        value = self._take(name, "an object: {...}", default)
+        return self._reader(name, {} if value is REQUIRED else value)
+
+    def mapping(self, name: str, *, default: Any = REQUIRED) -> dict[str, Any]:
+        """Read a field that is an object with names of the user's own, its values unchecked."""
+        value = self._take(name, "an object: {...}", default)
+        if value is REQUIRED:
+            return {}
+        if not isinstance(value, dict):
+            self.mistake(name, value, "an object: {...}")
+            return {}
+        return value
+
+    def named_objects(self, name: str, *, default: Any = REQUIRED) -> "dict[str, ObjectReader]":
+        """Read an object whose fields are objects under names of the user's own."""
+        readers = {}
+        for key, value in self.mapping(name, default=default).items():
+            place = f"{name}.{key}"
+            check_name(path=self.path_of(place), given=key, mistakes=self._mistakes)
+            readers[key] = self._reader(place, value)
+        return readers
+
+    def finish(self) -> None:
+        """Record every field that nobody asked for: a mistyped field would silently do nothing."""
+        for name in self._fields:
+            if name not in self._seen:
+                expected = f"no such field{did_you_mean(name, self._seen)}"
+                known = ", ".join(sorted(self._seen))
+                self.mistake(name, self._fields[name], f"{expected} (known fields: {known})")
+
+    def _reader(self, name: str, value: Any) -> "ObjectReader":
+        return ObjectReader(value=value, path=self.path_of(name), mistakes=self._mistakes)
+
+
+def is_ip_number(value: str) -> bool:
+    """Whether a string is an IP number."""
+    try:
+        ip_address(value)
+    except ValueError:
+        return False
+    return True
+
+
+def is_number(value: Any) -> bool:
+    """Whether a value is a finite number; true and false are none."""
+    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+
+
+def in_range(
+    value: float, above: float | None, minimum: float | None, maximum: float | None
+) -> bool:
+    """Whether a number is within its bounds."""
+    return (
+        (above is None or value > above)
+        and (minimum is None or value >= minimum)
+        and (maximum is None or value <= maximum)
+    )
+
+
+def describe_range(
+    unit: str, above: float | None, minimum: float | None, maximum: float | None
+) -> str:
+    """Describe unit and bounds, for example `` (seconds) above 0 up to 60``."""
+    parts = [f" ({unit})"]
+    if above is not None:
+        parts.append(f"above {above:g}")
+    if minimum is not None:
+        parts.append(f"from {minimum:g}")
+    if maximum is not None:
+        parts.append(f"up to {maximum:g}")
+    return " ".join(parts)
--- /dev/null
+++ b/src/wagtailpoint/config/compile.py
@@ -0,0 +1,326 @@
+"""From the objects that operators write to the configuration that instances enforce.
+
+The function is pure: every instance and the command-line tool come to the same result from the
+same objects, so what the tool accepts no instance refuses.
+"""
+
+from collections.abc import Callable, Mapping
+from typing import Any, NamedTuple, TypeVar
+
+from result import Err, Ok, Result
+
+from wagtailpoint.checking import ObjectReader, check_name, check_reference, one_of, show
+from wagtailpoint.config.model import (
+    ClientBlock,
+    Drain,
+    EffectiveConfig,
+    Move,
+    Region,
+    Service,
+    Workspace,
+)
+from wagtailpoint.config.objects import (
+    KINDS,
+    WorkspaceSource,
+    read_blocks,
+    read_drain,
+    read_move,
+    read_region,
+    read_service,
+    read_workspace,
+    read_workspace_source,
+)
+from wagtailpoint.config.templates import Template, fill_in, read_template
+from wagtailpoint.errors import InvalidInput, Mistake
+from wagtailpoint.ports.backend import BackendAddress
+
+_T = TypeVar("_T")
+
+
+class _Draft(NamedTuple):
+    """Every object read by itself; what they say of each other is not yet checked."""
+
+    regions: dict[str, Region]
+    services: dict[str, Service]
+    templates: dict[str, Template]
+    sources: dict[str, WorkspaceSource]
+    moves: dict[str, Move]
+    drains: dict[str, Drain]
+    blocks: dict[str, tuple[ClientBlock, ...]]
+
+    @property
+    def failure_domains(self) -> list[str]:
+        """All failure domains of all regions."""
+        return [domain for region in self.regions.values() for domain in region.failure_domains]
+
+
+def compile_config(
+    *, version: int, objects: Mapping[str, Any]
+) -> Result[EffectiveConfig, InvalidInput]:
+    """Compile the effective configuration.
+
+    Args:
+        version: The version that the objects make up.
+        objects: The JSON value of each object, by ``kind/name``.
+
+    Returns:
+        The configuration, or every mistake found, each with the object, the field, what was given
+        and what is expected.
+    """
+    mistakes: list[Mistake] = []
+    draft = _read_all(objects, mistakes)
+    _check_regions(draft, mistakes)
+    _check_services(draft, mistakes)
+    workspaces = _expand_workspaces(draft, mistakes)
+    _check_moves(draft, workspaces, mistakes)
+    _check_drains(draft, mistakes)
+    _check_blocks(draft, mistakes)
+    if mistakes:
+        return Err(InvalidInput(mistakes))
+    blocks = tuple(block for blocks in draft.blocks.values() for block in blocks)
+    config = EffectiveConfig(
+        version=version,
+        regions=draft.regions,
+        services=draft.services,
+        workspaces=workspaces,
+        moves=draft.moves,
+        drains=draft.drains,
+        client_blocks=blocks,
+    )
+    return Ok(config)
+
+
+def _read_all(objects: Mapping[str, Any], mistakes: list[Mistake]) -> _Draft:
+    by_kind: dict[str, dict[str, Any]] = {kind: {} for kind in KINDS}
+    for key in sorted(objects):
+        kind, _, name = key.partition("/")
+        if check_reference(
+            path=key, given=kind or "/", known=KINDS, what="a kind", mistakes=mistakes
+        ):
+            check_name(path=key, given=name, mistakes=mistakes)
+            by_kind[kind][name] = objects[key]
+
+    def read(kind: str, read_one: Callable[[str, ObjectReader], _T]) -> dict[str, _T]:
+        return {
+            name: read_one(
+                name, ObjectReader(value=value, path=f"{kind}/{name}: ", mistakes=mistakes)
+            )
+            for name, value in by_kind[kind].items()
+        }
+
+    return _Draft(
+        regions=read("region", read_region),
+        services=read("service", read_service),
+        templates=read("template", lambda name, reader: read_template(name, reader, mistakes)),
+        sources=read("workspace", read_workspace_source),
+        moves=read("move", read_move),
+        drains=read("drain", read_drain),
+        blocks=read("blocks", lambda _, reader: read_blocks(reader)),
+    )
+
+
+def _check_regions(draft: _Draft, mistakes: list[Mistake]) -> None:
+    owner: dict[str, str] = {}
+    for region in draft.regions.values():
+        path = f"region/{region.name}: "
+        for index, domain in enumerate(region.failure_domains):
+            place = f"{path}failure_domains[{index}]"
+            check_name(path=place, given=domain, mistakes=mistakes)
+            if domain in owner:
+                expected = f"a name of its own; region/{owner[domain]} has it too"
+                mistakes.append(Mistake(place, show(domain), expected))
+            owner[domain] = region.name
+        others = set(draft.regions) - {region.name}
+        for other in region.latency_ms:
+            check_reference(
+                path=f"{path}latency_ms.{other}",
+                given=other,
+                known=others,
+                what="another region",
+                mistakes=mistakes,
+            )
+        for other in sorted(others - set(region.latency_ms)):
+            expected = f"a number (milliseconds, one way, to region/{other})"
+            mistakes.append(Mistake(f"{path}latency_ms.{other}", "nothing", expected))
+
+
+def _check_services(draft: _Draft, mistakes: list[Mistake]) -> None:
+    owner: dict[BackendAddress, str] = {}
+    for service in draft.services.values():
+        for group, servers in service.groups.items():
+            for index, server in enumerate(servers):
+                place = f"service/{service.name}: groups.{group}[{index}]"
+                check_reference(
+                    path=f"{place}.failure_domain",
+                    given=server.failure_domain,
+                    known=draft.failure_domains,
+                    what="a failure domain of a region",
+                    mistakes=mistakes,
+                )
+                if server.address in owner:
+                    # Its slots would be given out twice, by two groups that don't know of it.
+                    expected = f"a backend server of its own; {owner[server.address]} has it too"
+                    mistakes.append(Mistake(place, str(server.address), expected))
+                elif server.address.address and server.address.port:
+                    owner[server.address] = place
+
+
+def _expand_workspaces(draft: _Draft, mistakes: list[Mistake]) -> dict[str, Workspace]:
+    workspaces = {}
+    for source in draft.sources.values():
+        path = f"workspace/{source.name}: "
+        template = draft.templates.get(source.template)
+        if template is None:
+            check_reference(
+                path=f"{path}template",
+                given=source.template,
+                known=draft.templates,
+                what="a template",
+                mistakes=mistakes,
+            )
+            continue
+        found: list[Mistake] = []
+        body = fill_in(template, source.parameters, path=f"{path}parameters", mistakes=found)
+        if not found:
+            reader = ObjectReader(value=body, path=path, mistakes=found)
+            workspace = read_workspace(source.name, template.name, reader)
+            _check_workspace(workspace, draft, found)
+            workspaces[source.name] = workspace
+            # The operator looks for the field in the workspace object, but it stands elsewhere.
+            origin = f" (written in template/{template.name})"
+            found = [item._replace(expected=item.expected + origin) for item in found]
+        mistakes.extend(found)
+    return workspaces
+
+
+def _check_workspace(workspace: Workspace, draft: _Draft, mistakes: list[Mistake]) -> None:
+    path = f"workspace/{workspace.name}: "
+    for index, route in enumerate(workspace.routes):
+        place = f"{path}routes[{index}]"
+        if not check_reference(
+            path=f"{place}.service",
+            given=route.service,
+            known=draft.services,
+            what="a service",
+            mistakes=mistakes,
+        ):
+            continue
+        check_reference(
+            path=f"{place}.class",
+            given=route.request_class,
+            known=draft.services[route.service].classes,
+            what=f"a class of service/{route.service}",
+            mistakes=mistakes,
+        )
+        if route.service not in workspace.groups:
+            expected = f"a group, {one_of(draft.services[route.service].groups)}"
+            mistakes.append(Mistake(f"{path}groups.{route.service}", "nothing", expected))
+    for name, group in workspace.groups.items():
+        place = f"{path}groups.{name}"
+        if check_reference(
+            path=place, given=name, known=draft.services, what="a service", mistakes=mistakes
+        ):
+            check_reference(
+                path=place,
+                given=group,
+                known=draft.services[name].groups,
+                what=f"a group of service/{name}",
+                mistakes=mistakes,
+            )
+
+
+def _check_moves(
+    draft: _Draft, workspaces: Mapping[str, Workspace], mistakes: list[Mistake]
+) -> None:
+    first: dict[tuple[str, str], str] = {}
+    for move in draft.moves.values():
+        path = f"move/{move.name}: "
+        subject = (move.workspace, move.service)
+        if all(subject) and first.setdefault(subject, move.name) != move.name:
+            given = show(f"{move.workspace}, {move.service}")
+            expected = f"one move of a workspace and service; move/{first[subject]} moves them"
+            mistakes.append(Mistake(f"{path}workspace", given, expected))
+        check_reference(
+            path=f"{path}workspace",
+            given=move.workspace,
+            known=draft.sources,
+            what="a workspace",
+            mistakes=mistakes,
+        )
+        if check_reference(
+            path=f"{path}service",
+            given=move.service,
+            known=draft.services,
+            what="a service",
+            mistakes=mistakes,
+        ):
+            _check_move_groups(move, draft.services[move.service], workspaces, mistakes)
+
+
+def _check_move_groups(
+    move: Move, service: Service, workspaces: Mapping[str, Workspace], mistakes: list[Mistake]
+) -> None:
+    path = f"move/{move.name}: "
+    for field, group in (("from_group", move.from_group), ("to_group", move.to_group)):
+        check_reference(
+            path=path + field,
+            given=group,
+            known=service.groups,
+            what=f"a group of service/{service.name}",
+            mistakes=mistakes,
+        )
+    workspace = workspaces.get(move.workspace)
+    if workspace is None:
+        return
+    current = workspace.groups.get(service.name)
+    if current is None:
+        expected = f"a service that workspace/{workspace.name} uses"
+        expected += f", {one_of(workspace.groups)}"
+        mistakes.append(Mistake(f"{path}service", show(service.name), expected))
+    elif current not in (move.from_group, move.to_group):
+        # A workspace already at to_group is right: that is how a finished move is settled.
+        expected = f"{show(current)}, the group that serves workspace/{workspace.name} now"
+        mistakes.append(Mistake(f"{path}from_group", show(move.from_group), expected))
+
+
+def _check_drains(draft: _Draft, mistakes: list[Mistake]) -> None:
+    servers = {
+        str(server.address)
+        for service in draft.services.values()
+        for group in service.groups.values()
+        for server in group
+    }
+    for drain in draft.drains.values():
+        path = f"drain/{drain.name}: "
+        if drain.backend_server is not None and str(drain.backend_server) not in servers:
+            expected = "the address and port of a backend server of a service"
+            given = str(drain.backend_server)
+            mistakes.append(Mistake(f"{path}backend_server", given, expected))
+        if drain.failure_domain is not None:
+            check_reference(
+                path=f"{path}failure_domain",
+                given=drain.failure_domain,
+                known=draft.failure_domains,
+                what="a failure domain of a region",
+                mistakes=mistakes,
+            )
+
+
+def _check_blocks(draft: _Draft, mistakes: list[Mistake]) -> None:
+    owner: dict[str, str] = {}
+    for name, blocks in draft.blocks.items():
+        path = f"blocks/{name}: "
+        if blocks:
+            check_reference(
+                path=f"{path}region",
+                given=blocks[0].region,
+                known=draft.regions,
+                what="a region",
+                mistakes=mistakes,
+            )
+        for index, block in enumerate(blocks):
+            place = f"{path}networks[{index}]"
+            if block.network in owner:
+                expected = f"a network of its own; {owner[block.network]} has it too"
+                mistakes.append(Mistake(place, show(block.network), expected))
+            owner[block.network] = place
--- a/src/wagtailpoint/config/model.py
+++ b/src/wagtailpoint/config/model.py
@@ -19,12 +19,16 @@
         latency_ms: One-way latency to each other region, in milliseconds.
         capacity_rps: The most requests a second that the system may decide to send into this
             region; None if not limited.
+        failure_domain_latency_ms: One-way latency between its failure domains, in milliseconds.
+        client_latency_ms: One-way latency from its clients to its instances, in milliseconds.
     """
 
     name: str
     failure_domains: tuple[str, ...]
     latency_ms: Mapping[str, float]
     capacity_rps: float | None
+    failure_domain_latency_ms: float = 1.0
+    client_latency_ms: float = 1.0
 
 
 class BackendServer(NamedTuple):
--- /dev/null
+++ b/src/wagtailpoint/config/templates.py
@@ -0,0 +1,179 @@
+"""Templates: a workspace's body with parameters to fill in."""
+
+import re
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, NamedTuple
+
+from wagtailpoint.checking import (
+    REQUIRED,
+    ObjectReader,
+    describe_range,
+    did_you_mean,
+    in_range,
+    is_number,
+    one_of,
+    show,
+)
+from wagtailpoint.errors import Mistake
+
+PARAMETER_TYPES: Final = ("string", "integer", "number", "boolean")
+_REFERENCE = re.compile(r"\$\{([^}]*)\}")
+
+
+class Parameter(NamedTuple):
+    """One parameter of a template.
+
+    Attributes:
+        name: As in ``${name}``.
+        type: One of ``PARAMETER_TYPES``.
+        default: Used when the workspace does not give it; ``REQUIRED`` if it must.
+        minimum: The least number, or None.
+        maximum: The greatest number, or None.
+        choices: The values allowed, or None for any.
+        description: For operators.
+    """
+
+    name: str
+    type: str
+    default: Any
+    minimum: float | None
+    maximum: float | None
+    choices: tuple[Any, ...] | None
+    description: str
+
+    @property
+    def expected(self) -> str:
+        """What a value must be, for messages."""
+        if self.choices is not None:
+            return one_of(show(choice) for choice in self.choices)
+        if self.type in ("integer", "number"):
+            return "parameter" + describe_range(self.type, None, self.minimum, self.maximum)
+        return f"parameter ({self.type})"
+
+    def accepts(self, value: Any) -> bool:
+        """Whether a value has the type, range and choice."""
+        if not _has_type(value, self.type):
+            return False
+        if self.choices is not None and value not in self.choices:
+            return False
+        if self.type in ("integer", "number"):
+            return in_range(value, None, self.minimum, self.maximum)
+        return True
+
+
+class Template(NamedTuple):
+    """A template.
+
+    Attributes:
+        name: Its name.
+        parameters: By name.
+        body: The workspace's JSON, with references such as ``${name}`` in it.
+    """
+
+    name: str
+    parameters: Mapping[str, Parameter]
+    body: Mapping[str, Any]
+
+
+def read_template(name: str, reader: ObjectReader, mistakes: list[Mistake]) -> Template:
+    """Read a template object and check its references to parameters."""
+    parameters = {
+        key: _read_parameter(key, item)
+        for key, item in reader.named_objects("parameters", default={}).items()
+    }
+    body = reader.mapping("workspace")
+    reader.finish()
+    for place, reference in _references(body, reader.path_of("workspace")):
+        if reference not in parameters:
+            expected = one_of(parameters) + did_you_mean(reference, parameters)
+            given = show("${" + reference + "}")
+            mistakes.append(Mistake(place, given, f"a parameter of this template, {expected}"))
+    return Template(name, parameters, body)
+
+
+def fill_in(
+    template: Template, given: Mapping[str, Any], *, path: str, mistakes: list[Mistake]
+) -> dict[str, Any]:
+    """Fill in a template's parameters.
+
+    Args:
+        template: The template.
+        given: The workspace's parameters.
+        path: The place of the workspace's parameters.
+        mistakes: Where mistakes are collected.
+
+    Returns:
+        The workspace's body; of use only if no mistake was recorded.
+    """
+    for name, value in given.items():
+        if name not in template.parameters:
+            known = template.parameters
+            expected = f"a parameter of template/{template.name}, {one_of(known)}"
+            mistake = Mistake(f"{path}.{name}", show(value), expected + did_you_mean(name, known))
+            mistakes.append(mistake)
+    values = {}
+    for name, parameter in template.parameters.items():
+        value = given.get(name, parameter.default)
+        if value is REQUIRED:
+            mistakes.append(Mistake(f"{path}.{name}", "nothing", parameter.expected))
+        elif not parameter.accepts(value):
+            mistakes.append(Mistake(f"{path}.{name}", show(value), parameter.expected))
+        values[name] = value
+    filled: dict[str, Any] = _substitute(template.body, values)
+    return filled
+
+
+def _read_parameter(name: str, reader: ObjectReader) -> Parameter:
+    choices = reader.items("choices", expected="values", default=[])
+    parameter = Parameter(
+        name=name,
+        type=reader.text("type", choices=PARAMETER_TYPES),
+        default=REQUIRED,
+        minimum=reader.optional_number("minimum", unit="least value"),
+        maximum=reader.optional_number("maximum", unit="greatest value"),
+        choices=tuple(choices) or None,
+        description=reader.text("description", default="-"),
+    )
+    if reader.has("default"):
+        default = reader.raw("default")
+        if parameter.type in PARAMETER_TYPES and not parameter.accepts(default):
+            reader.mistake("default", default, parameter.expected)
+        parameter = parameter._replace(default=default)
+    reader.finish()
+    return parameter
+
+
+def _has_type(value: Any, type_name: str) -> bool:
+    if type_name == "string":
+        return isinstance(value, str)
+    if type_name == "boolean":
+        return isinstance(value, bool)
+    if type_name == "integer":
+        return isinstance(value, int) and not isinstance(value, bool)
+    return is_number(value)
+
+
+def _references(value: Any, path: str) -> Iterator[tuple[str, str]]:
+    """Every reference to a parameter, with its place."""
+    if isinstance(value, str):
+        for reference in _REFERENCE.findall(value):
+            yield path, reference
+    elif isinstance(value, dict):
+        for key, item in value.items():
+            yield from _references(item, f"{path}.{key}")
+    elif isinstance(value, list):
+        for index, item in enumerate(value):
+            yield from _references(item, f"{path}[{index}]")
+
+
+def _substitute(value: Any, values: Mapping[str, Any]) -> Any:
+    if isinstance(value, str):
+        whole = _REFERENCE.fullmatch(value)
+        if whole and whole[1] in values:
+            return values[whole[1]]
+        return _REFERENCE.sub(lambda found: str(values.get(found[1], found[0])), value)
+    if isinstance(value, dict):
+        return {key: _substitute(item, values) for key, item in value.items()}
+    if isinstance(value, list):
+        return [_substitute(item, values) for item in value]
+    return value
--- a/tests/common/known_red.py
+++ b/tests/common/known_red.py
@@ -54,6 +54,9 @@
                 self._unexpected_passes.append(event.test.id())
         elif event.outcome == "skipped":
             self._skipped += 1
+        elif event.outcome == "subtest":
+            # Reported for every subtest, passed ones too; only the exception tells them apart.
+            self._failed += event.exc_info is not None
         else:
             self._failed += 1
 
