--- a/src/wagtailpoint/errors.py
+++ b/src/wagtailpoint/errors.py
@@ -37,7 +37,15 @@
 
 
 class PlatformUnavailable(WagtailpointError):
-    """The platform did not do what was asked, and certainly changed nothing."""
+    """The platform did not do what was asked, and certainly changed nothing.
+
+    Attributes:
+        retry_after_s: When the platform asked to come back, in seconds; None if it did not say.
+    """
+
+    def __init__(self, message: str = "", *, retry_after_s: float | None = None) -> None:
+        super().__init__(message)
+        self.retry_after_s = retry_after_s
 
 
 class OutcomeUnknown(WagtailpointError):
--- /dev/null
+++ b/tests/common/fake_platform.py
@@ -0,0 +1,151 @@
+"""An in-memory ``Platform`` that can be down, lose answers, answer stale and be raced."""
+
+from collections import Counter, deque
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
+
+import trio
+from result import Err, Ok, Result
+
+from tests.common.object_store import MOST_EVENTS_KEPT, ObjectStore
+from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
+from wagtailpoint.ports.platform import (
+    Conflict,
+    ListedInstance,
+    Listing,
+    StoredObject,
+    WatchBatch,
+)
+
+WatchAnswer = Result[WatchBatch, WatchTooOld | PlatformUnavailable]
+
+
+class FakePlatform:
+    """The object API in memory.
+
+    Attributes:
+        store: The objects, for a test to look at.
+        down: Every call answers ``PlatformUnavailable``; waiting watches too.
+        lose_answers: So many next writes take effect and answer ``OutcomeUnknown``.
+        lose_requests: So many next writes answer ``OutcomeUnknown`` and do not take effect.
+        refuse_calls: So many next calls answer ``PlatformUnavailable``.
+        writes_of: The faults of writes only meet objects of this kind; None: of any kind.
+        before_put: Runs before each put, for example to let another operator be first.
+        scripted_watches: Answers for the next watches, before real ones.
+        listed: The list of instances.
+        counts: Calls by (method, kind); a waiting watch as one.
+    """
+
+    def __init__(self, *, most_events: int = MOST_EVENTS_KEPT) -> None:
+        self.store = ObjectStore(most_events=most_events)
+        self.down = False
+        self.lose_answers = 0
+        self.lose_requests = 0
+        self.refuse_calls = 0
+        self.writes_of: str | None = None
+        self.before_put: Callable[[str, str], Awaitable[None]] | None = None
+        self.scripted_watches: deque[WatchAnswer] = deque()
+        self.listed: Sequence[ListedInstance] = ()
+        self.counts: Counter[tuple[str, str]] = Counter()
+        self._stale: ObjectStore | None = None
+        self._changed = trio.Event()
+
+    def answer_stale(self) -> None:
+        """From now on reads and watches answer what is true now, whatever is written later."""
+        self._stale = self.store.copy()
+
+    def answer_fresh(self) -> None:
+        """Reads and watches answer the truth again."""
+        self._stale = None
+        self._wake()
+
+    def set_down(self, down: bool) -> None:
+        """Take the platform down or up, ending waiting watches."""
+        self.down = down
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    @property
+    def _readable(self) -> ObjectStore:
+        return self._stale or self.store
+
+    async def _arrive(self, method: str, kind: str) -> PlatformUnavailable | None:
+        self.counts[method, kind] += 1
+        await trio.lowlevel.checkpoint()
+        if self.refuse_calls > 0:
+            self.refuse_calls -= 1
+            return PlatformUnavailable("refused by the fake")
+        return PlatformUnavailable("the fake is down") if self.down else None
+
+    async def get(
+        self, *, kind: str, name: str
+    ) -> Result[StoredObject | None, PlatformUnavailable]:
+        refusal = await self._arrive("GET", kind)
+        return Err(refusal) if refusal else Ok(self._readable.get(kind, name))
+
+    async def list(self, *, kind: str) -> Result[Listing, PlatformUnavailable]:
+        refusal = await self._arrive("LIST", kind)
+        if refusal:
+            return Err(refusal)
+        return Ok(Listing(self._readable.version, self._readable.list(kind)))
+
+    async def put(
+        self, *, kind: str, name: str, value: Any, if_version: int
+    ) -> Result[StoredObject, Conflict | OutcomeUnknown | PlatformUnavailable]:
+        if self.before_put is not None:
+            await self.before_put(kind, name)
+        refusal = await self._arrive("PUT", kind)
+        if refusal:
+            return Err(refusal)
+        if self._take("lose_requests", kind):
+            return Err(OutcomeUnknown("the fake lost the request"))
+        outcome = self.store.put(kind, name, value, if_version)
+        self._wake()
+        if self._take("lose_answers", kind):
+            return Err(OutcomeUnknown("the fake lost the answer"))
+        return Err(outcome) if isinstance(outcome, Conflict) else Ok(outcome)
+
+    async def delete(
+        self, *, kind: str, name: str, if_version: int
+    ) -> Result[None, Conflict | OutcomeUnknown | PlatformUnavailable]:
+        refusal = await self._arrive("DELETE", kind)
+        if refusal:
+            return Err(refusal)
+        if self._take("lose_requests", kind):
+            return Err(OutcomeUnknown("the fake lost the request"))
+        conflict = self.store.delete(kind, name, if_version)
+        self._wake()
+        if self._take("lose_answers", kind):
+            return Err(OutcomeUnknown("the fake lost the answer"))
+        return Err(conflict) if conflict else Ok(None)
+
+    def _take(self, fault: str, kind: str) -> bool:
+        left: int = getattr(self, fault)
+        if left == 0 or self.writes_of not in (None, kind):
+            return False
+        setattr(self, fault, left - 1)
+        return True
+
+    async def watch(self, *, kinds: Sequence[str], from_version: int, wait_s: float) -> WatchAnswer:
+        refusal = await self._arrive("WATCH", ",".join(kinds))
+        if refusal:
+            return Err(refusal)
+        if self.scripted_watches:
+            return self.scripted_watches.popleft()
+        with trio.move_on_after(wait_s):
+            while not self.down:
+                batch = self._readable.events_since(kinds, from_version)
+                if batch is None:
+                    return Err(WatchTooOld(f"no events since {from_version}"))
+                if batch.events:
+                    return Ok(batch)
+                await self._changed.wait()
+            return Err(PlatformUnavailable("the fake is down"))
+        return Ok(WatchBatch(from_version, []))
+
+    async def instances(self) -> Result[Sequence[ListedInstance], PlatformUnavailable]:
+        refusal = await self._arrive("GET", "instances")
+        return Err(refusal) if refusal else Ok(self.listed)
--- /dev/null
+++ b/tests/common/object_store.py
@@ -0,0 +1,97 @@
+"""The object store behind both platform stand-ins: the process and the in-memory fake."""
+
+import time
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any, Literal, NamedTuple
+
+from wagtailpoint.ports.platform import Conflict, StoredObject, WatchBatch, WatchEvent
+
+MOST_EVENTS_KEPT = 1000
+
+
+class _Record(NamedTuple):
+    """One change and when it was made."""
+
+    at_s: float
+    event: WatchEvent
+
+
+class ObjectStore:
+    """Objects with one store-wide version counter and a bounded history of events."""
+
+    def __init__(
+        self,
+        *,
+        most_events: int = MOST_EVENTS_KEPT,
+        monotonic: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._objects: dict[tuple[str, str], StoredObject] = {}
+        self._history: deque[_Record] = deque()
+        self._most_events = most_events
+        self._monotonic = monotonic
+        self._forgotten_version = 0
+        self._version = 0
+
+    @property
+    def version(self) -> int:
+        """The version of the newest write."""
+        return self._version
+
+    def copy(self) -> "ObjectStore":
+        """A copy that later writes don't change: what a lagging replica answers."""
+        copy = ObjectStore(most_events=self._most_events, monotonic=self._monotonic)
+        copy._objects = dict(self._objects)
+        copy._history = deque(self._history)
+        copy._forgotten_version = self._forgotten_version
+        copy._version = self._version
+        return copy
+
+    def get(self, kind: str, name: str) -> StoredObject | None:
+        """One object, or None."""
+        return self._objects.get((kind, name))
+
+    def list(self, kind: str) -> Sequence[StoredObject]:
+        """All objects of a kind, by name."""
+        return [self._objects[key] for key in sorted(self._objects) if key[0] == kind]
+
+    def put(self, kind: str, name: str, value: Any, if_version: int) -> StoredObject | Conflict:
+        """Write if the object is at ``if_version``; 0: if it does not exist."""
+        current = self.get(kind, name)
+        if (current.version if current else 0) != if_version:
+            return Conflict(current)
+        self._version += 1
+        stored = StoredObject(kind, name, self._version, value)
+        self._objects[kind, name] = stored
+        self._remember("put", stored)
+        return stored
+
+    def delete(self, kind: str, name: str, if_version: int) -> Conflict | None:
+        """Delete if the object is at ``if_version``."""
+        current = self.get(kind, name)
+        if current is None or current.version != if_version:
+            return Conflict(current)
+        self._version += 1
+        del self._objects[kind, name]
+        self._remember("delete", current._replace(version=self._version))
+        return None
+
+    def _remember(self, action: Literal["put", "delete"], stored: StoredObject) -> None:
+        self._history.append(_Record(self._monotonic(), WatchEvent(action, stored)))
+        if len(self._history) > self._most_events:
+            self._forgotten_version = self._history.popleft().event.stored.version
+
+    def events_since(
+        self, kinds: Sequence[str], from_version: int, *, lag_s: float = 0.0
+    ) -> WatchBatch | None:
+        """Events after ``from_version`` that are at least ``lag_s`` old; None: too old to tell."""
+        if from_version < self._forgotten_version or from_version > self._version:
+            return None
+        visible_until_s = self._monotonic() - lag_s
+        seen = [
+            record.event
+            for record in self._history
+            if record.event.stored.version > from_version and record.at_s <= visible_until_s
+        ]
+        version = seen[-1].stored.version if seen else from_version
+        return WatchBatch(version, [event for event in seen if event.stored.kind in kinds])
--- /dev/null
+++ b/tests/common/platform_standin.py
@@ -0,0 +1,282 @@
+"""A small stand-in for the platform as a process, with faults that a test switches on.
+
+    python -m tests.common.platform_standin --address 127.1.2.3 --port 9000
+
+Beside the object API: ``POST /standin/mode`` (see ``Modes``), ``GET /standin/counts`` and
+``PUT /standin/instances``. It speaks HTTP by h11 directly, because an ASGI server does not let its
+application close a connection without any answer, which is the fault that matters most here.
+"""
+
+import argparse
+import signal
+from collections import Counter
+from collections.abc import Sequence
+from http import HTTPStatus
+from typing import Any, NamedTuple, TypedDict
+from urllib.parse import parse_qs, unquote, urlsplit
+
+import h11
+import msgspec
+import trio
+
+from tests.common.object_store import ObjectStore
+from wagtailpoint.ports.platform import Conflict, StoredObject
+
+MOST_VALUE_BYTES = 1_000_000
+_CHUNK_BYTES = 65536
+_STALE_POLL_S = 0.02
+
+
+class Modes(TypedDict, total=False):
+    """The faults.
+
+    Attributes:
+        down: Every call's connection is closed without an answer, also those of waiting watches.
+        slow_s: Every call takes this much longer, in seconds.
+        lose_answers: So many next writes take effect, but their connection is closed instead.
+        stale_watch_s: Watches see a change so many seconds late.
+        reject_rate: The part of calls (0 to 1) answered 429.
+        instances_lag_s: The list of instances shows a change so many seconds late.
+    """
+
+    down: bool
+    slow_s: float
+    lose_answers: int
+    stale_watch_s: float
+    reject_rate: float
+    instances_lag_s: float
+
+
+class Call(NamedTuple):
+    """One request."""
+
+    method: str
+    path: Sequence[str]
+    query: dict[str, list[str]]
+    body: bytes
+
+    def number(self, name: str) -> float:
+        """A number from the query, 0 if absent."""
+        return float(self.query.get(name, ["0"])[0])
+
+
+class Answer(NamedTuple):
+    """One response."""
+
+    status: int
+    value: Any
+    headers: Sequence[tuple[str, str]] = ()
+
+
+class NoAnswer(Exception):
+    """The connection is to be closed without an answer."""
+
+
+def as_wire(stored: StoredObject | None) -> dict[str, Any] | None:
+    """An object as it is sent."""
+    return stored._asdict() if stored else None
+
+
+class Standin:
+    """The object API and its faults."""
+
+    def __init__(self, *, most_calls_per_s: float | None) -> None:
+        self._store = ObjectStore(monotonic=trio.current_time)
+        self._modes = Modes()
+        self._counts: Counter[tuple[str, str]] = Counter()
+        self._refused = 0
+        self._rejecting = 0.0
+        self._most_calls_per_s = most_calls_per_s
+        self._most_tokens = max(1.0, most_calls_per_s or 0.0)
+        self._tokens = self._most_tokens
+        self._tokens_at_s = trio.current_time()
+        self._changed = trio.Event()
+        self._listed: list[tuple[float, Any]] = [(0.0, [])]
+
+    async def answer(self, call: Call) -> Answer:
+        """Answer one request.
+
+        Raises:
+            NoAnswer: The connection is to be closed instead.
+        """
+        if call.path[0] == "standin":
+            return self._control(call)
+        await trio.sleep(self._modes.get("slow_s", 0.0))
+        self._check_up()
+        self._counts[self._counted_as(call)] += 1
+        if self._is_over_rate():
+            self._refused += 1
+            return Answer(HTTPStatus.TOO_MANY_REQUESTS, None, [("Retry-After", "1")])
+        if call.path[0] == "watch":
+            return await self._watch(call)
+        if call.path[0] == "instances":
+            return self._instances()
+        return self._objects(call)
+
+    def _check_up(self) -> None:
+        if self._modes.get("down"):
+            raise NoAnswer
+
+    def _counted_as(self, call: Call) -> tuple[str, str]:
+        if call.path[0] == "watch":
+            return "WATCH", call.query["kinds"][0]
+        if call.path[0] == "instances":
+            return call.method, "instances"
+        return "LIST" if len(call.path) == 2 else call.method, call.path[1]
+
+    def _is_over_rate(self) -> bool:
+        self._rejecting += self._modes.get("reject_rate", 0.0)
+        if self._rejecting >= 1.0:
+            self._rejecting -= 1.0
+            return True
+        if self._most_calls_per_s is None:
+            return False
+        now_s = trio.current_time()
+        self._tokens += (now_s - self._tokens_at_s) * self._most_calls_per_s
+        self._tokens = min(self._tokens, self._most_tokens)
+        self._tokens_at_s = now_s
+        if self._tokens < 1.0:
+            return True
+        self._tokens -= 1.0
+        return False
+
+    def _control(self, call: Call) -> Answer:
+        if call.path[1] == "counts":
+            calls: dict[str, dict[str, int]] = {}
+            for (method, kind), count in sorted(self._counts.items()):
+                calls.setdefault(kind, {})[method] = count
+            total = self._counts.total()
+            return Answer(200, {"calls": calls, "refused": self._refused, "total": total})
+        if call.path[1] == "instances":
+            self._listed.append((trio.current_time(), msgspec.json.decode(call.body)))
+            return Answer(200, None)
+        self._modes.update(msgspec.json.decode(call.body, type=Modes))
+        self._wake()
+        return Answer(200, self._modes)
+
+    def _instances(self) -> Answer:
+        visible_s = trio.current_time() - self._modes.get("instances_lag_s", 0.0)
+        visible = [listed for at_s, listed in self._listed if at_s <= visible_s]
+        return Answer(200, {"instances": visible[-1]})
+
+    def _objects(self, call: Call) -> Answer:
+        kind = call.path[1]
+        if len(call.path) == 2:
+            found = [as_wire(stored) for stored in self._store.list(kind)]
+            return Answer(200, {"version": self._store.version, "objects": found})
+        name = call.path[2]
+        if call.method == "GET":
+            stored = self._store.get(kind, name)
+            return Answer(200 if stored else 404, as_wire(stored))
+        return self._write(call, kind, name)
+
+    def _write(self, call: Call, kind: str, name: str) -> Answer:
+        if len(call.body) > MOST_VALUE_BYTES:
+            return Answer(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, None)
+        if_version = int(call.number("if_version"))
+        outcome: StoredObject | Conflict | None
+        if call.method == "PUT":
+            outcome = self._store.put(kind, name, msgspec.json.decode(call.body), if_version)
+        else:
+            outcome = self._store.delete(kind, name, if_version)
+        self._wake()
+        if self._modes.get("lose_answers", 0) > 0:
+            self._modes["lose_answers"] -= 1
+            raise NoAnswer
+        if isinstance(outcome, Conflict):
+            return Answer(HTTPStatus.CONFLICT, as_wire(outcome.current))
+        return Answer(200, {"kind": kind, "name": name, "version": self._store.version})
+
+    async def _watch(self, call: Call) -> Answer:
+        kinds = call.query["kinds"][0].split(",")
+        from_version = int(call.number("from"))
+        until_s = trio.current_time() + call.number("wait_s")
+        while True:
+            self._check_up()
+            lag_s = self._modes.get("stale_watch_s", 0.0)
+            batch = self._store.events_since(kinds, from_version, lag_s=lag_s)
+            if batch is None:
+                return Answer(HTTPStatus.GONE, None)
+            left_s = until_s - trio.current_time()
+            if batch.events or left_s <= 0:
+                events = [
+                    {"action": event.action, "object": as_wire(event.stored)}
+                    for event in batch.events
+                ]
+                return Answer(200, {"version": batch.version, "events": events})
+            with trio.move_on_after(min(left_s, _STALE_POLL_S) if lag_s else left_s):
+                await self._changed.wait()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+
+async def receive(connection: h11.Connection, stream: trio.SocketStream) -> Call | None:
+    """The next request of a connection; None when the client has closed it."""
+    request: h11.Request | None = None
+    body = bytearray()
+    while True:
+        event = connection.next_event()
+        if event is h11.NEED_DATA:
+            connection.receive_data(await stream.receive_some(_CHUNK_BYTES))
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+        elif isinstance(event, h11.EndOfMessage) and request is not None:
+            url = urlsplit(request.target.decode())
+            path = [unquote(part) for part in url.path.strip("/").split("/")]
+            return Call(request.method.decode(), path, parse_qs(url.query), bytes(body))
+        else:
+            return None
+
+
+async def send(connection: h11.Connection, stream: trio.SocketStream, answer: Answer) -> None:
+    """Send one response."""
+    body = msgspec.json.encode(answer.value)
+    headers = [*answer.headers, ("Content-Length", str(len(body)))]
+    head = connection.send(h11.Response(status_code=answer.status, headers=headers)) or b""
+    payload = connection.send(h11.Data(data=body)) or b""
+    await stream.send_all(head + payload + (connection.send(h11.EndOfMessage()) or b""))
+
+
+async def serve(standin: Standin, stream: trio.SocketStream) -> None:
+    """Serve one connection."""
+    connection = h11.Connection(h11.SERVER)
+    async with stream:
+        try:
+            while call := await receive(connection, stream):
+                await send(connection, stream, await standin.answer(call))
+                if connection.our_state is not h11.DONE:
+                    return
+                connection.start_next_cycle()
+        except (NoAnswer, trio.BrokenResourceError, h11.ProtocolError):
+            return
+
+
+async def run(address: str, port: int, most_calls_per_s: float | None) -> None:
+    """Serve until SIGTERM."""
+    standin = Standin(most_calls_per_s=most_calls_per_s)
+    async with trio.open_nursery() as nursery:
+        with trio.open_signal_receiver(signal.SIGTERM) as signals:
+            listeners = await trio.open_tcp_listeners(port, host=address)
+            nursery.start_soon(
+                trio.serve_listeners, lambda stream: serve(standin, stream), listeners
+            )
+            async for _ in signals:
+                nursery.cancel_scope.cancel()
+
+
+def main() -> None:
+    """Read the command line and serve."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--address", required=True)
+    parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--most-calls-per-s", type=float)
+    options = parser.parse_args()
+    trio.run(run, options.address, options.port, options.most_calls_per_s)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/common/processes.py
@@ -0,0 +1,199 @@
+"""Start a Python module as a process of its own for a test, and always end it.
+
+    with ModuleProcess(module="tests.common.platform_standin",
+                       arguments=["--address", address, "--port", "9000"],
+                       address=address, port=9000) as process:
+        process.freeze()
+
+The methods block. In a trio test call them by ``trio.to_thread.run_sync`` where the test's own
+tasks have to go on meanwhile.
+"""
+
+import atexit
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Iterator, Mapping, Sequence
+from contextlib import ExitStack, contextmanager
+from pathlib import Path
+from types import TracebackType
+from typing import IO, Self
+
+ROOT = Path(__file__).parents[2]
+LIMIT_S = 30.0
+_POLL_S = 0.02
+_LOG_TAIL_CHARACTERS = 4000
+
+
+class ModuleProcess:
+    """``python -m MODULE ARGUMENTS`` as a context manager: ready on entry, ended on exit.
+
+    Args:
+        module: For example ``wagtailpoint.daemon.main``.
+        arguments: Its command line.
+        address: The address on which it will listen; used to wait until it is ready.
+        port: The TCP port on which it will listen; None if there is nothing to wait for.
+        environment: Variables added to those of the test.
+    """
+
+    def __init__(
+        self,
+        *,
+        module: str,
+        arguments: Sequence[str] = (),
+        address: str = "127.0.0.1",
+        port: int | None = None,
+        environment: Mapping[str, str] | None = None,
+    ) -> None:
+        self._command = [sys.executable, "-m", module, *arguments]
+        self._address = address
+        self._port = port
+        self._environment = dict(environment or {})
+        self._log_file: IO[bytes] | None = None
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._running.pid
+
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code, or None while it runs; minus the number of the signal that ended it."""
+        return self._running.poll()
+
+    @property
+    def log(self) -> str:
+        """Everything that it wrote to standard output and standard error."""
+        if self._log_file is None:
+            return ""
+        return Path(self._log_file.name).read_text(errors="replace")
+
+    @property
+    def _running(self) -> subprocess.Popen[bytes]:
+        if self._process is None:
+            raise RuntimeError(f"{self._command} was not started; call start() first")
+        return self._process
+
+    def start(self) -> None:
+        """Start it without waiting; call again after its end for a replacement."""
+        if self._process is not None and self._process.poll() is None:
+            raise RuntimeError(f"{self._command} runs already as {self._process.pid}")
+        if self._log_file is None:
+            # Kept open over restarts; closed, and so removed, by _end().
+            self._log_file = tempfile.NamedTemporaryFile(suffix=".log")  # noqa: SIM115
+        path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        self._process = subprocess.Popen(
+            self._command,
+            cwd=ROOT,
+            env={**os.environ, "PYTHONPATH": path, **self._environment},
+            stdin=subprocess.DEVNULL,
+            stdout=self._log_file,
+            stderr=subprocess.STDOUT,
+        )
+        atexit.register(self.kill)
+
+    def wait_ready(self, limit_s: float = LIMIT_S) -> None:
+        """Wait until its TCP port answers.
+
+        Raises:
+            RuntimeError: It ended, or is not ready within ``limit_s`` seconds; with its log.
+        """
+        give_up_s = time.monotonic() + limit_s
+        while self._port is not None and not self._answers():
+            if self.exit_code is not None:
+                raise RuntimeError(f"{self._command} ended: {self.exit_code}\n{self._log_tail()}")
+            if time.monotonic() > give_up_s:
+                raise RuntimeError(f"{self._command} not ready in {limit_s} s\n{self._log_tail()}")
+            time.sleep(_POLL_S)
+
+    def _answers(self) -> bool:
+        try:
+            socket.create_connection((self._address, self._port or 0), timeout=1.0).close()
+        except OSError:
+            return False
+        return True
+
+    def wait_log(self, text: str, limit_s: float = LIMIT_S) -> None:
+        """Wait until its log contains ``text``."""
+        give_up_s = time.monotonic() + limit_s
+        while text not in self.log:
+            if time.monotonic() > give_up_s:
+                raise RuntimeError(f"no {text!r} in the log\n{self._log_tail()}")
+            time.sleep(_POLL_S)
+
+    def _log_tail(self) -> str:
+        return self.log[-_LOG_TAIL_CHARACTERS:]
+
+    def freeze(self) -> None:
+        """Stop its execution (SIGSTOP), as a paused machine does."""
+        self._running.send_signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a frozen process go on (SIGCONT)."""
+        self._running.send_signal(signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to stop (SIGTERM) without waiting."""
+        self._running.send_signal(signal.SIGTERM)
+
+    def wait(self, limit_s: float = LIMIT_S) -> int:
+        """Wait for its end.
+
+        Returns:
+            The exit code.
+        """
+        return self._running.wait(limit_s)
+
+    def stop(self, limit_s: float = LIMIT_S) -> int:
+        """Ask it to stop (SIGTERM) and wait for its exit code."""
+        self.terminate()
+        return self.wait(limit_s)
+
+    def kill(self) -> None:
+        """End it at once (SIGKILL), also when frozen, and wait until it is gone."""
+        atexit.unregister(self.kill)
+        if self._process is not None:
+            self._process.kill()
+            self._process.wait(LIMIT_S)
+
+    def __enter__(self) -> Self:
+        try:
+            self.start()
+            self.wait_ready()
+        except BaseException:
+            self._end()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        if exception_type is not None:
+            print(f"--- log of {self._command}\n{self._log_tail()}", file=sys.stderr)
+        self._end()
+
+    def _end(self) -> None:
+        self.kill()
+        if self._log_file is not None:
+            self._log_file.close()
+            self._log_file = None
+
+
+@contextmanager
+def started_together(*processes: ModuleProcess) -> Iterator[None]:
+    """Start several processes at the same time, wait until all are ready, and end all."""
+    with ExitStack() as stack:
+        for process in processes:
+            stack.push(process.__exit__)
+            process.start()
+        for process in processes:
+            process.wait_ready()
+        yield
--- /dev/null
+++ b/tests/integration/test_platform_http.py
@@ -0,0 +1,179 @@
+"""The HTTP adapter against the stand-in as a real process."""
+
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import httpcore
+import msgspec
+import trio
+
+from tests.common.processes import ModuleProcess, started_together
+from wagtailpoint.adapters.platform_http import HttpPlatform
+from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
+from wagtailpoint.ports.platform import ABSENT, Conflict, ListedInstance
+
+PORT = 9000
+TIMEOUT_S = 10.0
+SHORT_TIMEOUT_S = 0.3
+LIMIT_S = 60
+
+
+def fresh_address() -> str:
+    numbers = random.Random()
+    return f"127.{numbers.randint(1, 250)}.{numbers.randint(1, 250)}.{numbers.randint(1, 250)}"
+
+
+def standin(address: str, *arguments: str) -> ModuleProcess:
+    return ModuleProcess(
+        module="tests.common.platform_standin",
+        arguments=["--address", address, "--port", str(PORT), *arguments],
+        address=address,
+        port=PORT,
+    )
+
+
+def control(address: str, method: str, path: str, value: Any = None) -> Any:
+    body = msgspec.json.encode(value)
+    url = f"http://{address}:{PORT}/standin/{path}"
+    return msgspec.json.decode(httpcore.request(method, url, content=body).content)
+
+
+class HttpPlatformTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.address = fresh_address()
+        self.process = self.enterContext(standin(self.address))
+
+    def run_with(
+        self, test: Callable[[HttpPlatform], Awaitable[None]], timeout_s: float = TIMEOUT_S
+    ) -> None:
+        async def run() -> None:
+            with trio.fail_after(LIMIT_S):
+                addresses = [(self.address, PORT)]
+                async with HttpPlatform(addresses=addresses, timeout_s=timeout_s) as platform:
+                    await test(platform)
+
+        trio.run(run)
+
+    def test_objects_have_versions_and_conditions(self) -> None:
+        async def test(platform: HttpPlatform) -> None:
+            name = "a b/ü?&"
+            self.assertIsNone((await platform.get(kind="thing", name=name)).unwrap())
+            one = (await platform.put(kind="thing", name=name, value=[1], if_version=0)).unwrap()
+            self.assertEqual((await platform.get(kind="thing", name=name)).unwrap(), one)
+            again = await platform.put(kind="thing", name=name, value=[2], if_version=ABSENT)
+            self.assertEqual(again.unwrap_err(), Conflict(one))
+            self.assertEqual((await platform.list(kind="thing")).unwrap().objects, [one])
+            gone = await platform.delete(kind="thing", name=name, if_version=one.version)
+            self.assertIsNone(gone.unwrap())
+            gone = await platform.delete(kind="thing", name=name, if_version=one.version)
+            self.assertEqual(gone.unwrap_err(), Conflict(None))
+
+        self.run_with(test)
+
+    def test_a_watch_waits_for_its_kinds_and_says_when_it_is_too_old(self) -> None:
+        async def test(platform: HttpPlatform) -> None:
+            async with trio.open_nursery() as nursery:
+
+                async def write() -> None:
+                    for kind in ("other", "thing"):
+                        await platform.put(kind=kind, name="x", value=kind, if_version=ABSENT)
+
+                nursery.start_soon(write)
+                batch = await platform.watch(kinds=["thing", "none"], from_version=0, wait_s=30)
+                self.assertEqual([e.stored.value for e in batch.unwrap().events], ["thing"])
+            empty = await platform.watch(kinds=["thing"], from_version=2, wait_s=0.01)
+            self.assertEqual(empty.unwrap().events, [])
+            too_old = await platform.watch(kinds=["thing"], from_version=3, wait_s=1)
+            self.assertIsInstance(too_old.unwrap_err(), WatchTooOld)
+            counts = control(self.address, "GET", "counts")
+            self.assertEqual(counts["calls"]["thing,none"], {"WATCH": 1})
+            self.assertEqual(counts["total"], 5)
+
+        self.run_with(test)
+
+    def test_a_lost_answer_is_an_unknown_outcome(self) -> None:
+        """Symptom: a change was reported as refused, and was in force.
+
+        Sequence: the platform wrote, then the connection broke before the answer. Cause to guard
+        against: reading a broken connection as "not done".
+        """
+
+        async def test(platform: HttpPlatform) -> None:
+            control(self.address, "POST", "mode", {"lose_answers": 1})
+            put = await platform.put(kind="thing", name="x", value=1, if_version=ABSENT)
+            self.assertIsInstance(put.unwrap_err(), OutcomeUnknown)
+            self.assertEqual((await platform.list(kind="thing")).unwrap().objects[0].value, 1)
+            control(self.address, "POST", "mode", {"down": True})
+            get = await platform.get(kind="thing", name="x")
+            self.assertIsInstance(get.unwrap_err(), PlatformUnavailable)
+
+        self.run_with(test)
+
+    def test_an_explicit_refusal_changed_nothing(self) -> None:
+        async def test(platform: HttpPlatform) -> None:
+            control(self.address, "POST", "mode", {"reject_rate": 1.0})
+            put = await platform.put(kind="thing", name="x", value=1, if_version=ABSENT)
+            refusal = put.unwrap_err()
+            assert isinstance(refusal, PlatformUnavailable)
+            self.assertEqual(refusal.retry_after_s, 1.0)
+
+        self.run_with(test)
+
+    def test_a_frozen_platform_times_out_and_the_write_may_land_later(self) -> None:
+        """Symptom: a write that timed out was repeated and undid another one.
+
+        Sequence: the platform froze, the write waited in its socket, the platform thawed and did
+        it. Cause to guard against: taking a timeout after the first byte for "not done".
+        """
+
+        async def test(platform: HttpPlatform) -> None:
+            self.process.freeze()
+            put = await platform.put(kind="thing", name="x", value=1, if_version=ABSENT)
+            self.assertIsInstance(put.unwrap_err(), OutcomeUnknown)
+            self.process.thaw()
+            while True:
+                if (await platform.list(kind="thing")).map_or(False, lambda one: one.objects):
+                    return
+                await trio.sleep(0.01)
+
+        self.run_with(test, SHORT_TIMEOUT_S)
+
+    def test_the_list_of_instances(self) -> None:
+        async def test(platform: HttpPlatform) -> None:
+            listed = ListedInstance("127.0.0.9", "salt-lake", "leaving")
+            control(self.address, "PUT", "instances", [listed._asdict()])
+            self.assertEqual((await platform.instances()).unwrap(), [listed])
+
+        self.run_with(test)
+
+
+class SeveralAddressesTest(unittest.TestCase):
+    def test_the_next_address_is_tried_and_a_dead_platform_changed_nothing(self) -> None:
+        down, up = fresh_address(), fresh_address()
+        process = standin(up)
+
+        async def run() -> None:
+            addresses = [(down, PORT), (up, PORT)]
+            async with HttpPlatform(addresses=addresses, timeout_s=TIMEOUT_S) as platform:
+                put = await platform.put(kind="thing", name="x", value=1, if_version=ABSENT)
+                self.assertEqual(put.unwrap().version, 1)
+                self.assertEqual(process.stop(), 0)
+                put = await platform.put(kind="thing", name="x", value=2, if_version=1)
+                self.assertIsInstance(put.unwrap_err(), PlatformUnavailable)
+
+        with started_together(process):
+            trio.run(run)
+
+    def test_the_stand_in_refuses_calls_over_its_rate(self) -> None:
+        address = fresh_address()
+
+        async def run() -> None:
+            addresses = [(address, PORT)]
+            async with HttpPlatform(addresses=addresses, timeout_s=TIMEOUT_S) as platform:
+                outcomes = [await platform.get(kind="thing", name="x") for _ in range(3)]
+                self.assertEqual([one.is_err() for one in outcomes], [False, True, True])
+
+        with standin(address, "--most-calls-per-s", "0.0001"):
+            trio.run(run)
