--- /dev/null
+++ b/src/wagtailpoint/config/files.py
@@ -0,0 +1,56 @@
+"""Files of configuration objects: JSON objects whose fields are ``kind/name``."""
+
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from result import Err, Ok, Result
+
+from wagtailpoint.checking import parse_json, show
+from wagtailpoint.errors import InvalidInput, Mistake
+
+
+def read_objects(paths: Sequence[Path]) -> Result[dict[str, Any], InvalidInput]:
+    """Read the objects of some files; a directory stands for all ``*.json`` files in it.
+
+    Returns:
+        The value of each object by ``kind/name``, unchecked, or every mistake found. An object
+        that stands in two files is a mistake, for either could be the one that is meant.
+    """
+    mistakes: list[Mistake] = []
+    objects: dict[str, Any] = {}
+    found_in: dict[str, Path] = {}
+    for path in _files(paths, mistakes):
+        for key, value in _read_file(path, mistakes).items():
+            if key in objects:
+                mistakes.append(Mistake(f"{path}: {key}", "again", f"once; {found_in[key]} has it"))
+            objects[key] = value
+            found_in[key] = path
+    return Err(InvalidInput(mistakes)) if mistakes else Ok(objects)
+
+
+def _files(paths: Sequence[Path], mistakes: list[Mistake]) -> list[Path]:
+    files = []
+    for path in paths:
+        inside = sorted(path.glob("*.json")) if path.is_dir() else [path]
+        if not inside:
+            mistakes.append(Mistake(str(path), "a directory without any", "*.json files"))
+        files.extend(inside)
+    return files
+
+
+def _read_file(path: Path, mistakes: list[Mistake]) -> dict[str, Any]:
+    expected = 'an object such as {"service/desk": {...}}'
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        mistakes.append(Mistake(str(path), error.strerror or str(error), "a readable file"))
+        return {}
+    match parse_json(text, path=str(path)):
+        case Ok(dict() as objects):
+            return objects
+        case Ok(other):
+            mistakes.append(Mistake(str(path), show(other), expected))
+        case Err(invalid):
+            mistakes.extend(invalid.mistakes)
+    return {}
