--- /dev/null
+++ b/src/wagtailpoint/adapters/backend_stream.py
@@ -0,0 +1,94 @@
+"""The TCP stream under httpcore that remembers whether a byte was handed to the socket."""
+
+import socket
+from ssl import SSLContext
+from typing import Any
+
+import httpcore
+import trio
+
+from wagtailpoint.ports.backend import BackendAddress
+
+
+class RecordingStream(httpcore.AsyncNetworkStream):
+    """A plain TCP stream that knows whether the present request can have left.
+
+    httpcore swallows a failed write and goes on reading, and its trace events start before the
+    head is even encoded; so neither tells a request that never left from one that did. This
+    stream is asked directly. Its ``timeout`` arguments are httpcore's and unused: deadlines are
+    cancel scopes around the whole exchange.
+    """
+
+    def __init__(self, *, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._handed_over = False
+        self._ended = False
+
+    @property
+    def ended(self) -> bool:
+        """Whether the peer closed or reset the connection."""
+        return self._ended
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether a byte of the present request may have been handed to the socket."""
+        return self._handed_over
+
+    def start_request(self) -> None:
+        """Forget the request before."""
+        self._handed_over = False
+
+    async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:  # noqa: ASYNC109
+        """Read some bytes; none at the end."""
+        try:
+            data = await self._stream.receive_some(max_bytes)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            self._ended = True
+            raise httpcore.ReadError(str(error)) from error
+        self._ended = not data
+        return bytes(data)
+
+    async def write(self, buffer: bytes, timeout: float | None = None) -> None:  # noqa: ASYNC109
+        """Write all of the buffer."""
+        if not buffer:
+            return
+        # Set before the write and not after it: a write that fails or is cancelled half-way has
+        # sent bytes too, and a `not-run` after that would let a release be paid twice.
+        self._handed_over = True
+        try:
+            await self._stream.send_all(buffer)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise httpcore.WriteError(str(error)) from error
+
+    async def aclose(self) -> None:
+        """Close the connection."""
+        await self._stream.aclose()
+
+    async def start_tls(
+        self,
+        ssl_context: SSLContext,
+        server_hostname: str | None = None,
+        timeout: float | None = None,  # noqa: ASYNC109
+    ) -> httpcore.AsyncNetworkStream:
+        """Not used: backend servers are reached over plain TCP."""
+        raise NotImplementedError("backend servers are reached over plain TCP")
+
+    def get_extra_info(self, info: str) -> Any:
+        """Answer httpcore's question whether an idle connection became readable (was closed)."""
+        return self._stream.socket.is_readable() if info == "is_readable" else None
+
+
+async def connect(server: BackendAddress) -> RecordingStream:
+    """Open a connection.
+
+    Raises:
+        OSError: The backend server refused, or can't be reached.
+    """
+    family = socket.AF_INET6 if ":" in server.address else socket.AF_INET
+    sock = trio.socket.socket(family, socket.SOCK_STREAM)
+    try:
+        await sock.connect((server.address, server.port))
+    except BaseException:
+        sock.close()
+        raise
+    return RecordingStream(stream=trio.SocketStream(sock))
--- /dev/null
+++ b/tests/common/backend_standin.py
@@ -0,0 +1,409 @@
+"""A stand-in for the users' backend servers, with faults to order and a record of what ran.
+
+One process may serve many workers, each with its own port, slots and record. A request runs in a
+slot for a seeded exponential time. The record (`GET /standin/record`) is what tests compare every
+verdict with: an execution is recorded when its slot is taken, before any answer can leave.
+"""
+
+import json
+import random
+import time
+from collections import Counter, deque
+from contextvars import ContextVar
+from functools import partial
+from math import inf
+from typing import Any, TypedDict
+
+import click
+import msgspec
+import trio
+from hypercorn.config import Config
+from hypercorn.trio.tcp_server import TCPServer
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import ConnectionState, LifespanState
+from hypercorn.utils import wrap_app
+
+from tests.common.sockets import reset_connection
+
+MOST_ARRIVALS = 200_000
+BULK_CHUNK = 16 * 1024
+PATTERN = bytes(range(251))
+
+
+class Mode(TypedDict, total=False):
+    """Faults; a number for a fault is the part of the requests (0 to 1) that it hits."""
+
+    slow: float  # factor on the service time
+    reset_after: float  # run, then close without an answer
+    reset_before: float  # close without running
+    die_in_body: float  # close in the middle of the body
+    short_body: float  # announce more bytes than are sent, then close
+    cross: float  # answer with another request's id
+    no_id: float  # answer without the request's id
+    bare_503: float  # run, then answer 503 without any word on it
+    glue: float  # send a second, unasked answer right behind the answer
+    deaf: bool  # ignore deadlines
+    draining: bool
+    report: dict[str, object]  # fields of the load report that lie
+    report_lag_s: float  # the report shows the state of that long ago
+    idle_close_s: float | None  # close a connection that was idle for so long
+
+
+class Connection:
+    """One accepted connection, known to the requests that arrive on it."""
+
+    def __init__(self, *, stream: trio.SocketStream) -> None:
+        self.stream = stream
+        self.requests = 0
+
+
+_CONNECTION: ContextVar[Connection] = ContextVar("connection")
+
+
+class Worker:
+    """One backend server: its slots, queue, faults and record."""
+
+    def __init__(
+        self,
+        *,
+        service: str = "deposit-desk",
+        slots: int = 3,
+        service_ms: float = 20.0,
+        queue_limit: int = 30,
+        seed: int = 1,
+        cold_factor: float = 1.0,
+        cold_requests: int = 0,
+    ) -> None:
+        self.service = service
+        self.mode = Mode()
+        self.arrivals: deque[dict[str, object]] = deque(maxlen=MOST_ARRIVALS)
+        self.executions: Counter[str] = Counter()  # by request id
+        self.by_key: Counter[str] = Counter()  # by Idempotency-Key
+        self.counts: Counter[str] = Counter()
+        self.most_busy = 0
+        self._slots = slots
+        self._service_s = service_ms / 1000
+        self._queue_limit = queue_limit
+        self._random = random.Random(seed)
+        self._cold = (cold_factor, cold_requests)
+        self._slot = trio.Semaphore(slots)
+        self._busy = 0
+        self._queued = 0
+        self._reports: deque[tuple[float, dict[str, object]]] = deque()
+
+    def hit(self, fault: str) -> bool:
+        part: float = self.mode.get(fault, 0.0)  # type: ignore[assignment]
+        return part > 0 and self._random.random() < part
+
+    def report(self) -> dict[str, object]:
+        """The load report; late by ``report_lag_s`` and with the lies of ``report``."""
+        ran, cold_requests = self.counts["ran"], self._cold[1]
+        now = time.monotonic()
+        fresh: dict[str, object] = {
+            "busy": self._busy,
+            "queued": self._queued,
+            "slots": self._slots,
+            "draining": bool(self.mode.get("draining")),
+            "warm": ran >= cold_requests,
+        }
+        self._reports.append((now, fresh))
+        until = now - self.mode.get("report_lag_s", 0.0)
+        while len(self._reports) > 1 and self._reports[1][0] <= until:
+            self._reports.popleft()
+        return {**self._reports[0][1], **self.mode.get("report", {})}
+
+    def record(self) -> dict[str, object]:
+        return {
+            "service": self.service,
+            "arrivals": list(self.arrivals),
+            "executions": dict(self.executions),
+            "by_key": dict(self.by_key),
+            "counts": dict(self.counts),
+            "most_busy": self.most_busy,
+        }
+
+    async def app(self, scope: Any, receive: Any, send: Any) -> None:
+        """The ASGI application."""
+        if scope["type"] != "http":
+            return
+        connection = _CONNECTION.get()
+        connection.requests += 1
+        number = connection.requests
+        exchange = Exchange(worker=self, scope=scope, receive=receive, send=send)
+        await exchange.run()
+        idle_s = self.mode.get("idle_close_s")
+        if idle_s is not None:
+            # The answer is out and did not say `Connection: close`: the caller believes that the
+            # connection can be used again.
+            await trio.sleep(idle_s)
+            if connection.requests == number:
+                await connection.stream.aclose()
+
+    async def take_slot(self, deadline_s: float) -> bool:
+        """Wait in the queue; False if the deadline passed there."""
+        self._queued += 1
+        try:
+            with trio.move_on_after(deadline_s):
+                await self._slot.acquire()
+                return True
+            return False
+        finally:
+            self._queued -= 1
+
+    async def run_request(self, request_id: str, key: str | None, deadline_s: float) -> bool:
+        """Run a request in the slot that was taken; False if the deadline passed meanwhile."""
+        self._busy += 1
+        self.most_busy = max(self.most_busy, self._busy)
+        self.counts["ran"] += 1
+        self.executions[request_id] += 1
+        if key is not None:
+            self.by_key[key] += 1
+        cold_factor, cold_requests = self._cold
+        factor = cold_factor if self.counts["ran"] <= cold_requests else 1.0
+        service_s = self._service_s * factor * self.mode.get("slow", 1.0)
+        with trio.move_on_after(deadline_s):
+            await trio.sleep(self._random.expovariate(1) * service_s)
+            return True
+        return False
+
+    def give_slot(self) -> None:
+        self._busy -= 1
+        self._slot.release()
+
+    @property
+    def overloaded(self) -> bool:
+        return self._busy >= self._slots and self._queued >= self._queue_limit
+
+
+class Exchange:
+    """One request and its answer."""
+
+    def __init__(self, *, worker: Worker, scope: Any, receive: Any, send: Any) -> None:
+        self._worker = worker
+        self._scope = scope
+        self._receive = receive
+        self._send = send
+        self._headers = dict(scope["headers"])
+        self._request_id = self._headers.get(b"wagtailpoint-request-id", b"").decode()
+        self._key = self._headers.get(b"idempotency-key", b"").decode() or None
+
+    async def run(self) -> None:
+        path = self._scope["path"]
+        body = await self._read_body()
+        if path == "/load":
+            await self._answer_json(200, self._worker.report())
+        elif path == "/standin/record":
+            await self._answer_json(200, self._worker.record())
+        elif path == "/standin/mode":
+            self._worker.mode = msgspec.json.decode(body, type=Mode)
+            await self._answer_json(200, {})
+        else:
+            await self._serve(body)
+
+    async def _read_body(self) -> bytes:
+        """The first megabyte of the body."""
+        body = b""
+        while True:
+            message = await self._receive()
+            if len(body) < 1_000_000:
+                body += message.get("body", b"")
+            if not message.get("more_body", False):
+                return body
+
+    async def _serve(self, body: bytes) -> None:
+        worker, deadline_s = self._worker, self._deadline_s()
+        arrival = {
+            "time": time.monotonic(),
+            "request_id": self._request_id,
+            "key": self._key,
+            "method": self._scope["method"],
+            "path": self._scope["path"],
+            "deadline_s": None if deadline_s == inf else deadline_s,
+            "body_bytes": len(body),
+        }
+        worker.arrivals.append(arrival)
+        if worker.hit("reset_before"):
+            await self._reset("reset_before")
+            return
+        if worker.mode.get("draining") or worker.overloaded:
+            await self._shed()
+            return
+        start = trio.current_time()
+        gone = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._watch_caller, gone, nursery.cancel_scope)
+            took_slot = await worker.take_slot(deadline_s)
+            nursery.cancel_scope.cancel()
+        if gone.is_set():
+            if took_slot:
+                worker._slot.release()
+            worker.counts["cancelled_in_queue"] += 1
+        elif not took_slot:
+            await self._shed()
+        else:
+            try:
+                left_s = deadline_s - (trio.current_time() - start)
+                in_time = await worker.run_request(self._request_id, self._key, left_s)
+                await self._answer(504 if not in_time else 200)
+            finally:
+                worker.give_slot()
+
+    async def _watch_caller(self, gone: trio.Event, scope: trio.CancelScope) -> None:
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+        gone.set()
+        scope.cancel()
+
+    def _deadline_s(self) -> float:
+        value = self._headers.get(b"wagtailpoint-deadline-ms")
+        return inf if value is None or self._worker.mode.get("deaf") else int(value) / 1000
+
+    async def _shed(self) -> None:
+        self._worker.counts["shed"] += 1
+        headers = [(b"wagtailpoint-shed", b"not-run"), (b"retry-after", b"1")]
+        if self._worker.mode.get("draining"):
+            headers.append((b"wagtailpoint-draining", b"1"))
+        await self._answer_json(503, {"shed": True}, headers)
+
+    async def _answer(self, status: int) -> None:
+        worker = self._worker
+        if worker.hit("reset_after"):
+            await self._reset("reset_after")
+        elif worker.hit("bare_503"):
+            worker.counts["bare_503"] += 1
+            await self._answer_json(503, {})
+        elif self._scope["path"].startswith("/bulk/"):
+            await self._answer_bulk(int(self._scope["path"].removeprefix("/bulk/")))
+        else:
+            ran = worker.executions[self._request_id]
+            key_ran = 0 if self._key is None else worker.by_key[self._key]
+            await self._answer_json(
+                status,
+                {
+                    "request_id": self._request_id,
+                    "service": worker.service,
+                    "executions": ran,
+                    "key_executions": key_ran,
+                },
+            )
+
+    async def _reset(self, fault: str) -> None:
+        self._worker.counts[fault] += 1
+        await reset_connection(_CONNECTION.get().stream)
+        while (await self._receive())["type"] != "http.disconnect":
+            pass
+
+    def _echoed(self) -> list[tuple[bytes, bytes]]:
+        if not self._request_id or self._worker.hit("no_id"):
+            return []
+        if self._worker.hit("cross"):
+            self._worker.counts["cross"] += 1
+            return [(b"wagtailpoint-request-id", b"other-" + self._request_id.encode())]
+        return [(b"wagtailpoint-request-id", self._request_id.encode())]
+
+    async def _answer_json(
+        self, status: int, value: object, headers: list[tuple[bytes, bytes]] | None = None
+    ) -> None:
+        body = json.dumps(value).encode()
+        content_type = [(b"content-type", b"application/json")]
+        await self._start(status, len(body), content_type + (headers or []))
+        await self._stream([body], len(body))
+
+    async def _answer_bulk(self, size: int) -> None:
+        etag = f'"bulk-{size}"'.encode()
+        first, last, status = 0, size - 1, 200
+        asked = self._headers.get(b"range", b"").decode()
+        if asked.startswith("bytes=") and self._headers.get(b"if-range", etag) == etag:
+            low, _, high = asked.removeprefix("bytes=").partition("-")
+            first, last = int(low), min(size - 1, int(high) if high else size - 1)
+            status = 206
+        headers = [(b"etag", etag), (b"accept-ranges", b"bytes")]
+        if status == 206:
+            headers.append((b"content-range", f"bytes {first}-{last}/{size}".encode()))
+        length = last - first + 1
+        await self._start(status, length, headers)
+        starts = range(first, last + 1, BULK_CHUNK)
+        chunks = (bulk_bytes(start, min(start + BULK_CHUNK, last + 1)) for start in starts)
+        query = self._scope["query_string"].decode()
+        total_s = float(query.removeprefix("ms=")) / 1000 if query.startswith("ms=") else 0.0
+        await self._stream(chunks, length, total_s / max(1, len(starts)))
+
+    async def _start(self, status: int, length: int, headers: list[tuple[bytes, bytes]]) -> None:
+        framing = [(b"content-length", str(length).encode())]
+        headers = framing + self._echoed() + headers
+        await self._send({"type": "http.response.start", "status": status, "headers": headers})
+
+    async def _stream(self, chunks: Any, length: int, pause_s: float = 0.0) -> None:
+        worker, sent = self._worker, 0
+        cut = length // 2 if worker.hit("die_in_body") else length
+        cut = length - 1 if worker.hit("short_body") else cut
+        for chunk in chunks:
+            chunk = chunk[: cut - sent]
+            sent += len(chunk)
+            await self._send({"type": "http.response.body", "body": chunk, "more_body": True})
+            if sent < length and sent == cut:
+                worker.counts["broken_body"] += 1
+                await _CONNECTION.get().stream.aclose()
+                return
+            await trio.sleep(pause_s)
+        if worker.hit("glue"):
+            extra = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra"
+            await _CONNECTION.get().stream.send_all(extra)
+        await self._send({"type": "http.response.body", "body": b"", "more_body": False})
+
+
+def bulk_bytes(start: int, end: int) -> bytes:
+    """The bytes of every bulk file from ``start`` to before ``end``."""
+    shift = start % len(PATTERN)
+    return (PATTERN * (2 + (end - start) // len(PATTERN)))[shift : shift + end - start]
+
+
+async def serve_worker(
+    worker: Worker, address: str, port: int, *, task_status: Any = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Serve one worker until cancelled."""
+    config = Config()
+    config.errorlog = None
+    config.keep_alive_timeout = 75
+    config.include_server_header = False
+    app = wrap_app(worker.app, config.wsgi_max_body_size, "asgi")
+    context = WorkerContext(None)
+
+    async def serve_connection(stream: trio.SocketStream) -> None:
+        # Tasks of hypercorn below this one inherit the context, so that the application finds the
+        # socket that it shall break.
+        _CONNECTION.set(Connection(stream=stream))
+        state = ConnectionState(LifespanState())
+        await TCPServer(app, config, context, state, stream).run()  # type: ignore[arg-type]
+
+    listeners = await trio.open_tcp_listeners(port, host=address, backlog=512)
+    await trio.serve_listeners(serve_connection, listeners, task_status=task_status)
+
+
+@click.command()
+@click.option("--address", required=True, help="Loopback address to listen on.")
+@click.option("--port", type=int, required=True, help="Port of the first worker.")
+@click.option("--count", type=int, default=1, help="Workers, on consecutive ports.")
+@click.option("--service", default="deposit-desk")
+@click.option("--slots", type=int, default=3)
+@click.option("--service-ms", type=float, default=20.0, help="Mean service time.")
+@click.option("--queue-limit", type=int, default=30)
+@click.option("--seed", type=int, default=1)
+@click.option("--cold-factor", type=float, default=1.0)
+@click.option("--cold-requests", type=int, default=0)
+def main(address: str, port: int, count: int, **options: Any) -> None:
+    """Run stand-ins for backend servers until killed."""
+
+    async def run() -> None:
+        seed = options.pop("seed")
+        async with trio.open_nursery() as nursery:
+            # The first worker listens last: who waits for its port then finds all of them.
+            for number in reversed(range(count)):
+                worker = Worker(seed=seed + number, **options)
+                await nursery.start(partial(serve_worker, worker, address, port + number))
+
+    trio.run(run)
+
+
+if __name__ == "__main__":
+    main()
