--- a/tests/common/sockets.py
+++ b/tests/common/sockets.py
@@ -3,6 +3,7 @@
 import random
 import socket
 import struct
+from contextlib import suppress
 
 import trio
 
@@ -15,5 +16,6 @@
 
 async def reset_connection(stream: trio.SocketStream) -> None:
     """Close with a reset, so that the peer sees an error instead of an end of file."""
-    stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    with suppress(OSError, trio.ClosedResourceError):  # already closed
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     await stream.aclose()
