--- /dev/null
+++ b/src/wagtailpoint/lookup/table.py
@@ -0,0 +1,187 @@
+"""Which entry instances a caller shall use: nearest region first, spread by weight."""
+
+import random
+from bisect import bisect_right
+from collections.abc import Sequence
+from hashlib import blake2b
+from http import HTTPStatus
+from itertools import accumulate
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.config.model import EffectiveConfig
+from wagtailpoint.errors import InvalidInput
+from wagtailpoint.idempotency.binding import Binding
+from wagtailpoint.lookup.answer import EntryView, LookupAnswer, LookupEntry
+from wagtailpoint.lookup.blocks import ClientBlocks
+from wagtailpoint.verdict import Verdict
+
+TTL_S = 2.0
+MOST_ENTRIES = 6
+LEAST_WEIGHT = 0.05
+_COME_BACK_S = 1.0
+
+
+class _Domain(NamedTuple):
+    """The usable entries of one failure domain, with their running sums of weights."""
+
+    entries: tuple[LookupEntry, ...]
+    sums: tuple[float, ...]
+
+    @property
+    def weight(self) -> float:
+        return self.sums[-1]
+
+
+class LookupTable:
+    """Answers lookups from memory only."""
+
+    def __init__(
+        self,
+        *,
+        config: EffectiveConfig,
+        own_failure_domain: str,
+        ttl_s: float = TTL_S,
+        blocks: ClientBlocks | None = None,
+        seed: int = 0,
+    ) -> None:
+        """Make a table without entries; every answer is a 503 until ``update``.
+
+        Args:
+            config: The effective configuration.
+            own_failure_domain: Of this instance; stands in for clients in no block.
+            ttl_s: How long callers may cache an answer, in seconds. A leaving entry is still
+                asked for that long.
+            blocks: The table of an earlier configuration with the same client blocks, to save
+                building it again.
+            seed: The same on all instances, so that a caller is told the same entries by each.
+        """
+        self._config = config
+        self._blocks = blocks or ClientBlocks(blocks=config.client_blocks)
+        self._ttl_s = ttl_s
+        self._seed = seed
+        self._own_region = _region_of(config, own_failure_domain)
+        self._orders = {name: _by_latency(config, name) for name in config.regions}
+        self._domains: dict[str, list[_Domain]] = {}
+
+    @property
+    def blocks(self) -> ClientBlocks:
+        """The table of client blocks."""
+        return self._blocks
+
+    def update(self, entries: Sequence[EntryView]) -> None:
+        """Take a new view of all entry instances; cheap enough for every change."""
+        usable: dict[tuple[str, str], list[EntryView]] = {}
+        for entry in entries:
+            if entry.alive and not entry.leaving:
+                usable.setdefault((entry.region, entry.failure_domain), []).append(entry)
+        domains: dict[str, list[_Domain]] = {}
+        for (region, _), members in sorted(usable.items()):
+            domains.setdefault(region, []).append(_domain(members))
+        self._domains = domains
+
+    def answer(self, *, workspace: str, address: str) -> Result[LookupAnswer, Refusal]:
+        """Return the entries for a client of a workspace, best first."""
+        if workspace not in self._config.workspaces:
+            return Err(_unknown_workspace(workspace))
+        try:
+            region = self._blocks.find(address) or self._own_region
+        except InvalidInput as invalid:
+            return Err(_bad_address(invalid))
+        if not self._domains:
+            return Err(_not_ready())
+        return Ok(
+            LookupAnswer(
+                config_version=self._config.version,
+                ttl_s=self._ttl_s,
+                entries=self._rank(region, address),
+            )
+        )
+
+    def _rank(self, region: str, address: str) -> list[LookupEntry]:
+        # Seeded by the client, so that it is always told the same entry (its connections stay
+        # warm) while the clients together spread by weight, however long they cache.
+        text = f"{self._seed} {address}".encode()
+        chance = random.Random(blake2b(text, digest_size=8).digest())
+        ranked: list[LookupEntry] = []
+        for name in self._orders.get(region, ()):
+            ranked += _pick(self._domains.get(name, []), chance)
+            if len(ranked) >= MOST_ENTRIES:
+                break
+        return ranked[:MOST_ENTRIES]
+
+
+def _pick(domains: list[_Domain], chance: random.Random) -> list[LookupEntry]:
+    """Pick one entry of each failure domain, then second ones, the domains in weighted order."""
+    # Exponential keys divided by weights: the order of weighted draws without replacement.
+    order = sorted(domains, key=lambda domain: chance.expovariate(domain.weight))
+    firsts = [_draw(domain, chance) for domain in order]
+    seconds = [_draw(domain, chance) for domain in order]
+    return firsts + [entry for entry in seconds if entry not in firsts]
+
+
+def _draw(domain: _Domain, chance: random.Random) -> LookupEntry:
+    place = bisect_right(domain.sums, chance.random() * domain.weight)
+    return domain.entries[min(place, len(domain.entries) - 1)]
+
+
+def _domain(members: list[EntryView]) -> _Domain:
+    members = sorted(members)
+    # Full entries keep a little weight: reports lag, and a load of 1 may be over by now.
+    weights = [max(LEAST_WEIGHT, 1.0 - member.load) for member in members]
+    return _Domain(tuple(_wire(member) for member in members), tuple(accumulate(weights)))
+
+
+def _wire(entry: EntryView) -> LookupEntry:
+    return LookupEntry(
+        address=entry.address,
+        port=entry.port,
+        failure_domain=entry.failure_domain,
+        binding=str(Binding(entry.incarnation, entry.epoch)),
+    )
+
+
+def _region_of(config: EffectiveConfig, failure_domain: str) -> str:
+    for region in config.regions.values():
+        if failure_domain in region.failure_domains:
+            return region.name
+    return min(config.regions, default="")
+
+
+def _by_latency(config: EffectiveConfig, name: str) -> tuple[str, ...]:
+    latency = config.regions[name].latency_ms
+    far = float("inf")
+    others = sorted(config.regions.keys() - {name}, key=lambda o: (latency.get(o, far), o))
+    return (name, *others)
+
+
+def _unknown_workspace(workspace: str) -> Refusal:
+    return Refusal(
+        HTTPStatus.NOT_FOUND,
+        RefusalCode.UNKNOWN_WORKSPACE,
+        f"the workspace {workspace[:80]!r} is not configured",
+        Verdict.NOT_RUN,
+        _COME_BACK_S,
+    )
+
+
+def _bad_address(invalid: InvalidInput) -> Refusal:
+    return Refusal(
+        HTTPStatus.BAD_REQUEST,
+        RefusalCode.BAD_REQUEST,
+        str(invalid),
+        Verdict.NOT_RUN,
+        _COME_BACK_S,
+    )
+
+
+def _not_ready() -> Refusal:
+    return Refusal(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        RefusalCode.NOT_READY,
+        "this instance does not know any live entry yet; ask another one",
+        Verdict.NOT_RUN,
+        _COME_BACK_S,
+    )
--- /dev/null
+++ b/tests/cover/test_key_store.py
@@ -0,0 +1,165 @@
+"""The memory of keys, one story at a time; tests/nocover has the model of all schedules."""
+
+import unittest
+from http import HTTPStatus
+
+import trio
+
+from tests.common.fake_clock import FakeClock
+from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.idempotency.binding import Binding
+from wagtailpoint.idempotency.keys import (
+    Begin,
+    Join,
+    KeyStore,
+    Reject,
+    Replay,
+    RequestKey,
+    Run,
+    fingerprint,
+)
+from wagtailpoint.idempotency.outcome import Answered, MayHaveRun, NotRun
+from wagtailpoint.verdict import Verdict
+
+OWN = "00c0ffee00c0ffee"
+EPOCH_S = 60.0
+KEY = RequestKey("surakkha", "release-1")
+PRINT = fingerprint(method="POST", target="/releases", body=b"1")
+ANSWER = Answered(201, [(b"x", b"y")], b"paid")
+SHED = NotRun(
+    Refusal(HTTPStatus.SERVICE_UNAVAILABLE, RefusalCode.NO_SLOT, "full", Verdict.NOT_RUN, 1.0)
+)
+
+
+class KeyStoreTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = FakeClock()
+        self.store = KeyStore(
+            incarnation=OWN,
+            clock=self.clock,
+            epoch_s=EPOCH_S,
+            most_keys=3,
+            most_answer_bytes=10,
+            most_kept_bytes=10,
+        )
+
+    def begin(self, binding: Binding | None, key: RequestKey = KEY) -> Begin:
+        return self.store.begin(key, PRINT, binding)
+
+    def check_rejected(self, begun: Begin, code: RefusalCode, verdict: Verdict) -> None:
+        assert isinstance(begun, Reject), begun
+        self.assertEqual((begun.refusal.code, begun.refusal.verdict), (code, verdict))
+
+    def test_runs_once_joins_then_repeats_the_answer(self) -> None:
+        binding = self.store.binding
+        self.assertIsInstance(self.begin(binding), Run)
+        joined = self.begin(binding)
+        assert isinstance(joined, Join)
+        self.store.finish(KEY, ANSWER)
+        self.assertEqual(trio.run(joined.attempt.wait), ANSWER)
+        self.assertEqual(self.begin(binding), Replay(ANSWER))
+
+    def test_other_request_under_the_key(self) -> None:
+        self.begin(self.store.binding)
+        begun = self.store.begin(KEY, b"other", self.store.binding)
+        self.check_rejected(begun, RefusalCode.KEY_REUSED, Verdict.MAY_HAVE_RUN)
+
+    def test_same_key_of_another_workspace_runs(self) -> None:
+        self.begin(self.store.binding)
+        other = RequestKey("heather", KEY.key)
+        self.assertIsInstance(self.begin(self.store.binding, other), Run)
+
+    def test_late_copy_of_a_refused_attempt(self) -> None:
+        """A release is paid twice.
+
+        A copy is held up on the way; its repeat is refused `not-run`; the caller binds the request
+        to another entry, where it runs; then the first copy arrives. Cause: the refusal was not
+        remembered. The next attempt, which names its number, may run here.
+        """
+        binding = self.store.binding
+        self.begin(binding)
+        self.store.finish(KEY, SHED)
+        self.check_rejected(self.begin(binding), RefusalCode.KEY_REFUSED, Verdict.NOT_RUN)
+        self.assertIsInstance(self.begin(binding._replace(attempt=1)), Run)
+        self.store.finish(KEY, SHED)
+        self.check_rejected(self.begin(binding), RefusalCode.KEY_REFUSED, Verdict.NOT_RUN)
+
+    def test_refusal_for_want_of_memory_holds_when_there_is_room_again(self) -> None:
+        """A release is paid twice, after a full memory.
+
+        With the memory full, a copy is refused `not-run` and its caller goes elsewhere. An epoch
+        later there is room, and an earlier copy of the same key arrives under a binding that is
+        still accepted. Cause: a full memory has no room to remember that refusal.
+        """
+        for number in range(3):
+            key = RequestKey("surakkha", str(number))
+            self.begin(self.store.binding, key)
+            self.store.finish(key, MayHaveRun("reset"))
+        self.clock.now += EPOCH_S
+        binding = self.store.binding
+        full = RefusalCode.KEY_MEMORY_FULL
+        self.check_rejected(self.begin(binding), full, Verdict.NOT_RUN)
+        self.assertFalse(self.store.accepts_new_keys)
+        self.clock.now += EPOCH_S
+        self.check_rejected(self.begin(binding), full, Verdict.NOT_RUN)
+        self.assertIsInstance(self.begin(self.store.binding), Run)
+
+    def test_in_flight_for_longer_than_two_epochs(self) -> None:
+        """A repeat of a long request is refused as stale although the first copy still runs.
+
+        Cause: the epoch was checked before the key. Its end must be remembered from its end on,
+        not from its beginning.
+        """
+        binding = self.store.binding
+        self.begin(binding)
+        self.clock.now += 5 * EPOCH_S
+        self.assertIsInstance(self.begin(binding), Join)
+        self.store.finish(KEY, ANSWER)
+        self.clock.now += EPOCH_S
+        self.assertEqual(self.begin(binding), Replay(ANSWER))
+
+    def test_process_frozen_for_two_epochs(self) -> None:
+        """A release runs minutes after its caller gave up.
+
+        The process is frozen with a request unread in its socket and wakes two epochs later.
+        Cause: the epoch was advanced by a timer task, which runs after the request.
+        """
+        binding = self.store.binding
+        self.clock.now += 2 * EPOCH_S
+        self.check_rejected(self.begin(binding), RefusalCode.STALE_EPOCH, Verdict.MAY_HAVE_RUN)
+
+    def test_restarted_process(self) -> None:
+        begun = self.begin(Binding("0123456789abcdef", 1))
+        self.check_rejected(begun, RefusalCode.OTHER_INCARNATION, Verdict.MAY_HAVE_RUN)
+
+    def test_binding_of_the_future(self) -> None:
+        begun = self.begin(Binding(OWN, 2))
+        self.check_rejected(begun, RefusalCode.BAD_BINDING, Verdict.MAY_HAVE_RUN)
+
+    def test_answer_that_is_too_large(self) -> None:
+        self.begin(self.store.binding)
+        self.store.finish(KEY, ANSWER._replace(body=b"x" * 11))
+        begun = self.begin(self.store.binding)
+        self.check_rejected(begun, RefusalCode.ANSWER_NOT_KEPT, Verdict.RAN)
+
+    def test_oldest_answers_go_first_and_are_still_known_to_have_run(self) -> None:
+        keys = [RequestKey("surakkha", str(number)) for number in range(3)]
+        for key in keys:
+            self.begin(self.store.binding, key)
+            self.store.finish(key, ANSWER)
+        begun = self.begin(self.store.binding, keys[0])
+        self.check_rejected(begun, RefusalCode.ANSWER_NOT_KEPT, Verdict.RAN)
+        self.assertEqual(self.begin(self.store.binding, keys[2]), Replay(ANSWER))
+
+    def test_forbidden_by_a_peer(self) -> None:
+        binding = self.store.binding
+        self.assertIsInstance(self.store.forbid(KEY, binding), NotRun)
+        self.check_rejected(self.begin(binding), RefusalCode.KEY_REFUSED, Verdict.NOT_RUN)
+        self.assertIsNone(self.store.forbid(KEY, Binding("0123456789abcdef", 1)))
+
+    def test_forbidden_too_late(self) -> None:
+        binding = self.store.binding
+        self.begin(binding)
+        self.assertIsNone(self.store.forbid(KEY, binding))
+        self.store.finish(KEY, ANSWER)
+        self.assertEqual(self.store.forbid(KEY, binding), ANSWER)
