Add the caller library; test claims, retries and lookups

Cause: callers choose the entry by themselves and must repeat what they may and nothing else. A test of a frozen entry found that a deadline set around the exchange as well as inside it lost the knowledge whether a byte had left, so that a sent release was reported not-run; the deadline now stands in one place. A claim outlives the key store's two epochs, so a claim that names this process is no leave to run again; seen while attacking the design, and tested.

--- a/src/wagtailpoint/__init__.py
+++ b/src/wagtailpoint/__init__.py
@@ -4,7 +4,21 @@
 the programs ``wagtailpointd`` and ``wagtailpoint``.
 """
 
-from wagtailpoint.errors import InvalidInput, NoEntryAvailable, WagtailpointError
+from wagtailpoint.caller import Answer, Caller
+from wagtailpoint.errors import (
+    InvalidInput,
+    NoEntryAvailable,
+    RequestUnanswered,
+    WagtailpointError,
+)
 from wagtailpoint.verdict import Verdict
 
-__all__ = ["InvalidInput", "NoEntryAvailable", "Verdict", "WagtailpointError"]
+__all__ = [
+    "Answer",
+    "Caller",
+    "InvalidInput",
+    "NoEntryAvailable",
+    "RequestUnanswered",
+    "Verdict",
+    "WagtailpointError",
+]
--- a/src/wagtailpoint/caller/__init__.py
+++ b/src/wagtailpoint/caller/__init__.py
@@ -1,1 +1,8 @@
-"""The caller library: lookup, binding and retries handled for the caller."""
+"""The caller library."""
+
+from wagtailpoint.caller.answer import Answer
+from wagtailpoint.caller.caller import Caller
+from wagtailpoint.caller.download import Download
+from wagtailpoint.caller.exchange import EntryAddress
+
+__all__ = ["Answer", "Caller", "Download", "EntryAddress"]
--- /dev/null
+++ b/src/wagtailpoint/caller/answer.py
@@ -0,0 +1,64 @@
+"""What a caller's request came to."""
+
+from typing import Any, NamedTuple
+
+import msgspec
+
+from wagtailpoint import headers
+from wagtailpoint.caller.exchange import EntryAddress, Headers, Reply, find_header
+from wagtailpoint.verdict import Verdict
+
+
+class Answer(NamedTuple):
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status; a refusal has 400 or more.
+        headers: All response headers.
+        body: The whole body.
+        verdict: Whether the request ran.
+        entry: Who answered.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+    verdict: Verdict
+    entry: EntryAddress
+
+    @property
+    def code(self) -> str | None:
+        """The refusal's code; None if the answer is not a refusal."""
+        return refusal_code(self.status, self.body)
+
+
+def make_answer(reply: Reply, entry: EntryAddress) -> Answer:
+    """Read the verdict of a reply."""
+    return Answer(reply.status, reply.headers, reply.body, read_verdict(reply.headers), entry)
+
+
+def read_verdict(of: Headers) -> Verdict:
+    """Return the verdict that an answer carries; without one the request may have run."""
+    value = find_header(of, headers.VERDICT) or b""
+    try:
+        return Verdict(value.decode("ascii", "replace"))
+    except ValueError:
+        return Verdict.MAY_HAVE_RUN
+
+
+def read_retry_after_s(of: Headers) -> float:
+    """Return when to come back, in seconds; 0 if it is not said."""
+    value = find_header(of, headers.RETRY_AFTER) or b""
+    return float(value) if value.isdigit() else 0.0
+
+
+def refusal_code(status: int, body: bytes) -> str | None:
+    """Return the code in a refusal's JSON body; None if there is none."""
+    if status < 400:
+        return None
+    try:
+        decoded: Any = msgspec.json.decode(body)
+    except msgspec.DecodeError:
+        return None
+    code = decoded.get("code") if isinstance(decoded, dict) else None
+    return code if isinstance(code, str) else None
--- /dev/null
+++ b/src/wagtailpoint/caller/caller.py
@@ -0,0 +1,327 @@
+"""The caller library: requests through the best entry, repeated when and only when they may be."""
+
+import random
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from types import TracebackType
+from typing import Self
+
+import trio
+
+from wagtailpoint import headers as names
+from wagtailpoint.admission.refusal import RefusalCode
+from wagtailpoint.caller.answer import Answer, make_answer, read_retry_after_s, read_verdict
+from wagtailpoint.caller.download import Download
+from wagtailpoint.caller.entries import Entries, KnownEntry
+from wagtailpoint.caller.exchange import (
+    Broken,
+    EntryAddress,
+    Exchanges,
+    Headers,
+    OpenReply,
+    Outgoing,
+    Reply,
+)
+from wagtailpoint.caller.keys import BoundKey, CallerKeys
+from wagtailpoint.errors import RequestUnanswered
+from wagtailpoint.retries.budget import RetryBudget
+from wagtailpoint.retries.policy import MOST_ATTEMPTS, may_retry
+from wagtailpoint.verdict import Verdict
+
+IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
+_COME_BACK_STATUSES = frozenset({429, 502, 503, 504})
+# The copy that got this answer will not run, but the entry cannot speak for earlier copies.
+_THIS_COPY_REFUSED = frozenset({RefusalCode.STALE_EPOCH.value, RefusalCode.OTHER_INCARNATION.value})
+_LEAST_PAUSE_S = 0.02
+_JITTER = 0.5
+
+
+class _Monotonic:
+    """The clock of the retry budget."""
+
+    def monotonic(self) -> float:
+        return trio.current_time()
+
+    def wall(self) -> float:
+        raise NotImplementedError("the caller needs no wall clock")
+
+
+class Caller:
+    """Sends requests of one workspace.
+
+    Use as an async context manager, for a long time and by many tasks: it holds the connections,
+    the lookup's answer and the bindings of the keys.
+    """
+
+    def __init__(
+        self,
+        *,
+        entries: Sequence[tuple[str, int]],
+        workspace: str,
+        address: str,
+        retry_ratio: float = 0.2,
+        retries_per_s: float = 2.0,
+        connect_timeout_s: float = 0.5,
+        idle_timeout_s: float = 10.0,
+        most_keys: int = 10_000,
+        seed: int | None = None,
+    ) -> None:
+        """Make a caller; nothing is sent yet.
+
+        Args:
+            entries: Some entry instances, as IP number and port, for the first lookup.
+            workspace: The workspace whose requests these are.
+            address: The client's IP number, from which the nearest region is found.
+            retry_ratio: Retries allowed as a part of fresh requests.
+            retries_per_s: Retries a second that are always allowed.
+            connect_timeout_s: The longest wait for a connection, in seconds.
+            idle_timeout_s: The longest silence within a download, in seconds.
+            most_keys: The idempotency keys whose bindings are remembered. Do not repeat a key
+                after as many newer ones, nor with another caller: it could run again.
+            seed: Of the jitter; None for a random one.
+        """
+        self._workspace = workspace
+        self._chance = random.Random(seed)
+        self._exchanges = Exchanges(
+            connect_timeout_s=connect_timeout_s, idle_timeout_s=idle_timeout_s
+        )
+        self._entries = Entries(
+            exchanges=self._exchanges,
+            seeds=[EntryAddress(*entry) for entry in entries],
+            workspace=workspace,
+            address=address,
+            chance=self._chance,
+        )
+        self._keys = CallerKeys(most_keys=most_keys)
+        self._budget = RetryBudget(
+            clock=_Monotonic(), ratio=retry_ratio, minimum_per_s=retries_per_s
+        )
+
+    async def __aenter__(self) -> Self:
+        return self
+
+    async def __aexit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        await self._exchanges.aclose()
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        *,
+        body: bytes = b"",
+        headers: Headers = (),
+        idempotency_key: str | None = None,
+        deadline_s: float,
+    ) -> Answer:
+        """Send a request and return its whole answer, which may be a refusal.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            body: The whole body.
+            headers: More headers.
+            idempotency_key: Names a non-idempotent request, so that it may be repeated. To go on
+                after ``may-have-run``, repeat it with the same key and caller.
+            deadline_s: Seconds for everything, retries included.
+
+        Raises:
+            RequestUnanswered: No whole answer within the deadline; it carries the verdict.
+            NoEntryAvailable: No entry is known or answers; nothing was sent.
+        """
+        until = trio.current_time() + deadline_s
+        outgoing = self._outgoing(method, path, headers, body)
+        self._budget.note_fresh()
+        if idempotency_key is not None and method not in IDEMPOTENT_METHODS:
+            return await self._send_keyed(outgoing, idempotency_key, until)
+        result, entry = await self._send(outgoing, until, whole=True)
+        assert isinstance(result, Reply)
+        return make_answer(result, entry.address)
+
+    @asynccontextmanager
+    async def stream(
+        self, method: str, path: str, *, headers: Headers = (), deadline_s: float
+    ) -> AsyncIterator[Download]:
+        """Open a download; ``async for chunk in download.chunks()`` reads it.
+
+        Args:
+            method: HTTP method.
+            path: Path and query.
+            headers: More headers.
+            deadline_s: Seconds until the response's headers, at the start and at each resumption;
+                the body may take any time but must not fall silent.
+
+        Raises:
+            RequestUnanswered: As in ``request``.
+            NoEntryAvailable: As in ``request``.
+        """
+        outgoing = self._outgoing(method, path, headers, b"")
+
+        async def reopen(extra: Headers) -> tuple[OpenReply | Reply, EntryAddress]:
+            self._budget.note_fresh()
+            wanted = outgoing._replace(headers=[*outgoing.headers, *extra])
+            until = trio.current_time() + deadline_s
+            result, entry = await self._send(wanted, until, whole=False)
+            return result, entry.address
+
+        download = Download(outgoing=outgoing, reopen=reopen)
+        await download.open()
+        try:
+            yield download
+        finally:
+            await download.aclose()
+
+    def _outgoing(self, method: str, path: str, headers: Headers, body: bytes) -> Outgoing:
+        wire = [(names.WORKSPACE, self._workspace.encode()), *headers]
+        return Outgoing(method, path, wire, body)
+
+    async def _send(
+        self, outgoing: Outgoing, until: float, *, whole: bool
+    ) -> tuple[OpenReply | Reply, KnownEntry]:
+        """Send a request without a key."""
+        idempotent = outgoing.method in IDEMPOTENT_METHODS
+        exchange = self._exchanges.exchange if whole else self._exchanges.open
+        tried: list[KnownEntry] = []
+        while True:
+            entry = await self._entries.choose(tried, until=until)
+            attempt_until = _attempt_until(until, len(tried)) if idempotent else until
+            result = await exchange(entry.address, outgoing, until=attempt_until)
+            tried.append(entry)
+            if not _worth_repeating(result):
+                assert not isinstance(result, Broken)
+                return result, entry
+            if not self._may_repeat(result, idempotent, len(tried), until):
+                return _give_up(result), entry
+            if isinstance(result, Broken):
+                self._entries.suspect(entry.address)
+            elif not await self._pause(result, tried, until):
+                return result, entry
+
+    async def _send_keyed(self, outgoing: Outgoing, key: str, until: float) -> Answer:
+        bound = self._keys.get(key)
+        tried: list[KnownEntry] = []
+        while True:
+            entry = bound.entry
+            if entry is None:
+                entry = bound.bind(await self._entries.choose(tried, until=until))
+            bound.note_copy()
+            result = await self._exchanges.exchange(
+                entry.address, _with_key(outgoing, key, entry.binding), until=until
+            )
+            tried.append(entry)
+            result = self._note_keyed(bound, entry, result)
+            if not _worth_repeating(result):
+                assert isinstance(result, Reply)
+                return make_answer(result, entry.address)
+            # A repeat of a key is joined or answered from memory: safe, whatever the verdict.
+            if not self._may_repeat(result, True, len(tried), until):
+                return make_answer(_give_up_keyed(result, bound), entry.address)
+            if not await self._pause(result, tried, until):
+                return make_answer(_give_up_keyed(result, bound), entry.address)
+
+    def _note_keyed(
+        self, bound: BoundKey, entry: KnownEntry, result: Reply | Broken
+    ) -> Reply | Broken:
+        """Draw the consequences of one copy's result for its key."""
+        if isinstance(result, Broken):
+            if not result.sent:
+                bound.unsent(entry)
+                self._entries.suspect(entry.address)
+            return result
+        only_copy = bound.copies == 1
+        answer = make_answer(result, entry.address)
+        if answer.code in _THIS_COPY_REFUSED and only_copy:
+            self._entries.outdate()
+            bound.not_run(entry)
+            return _as_not_run(result)
+        if answer.verdict is Verdict.NOT_RUN:
+            if not entry.binding and not only_copy:
+                # Without a binding a refusal speaks for its own copy only.
+                return _with_verdict(result, Verdict.MAY_HAVE_RUN)
+            bound.not_run(entry)
+        return result
+
+    def _may_repeat(
+        self, result: OpenReply | Reply | Broken, idempotent: bool, attempts: int, until: float
+    ) -> bool:
+        verdict = _verdict(result)
+        decision = may_retry(
+            idempotent=idempotent,
+            verdict=verdict,
+            response_started=False,
+            attempts=attempts,
+            remaining_s=until - trio.current_time(),
+            budget=self._budget,
+        )
+        return decision.allowed
+
+    async def _pause(
+        self, result: OpenReply | Reply | Broken, tried: list[KnownEntry], until: float
+    ) -> bool:
+        """Wait before a repeat as the refusal asks; False if the deadline is too near for it."""
+        wanted_s = _LEAST_PAUSE_S
+        if isinstance(result, Reply):
+            best = await self._entries.choose(tried, until=until)
+            if best.failure_domain not in {entry.failure_domain for entry in tried}:
+                return True
+            wanted_s = max(wanted_s, read_retry_after_s(result.headers))
+        # Jitter: callers refused together would otherwise come back together.
+        wanted_s *= 1 + _JITTER * self._chance.random()
+        if trio.current_time() + wanted_s >= until:
+            return False
+        await trio.sleep(wanted_s)
+        return True
+
+
+def _attempt_until(until: float, attempts: int) -> float:
+    """Leave half of the time for a repeat, in case the entry is frozen."""
+    if attempts + 1 >= MOST_ATTEMPTS:
+        return until
+    now = trio.current_time()
+    return now + (until - now) / 2
+
+
+def _with_key(outgoing: Outgoing, key: str, binding: str) -> Outgoing:
+    wire = [*outgoing.headers, (names.IDEMPOTENCY_KEY, key.encode())]
+    if binding:
+        wire.append((names.BINDING, binding.encode()))
+    return outgoing._replace(headers=wire)
+
+
+def _verdict(result: OpenReply | Reply | Broken) -> Verdict:
+    if isinstance(result, Broken):
+        return Verdict.MAY_HAVE_RUN if result.sent else Verdict.NOT_RUN
+    return read_verdict(result.headers)
+
+
+def _worth_repeating(result: OpenReply | Reply | Broken) -> bool:
+    if isinstance(result, Broken):
+        return True
+    return result.status in _COME_BACK_STATUSES and read_verdict(result.headers) is not Verdict.RAN
+
+
+def _give_up(result: OpenReply | Reply | Broken) -> OpenReply | Reply:
+    if isinstance(result, Broken):
+        raise RequestUnanswered(verdict=_verdict(result), reason=result.reason)
+    return result
+
+
+def _give_up_keyed(result: Reply | Broken, bound: BoundKey) -> Reply:
+    if isinstance(result, Broken):
+        # A copy that never left says nothing of an earlier one that did.
+        verdict = Verdict.MAY_HAVE_RUN if bound.copies else Verdict.NOT_RUN
+        raise RequestUnanswered(verdict=verdict, reason=result.reason)
+    return result
+
+
+def _as_not_run(reply: Reply) -> Reply:
+    return _with_verdict(reply, Verdict.NOT_RUN)._replace(status=503)
+
+
+def _with_verdict(reply: Reply, verdict: Verdict) -> Reply:
+    others = [(key, value) for key, value in reply.headers if key.lower() != names.VERDICT]
+    return reply._replace(headers=[*others, (names.VERDICT, verdict.value.encode())])
--- /dev/null
+++ b/src/wagtailpoint/caller/entries.py
@@ -0,0 +1,122 @@
+"""The caller's view of the entry instances: lookups with a cache."""
+
+import random
+from collections.abc import Sequence
+from typing import NamedTuple
+from urllib.parse import urlencode
+
+import msgspec
+import trio
+
+from wagtailpoint.caller.exchange import EntryAddress, Exchanges, Outgoing, Reply
+from wagtailpoint.errors import NoEntryAvailable
+from wagtailpoint.lookup.answer import LookupAnswer, LookupEntry
+from wagtailpoint.retries.policy import order_for_retry
+
+LOOKUP_PATH = "/v1/lookup"
+_ASK_TIMEOUT_S = 1.0
+_STALE_HOLD_S = 0.5
+_SUSPECT_S = 2.0
+_OK = 200
+
+
+class KnownEntry(NamedTuple):
+    """An entry of a lookup's answer."""
+
+    address: EntryAddress
+    failure_domain: str
+    binding: str
+
+
+class Entries:
+    """Knows which entries to use, best first, and asks again when its answer is old."""
+
+    def __init__(
+        self,
+        *,
+        exchanges: Exchanges,
+        seeds: Sequence[EntryAddress],
+        workspace: str,
+        address: str,
+        chance: random.Random,
+    ) -> None:
+        self._exchanges = exchanges
+        self._seeds = tuple(seeds)
+        self._target = f"{LOOKUP_PATH}?{urlencode({'workspace': workspace, 'address': address})}"
+        self._chance = chance
+        self._known: tuple[KnownEntry, ...] = ()
+        self._fresh_until = float("-inf")
+        self._suspects: dict[EntryAddress, float] = {}
+        self._asking = trio.Lock()
+
+    def outdate(self) -> None:
+        """Ask again before the next use: an answer of an entry showed that ours is old."""
+        self._fresh_until = float("-inf")
+
+    def suspect(self, address: EntryAddress) -> None:
+        """Use an entry last for a while: it did not answer, and lookups may not know it yet."""
+        self._suspects[address] = trio.current_time() + _SUSPECT_S
+
+    async def choose(self, tried: Sequence[KnownEntry], *, until: float) -> KnownEntry:
+        """Return the entry to use next; when all were tried, the best again.
+
+        Raises:
+            NoEntryAvailable: No entry answers lookups, and none was known before.
+        """
+        known = sorted(await self._current(until), key=self._is_suspect)
+        return (order_for_retry(known, tried) or known)[0]
+
+    def _is_suspect(self, entry: KnownEntry) -> bool:
+        return self._suspects.get(entry.address, 0.0) > trio.current_time()
+
+    async def _current(self, until: float) -> tuple[KnownEntry, ...]:
+        async with self._asking:
+            if trio.current_time() >= self._fresh_until:
+                await self._refresh(until)
+            return self._known
+
+    async def _refresh(self, until: float) -> None:
+        reasons = []
+        for address in self._whom_to_ask():
+            answer = await self._ask(address, until)
+            if not isinstance(answer, str):
+                self._known = tuple(_known(entry) for entry in answer["entries"])
+                self._fresh_until = trio.current_time() + answer["ttl_s"]
+                return
+            reasons.append(f"{address} {answer}")
+        if not self._known:
+            raise NoEntryAvailable(
+                f"no entry answered a lookup ({', '.join(reasons)}); check the entries given to "
+                "Caller and the deadline"
+            )
+        # An old answer is better than none: entries may serve although they do not answer
+        # lookups. A binding in it may be old by now; the entry then refuses it, see `keys`.
+        self._fresh_until = trio.current_time() + _STALE_HOLD_S
+
+    def _whom_to_ask(self) -> list[EntryAddress]:
+        known = [entry.address for entry in self._known]
+        seeds = list(self._seeds)
+        # Shuffled, or the first seed would answer the lookups of all callers.
+        self._chance.shuffle(seeds)
+        return list(dict.fromkeys(known + seeds))
+
+    async def _ask(self, address: EntryAddress, until: float) -> LookupAnswer | str:
+        """Return the answer, or in one word why there is none."""
+        until = min(until, trio.current_time() + _ASK_TIMEOUT_S)
+        reply = await self._exchanges.exchange(
+            address, Outgoing("GET", self._target, [], b""), until=until
+        )
+        if not isinstance(reply, Reply):
+            return reply.reason
+        if reply.status != _OK:
+            return f"status-{reply.status}"
+        try:
+            answer = msgspec.json.decode(reply.body, type=LookupAnswer)
+        except msgspec.DecodeError as error:
+            return f"unreadable: {error}"
+        return answer if answer["entries"] else "no-entries"
+
+
+def _known(entry: LookupEntry) -> KnownEntry:
+    address = EntryAddress(entry["address"], entry["port"])
+    return KnownEntry(address, entry["failure_domain"], entry["binding"])
--- /dev/null
+++ b/src/wagtailpoint/caller/exchange.py
@@ -0,0 +1,234 @@
+"""One HTTP exchange between the caller and an entry instance, over httpcore."""
+
+import math
+import secrets
+from collections.abc import AsyncIterator, Sequence
+from typing import Any, NamedTuple
+
+import httpcore
+import trio
+
+from wagtailpoint import headers
+
+Headers = Sequence[tuple[bytes, bytes]]
+
+_FIRST_REFUSED_STATUS = 400
+_MS = 1000
+# Hypercorn closes an idle connection after 5 s; using one just then would lose the request.
+_KEEPALIVE_S = 4.0
+_HTTP_ERRORS = (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException)
+
+
+class EntryAddress(NamedTuple):
+    """Where an entry instance listens towards callers."""
+
+    address: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.address}:{self.port}"
+
+
+class Outgoing(NamedTuple):
+    """A request as the caller's user gave it, with the headers that all copies share."""
+
+    method: str
+    target: str
+    headers: Headers
+    body: bytes
+
+
+class Reply(NamedTuple):
+    """A whole response."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+class Broken(NamedTuple):
+    """An exchange without a whole response.
+
+    Attributes:
+        sent: A byte of the request may have left.
+        reason: One word.
+    """
+
+    sent: bool
+    reason: str
+
+
+class BrokenReply(Exception):
+    """A response's body ended before its promised end."""
+
+
+class OpenReply:
+    """A response whose body is still to be read; ``aclose`` it in any case."""
+
+    def __init__(self, *, response: httpcore.Response) -> None:
+        self._response = response
+
+    @property
+    def status(self) -> int:
+        """HTTP status."""
+        return self._response.status
+
+    @property
+    def headers(self) -> Headers:
+        """All response headers."""
+        return self._response.headers
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Read the body.
+
+        Raises:
+            BrokenReply: It ended before its promised end.
+        """
+        try:
+            async for chunk in self._response.aiter_stream():
+                yield chunk
+        except _HTTP_ERRORS as error:
+            raise BrokenReply(type(error).__name__) from error
+
+    async def read(self) -> Reply:
+        """Read the whole body and close."""
+        try:
+            body = b"".join([chunk async for chunk in self.chunks()])
+        finally:
+            await self.aclose()
+        return Reply(self.status, self.headers, body)
+
+    async def aclose(self) -> None:
+        """Free the connection; it is closed unless the body was read to its end."""
+        await self._response.aclose()
+
+
+class _Sent:
+    """Learns from httpcore whether a byte of the request may have left."""
+
+    def __init__(self) -> None:
+        self._sent = False
+
+    @property
+    def sent(self) -> bool:
+        return self._sent
+
+    async def trace(self, event: str, _info: Any) -> None:
+        # `started` comes before the write: from then on the entry may have the request.
+        if event.endswith("send_request_headers.started"):
+            self._sent = True
+
+
+class Exchanges:
+    """The caller's connections to all entries."""
+
+    def __init__(self, *, connect_timeout_s: float, idle_timeout_s: float) -> None:
+        self._connect_timeout_s = connect_timeout_s
+        self._idle_timeout_s = idle_timeout_s
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=None, keepalive_expiry=_KEEPALIVE_S, retries=0
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def exchange(
+        self, entry: EntryAddress, outgoing: Outgoing, *, until: float
+    ) -> Reply | Broken:
+        """Send one copy and read the whole answer, without any retry.
+
+        Args:
+            entry: Where to.
+            outgoing: What.
+            until: The deadline, by ``trio.current_time``.
+        """
+        # The deadline is not set around `open`: it would cut through its own, and with it the
+        # knowledge whether a byte has left.
+        opened = await self.open(entry, outgoing, until=until)
+        if not isinstance(opened, OpenReply):
+            return opened
+        with trio.move_on_at(until):
+            try:
+                return await opened.read()
+            except BrokenReply as broken:
+                return Broken(True, str(broken))
+        return Broken(True, "deadline")
+
+    async def open(
+        self, entry: EntryAddress, outgoing: Outgoing, *, until: float
+    ) -> OpenReply | Reply | Broken:
+        """Send one copy and wait for the response's headers; a refusal is read whole."""
+        sent = _Sent()
+        with trio.move_on_at(until):
+            try:
+                return await self._open(entry, outgoing, sent, until)
+            except _HTTP_ERRORS as error:
+                return Broken(sent.sent, type(error).__name__)
+            except BrokenReply as broken:
+                return Broken(True, str(broken))
+        return Broken(sent.sent, "deadline")
+
+    async def _open(
+        self, entry: EntryAddress, outgoing: Outgoing, sent: _Sent, until: float
+    ) -> OpenReply | Reply:
+        request_id = secrets.token_hex(8).encode()
+        remaining_s = max(0.0, until - trio.current_time())
+        request = httpcore.Request(
+            method=outgoing.method,
+            url=httpcore.URL(
+                scheme=b"http",
+                host=entry.address.encode(),
+                port=entry.port,
+                target=outgoing.target.encode(),
+            ),
+            headers=_wire_headers(entry, outgoing, request_id, remaining_s),
+            content=outgoing.body,
+            extensions={"trace": sent.trace, "timeout": self._timeouts(remaining_s)},
+        )
+        response = await self._pool.handle_async_request(request)
+        opened = OpenReply(response=response)
+        try:
+            _check_request_id(response, request_id)
+            if response.status >= _FIRST_REFUSED_STATUS:
+                return await opened.read()
+        except BaseException:
+            await opened.aclose()
+            raise
+        return opened
+
+    def _timeouts(self, remaining_s: float) -> dict[str, float]:
+        return {
+            "connect": min(self._connect_timeout_s, remaining_s),
+            "read": max(self._idle_timeout_s, remaining_s),
+            "write": max(self._idle_timeout_s, remaining_s),
+        }
+
+
+def _wire_headers(
+    entry: EntryAddress, outgoing: Outgoing, request_id: bytes, remaining_s: float
+) -> list[tuple[bytes, bytes]]:
+    # Rounded up: a deadline of 0 would be refused.
+    deadline_ms = str(math.ceil(remaining_s * _MS)).encode()
+    wire = [
+        (b"host", str(entry).encode()),
+        (headers.DEADLINE_MS, deadline_ms),
+        (headers.REQUEST_ID, request_id),
+        *outgoing.headers,
+    ]
+    if outgoing.body:
+        wire.append((b"content-length", str(len(outgoing.body)).encode()))
+    return wire
+
+
+def _check_request_id(response: httpcore.Response, asked: bytes) -> None:
+    # An answer to another request on our connection (crossed, or late after a timeout) would be
+    # taken for ours: one workspace would read another's certificate.
+    answered = find_header(response.headers, headers.REQUEST_ID)
+    if answered is not None and answered != asked:
+        raise BrokenReply("crossed-answer")
+
+
+def find_header(of: Headers, name: bytes) -> bytes | None:
+    """Return a header's value; ``name`` in lower case."""
+    return next((value for key, value in of if key.lower() == name), None)
--- a/src/wagtailpoint/errors.py
+++ b/src/wagtailpoint/errors.py
@@ -6,6 +6,8 @@
 
 from typing import NamedTuple
 
+from wagtailpoint.verdict import Verdict
+
 
 class WagtailpointError(Exception):
     """The base of all exceptions raised by wagtailpoint."""
@@ -62,3 +64,16 @@
 
 class NoEntryAvailable(WagtailpointError):
     """A caller found no entry instance that answered within the deadline."""
+
+
+class RequestUnanswered(WagtailpointError):
+    """A caller's request got no whole answer from any entry instance.
+
+    Attributes:
+        verdict: Whether the request may have run; after ``MAY_HAVE_RUN`` repeat it with the same
+            caller and the same key, or read the outcome from the service.
+    """
+
+    def __init__(self, *, verdict: Verdict, reason: str) -> None:
+        super().__init__(f"no whole answer: {reason}; verdict {verdict.value}")
+        self.verdict = verdict
--- /dev/null
+++ b/tests/cover/test_caller.py
@@ -0,0 +1,237 @@
+"""The caller library against scripted entries over real sockets."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from tests.common.scripted_entry import PORT, Handler, Say, ScriptedEntry, Seen, refuse
+from wagtailpoint.caller import Answer, Caller
+from wagtailpoint.errors import NoEntryAvailable, RequestUnanswered
+from wagtailpoint.verdict import Verdict
+
+LIMIT_S = 30
+BIG = bytes(range(256)) * 64
+ETAG = ("ETag", '"v1"')
+
+
+def says(*script: Say | None) -> Handler:
+    """Answer with the script's lines in turn, then with its last for ever."""
+    left = list(script)
+
+    async def handler(_seen: Seen) -> Say | None:
+        return left.pop(0) if len(left) > 1 else left[0]
+
+    return handler
+
+
+async def hang(_seen: Seen) -> Say | None:
+    await trio.sleep_forever()
+
+
+def bindings(entry: ScriptedEntry) -> list[bytes]:
+    return [seen.headers[b"wagtailpoint-binding"] for seen in entry.seen]
+
+
+class TwoEntries(unittest.TestCase):
+    """First is asked first; second is in another failure domain."""
+
+    def run_with(
+        self, first: Handler, second: Handler, scenario: Callable[[Caller], Awaitable[None]]
+    ) -> None:
+        self.first = ScriptedEntry(handler=first, domain="a", incarnation="a" * 16)
+        self.second = ScriptedEntry(handler=second, domain="b", incarnation="b" * 16)
+        self.first.listed = self.second.listed = [self.first, self.second]
+
+        async def main() -> None:
+            with trio.fail_after(LIMIT_S):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(self.first.serve)
+                    await nursery.start(self.second.serve)
+                    seeds = [(self.first.address, PORT)]
+                    async with Caller(
+                        entries=seeds, workspace="w", address="10.0.0.1", seed=1
+                    ) as caller:
+                        await scenario(caller)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
+
+class CallerTest(TwoEntries):
+    async def release(self, caller: Caller, deadline_s: float = 10.0) -> Answer:
+        return await caller.request(
+            "POST", "/r", body=b"1", idempotency_key="k", deadline_s=deadline_s
+        )
+
+    def test_get_goes_on_at_another_failure_domain(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            answer = await caller.request("GET", "/x", deadline_s=10.0)
+            self.assertEqual((answer.status, answer.verdict), (200, Verdict.RAN))
+            self.assertEqual(answer.entry, (self.second.address, PORT))
+
+        self.run_with(says(None), says(Say(200)), scenario)
+        self.assertEqual(self.first.lookups, 1)
+
+    def test_get_leaves_a_frozen_entry(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            answer = await caller.request("GET", "/x", deadline_s=2.0)
+            self.assertEqual(answer.entry.address, self.second.address)
+
+        self.run_with(hang, says(Say(200)), scenario)
+
+    def test_post_without_key_is_never_repeated(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            with self.assertRaises(RequestUnanswered) as raised:
+                await caller.request("POST", "/x", body=b"1", deadline_s=10.0)
+            self.assertEqual(raised.exception.verdict, Verdict.MAY_HAVE_RUN)
+
+        self.run_with(says(None), says(Say(200)), scenario)
+        self.assertEqual((len(self.first.seen), len(self.second.seen)), (1, 0))
+
+    def test_key_is_repeated_at_its_entry_only(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            self.assertEqual((await self.release(caller)).status, 201)
+
+        self.run_with(says(None, Say(201)), says(Say(201)), scenario)
+        self.assertEqual(bindings(self.first), [b"a" * 16 + b".1"] * 2)
+        self.assertEqual(self.second.seen, [])
+
+    def test_key_stays_bound_after_the_request_gave_up(self) -> None:
+        """A release is paid twice by a caller that asks again.
+
+        Its first request times out at a frozen entry; its user repeats it, with the same key; the
+        lookup's first entry is another one by then. Cause: the second request bound the key anew.
+        """
+
+        async def scenario(caller: Caller) -> None:
+            with self.assertRaises(RequestUnanswered) as raised:
+                await self.release(caller, deadline_s=0.3)
+            self.assertEqual(raised.exception.verdict, Verdict.MAY_HAVE_RUN)
+            self.first.listed.reverse()
+            self.first.handler = says(Say(201))
+            self.assertEqual((await self.release(caller)).status, 201)
+
+        self.run_with(hang, says(Say(201)), scenario)
+        self.assertEqual((len(self.first.seen), len(self.second.seen)), (2, 0))
+
+    def test_refused_key_is_bound_elsewhere_as_a_new_attempt(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            self.assertEqual((await self.release(caller)).status, 201)
+
+        self.run_with(says(refuse("no-slot")), says(Say(201)), scenario)
+        self.assertEqual(bindings(self.second), [b"b" * 16 + b".1.1"])
+
+    def test_old_binding_of_the_only_copy_is_renewed(self) -> None:
+        """A first attempt fails for nothing: its cached lookup named a life that is over.
+
+        The entry cannot say `not-run`, for it does not know how many copies there are. The caller
+        knows that this was the only one.
+        """
+
+        async def scenario(caller: Caller) -> None:
+            self.assertEqual((await self.release(caller)).status, 201)
+
+        stale = refuse("other-incarnation", "may-have-run", status=409)
+        self.run_with(says(stale), says(Say(201)), scenario)
+        self.assertEqual(len(self.second.seen), 1)
+
+    def test_restarted_entry_after_a_lost_copy(self) -> None:
+        """A release is paid twice: an entry runs it, dies before the answer, and is replaced.
+
+        The replacement says that the binding is not its own. Cause: the caller took that for
+        `not-run` although another copy had left before.
+        """
+
+        async def scenario(caller: Caller) -> None:
+            answer = await self.release(caller)
+            self.assertEqual((answer.status, answer.verdict), (409, Verdict.MAY_HAVE_RUN))
+
+        stale = refuse("other-incarnation", "may-have-run", status=409)
+        self.run_with(says(None, stale), says(Say(201)), scenario)
+        self.assertEqual(self.second.seen, [])
+
+    def test_nothing_was_sent_to_a_dead_entry(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            self.first.listed.insert(0, ScriptedEntry(handler=hang))
+            self.assertEqual((await self.release(caller)).status, 201)
+
+        self.run_with(says(Say(201)), says(Say(201)), scenario)
+        self.assertEqual(len(self.first.seen) + len(self.second.seen), 1)
+
+    def test_retry_after_beyond_the_deadline_is_not_awaited(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            started = trio.current_time()
+            answer = await caller.request("GET", "/x", deadline_s=25.0)
+            self.assertEqual((answer.code, answer.verdict), ("no-slot", Verdict.NOT_RUN))
+            self.assertLess(trio.current_time() - started, 20.0)
+
+        refusal = refuse("no-slot", retry_after=60)
+        self.run_with(says(refusal), says(refusal), scenario)
+
+    def test_crossed_answer_is_dropped(self) -> None:
+        """A workspace is shown another's certificate: the answer was meant for another request."""
+
+        async def scenario(caller: Caller) -> None:
+            answer = await caller.request("GET", "/x", deadline_s=10.0)
+            self.assertEqual(answer.body, b"mine")
+
+        crossed = Say(200, body=b"theirs", headers=[("Wagtailpoint-Request-Id", "other")])
+        self.run_with(says(crossed), says(Say(200, body=b"mine")), scenario)
+
+    def test_old_lookup_serves_while_no_entry_answers_lookups(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            await caller.request("GET", "/x", deadline_s=10.0)
+            self.first.answers_lookups = self.second.answers_lookups = False
+            caller._entries.outdate()
+            self.assertEqual((await caller.request("GET", "/x", deadline_s=10.0)).status, 200)
+
+        self.run_with(says(Say(200)), says(Say(200)), scenario)
+
+    def test_no_entry_at_all(self) -> None:
+        async def main() -> None:
+            async with Caller(
+                entries=[("127.0.0.1", 1)], workspace="w", address="10.0.0.1"
+            ) as caller:
+                with self.assertRaisesRegex(NoEntryAvailable, "127.0.0.1:1 ConnectError"):
+                    await caller.request("GET", "/x", deadline_s=5.0)
+
+        trio.run(main)
+
+
+class DownloadTest(TwoEntries):
+    async def download(self, caller: Caller) -> bytes:
+        async with caller.stream("GET", "/certificates", deadline_s=10.0) as download:
+            return b"".join([chunk async for chunk in download.chunks()])
+
+    def test_resumed_at_another_entry(self) -> None:
+        """A tribunal's deadline is missed: an entry dies within a long download."""
+
+        async def rest(seen: Seen) -> Say | None:
+            self.assertEqual(seen.headers[b"if-range"], b'"v1"')
+            first = int(seen.headers[b"range"].removeprefix(b"bytes=").removesuffix(b"-"))
+            span = ("Content-Range", f"bytes {first}-{len(BIG) - 1}/{len(BIG)}")
+            return Say(206, body=BIG[first:], headers=[ETAG, span])
+
+        async def scenario(caller: Caller) -> None:
+            self.assertEqual(await self.download(caller), BIG)
+
+        # Both resume: which of them is asked again is the lookup's choice.
+        cut = Say(200, body=BIG, headers=[ETAG], cut_after=1000)
+        served = [False]
+
+        async def first(seen: Seen) -> Say | None:
+            if served[0]:
+                return await rest(seen)
+            served[0] = True
+            return cut
+
+        self.run_with(first, rest, scenario)
+
+    def test_short_body_without_validator_never_looks_whole(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            with self.assertRaisesRegex(RequestUnanswered, "no strong ETag"):
+                await self.download(caller)
+
+        cut = Say(200, body=BIG, cut_after=1000)
+        self.run_with(says(cut), says(cut), scenario)
--- /dev/null
+++ b/tests/cover/test_lookup.py
@@ -0,0 +1,140 @@
+"""Lookups: the nearest region of a client, and the ranking of entries."""
+
+import ipaddress
+import random
+import unittest
+from collections import Counter
+
+from result import Err, Ok
+
+from wagtailpoint.admission.refusal import RefusalCode
+from wagtailpoint.config.model import ClientBlock, EffectiveConfig, Region, Workspace
+from wagtailpoint.errors import InvalidInput
+from wagtailpoint.lookup.answer import EntryView, LookupEntry
+from wagtailpoint.lookup.blocks import ClientBlocks
+from wagtailpoint.lookup.table import LookupTable
+
+REGIONS = {
+    "kolkata": Region(
+        "kolkata", ("salt-lake", "new-town"), {"siliguri": 55.0, "durgapur": 20.0}, None
+    ),
+    "siliguri": Region("siliguri", ("matigara",), {"kolkata": 55.0, "durgapur": 55.0}, None),
+    "durgapur": Region("durgapur", ("bidhannagar",), {"kolkata": 20.0, "siliguri": 55.0}, None),
+}
+CONFIG = EffectiveConfig(
+    version=7,
+    regions=REGIONS,
+    services={},
+    workspaces={"surakkha": Workspace("surakkha", "t", (), {}, None)},
+    moves={},
+    drains={},
+    client_blocks=(ClientBlock("10.1.0.0/16", "kolkata"),),
+)
+
+
+class ClientBlocksTest(unittest.TestCase):
+    def test_longest_prefix_wins(self) -> None:
+        blocks = ClientBlocks(
+            blocks=[
+                ClientBlock("10.0.0.0/8", "siliguri"),
+                ClientBlock("10.1.0.0/16", "kolkata"),
+                ClientBlock("2001:db8::/32", "durgapur"),
+                ClientBlock("2001:db8::1:0/112", "kolkata"),
+                ClientBlock("255.255.255.0/24", "kolkata"),
+            ]
+        )
+        expected = {
+            "9.255.255.255": None,
+            "10.0.255.255": "siliguri",
+            "10.1.0.0": "kolkata",
+            "10.1.255.255": "kolkata",
+            "10.2.0.0": "siliguri",
+            "11.0.0.0": None,
+            "255.255.255.255": "kolkata",
+            "2001:db8::ffff": "durgapur",
+            "2001:db8::1:ffff": "kolkata",
+            "2001:db8::2:0": "durgapur",
+            "2001:db9::": None,
+        }
+        self.assertEqual({address: blocks.find(address) for address in expected}, expected)
+
+    def test_agrees_with_a_search_through_all_blocks(self) -> None:
+        chance = random.Random(5)
+        for bits, kind in ((32, ipaddress.IPv4Address), (128, ipaddress.IPv6Address)):
+            networks = {}
+            for _ in range(300):
+                length = chance.randrange(bits - 12, bits + 1)
+                number = chance.randrange(1 << 12) >> (bits - length) << (bits - length)
+                networks[f"{kind(number)}/{length}"] = chance.choice(sorted(REGIONS))
+            blocks = ClientBlocks(blocks=[ClientBlock(*item) for item in networks.items()])
+            parsed = [(ipaddress.ip_network(text), region) for text, region in networks.items()]
+            for number in range(1 << 12):
+                holding = [one for one in parsed if kind(number) in one[0]]
+                longest = max(holding, key=lambda one: one[0].prefixlen, default=(None, None))
+                self.assertEqual(blocks.find(str(kind(number))), longest[1], number)
+
+    def test_mistakes_are_named(self) -> None:
+        for network in ("10.0.0.0", "10.0.0.0/33", "10.0.0/8", "::/129"):
+            with self.assertRaises(InvalidInput, msg=network):
+                ClientBlocks(blocks=[ClientBlock(network, "kolkata")])
+
+
+class LookupTableTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = LookupTable(config=CONFIG, own_failure_domain="bidhannagar")
+
+    def view(self, number: int, region: str, domain: str, **changes: float | bool) -> EntryView:
+        view = EntryView(
+            f"127.0.0.{number}", 7180, region, domain, f"{number:016x}", 3, False, True, 0.0
+        )
+        return view._replace(**changes)  # type: ignore[arg-type]
+
+    def ask(self, address: str = "10.1.2.3") -> list[LookupEntry]:
+        answer = self.table.answer(workspace="surakkha", address=address)
+        assert isinstance(answer, Ok), answer
+        return answer.ok_value["entries"]
+
+    def full_view(self) -> list[EntryView]:
+        return [
+            self.view(1, "kolkata", "salt-lake"),
+            self.view(2, "kolkata", "new-town"),
+            self.view(3, "siliguri", "matigara"),
+            self.view(4, "durgapur", "bidhannagar"),
+        ]
+
+    def test_nearest_region_first_then_by_latency(self) -> None:
+        self.table.update(self.full_view())
+        domains = [entry["failure_domain"] for entry in self.ask()]
+        self.assertEqual(set(domains[:2]), {"salt-lake", "new-town"})
+        self.assertEqual(domains[2:], ["bidhannagar", "matigara"])
+        self.assertIn(f"{1:016x}.3", [entry["binding"] for entry in self.ask()])
+
+    def test_client_in_no_block_gets_the_own_region(self) -> None:
+        self.table.update(self.full_view())
+        self.assertEqual(self.ask("192.0.2.1")[0]["failure_domain"], "bidhannagar")
+
+    def test_dead_and_leaving_are_absent(self) -> None:
+        dead = self.view(1, "kolkata", "salt-lake", alive=False)
+        leaving = self.view(2, "kolkata", "new-town", leaving=True)
+        self.table.update([dead, leaving, self.view(3, "siliguri", "matigara")])
+        self.assertEqual([entry["address"] for entry in self.ask()], ["127.0.0.3"])
+
+    def test_clients_spread_by_headroom_and_each_keeps_its_entry(self) -> None:
+        busy = self.view(1, "kolkata", "salt-lake", load=0.75)
+        idle = self.view(2, "kolkata", "salt-lake", load=0.0)
+        self.table.update([busy, idle])
+        clients = [f"10.1.{high}.{low}" for high in range(10) for low in range(200)]
+        firsts = [self.ask(client)[0]["address"] for client in clients]
+        self.assertEqual(firsts, [self.ask(client)[0]["address"] for client in clients])
+        self.assertAlmostEqual(Counter(firsts)["127.0.0.1"] / len(firsts), 0.2, delta=0.04)
+
+    def test_refusals(self) -> None:
+        cases = [
+            ("surakkha", "10.1.2.3", RefusalCode.NOT_READY),
+            ("nobody", "10.1.2.3", RefusalCode.UNKNOWN_WORKSPACE),
+            ("surakkha", "10.1.2", RefusalCode.BAD_REQUEST),
+        ]
+        for workspace, address, code in cases:
+            answer = self.table.answer(workspace=workspace, address=address)
+            assert isinstance(answer, Err), answer
+            self.assertEqual(answer.err_value.code, code)
--- /dev/null
+++ b/tests/cover/test_retries.py
@@ -0,0 +1,77 @@
+"""Retries: when, and how many."""
+
+import unittest
+from typing import NamedTuple
+
+from tests.common.fake_clock import FakeClock
+from wagtailpoint.retries.budget import RetryBudget
+from wagtailpoint.retries.policy import may_retry, order_for_retry
+from wagtailpoint.verdict import Verdict
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_failing_service_gets_a_part_of_fresh_requests(self) -> None:
+        """A failing service stays down: each of its requests is sent three times."""
+        clock = FakeClock()
+        budget = RetryBudget(clock=clock, ratio=0.1, minimum_per_s=0.0)
+        taken = 0
+        for _ in range(1000):
+            clock.now += 0.01
+            budget.note_fresh()
+            taken += budget.take() + budget.take()
+        self.assertEqual(taken, 100)
+
+    def test_fresh_requests_count_for_ten_seconds(self) -> None:
+        clock = FakeClock()
+        budget = RetryBudget(clock=clock, ratio=1.0, minimum_per_s=0.0)
+        budget.note_fresh()
+        clock.now += 10.0
+        self.assertFalse(budget.take())
+
+    def test_quiet_service_may_retry(self) -> None:
+        budget = RetryBudget(clock=FakeClock(), ratio=0.1, minimum_per_s=0.1)
+        self.assertEqual([budget.take(), budget.take()], [True, False])
+
+
+class MayRetryTest(unittest.TestCase):
+    def reason(
+        self,
+        *,
+        idempotent: bool = True,
+        verdict: Verdict = Verdict.MAY_HAVE_RUN,
+        response_started: bool = False,
+        attempts: int = 1,
+        remaining_s: float = 1.0,
+        per_s: float = 1.0,
+    ) -> str:
+        return may_retry(
+            idempotent=idempotent,
+            verdict=verdict,
+            response_started=response_started,
+            attempts=attempts,
+            remaining_s=remaining_s,
+            budget=RetryBudget(clock=FakeClock(), ratio=0.0, minimum_per_s=per_s),
+        ).reason
+
+    def test_reasons(self) -> None:
+        self.assertEqual(self.reason(), "retry")
+        self.assertEqual(self.reason(idempotent=False), "may-have-run")
+        self.assertEqual(self.reason(idempotent=False, verdict=Verdict.NOT_RUN), "retry")
+        self.assertEqual(self.reason(verdict=Verdict.RAN), "ran")
+        self.assertEqual(self.reason(response_started=True), "response-started")
+        self.assertEqual(self.reason(attempts=3), "most-attempts")
+        self.assertEqual(self.reason(remaining_s=0.0), "deadline")
+        self.assertEqual(self.reason(per_s=0.0), "budget")
+
+
+class Candidate(NamedTuple):
+    name: str
+    failure_domain: str
+
+
+class OrderForRetryTest(unittest.TestCase):
+    def test_other_failure_domains_first(self) -> None:
+        one, two = Candidate("one", "a"), Candidate("two", "a")
+        three, four = Candidate("three", "b"), Candidate("four", "b")
+        ordered = order_for_retry([one, two, three, four], [one])
+        self.assertEqual(ordered, [three, four, two])
