--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -93,4 +93,4 @@
         self.assertEqual(trio.run(self.one.remove_old), 0)
         self.assertEqual(trio.run(self.one.remove_old), 1)
         self.assertEqual(self.one.held, 0)
-        self.assertEqual(list(self.platform.store.list(CLAIM_KIND).objects), [])
+        self.assertEqual(list(self.platform.store.list(CLAIM_KIND)), [])
