--- /dev/null
+++ b/src/wagtailpoint/config/reader.py
@@ -0,0 +1,138 @@
+"""Reading the configuration's objects: the head, the chain of manifests and the contents."""
+
+from collections.abc import Mapping
+from typing import Any, NamedTuple, TypeVar
+
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from wagtailpoint.config.manifest import (
+    CONTENT_KIND,
+    HEAD_KIND,
+    HEAD_NAME,
+    MANIFEST_KIND,
+    Head,
+    Manifest,
+    Snapshot,
+    hash_of,
+    info_of,
+)
+from wagtailpoint.errors import PlatformUnavailable
+from wagtailpoint.ports.platform import ABSENT, Platform, StoredObject
+
+_MOST_FETCHES_AT_ONCE = 8
+
+_T = TypeVar("_T")
+
+
+class Current(NamedTuple):
+    """The head as it was read, and its manifest; before the first change both are absent."""
+
+    head_version: int
+    manifest_name: str | None
+    manifest: Manifest | None
+
+    @property
+    def version(self) -> int:
+        """The version of the newest change, 0 before the first."""
+        return self.manifest["version"] if self.manifest else 0
+
+    @property
+    def objects(self) -> Mapping[str, str]:
+        """The hash of each object by ``kind/name``."""
+        return self.manifest["objects"] if self.manifest else {}
+
+
+class ConfigReader:
+    """Reads heads, manifests and contents; keeps nothing."""
+
+    def __init__(self, *, platform: Platform) -> None:
+        self._platform = platform
+
+    async def current(self) -> Result[Current, PlatformUnavailable]:
+        """Read the head and its manifest."""
+        head = await self._platform.get(kind=HEAD_KIND, name=HEAD_NAME)
+        return head if isinstance(head, Err) else await self.current_at(head.ok_value)
+
+    async def current_at(self, head: StoredObject | None) -> Result[Current, PlatformUnavailable]:
+        """Read the manifest of a head that was already read."""
+        if head is None:
+            return Ok(Current(ABSENT, None, None))
+        value = converted(head.value, Head)
+        if isinstance(value, Err):
+            return value
+        name = value.ok_value["manifest"]
+        return (await self.manifest(name)).map(lambda one: Current(head.version, name, one))
+
+    async def manifest(self, name: str) -> Result[Manifest, PlatformUnavailable]:
+        """Read one manifest."""
+        return (await self._immutable(MANIFEST_KIND, name)).and_then(
+            lambda value: converted(value, Manifest)
+        )
+
+    async def _immutable(self, kind: str, name: str) -> Result[Any, PlatformUnavailable]:
+        outcome = await self._platform.get(kind=kind, name=name)
+        if isinstance(outcome, Err):
+            return outcome
+        if outcome.ok_value is None:
+            # It was written before the head that led here, so only a lagging read misses it.
+            return Err(PlatformUnavailable(f"{kind}/{name} can't be read yet"))
+        return Ok(outcome.ok_value.value)
+
+    async def newer_than(
+        self, current: Current, version: int
+    ) -> Result[list[Manifest], PlatformUnavailable]:
+        """The manifests after ``version``, the newest first."""
+        found: list[Manifest] = []
+        manifest = current.manifest
+        while manifest is not None and manifest["version"] > version:
+            found.append(manifest)
+            if manifest["parent"] is None or manifest["version"] == version + 1:
+                break
+            parent = await self.manifest(manifest["parent"])
+            if isinstance(parent, Err):
+                return parent
+            manifest = parent.ok_value
+        return Ok(found)
+
+    async def snapshot(
+        self, manifest: Manifest, known: Mapping[str, Any]
+    ) -> Result[Snapshot, PlatformUnavailable]:
+        """Put a snapshot together, fetching the contents that are not in ``known``."""
+        hashes = manifest["objects"]
+        contents = {one: known[one] for one in hashes.values() if one in known}
+        missing = iter(sorted(set(hashes.values()) - contents.keys()))
+        failures: list[PlatformUnavailable] = []
+
+        async def fetch() -> None:
+            for name in missing:
+                outcome = await self._immutable(CONTENT_KIND, name)
+                if isinstance(outcome, Err):
+                    failures.append(outcome.err_value)
+                    return
+                contents[name] = outcome.ok_value
+
+        async with trio.open_nursery() as nursery:
+            for _ in range(_MOST_FETCHES_AT_ONCE):
+                nursery.start_soon(fetch)
+        if failures:
+            return Err(failures[0])
+        objects = {key: contents[content] for key, content in hashes.items()}
+        return Ok(Snapshot(info_of(manifest), objects, hashes))
+
+
+def converted(value: Any, wire_type: type[_T]) -> Result[_T, PlatformUnavailable]:
+    """The value as ``wire_type``, or what is wrong with it."""
+    try:
+        return Ok(msgspec.convert(value, wire_type))
+    except msgspec.ValidationError as error:
+        return Err(PlatformUnavailable(f"not a {wire_type.__name__.lower()}: {error}"))
+
+
+def contents_of(snapshot: Snapshot | None) -> dict[str, Any]:
+    """The contents of a snapshot by their hash."""
+    if snapshot is None:
+        return {}
+    hashes = snapshot.content_hashes
+    return {hashes.get(key) or hash_of(value): value for key, value in snapshot.objects.items()}
--- /dev/null
+++ b/src/wagtailpoint/config/store.py
@@ -0,0 +1,355 @@
+"""The configuration in the platform: every accepted change has one place in one order.
+
+The platform updates only one object at a time. A change of several objects is made atomic by
+writing everything immutable first (contents and a manifest, both named by their hash, so that
+writing them twice is harmless) and then updating one object, ``config-head/current``, under the
+condition that nobody did so in between. What was written before a change that is not accepted is
+never read by anyone. See ``docs/design/configuration.md``.
+"""
+
+import secrets
+from collections.abc import Callable, Mapping, Sequence
+from typing import Any, NamedTuple
+
+import trio
+from result import Err, Ok, Result
+
+from wagtailpoint.config.manifest import (
+    CONTENT_KIND,
+    HEAD_KIND,
+    HEAD_NAME,
+    MANIFEST_KIND,
+    ChangeInfo,
+    Head,
+    Manifest,
+    Snapshot,
+    changed_keys,
+    check_manifest,
+    check_objects,
+    hash_of,
+    info_of,
+)
+from wagtailpoint.config.reader import ConfigReader, Current, contents_of, converted
+from wagtailpoint.errors import InvalidInput, Mistake, OutcomeUnknown, PlatformUnavailable
+from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
+
+_MOST_REBASES = 50
+_CHANGE_ID_BYTES = 16
+_SETTLE_PAUSE_S = 0.1
+
+
+class ApplyConflict(NamedTuple):
+    """A change that was refused because somebody else changed the same objects.
+
+    Attributes:
+        other: The newest such change.
+        objects: The objects that both changed, as ``kind/name``.
+    """
+
+    other: ChangeInfo
+    objects: Sequence[str]
+
+
+ApplyError = ApplyConflict | OutcomeUnknown | PlatformUnavailable
+
+
+class _Change(NamedTuple):
+    """What an operator asked for, whichever version it will land on.
+
+    Attributes:
+        puts: The hash of each object's new content.
+        deletes: The objects to delete; None: all that are not put.
+    """
+
+    info: ChangeInfo
+    base_version: int
+    puts: Mapping[str, str]
+    deletes: frozenset[str] | None
+
+    def touches(self, changed: frozenset[str]) -> frozenset[str]:
+        """Which of the objects that somebody else changed this change is about."""
+        if self.deletes is None:
+            return changed
+        return changed & (self.deletes | self.puts.keys())
+
+    def on(self, current: Current) -> Manifest:
+        """The manifest of this change as the one after ``current``."""
+        kept = {
+            key: content
+            for key, content in current.objects.items()
+            if self.deletes is not None and key not in self.deletes
+        }
+        return Manifest(
+            version=current.version + 1,
+            change_id=self.info.change_id,
+            author=self.info.author,
+            time_s=self.info.time_s,
+            message=self.info.message,
+            parent=current.manifest_name,
+            objects=kept | dict(self.puts),
+        )
+
+
+class ConfigStore:
+    """Reads and changes the configuration.
+
+    Args:
+        platform: The platform.
+        clock_wall: Seconds since the epoch, for the time that people see beside a change.
+        settle_s: How long a write with a lost answer is looked for, in seconds.
+    """
+
+    def __init__(
+        self, *, platform: Platform, clock_wall: Callable[[], float], settle_s: float = 10.0
+    ) -> None:
+        self._platform = platform
+        self._reader = ConfigReader(platform=platform)
+        self._clock_wall = clock_wall
+        self._settle_s = settle_s
+        # Of the newest snapshot, so that a change made on it fetches nothing again.
+        self._contents: dict[str, Any] = {}
+
+    async def read(self) -> Result[Snapshot | None, PlatformUnavailable]:
+        """Read the newest configuration; None before the first change."""
+        return await self.read_since(None)
+
+    async def read_since(
+        self, known: Snapshot | None
+    ) -> Result[Snapshot | None, PlatformUnavailable]:
+        """Read the newest configuration, fetching only what differs from ``known``.
+
+        Returns:
+            The newest snapshot, or ``known`` itself if the platform has none that is newer: a
+            lagging read never leads back.
+        """
+        head = await self._platform.get(kind=HEAD_KIND, name=HEAD_NAME)
+        if isinstance(head, Err):
+            return head
+        return await self.follow(head.ok_value, known)
+
+    async def follow(
+        self, head: StoredObject | None, known: Snapshot | None
+    ) -> Result[Snapshot | None, PlatformUnavailable]:
+        """Like ``read_since`` for a head that was already read, for example by a watch."""
+        if head is None:
+            return Ok(known)
+        value = converted(head.value, Head)
+        if isinstance(value, Err):
+            return value
+        if known is not None and value.ok_value["version"] <= known.change.version:
+            return Ok(known)
+        manifest = await self._reader.manifest(value.ok_value["manifest"])
+        if isinstance(manifest, Err):
+            return manifest
+        known_contents = {**self._contents, **contents_of(known)}
+        snapshot = await self._reader.snapshot(manifest.ok_value, known_contents)
+        self._contents = contents_of(snapshot.unwrap_or(None)) or self._contents
+        return snapshot
+
+    async def apply(
+        self,
+        *,
+        puts: Mapping[str, Any],
+        deletes: Sequence[str],
+        base_version: int,
+        author: str,
+        message: str,
+    ) -> Result[Snapshot, ApplyError]:
+        """Put and delete objects in one step, made against ``base_version`` (0: there is none).
+
+        Changes of other objects since then are kept; a change of the same ones is a conflict.
+        ``OutcomeUnknown`` names the change id, by which ``history`` tells later whether it landed.
+
+        Raises:
+            InvalidInput: A key or a value that can't be stored.
+        """
+        check_objects(puts, frozenset(deletes))
+        change = _Change(
+            info=self._new_info(author, message),
+            base_version=base_version,
+            puts={key: hash_of(value) for key, value in puts.items()},
+            deletes=frozenset(deletes),
+        )
+        return await self._commit(change, {change.puts[key]: puts[key] for key in puts})
+
+    async def revert(
+        self, *, to_version: int, author: str, message: str, base_version: int
+    ) -> Result[Snapshot, ApplyError]:
+        """Write the content of an older version as a newer one, in one step.
+
+        It concerns the whole configuration, so any change since ``base_version`` is a conflict.
+
+        Raises:
+            InvalidInput: There is no such version.
+        """
+        target = await self._manifest_at(to_version)
+        if isinstance(target, Err):
+            return target
+        change = _Change(
+            info=self._new_info(author, message),
+            base_version=base_version,
+            puts=target.ok_value["objects"],
+            deletes=None,
+        )
+        return await self._commit(change, {})
+
+    async def history(self, *, most: int) -> Result[list[ChangeInfo], PlatformUnavailable]:
+        """The newest changes, the newest first; one call of the platform for each."""
+        current = await self._reader.current()
+        if isinstance(current, Err):
+            return current
+        manifests = await self._reader.newer_than(current.ok_value, current.ok_value.version - most)
+        return manifests.map(lambda found: [info_of(manifest) for manifest in found])
+
+    async def at(self, version: int) -> Result[Snapshot, PlatformUnavailable]:
+        """Read the configuration as of one version.
+
+        Raises:
+            InvalidInput: There is no such version.
+        """
+        manifest = await self._manifest_at(version)
+        if isinstance(manifest, Err):
+            return manifest
+        return await self._reader.snapshot(manifest.ok_value, self._contents)
+
+    def _new_info(self, author: str, message: str) -> ChangeInfo:
+        change_id = secrets.token_hex(_CHANGE_ID_BYTES)
+        return ChangeInfo(0, change_id, author, self._clock_wall(), message)
+
+    async def _manifest_at(self, version: int) -> Result[Manifest, PlatformUnavailable]:
+        current = await self._reader.current()
+        if isinstance(current, Err):
+            return current
+        newest = current.ok_value.version
+        if not 1 <= version <= newest:
+            raise InvalidInput([Mistake("version", str(version), f"one from 1 to {newest}")])
+        manifests = await self._reader.newer_than(current.ok_value, version - 1)
+        return manifests.map(lambda found: found[-1])
+
+    async def _commit(
+        self, change: _Change, contents: dict[str, Any]
+    ) -> Result[Snapshot, ApplyError]:
+        """Make the change the next one, on top of whatever others changed meanwhile."""
+        current = await self._reader.current()
+        for _ in range(_MOST_REBASES):
+            if isinstance(current, Err):
+                return current
+            conflict = await self._conflict(change, current.ok_value)
+            if isinstance(conflict, Err):
+                return conflict
+            outcome = await self._attempt(change, current.ok_value, contents)
+            if not isinstance(outcome, Err):
+                self._contents = contents_of(outcome.ok_value)
+                return outcome
+            if not isinstance(outcome.err_value, Conflict):
+                return Err(outcome.err_value)
+            current = await self._reader.current_at(outcome.err_value.current)
+        return Err(PlatformUnavailable("others kept changing the configuration; apply again"))
+
+    async def _conflict(
+        self, change: _Change, current: Current
+    ) -> Result[None, ApplyConflict | PlatformUnavailable]:
+        if current.version == change.base_version:
+            return Ok(None)
+        if current.version < change.base_version:
+            problem = f"the platform is at version {current.version}, before"
+            return Err(PlatformUnavailable(f"{problem} base version {change.base_version}"))
+        walked = await self._reader.newer_than(current, change.base_version - 1)
+        if isinstance(walked, Err):
+            return walked
+        older_objects: list[Mapping[str, str]] = [one["objects"] for one in walked.ok_value[1:]]
+        if change.base_version == 0:
+            older_objects.append({})
+        for manifest, older in zip(walked.ok_value, older_objects, strict=False):
+            both = change.touches(changed_keys(older, manifest["objects"]))
+            if both:
+                return Err(ApplyConflict(info_of(manifest), sorted(both)))
+        return Ok(None)
+
+    async def _attempt(
+        self, change: _Change, current: Current, contents: dict[str, Any]
+    ) -> Result[Snapshot, Conflict | OutcomeUnknown | PlatformUnavailable]:
+        manifest = change.on(current)
+        check_manifest(manifest)
+        # Everything that may fail is done before the head is updated: a change that was accepted
+        # must not be reported as a failure because some other object could not be read.
+        snapshot = await self._reader.snapshot(manifest, {**self._contents, **contents})
+        if isinstance(snapshot, Err):
+            return snapshot
+        known = set(current.objects.values())
+        writes = [(CONTENT_KIND, name, contents[name]) for name in contents if name not in known]
+        manifest_name = hash_of(manifest)
+        for kind, name, value in [*writes, (MANIFEST_KIND, manifest_name, manifest)]:
+            written = await self._put_immutable(kind, name, value)
+            if isinstance(written, Err):
+                return written
+        head = Head(
+            version=manifest["version"], manifest=manifest_name, change_id=manifest["change_id"]
+        )
+        return (await self._accept(head, current)).map(lambda _: snapshot.ok_value)
+
+    async def _put_immutable(
+        self, kind: str, name: str, value: Any
+    ) -> Result[None, PlatformUnavailable]:
+        """Create an object named by its content; writing it again after a lost answer is safe."""
+        give_up_s = trio.current_time() + self._settle_s
+        while True:
+            outcome = await self._platform.put(kind=kind, name=name, value=value, if_version=ABSENT)
+            if isinstance(outcome, Ok) or isinstance(outcome.err_value, Conflict):
+                return Ok(None)
+            if isinstance(outcome.err_value, PlatformUnavailable):
+                return Err(outcome.err_value)
+            if trio.current_time() > give_up_s:
+                return Err(PlatformUnavailable(f"no answer for {kind}/{name}; nothing accepted"))
+            await trio.sleep(_SETTLE_PAUSE_S)
+
+    async def _accept(
+        self, head: Head, current: Current
+    ) -> Result[None, Conflict | OutcomeUnknown | PlatformUnavailable]:
+        """Update the head, and settle a lost answer by reading back.
+
+        While the head is still where it was, the lost write may yet arrive. It is then sent again
+        under the same condition: of the two at most one takes effect, and both say the same. Once
+        the head has moved neither can land any more, and the manifests tell whether one did.
+        """
+        give_up_s = trio.current_time() + self._settle_s
+        sent = False
+        while True:
+            outcome = await self._platform.put(
+                kind=HEAD_KIND, name=HEAD_NAME, value=head, if_version=current.head_version
+            )
+            if isinstance(outcome, Ok):
+                return Ok(None)
+            if isinstance(outcome.err_value, PlatformUnavailable) and not sent:
+                return Err(outcome.err_value)
+            sent = True
+            settled = await self._settle(head, current, outcome.err_value)
+            if settled is not None:
+                return settled
+            if trio.current_time() > give_up_s:
+                problem = "apply's answer was lost and the platform can't be read"
+                return Err(OutcomeUnknown(f"{problem}; look for change {head['change_id']}"))
+            await trio.sleep(_SETTLE_PAUSE_S)
+
+    async def _settle(
+        self, head: Head, current: Current, error: Conflict | OutcomeUnknown | PlatformUnavailable
+    ) -> Result[None, Conflict] | None:
+        """Whether the head's update took effect, or for certain did not; None: not known yet."""
+        if isinstance(error, Conflict):
+            read: Result[StoredObject | None, PlatformUnavailable] = Ok(error.current)
+        else:
+            read = await self._platform.get(kind=HEAD_KIND, name=HEAD_NAME)
+        if isinstance(read, Err):
+            return None
+        found_version = read.ok_value.version if read.ok_value else ABSENT
+        if found_version <= current.head_version and not isinstance(error, Conflict):
+            return None
+        found = await self._reader.current_at(read.ok_value)
+        if isinstance(found, Err):
+            return None
+        walked = await self._reader.newer_than(found.ok_value, current.version)
+        if isinstance(walked, Err):
+            return None
+        if any(one["change_id"] == head["change_id"] for one in walked.ok_value):
+            return Ok(None)
+        return Err(Conflict(read.ok_value))
--- /dev/null
+++ b/src/wagtailpoint/config/watcher.py
@@ -0,0 +1,157 @@
+"""Follows the configuration in the platform and never delivers an older version after a newer one.
+
+Only a few instances of a failure domain watch, because each waiting watch is a call that the
+platform counts; the others hear of changes from peers and only poll now and then, in case no peer
+told them.
+"""
+
+import random
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+from result import Err
+
+from wagtailpoint.config.manifest import HEAD_KIND, HEAD_NAME, Snapshot
+from wagtailpoint.config.store import ConfigStore
+from wagtailpoint.errors import PlatformUnavailable
+from wagtailpoint.ports.platform import Platform, StoredObject
+
+WATCH_WAIT_S = 25.0
+POLL_S = 30.0
+LEAST_BACKOFF_S = 0.2
+MOST_BACKOFF_S = 10.0
+
+
+class ConfigWatcher:
+    """A task that delivers each newer configuration once.
+
+    Args:
+        store: Reads the configuration.
+        platform: Is watched.
+        on_snapshot: Is given each snapshot that is newer than all before; must not raise.
+        watching: Whether to watch or only to poll.
+        wait_s: The longest wait of one watch, in seconds.
+        poll_s: The time between two polls while not watching, in seconds, give or take a half.
+        rng: For the jitter, which keeps the instances from asking all at the same moment.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: ConfigStore,
+        platform: Platform,
+        on_snapshot: Callable[[Snapshot], None],
+        watching: bool = True,
+        wait_s: float = WATCH_WAIT_S,
+        poll_s: float = POLL_S,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._store = store
+        self._platform = platform
+        self._on_snapshot = on_snapshot
+        self._watching = watching
+        self._wait_s = wait_s
+        self._poll_s = poll_s
+        self._rng = rng or random.Random()
+        self._newest: Snapshot | None = None
+        self._watch_from: int | None = None
+        self._backoff_s = LEAST_BACKOFF_S
+        self._round = trio.CancelScope()
+
+    @property
+    def watching(self) -> bool:
+        """Whether this instance watches; may be changed at any time."""
+        return self._watching
+
+    @watching.setter
+    def watching(self, watching: bool) -> None:
+        if watching != self._watching:
+            self._watching = watching
+            self._watch_from = None
+            self._round.cancel()
+
+    @property
+    def newest(self) -> Snapshot | None:
+        """The newest snapshot delivered or learned; None before the first."""
+        return self._newest
+
+    def learn(self, snapshot: Snapshot) -> bool:
+        """Take over a snapshot that a peer had, and deliver it if it is newer than all before.
+
+        Returns:
+            Whether it was newer.
+        """
+        if self._newest is not None and snapshot.change.version <= self._newest.change.version:
+            return False
+        self._newest = snapshot
+        self._on_snapshot(snapshot)
+        return True
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        while True:
+            with trio.CancelScope() as self._round:
+                failure = await (self._watch_once() if self._watching else self._poll_once())
+                if failure is not None:
+                    await self._back_off(failure)
+
+    async def _poll_once(self) -> Exception | None:
+        if self._newest is not None:
+            await trio.sleep(self._poll_s * self._rng.uniform(0.5, 1.5))
+        outcome = await self._store.read_since(self._newest)
+        if isinstance(outcome, Err):
+            return outcome.err_value
+        if outcome.ok_value is None:
+            return PlatformUnavailable("there is no configuration yet")
+        self._backoff_s = LEAST_BACKOFF_S
+        self.learn(outcome.ok_value)
+        return None
+
+    async def _watch_once(self) -> Exception | None:
+        if self._watch_from is None:
+            return await self._list()
+        asked_s = trio.current_time()
+        outcome = await self._platform.watch(
+            kinds=[HEAD_KIND], from_version=self._watch_from, wait_s=self._wait_s
+        )
+        if isinstance(outcome, Err):
+            # Whatever the failure, the next round lists: the platform that answers then need not
+            # be the one that this watch's version came from.
+            self._watch_from = None
+            return outcome.err_value
+        batch = outcome.ok_value
+        heads = [one.stored for one in batch.events if one.action == "put"]
+        waited_s = trio.current_time() - asked_s
+        if not heads and waited_s < min(self._wait_s, LEAST_BACKOFF_S):
+            return PlatformUnavailable("a watch came back early with nothing")
+        self._backoff_s = LEAST_BACKOFF_S
+        # A watch answered by a lagging replica may name an older version than the one asked from.
+        self._watch_from = max(self._watch_from, batch.version)
+        return await self._follow(heads[-1]) if heads else None
+
+    async def _list(self) -> PlatformUnavailable | None:
+        outcome = await self._platform.list(kind=HEAD_KIND)
+        if isinstance(outcome, Err):
+            return outcome.err_value
+        self._watch_from = outcome.ok_value.version
+        heads = [one for one in outcome.ok_value.objects if one.name == HEAD_NAME]
+        return await self._follow(heads[0]) if heads else None
+
+    async def _follow(self, head: StoredObject) -> PlatformUnavailable | None:
+        outcome = await self._store.follow(head, self._newest)
+        if isinstance(outcome, Err):
+            # The event is used up, so watching on from here would miss this change.
+            self._watch_from = None
+            return outcome.err_value
+        if outcome.ok_value is not None:
+            self.learn(outcome.ok_value)
+        return None
+
+    async def _back_off(self, failure: Exception) -> None:
+        pause_s = self._backoff_s * self._rng.uniform(0.5, 1.5)
+        if isinstance(failure, PlatformUnavailable) and failure.retry_after_s is not None:
+            pause_s += failure.retry_after_s
+        self._backoff_s = min(self._backoff_s * 2, MOST_BACKOFF_S)
+        logger.warning("event=config-watch-failed pause_s={:.2f} reason={!r}", pause_s, failure)
+        await trio.sleep(pause_s)
--- a/tests/common/fake_platform.py
+++ b/tests/common/fake_platform.py
@@ -31,6 +31,7 @@
         refuse_calls: So many next calls answer ``PlatformUnavailable``.
         writes_of: The faults of writes only meet objects of this kind; None: of any kind.
         before_put: Runs before each put, for example to let another operator be first.
+        after_put: Runs after each put took effect and before its answer.
         scripted_watches: Answers for the next watches, before real ones.
         listed: The list of instances.
         counts: Calls by (method, kind); a waiting watch as one.
@@ -44,15 +45,16 @@
         self.refuse_calls = 0
         self.writes_of: str | None = None
         self.before_put: Callable[[str, str], Awaitable[None]] | None = None
+        self.after_put: Callable[[str, str], Awaitable[None]] | None = None
         self.scripted_watches: deque[WatchAnswer] = deque()
         self.listed: Sequence[ListedInstance] = ()
         self.counts: Counter[tuple[str, str]] = Counter()
         self._stale: ObjectStore | None = None
         self._changed = trio.Event()
 
-    def answer_stale(self) -> None:
-        """From now on reads and watches answer what is true now, whatever is written later."""
-        self._stale = self.store.copy()
+    def answer_stale(self, replica: ObjectStore | None = None) -> None:
+        """From now on reads and watches answer from a copy; by default, one made now."""
+        self._stale = replica or self.store.copy()
 
     def answer_fresh(self) -> None:
         """Reads and watches answer the truth again."""
@@ -104,7 +106,10 @@
             return Err(OutcomeUnknown("the fake lost the request"))
         outcome = self.store.put(kind, name, value, if_version)
         self._wake()
-        if self._take("lose_answers", kind):
+        answer_is_lost = self._take("lose_answers", kind)
+        if self.after_put is not None:
+            await self.after_put(kind, name)
+        if answer_is_lost:
             return Err(OutcomeUnknown("the fake lost the answer"))
         return Err(outcome) if isinstance(outcome, Conflict) else Ok(outcome)
 
