--- a/tests/common/platform_standin.py
+++ b/tests/common/platform_standin.py
@@ -179,12 +179,12 @@
             outcome = self._store.put(kind, name, msgspec.json.decode(call.body), if_version)
         else:
             outcome = self._store.delete(kind, name, if_version)
+        if isinstance(outcome, Conflict):
+            return Answer(HTTPStatus.CONFLICT, as_wire(outcome.current))
         self._wake()
         if self._modes.get("lose_answers", 0) > 0:
             self._modes["lose_answers"] -= 1
             raise NoAnswer
-        if isinstance(outcome, Conflict):
-            return Answer(HTTPStatus.CONFLICT, as_wire(outcome.current))
         return Answer(200, {"kind": kind, "name": name, "version": self._store.version})
 
     async def _watch(self, call: Call) -> Answer:
--- a/tests/integration/test_platform_http.py
+++ b/tests/integration/test_platform_http.py
@@ -1,56 +1,31 @@
 """The HTTP adapter against the stand-in as a real process."""
 
-import random
 import unittest
 from collections.abc import Awaitable, Callable
-from typing import Any
 
-import httpcore
-import msgspec
 import trio
 
-from tests.common.processes import ModuleProcess, started_together
+from tests.common.platform_process import PORT, PlatformProcess, fresh_address
+from tests.common.processes import started_together
 from wagtailpoint.adapters.platform_http import HttpPlatform
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
 from wagtailpoint.ports.platform import ABSENT, Conflict, ListedInstance
 
-PORT = 9000
 TIMEOUT_S = 10.0
 SHORT_TIMEOUT_S = 0.3
 LIMIT_S = 60
 
 
-def fresh_address() -> str:
-    numbers = random.Random()
-    return f"127.{numbers.randint(1, 250)}.{numbers.randint(1, 250)}.{numbers.randint(1, 250)}"
-
-
-def standin(address: str, *arguments: str) -> ModuleProcess:
-    return ModuleProcess(
-        module="tests.common.platform_standin",
-        arguments=["--address", address, "--port", str(PORT), *arguments],
-        address=address,
-        port=PORT,
-    )
-
-
-def control(address: str, method: str, path: str, value: Any = None) -> Any:
-    body = msgspec.json.encode(value)
-    url = f"http://{address}:{PORT}/standin/{path}"
-    return msgspec.json.decode(httpcore.request(method, url, content=body).content)
-
-
 class HttpPlatformTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.address = fresh_address()
-        self.process = self.enterContext(standin(self.address))
+        self.process = self.enterContext(PlatformProcess())
 
     def run_with(
         self, test: Callable[[HttpPlatform], Awaitable[None]], timeout_s: float = TIMEOUT_S
     ) -> None:
         async def run() -> None:
             with trio.fail_after(LIMIT_S):
-                addresses = [(self.address, PORT)]
+                addresses = [self.process.listens_on]
                 async with HttpPlatform(addresses=addresses, timeout_s=timeout_s) as platform:
                     await test(platform)
 
@@ -87,7 +62,7 @@
             self.assertEqual(empty.unwrap().events, [])
             too_old = await platform.watch(kinds=["thing"], from_version=3, wait_s=1)
             self.assertIsInstance(too_old.unwrap_err(), WatchTooOld)
-            counts = control(self.address, "GET", "counts")
+            counts = self.process.counts()
             self.assertEqual(counts["calls"]["thing,none"], {"WATCH": 1})
             self.assertEqual(counts["total"], 5)
 
@@ -101,11 +76,11 @@
         """
 
         async def test(platform: HttpPlatform) -> None:
-            control(self.address, "POST", "mode", {"lose_answers": 1})
+            self.process.set_mode(lose_answers=1)
             put = await platform.put(kind="thing", name="x", value=1, if_version=ABSENT)
             self.assertIsInstance(put.unwrap_err(), OutcomeUnknown)
             self.assertEqual((await platform.list(kind="thing")).unwrap().objects[0].value, 1)
-            control(self.address, "POST", "mode", {"down": True})
+            self.process.set_mode(down=True)
             get = await platform.get(kind="thing", name="x")
             self.assertIsInstance(get.unwrap_err(), PlatformUnavailable)
 
@@ -113,7 +88,7 @@
 
     def test_an_explicit_refusal_changed_nothing(self) -> None:
         async def test(platform: HttpPlatform) -> None:
-            control(self.address, "POST", "mode", {"reject_rate": 1.0})
+            self.process.set_mode(reject_rate=1.0)
             put = await platform.put(kind="thing", name="x", value=1, if_version=ABSENT)
             refusal = put.unwrap_err()
             assert isinstance(refusal, PlatformUnavailable)
@@ -143,7 +118,7 @@
     def test_the_list_of_instances(self) -> None:
         async def test(platform: HttpPlatform) -> None:
             listed = ListedInstance("127.0.0.9", "salt-lake", "leaving")
-            control(self.address, "PUT", "instances", [listed._asdict()])
+            self.process.set_instances([listed])
             self.assertEqual((await platform.instances()).unwrap(), [listed])
 
         self.run_with(test)
@@ -151,11 +126,10 @@
 
 class SeveralAddressesTest(unittest.TestCase):
     def test_the_next_address_is_tried_and_a_dead_platform_changed_nothing(self) -> None:
-        down, up = fresh_address(), fresh_address()
-        process = standin(up)
+        process = PlatformProcess()
 
         async def run() -> None:
-            addresses = [(down, PORT), (up, PORT)]
+            addresses = [(fresh_address(), PORT), process.listens_on]
             async with HttpPlatform(addresses=addresses, timeout_s=TIMEOUT_S) as platform:
                 put = await platform.put(kind="thing", name="x", value=1, if_version=ABSENT)
                 self.assertEqual(put.unwrap().version, 1)
@@ -167,13 +141,13 @@
             trio.run(run)
 
     def test_the_stand_in_refuses_calls_over_its_rate(self) -> None:
-        address = fresh_address()
+        process = PlatformProcess("--most-calls-per-s", "0.0001")
 
         async def run() -> None:
-            addresses = [(address, PORT)]
+            addresses = [process.listens_on]
             async with HttpPlatform(addresses=addresses, timeout_s=TIMEOUT_S) as platform:
                 outcomes = [await platform.get(kind="thing", name="x") for _ in range(3)]
                 self.assertEqual([one.is_err() for one in outcomes], [False, True, True])
 
-        with standin(address, "--most-calls-per-s", "0.0001"):
+        with process:
             trio.run(run)
