Add the command-line tool

Cause: operators need one way to change the configuration that checks first, names a conflict's other author, settles lost answers and says when a change is in force.

Change: `wagtailpoint` with apply, check, delete, diff, drain, get, history, lookup, move, revert, status, timeline and workspace; `--json`, `--profile` and `--wait`; exit codes 0 to 6. Every change goes through one path: read, edit, compile the whole result, write, compile what landed, wait. A missing object is now one mistake, not one for each field that it would have had.

Known limit: two changes of different objects that are wrong together are still accepted by the store; the tool reports it (exit 1) after the fact.

--- a/src/wagtailpoint/checking.py
+++ b/src/wagtailpoint/checking.py
@@ -92,20 +92,23 @@
     Every method records a mistake, rather than raise, when its field is missing or wrong.
     """
 
-    def __init__(self, *, value: Any, path: str, mistakes: list[Mistake]) -> None:
+    def __init__(
+        self, *, value: Any, path: str, mistakes: list[Mistake], absent: bool = False
+    ) -> None:
         """Start reading.
 
         Args:
             value: What was parsed; a mistake is recorded if it is no object.
             path: The place of the object; ends in ``": "`` for the top of a named object.
             mistakes: Where mistakes are collected.
+            absent: The object is missing, which was recorded; its fields then raise no mistakes.
         """
         self._path = path
         self._mistakes = mistakes
         self._seen: set[str] = set()
-        self._is_object = isinstance(value, dict)
+        self._is_object = isinstance(value, dict) and not absent
         self._fields: dict[str, Any] = value if isinstance(value, dict) else {}
-        if not self._is_object:
+        if not isinstance(value, dict):
             self.mistake(None, value, "an object: {...}")
 
     @property
@@ -297,7 +300,10 @@
     def child(self, name: str, *, default: Any = REQUIRED) -> "ObjectReader":
         """Read a field that is an object."""
         value = self._take(name, "an object: {...}", default)
-        return self._reader(name, {} if value is REQUIRED else value)
+        if value is REQUIRED:
+            place = self.path_of(name)
+            return ObjectReader(value={}, path=place, mistakes=self._mistakes, absent=True)
+        return self._reader(name, value)
 
     def mapping(self, name: str, *, default: Any = REQUIRED) -> dict[str, Any]:
         """Read a field that is an object with names of the user's own, its values unchecked."""
--- /dev/null
+++ b/src/wagtailpoint/cli/config_commands.py
@@ -0,0 +1,254 @@
+"""Commands on configuration objects: apply, get, diff, delete, history, revert, check."""
+
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import click
+from result import Err, Ok, Result
+
+from wagtailpoint.checking import check_reference, did_you_mean, parse_json
+from wagtailpoint.cli.changing import (
+    ChangeOptions,
+    Edit,
+    author_of,
+    change,
+    read_current,
+    report_landed,
+)
+from wagtailpoint.cli.differences import compare, format_differences
+from wagtailpoint.cli.exit_codes import ExitCode
+from wagtailpoint.cli.failures import CommandError, wrong_input
+from wagtailpoint.cli.options import run_command, with_change_options
+from wagtailpoint.cli.output import (
+    Report,
+    change_data,
+    format_json,
+    format_table,
+    format_time,
+)
+from wagtailpoint.cli.session import Session
+from wagtailpoint.config.compile import compile_config
+from wagtailpoint.config.files import read_objects
+from wagtailpoint.config.objects import KINDS
+from wagtailpoint.config.store import ConfigStore
+from wagtailpoint.errors import InvalidInput, Mistake
+from wagtailpoint.settings import check_settings
+
+_FILES = click.argument("files", nargs=-1, required=True, type=click.Path(path_type=Path))
+
+
+@click.command()
+@_FILES
+@run_command
+@with_change_options
+async def apply(
+    session: Session, *, files: tuple[Path, ...], options: ChangeOptions
+) -> Result[Report, CommandError]:
+    """Put the objects of FILES (or of all *.json in a directory) in one change.
+
+    The whole configuration that would result is checked before the platform is asked to write.
+    """
+    read = read_objects(files)
+    if isinstance(read, Err):
+        return read
+    names = ", ".join(str(path) for path in files)
+    edit = Edit(read.ok_value, (), f"apply {names}")
+    return await change(session, lambda _: Ok(edit), options)
+
+
+@click.command()
+@click.argument("keys", nargs=-1, required=True, metavar="KIND/NAME...")
+@run_command
+@with_change_options
+async def delete(
+    session: Session, *, keys: tuple[str, ...], options: ChangeOptions
+) -> Result[Report, CommandError]:
+    """Delete objects that nothing refers to any more, in one change."""
+
+    def edit(objects: Mapping[str, Any]) -> Result[Edit, InvalidInput]:
+        mistakes: list[Mistake] = []
+        for key in keys:
+            check_reference(path=key, given=key, known=objects, what="an object", mistakes=mistakes)
+        if mistakes:
+            return Err(InvalidInput(mistakes))
+        return Ok(Edit({}, list(dict.fromkeys(keys)), f"delete {', '.join(keys)}"))
+
+    return await change(session, edit, options)
+
+
+@click.command()
+@click.argument("what", required=False, default="", metavar="[KIND[/NAME]]")
+@run_command
+async def get(session: Session, *, what: str) -> Result[Report, CommandError]:
+    """List all objects or those of a KIND, or print the one KIND/NAME as JSON."""
+    kind, _, name = what.partition("/")
+    if kind and kind not in KINDS:
+        expected = f"one of: {', '.join(KINDS)}{did_you_mean(kind, KINDS)}"
+        return Err(wrong_input("KIND", kind, expected))
+    async with session.open_store() as opened:
+        if isinstance(opened, Err):
+            return opened
+        current = await read_current(opened.ok_value)
+    if isinstance(current, Err):
+        return current
+    version, objects = current.ok_value
+    if name:
+        return _get_one(version, objects, what)
+    prefix = f"{kind}/" if kind else ""
+    found = {key: objects[key] for key in sorted(objects) if key.startswith(prefix)}
+    rows = [[*key.split("/", 1), _summary(value)] for key, value in found.items()]
+    text = f"version {version}\n{format_table(['kind', 'name', 'fields'], rows)}"
+    return Ok(Report(text, {"version": version, "objects": found}))
+
+
+def _get_one(version: int, objects: Mapping[str, Any], key: str) -> Result[Report, CommandError]:
+    mistakes: list[Mistake] = []
+    if not check_reference(path=key, given=key, known=objects, what="an object", mistakes=mistakes):
+        return Err(InvalidInput(mistakes))
+    data = {"version": version, "objects": {key: objects[key]}}
+    return Ok(Report(format_json({key: objects[key]}), data))
+
+
+def _summary(value: Any) -> str:
+    return ", ".join(value) if isinstance(value, dict) else "-"
+
+
+@click.command()
+@_FILES
+@run_command
+async def diff(session: Session, *, files: tuple[Path, ...]) -> Result[Report, CommandError]:
+    """Show what apply FILES would change, field by field, and whether it would be accepted."""
+    read = read_objects(files)
+    if isinstance(read, Err):
+        return read
+    async with session.open_store() as opened:
+        if isinstance(opened, Err):
+            return opened
+        found = await read_current(opened.ok_value)
+    if isinstance(found, Err):
+        return found
+    current = found.ok_value
+    merged = {**current.objects, **read.ok_value}
+    checked = compile_config(version=current.version + 1, objects=merged)
+    if isinstance(checked, Err):
+        return checked
+    differences = compare(current.objects, merged)
+    data = {
+        "version": current.version,
+        "differences": [difference._asdict() for difference in differences],
+    }
+    return Ok(Report(format_differences(differences), data))
+
+
+@click.command()
+@click.option("--most", type=click.IntRange(min=1), default=20, show_default=True)
+@click.option("--change-id", help="Only the change with this id, for example of a lost answer.")
+@run_command
+async def history(
+    session: Session, *, most: int, change_id: str | None
+) -> Result[Report, CommandError]:
+    """List the newest changes, the newest first."""
+    async with session.open_store() as opened:
+        if isinstance(opened, Err):
+            return opened
+        found = await opened.ok_value.history(most=most)
+    if isinstance(found, Err):
+        return found
+    changes = [info for info in found.ok_value if change_id in (None, info.change_id)]
+    rows = [
+        [info.version, format_time(info.time_s), info.author, info.message, info.change_id]
+        for info in changes
+    ]
+    text = format_table(["version", "time", "author", "message", "change id"], rows)
+    missing = change_id is not None and not changes
+    if missing:
+        text = f"change {change_id} is not among the newest {most}"
+    data = {"changes": [change_data(info) for info in changes]}
+    return Ok(Report(text, data, ExitCode.FAILED if missing else ExitCode.OK))
+
+
+@click.command()
+@click.option("--to", "to_version", type=click.IntRange(min=1), required=True, metavar="VERSION")
+@run_command
+@with_change_options
+async def revert(
+    session: Session, *, to_version: int, options: ChangeOptions
+) -> Result[Report, CommandError]:
+    """Write the content of an older VERSION as a newer one, in one step."""
+    if options.wait and not session.profile.entries:
+        return Err(wrong_input("--entry", "nothing", "the address of an entry, for --wait"))
+    async with session.open_store() as opened:
+        if isinstance(opened, Err):
+            return opened
+        return await _revert(session, opened.ok_value, to_version, options)
+
+
+async def _revert(
+    session: Session, store: ConfigStore, to_version: int, options: ChangeOptions
+) -> Result[Report, CommandError]:
+    found = await read_current(store)
+    if isinstance(found, Err):
+        return found
+    current = found.ok_value
+    if to_version >= current.version:
+        expected = f"a version before the newest, {current.version}"
+        return Err(wrong_input("--to", str(to_version), expected))
+    older = await store.at(to_version)
+    if isinstance(older, Err):
+        return older
+    target = older.ok_value.objects
+    checked = compile_config(version=current.version + 1, objects=target)
+    if isinstance(checked, Err):
+        return checked
+    landed = await store.revert(
+        to_version=to_version,
+        author=author_of(session, options),
+        message=options.message or f"revert to version {to_version}",
+        base_version=current.version if options.base_version is None else options.base_version,
+    )
+    if isinstance(landed, Err):
+        return landed
+    put = [key for key in sorted(target) if current.objects.get(key) != target[key]]
+    deleted = sorted(current.objects.keys() - target.keys())
+    return await report_landed(session, landed.ok_value, put, deleted, options)
+
+
+@click.command()
+@_FILES
+@run_command
+async def check(session: Session, *, files: tuple[Path, ...]) -> Result[Report, CommandError]:
+    """Check settings files, or object files as one configuration, without the platform."""
+    settings_files, object_files = _sort_files(files)
+    mistakes: list[Mistake] = []
+    for path, value in settings_files.items():
+        checked = check_settings(value)
+        if isinstance(checked, Err):
+            found = checked.err_value.mistakes
+            mistakes += [item._replace(path=f"{path}: {item.path}") for item in found]
+    objects: dict[str, Any] = {}
+    if object_files:
+        read = read_objects(object_files)
+        objects = read.ok_value if isinstance(read, Ok) else {}
+        compiled = read.and_then(lambda found: compile_config(version=1, objects=found))
+        if isinstance(compiled, Err):
+            mistakes += compiled.err_value.mistakes
+    if mistakes:
+        return Err(InvalidInput(mistakes))
+    text = f"valid: {len(settings_files)} settings files, {len(objects)} objects"
+    return Ok(Report(text, {"settings_files": len(settings_files), "objects": len(objects)}))
+
+
+def _sort_files(files: tuple[Path, ...]) -> tuple[dict[Path, Any], list[Path]]:
+    """Tell settings files, which have an address, from object files; mistakes come later."""
+    settings_files: dict[Path, Any] = {}
+    object_files: list[Path] = []
+    for path in files:
+        for inside in sorted(path.glob("*.json")) if path.is_dir() else [path]:
+            parsed = parse_json(inside.read_bytes(), path=str(inside)) if inside.is_file() else None
+            value = parsed.ok() if parsed is not None else None
+            if isinstance(value, dict) and "address" in value:
+                settings_files[inside] = value
+            else:
+                object_files.append(inside)
+    return settings_files, object_files
--- /dev/null
+++ b/src/wagtailpoint/cli/main.py
@@ -0,0 +1,49 @@
+"""The operators' command-line tool, ``wagtailpoint``."""
+
+import click
+
+from wagtailpoint.cli.config_commands import apply, check, delete, diff, get, history, revert
+from wagtailpoint.cli.entry_commands import lookup, status, timeline
+from wagtailpoint.cli.move_commands import drain, move
+from wagtailpoint.cli.session import Tools
+from wagtailpoint.cli.workspace_commands import workspace
+
+# "\b" keeps click from joining the lines of the paragraph.
+_EXIT_CODES = """\b
+Exit codes:
+  0  done
+  1  failed
+  2  wrong input; nothing was changed
+  3  conflict: somebody else changed the same objects; nothing was changed
+  4  unknown outcome: look into the history before you repeat it
+  5  platform unavailable; nothing was changed
+  6  the change landed, but --wait timed out before it was in force everywhere
+"""
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]}, epilog=_EXIT_CODES)
+def cli() -> None:
+    """Declare what the traffic system shall do, and see whether it does."""
+
+
+for _command in (
+    apply,
+    check,
+    delete,
+    diff,
+    drain,
+    get,
+    history,
+    lookup,
+    move,
+    revert,
+    status,
+    timeline,
+    workspace,
+):
+    cli.add_command(_command)
+
+
+def main() -> None:
+    """Run the tool."""
+    cli(obj=Tools(), prog_name="wagtailpoint")
--- /dev/null
+++ b/src/wagtailpoint/cli/move_commands.py
@@ -0,0 +1,219 @@
+"""Commands on planned moves and drains."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import click
+from result import Err, Ok, Result
+
+from wagtailpoint.checking import check_reference
+from wagtailpoint.cli.changing import ChangeOptions, Edit, change
+from wagtailpoint.cli.failures import CommandError, wrong_input
+from wagtailpoint.cli.options import run_command, with_change_options
+from wagtailpoint.cli.output import Report
+from wagtailpoint.cli.profile import AddressType, EntryAddress
+from wagtailpoint.cli.session import Session
+from wagtailpoint.config.compile import compile_config
+from wagtailpoint.errors import InvalidInput, Mistake
+
+_DEFAULT_STEPS = (0.05, 0.25, 0.5, 1.0)
+
+
+@click.group()
+def move() -> None:
+    """Plan and steer moves of a workspace's traffic to other backend servers."""
+
+
+@click.group()
+def drain() -> None:
+    """Take new work away from backend servers or failure domains."""
+
+
+@move.command("start")
+@click.argument("name")
+@click.option("--workspace", required=True)
+@click.option("--service", required=True)
+@click.option("--to", "to_group", required=True, metavar="GROUP")
+@click.option("--from", "from_group", metavar="GROUP", help="Default: the workspace's group.")
+@click.option("--cap-rps", type=float, required=True, help="Most requests a second to the group.")
+@click.option(
+    "--step",
+    "steps",
+    type=float,
+    multiple=True,
+    default=_DEFAULT_STEPS,
+    show_default=True,
+    help="A part of the traffic (0 to 1); may be repeated, rising.",
+)
+@click.option("--hold-s", type=float, default=30.0, show_default=True, help="Seconds a step.")
+@run_command
+@with_change_options
+async def start_move(
+    session: Session,
+    *,
+    name: str,
+    workspace: str,
+    service: str,
+    to_group: str,
+    from_group: str | None,
+    cap_rps: float,
+    steps: tuple[float, ...],
+    hold_s: float,
+    options: ChangeOptions,
+) -> Result[Report, CommandError]:
+    """Start the move NAME."""
+
+    def edit(objects: Mapping[str, Any]) -> Result[Edit, InvalidInput]:
+        if f"move/{name}" in objects:
+            return Err(wrong_input("NAME", name, "a new name; a move of this name exists"))
+        value = {
+            "workspace": workspace,
+            "service": service,
+            "from_group": from_group or _current_group(objects, workspace, service),
+            "to_group": to_group,
+            "cap_rps": cap_rps,
+            "steps": list(steps),
+            "hold_s": hold_s,
+            "state": "run",
+        }
+        return Ok(Edit({f"move/{name}": value}, (), f"start move/{name}"))
+
+    return await change(session, edit, options)
+
+
+@move.command("pause")
+@click.argument("name")
+@run_command
+@with_change_options
+async def pause_move(
+    session: Session, *, name: str, options: ChangeOptions
+) -> Result[Report, CommandError]:
+    """Hold the move NAME where it is."""
+    return await _set_state(session, name, "pause", options)
+
+
+@move.command("resume")
+@click.argument("name")
+@run_command
+@with_change_options
+async def resume_move(
+    session: Session, *, name: str, options: ChangeOptions
+) -> Result[Report, CommandError]:
+    """Go on with the move NAME."""
+    return await _set_state(session, name, "run", options)
+
+
+@move.command("abort")
+@click.argument("name")
+@run_command
+@with_change_options
+async def abort_move(
+    session: Session, *, name: str, options: ChangeOptions
+) -> Result[Report, CommandError]:
+    """Send all traffic of the move NAME back at once; delete the move afterwards."""
+    return await _set_state(session, name, "abort", options)
+
+
+@move.command("finish")
+@click.argument("name")
+@run_command
+@with_change_options
+async def finish_move(
+    session: Session, *, name: str, options: ChangeOptions
+) -> Result[Report, CommandError]:
+    """Settle the workspace at its new group and delete the move NAME, in one change.
+
+    Two changes would send the traffic back in between: deleted first, the workspace still names
+    its old group.
+    """
+
+    def edit(objects: Mapping[str, Any]) -> Result[Edit, InvalidInput]:
+        found = _find(objects, "move", name)
+        if isinstance(found, Err):
+            return found
+        plan = found.ok_value
+        key = f"workspace/{plan['workspace']}"
+        source = objects[key]
+        body = objects[f"template/{source['template']}"]["workspace"]
+        group = body["groups"][plan["service"]]
+        if not (group.startswith("${") and group.endswith("}")):
+            expected = f"a parameter, to be set to {plan['to_group']!r}; change the template"
+            return Err(wrong_input(f"{key}: groups.{plan['service']}", group, expected))
+        parameters = source.get("parameters", {}) | {group[2:-1]: plan["to_group"]}
+        puts = {key: source | {"parameters": parameters}}
+        return Ok(Edit(puts, [f"move/{name}"], f"finish move/{name}"))
+
+    return await change(session, edit, options)
+
+
+@drain.command("start")
+@click.argument("name")
+@click.option("--backend-server", type=AddressType(), metavar="ADDRESS:PORT")
+@click.option("--failure-domain")
+@run_command
+@with_change_options
+async def start_drain(
+    session: Session,
+    *,
+    name: str,
+    backend_server: EntryAddress | None,
+    failure_domain: str | None,
+    options: ChangeOptions,
+) -> Result[Report, CommandError]:
+    """Start the drain NAME of one backend server or one failure domain."""
+    value: dict[str, Any] = {}
+    if backend_server:
+        value["backend_server"] = backend_server._asdict()
+    if failure_domain:
+        value["failure_domain"] = failure_domain
+
+    def edit(objects: Mapping[str, Any]) -> Result[Edit, InvalidInput]:
+        if f"drain/{name}" in objects:
+            return Err(wrong_input("NAME", name, "a new name; a drain of this name exists"))
+        return Ok(Edit({f"drain/{name}": value}, (), f"start drain/{name}"))
+
+    return await change(session, edit, options)
+
+
+@drain.command("stop")
+@click.argument("name")
+@run_command
+@with_change_options
+async def stop_drain(
+    session: Session, *, name: str, options: ChangeOptions
+) -> Result[Report, CommandError]:
+    """End the drain NAME: what was drained gets new work again."""
+
+    def edit(objects: Mapping[str, Any]) -> Result[Edit, InvalidInput]:
+        found = _find(objects, "drain", name)
+        return found.map(lambda _: Edit({}, [f"drain/{name}"], f"stop drain/{name}"))
+
+    return await change(session, edit, options)
+
+
+async def _set_state(
+    session: Session, name: str, state: str, options: ChangeOptions
+) -> Result[Report, CommandError]:
+    def edit(objects: Mapping[str, Any]) -> Result[Edit, InvalidInput]:
+        found = _find(objects, "move", name)
+        puts = found.map(lambda plan: {f"move/{name}": plan | {"state": state}})
+        return puts.map(lambda put: Edit(put, (), f"{state} move/{name}"))
+
+    return await change(session, edit, options)
+
+
+def _find(objects: Mapping[str, Any], kind: str, name: str) -> Result[Any, InvalidInput]:
+    mistakes: list[Mistake] = []
+    key = f"{kind}/{name}"
+    known = [other for other in objects if other.startswith(f"{kind}/")]
+    if check_reference(path="NAME", given=key, known=known, what=f"a {kind}", mistakes=mistakes):
+        return Ok(objects[key])
+    return Err(InvalidInput(mistakes))
+
+
+def _current_group(objects: Mapping[str, Any], workspace: str, service: str) -> str:
+    """The group that serves the workspace now; empty if there is none, which is refused later."""
+    compiled = compile_config(version=1, objects=objects)
+    if isinstance(compiled, Err) or workspace not in compiled.ok_value.workspaces:
+        return ""
+    return compiled.ok_value.workspaces[workspace].groups.get(service, "")
--- /dev/null
+++ b/src/wagtailpoint/cli/profile.py
@@ -0,0 +1,104 @@
+"""Where the tool finds the platform and the entries: by options or by a profile file."""
+
+import getpass
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import click
+from result import Err, Ok, Result
+
+from wagtailpoint.checking import MAX_PORT, ObjectReader, is_ip_number, parse_json
+from wagtailpoint.errors import InvalidInput, Mistake
+from wagtailpoint.settings import PlatformAddress
+
+
+class EntryAddress(NamedTuple):
+    """Where an entry instance listens for HTTP."""
+
+    address: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.address}:{self.port}"
+
+
+class Profile(NamedTuple):
+    """Where to find everything.
+
+    Attributes:
+        platform: The servers of the platform's object API.
+        entries: Entry instances that are asked for status; the others are learnt from them.
+        author: Written into each change; None takes the name of the system's user.
+    """
+
+    platform: tuple[PlatformAddress, ...] = ()
+    entries: tuple[EntryAddress, ...] = ()
+    author: str | None = None
+
+
+class AddressType(click.ParamType[EntryAddress]):
+    """``ADDRESS:PORT`` on the command line."""
+
+    name = "address:port"
+
+    def convert(
+        self, value: Any, param: click.Parameter | None, ctx: click.Context | None
+    ) -> EntryAddress:
+        """Parse one address.
+
+        Raises:
+            click.UsageError: It is no IP number and port.
+        """
+        if isinstance(value, EntryAddress):
+            return value
+        address, _, port = str(value).rpartition(":")
+        address = address.removeprefix("[").removesuffix("]")
+        if is_ip_number(address) and port.isdigit() and 0 < int(port) <= MAX_PORT:
+            return EntryAddress(address, int(port))
+        return self.fail(
+            f"given {value!r}, expected IP-NUMBER:PORT such as 10.0.0.7:8080", param, ctx
+        )
+
+
+def read_profile(path: Path) -> Result[Profile, InvalidInput]:
+    """Read and check a profile file."""
+    try:
+        text = path.read_bytes()
+    except OSError as error:
+        mistake = Mistake(str(path), error.strerror or str(error), "a readable profile file")
+        return Err(InvalidInput([mistake]))
+    return parse_json(text, path=str(path)).and_then(
+        lambda value: _check_profile(value, f"{path}: ")
+    )
+
+
+def default_author() -> str:
+    """The name of the system's user; ``unknown`` where there is none."""
+    try:
+        return getpass.getuser()
+    except (KeyError, OSError):
+        return "unknown"
+
+
+def _check_profile(value: Any, path: str) -> Result[Profile, InvalidInput]:
+    mistakes: list[Mistake] = []
+    reader = ObjectReader(value=value, path=path, mistakes=mistakes)
+    platform = [
+        PlatformAddress(*_read_address(item))
+        for item in reader.objects("platform", expected='{"address", "port"}', default=[])
+    ]
+    entries = [
+        EntryAddress(*_read_address(item))
+        for item in reader.objects("entries", expected='{"address", "port"}', default=[])
+    ]
+    author = reader.text("author") if reader.has("author") else None
+    reader.note("author")
+    reader.finish()
+    profile = Profile(tuple(platform), tuple(entries), author)
+    return Err(InvalidInput(mistakes)) if mistakes else Ok(profile)
+
+
+def _read_address(reader: ObjectReader) -> tuple[str, int]:
+    found = (reader.ip_number("address"), reader.port("port"))
+    reader.finish()
+    return found
--- /dev/null
+++ b/src/wagtailpoint/cli/session.py
@@ -0,0 +1,118 @@
+"""What a command works with: the platform, the entries, and how to reach them."""
+
+import time
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+from typing import Any, NamedTuple
+
+import httpcore
+import msgspec
+import trio
+from result import Err, Ok, Result
+
+from wagtailpoint.adapters.platform_http import HttpPlatform
+from wagtailpoint.cli.failures import EntryUnreachable, wrong_input
+from wagtailpoint.cli.profile import EntryAddress, Profile
+from wagtailpoint.config.store import ConfigStore
+from wagtailpoint.errors import InvalidInput
+from wagtailpoint.ports.platform import Platform
+from wagtailpoint.settings import PlatformAddress
+
+PLATFORM_TIMEOUT_S = 5.0
+ENTRY_TIMEOUT_S = 3.0
+_HTTP_OK = 200
+
+OpenPlatform = Callable[[Sequence[PlatformAddress]], AbstractAsyncContextManager[Platform]]
+Fetch = Callable[[EntryAddress, str], Awaitable[Result[Any, EntryUnreachable]]]
+
+
+def open_http_platform(
+    addresses: Sequence[PlatformAddress],
+) -> AbstractAsyncContextManager[Platform]:
+    """Connect to the platform's object API."""
+    return HttpPlatform(addresses=addresses, timeout_s=PLATFORM_TIMEOUT_S)
+
+
+async def fetch_json(entry: EntryAddress, target: str) -> Result[Any, EntryUnreachable]:
+    """GET a JSON document from one entry instance."""
+    address = f"[{entry.address}]" if ":" in entry.address else entry.address
+    limit = dict.fromkeys(("connect", "read", "write", "pool"), ENTRY_TIMEOUT_S)
+    try:
+        with trio.fail_after(ENTRY_TIMEOUT_S):
+            async with httpcore.AsyncConnectionPool() as pool:
+                response = await pool.request(
+                    "GET", f"http://{address}:{entry.port}{target}", extensions={"timeout": limit}
+                )
+    except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as error:
+        return Err(EntryUnreachable(f"{entry}: {error!r}"))
+    except trio.TooSlowError:
+        return Err(EntryUnreachable(f"{entry}: no answer in {ENTRY_TIMEOUT_S:g} s"))
+    if response.status != _HTTP_OK:
+        text = response.content.decode(errors="replace")[:200]
+        return Err(EntryUnreachable(f"{entry}: answered {response.status} {text}"))
+    try:
+        return Ok(msgspec.json.decode(response.content))
+    except msgspec.DecodeError as error:
+        return Err(EntryUnreachable(f"{entry}: no JSON: {error}"))
+
+
+class Tools(NamedTuple):
+    """How the outside is reached; tests put fakes in their place."""
+
+    open_platform: OpenPlatform = open_http_platform
+    fetch: Fetch = fetch_json
+    clock_wall: Callable[[], float] = time.time
+
+
+class Session:
+    """One run of the tool."""
+
+    def __init__(self, *, profile: Profile, tools: Tools) -> None:
+        self._profile = profile
+        self._tools = tools
+
+    @property
+    def profile(self) -> Profile:
+        """Where everything is."""
+        return self._profile
+
+    @asynccontextmanager
+    async def open_store(self) -> AsyncIterator[Result[ConfigStore, InvalidInput]]:
+        """Connect to the platform's configuration."""
+        if not self._profile.platform:
+            expected = "--platform ADDRESS:PORT, or a profile that names it"
+            yield Err(wrong_input("--platform", "nothing", expected))
+            return
+        async with self._tools.open_platform(self._profile.platform) as platform:
+            yield Ok(ConfigStore(platform=platform, clock_wall=self._tools.clock_wall))
+
+    async def ask(self, entry: EntryAddress, target: str) -> Result[Any, EntryUnreachable]:
+        """GET a JSON document from one entry."""
+        return await self._tools.fetch(entry, target)
+
+    async def ask_any(self, target: str) -> Result[Any, InvalidInput | EntryUnreachable]:
+        """GET a JSON document from the first entry that answers."""
+        if not self._profile.entries:
+            expected = "--entry ADDRESS:PORT, or a profile that names some"
+            return Err(wrong_input("--entry", "nothing", expected))
+        reasons = []
+        for entry in self._profile.entries:
+            answer = await self.ask(entry, target)
+            if isinstance(answer, Ok):
+                return answer
+            reasons.append(answer.err_value.reason)
+        return Err(EntryUnreachable("; ".join(reasons)))
+
+    async def ask_all(
+        self, entries: Sequence[EntryAddress], target: str
+    ) -> dict[EntryAddress, Result[Any, EntryUnreachable]]:
+        """GET a JSON document from several entries at the same time."""
+        answers: dict[EntryAddress, Result[Any, EntryUnreachable]] = {}
+
+        async def ask_one(entry: EntryAddress) -> None:
+            answers[entry] = await self.ask(entry, target)
+
+        async with trio.open_nursery() as nursery:
+            for entry in entries:
+                nursery.start_soon(ask_one, entry)
+        return answers
--- /dev/null
+++ b/src/wagtailpoint/cli/waiting.py
@@ -0,0 +1,123 @@
+"""``--wait``: until every live instance enforces a version."""
+
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+import trio
+from result import Ok
+
+from wagtailpoint.cli.output import format_table
+from wagtailpoint.cli.profile import EntryAddress
+from wagtailpoint.cli.session import Session
+from wagtailpoint.cli.status import Member, read_members
+
+POLL_INTERVAL_S = 0.2
+
+
+class WaitReport(NamedTuple):
+    """How far a version has come.
+
+    Attributes:
+        version: The version waited for.
+        enforcing: The instances that enforce it, or a newer one.
+        lagging: The live instances that don't.
+        unreachable: The entries that were asked and did not answer, with the reason.
+    """
+
+    version: int
+    enforcing: tuple[Member, ...] = ()
+    lagging: tuple[Member, ...] = ()
+    unreachable: tuple[str, ...] = ()
+
+    @property
+    def done(self) -> bool:
+        """Whether every live instance enforces the version."""
+        return bool(self.enforcing) and not self.lagging
+
+    @property
+    def data(self) -> dict[str, Any]:
+        """The report as JSON."""
+        return {
+            "version": self.version,
+            "in_force": self.done,
+            "enforcing": [str(member.entry) for member in self.enforcing],
+            "lagging": [
+                {"instance": str(member.entry), "config_version": member.config_version}
+                for member in self.lagging
+            ],
+            "unreachable": list(self.unreachable),
+        }
+
+    @property
+    def text(self) -> str:
+        """The report for people."""
+        if self.done:
+            return f"version {self.version} is in force on {len(self.enforcing)} instances"
+        lines = [f"version {self.version} is not in force everywhere:"]
+        if self.lagging:
+            rows = [
+                [member.entry, member.region, member.failure_domain, member.config_version]
+                for member in self.lagging
+            ]
+            shown = [[str(cell) if cell is not None else None for cell in row] for row in rows]
+            headers = ["instance", "region", "failure domain", "enforces version"]
+            lines.append(format_table(headers, shown))
+        lines += [f"no answer from {reason}" for reason in self.unreachable]
+        return "\n".join(lines)
+
+
+async def wait_for_version(
+    session: Session, version: int, *, timeout_s: float, progress: Callable[[str], None]
+) -> WaitReport:
+    """Wait until every live instance enforces a version, or until the timeout.
+
+    Args:
+        session: Its profile's entries are asked; the others are learnt from their members.
+        version: The version.
+        timeout_s: Seconds.
+        progress: Is told each time that more instances enforce the version.
+    """
+    report = WaitReport(version)
+    shown = -1
+    with trio.move_on_after(timeout_s):
+        while True:
+            report = await _look(session, version)
+            if len(report.enforcing) != shown:
+                shown = len(report.enforcing)
+                total = shown + len(report.lagging)
+                progress(f"version {version}: in force on {shown} of {total} instances")
+            if report.done:
+                break
+            await trio.sleep(POLL_INTERVAL_S)
+    return report
+
+
+async def _look(session: Session, version: int) -> WaitReport:
+    """Ask all named entries once.
+
+    One entry's view may be wrong (cut off from a part of the fleet, it does not see what lags
+    there), so the views are united and an instance counts as live if anyone sees it live.
+    """
+    members: dict[tuple[EntryAddress, str], Member] = {}
+    unreachable = []
+    answers = await session.ask_all(session.profile.entries, "/v1/status")
+    for answer in answers.values():
+        if not isinstance(answer, Ok):
+            unreachable.append(answer.err_value.reason)
+            continue
+        for member in read_members(answer.ok_value):
+            key = (member.entry, member.incarnation)
+            members[key] = _newer(members.get(key), member)
+    live = [members[key] for key in sorted(members) if members[key].must_enforce]
+    enforcing = [member for member in live if (member.config_version or 0) >= version]
+    lagging = [member for member in live if (member.config_version or 0) < version]
+    return WaitReport(version, tuple(enforcing), tuple(lagging), tuple(unreachable))
+
+
+def _newer(known: Member | None, other: Member) -> Member:
+    """Unite two views of one instance: it never goes back to an older version."""
+    if known is None:
+        return other
+    version = max(known.config_version or 0, other.config_version or 0)
+    live = known if known.must_enforce else other
+    return live._replace(config_version=version)
--- /dev/null
+++ b/tests/cover/test_cli.py
@@ -0,0 +1,350 @@
+"""The command-line tool against an in-memory platform and scripted entries."""
+
+import json
+import tempfile
+import unittest
+from collections.abc import Awaitable, Callable
+from contextlib import nullcontext
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner
+from examples.deployment import load_deployment
+from result import Err, Ok, Result
+
+from tests.common.fake_platform import FakePlatform
+from wagtailpoint.cli.exit_codes import ExitCode
+from wagtailpoint.cli.failures import EntryUnreachable
+from wagtailpoint.cli.main import cli
+from wagtailpoint.cli.profile import EntryAddress
+from wagtailpoint.cli.session import Tools
+from wagtailpoint.config.store import ConfigStore
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+OBJECTS = str(EXAMPLES / "surakkha" / "objects")
+PLATFORM = ["--platform", "127.0.0.1:7000"]
+
+
+def member(last: int, version: int | None, state: str = "live") -> dict[str, Any]:
+    """One line of a status."""
+    return {
+        "address": f"127.0.0.{last}",
+        "port": 8080,
+        "incarnation": f"i{last}",
+        "region": "kolkata",
+        "failure_domain": "salt-lake",
+        "state": state,
+        "config_version": version,
+    }
+
+
+class CliTestCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = FakePlatform()
+        self.answers: dict[tuple[str, str], Any] = {}
+        self.asked: list[str] = []
+
+    async def fetch(self, entry: EntryAddress, target: str) -> Result[Any, EntryUnreachable]:
+        self.asked.append(f"{entry}{target}")
+        answer = self.answers.get((entry.address, target.partition("?")[0]))
+        answer = answer() if callable(answer) else answer
+        return Ok(answer) if answer is not None else Err(EntryUnreachable(f"{entry}: refused"))
+
+    def run_cli(self, *arguments: str, code: ExitCode = ExitCode.OK) -> str:
+        """Run a command, check its exit code, and give all that it printed."""
+        tools = Tools(open_platform=lambda _: nullcontext(self.platform), fetch=self.fetch)
+        runner = CliRunner(env={"WAGTAILPOINT_AUTHOR": "asha"})
+        result = runner.invoke(cli, [*arguments, *PLATFORM], obj=tools)
+        self.assertEqual(result.exit_code, code, result.output)
+        return result.output
+
+    def run_json(self, *arguments: str, code: ExitCode = ExitCode.OK) -> Any:
+        return json.loads(self.run_cli(*arguments, "--json", code=code))
+
+    def write_by_another(self, puts: dict[str, Any], deletes: tuple[str, ...] = ()) -> None:
+        """Let another operator's change land just before the next change's head is written."""
+        store = ConfigStore(platform=self.platform, clock_wall=lambda: 0.0)
+
+        async def before_put(kind: str, name: str) -> None:
+            if kind != "config-head":
+                return
+            self.platform.before_put = None
+            current = (await store.read()).unwrap()
+            assert current is not None
+            await store.apply(
+                puts=puts,
+                deletes=deletes,
+                base_version=current.change.version,
+                author="bela",
+                message="mine first",
+            )
+
+        hook: Callable[[str, str], Awaitable[None]] = before_put
+        self.platform.before_put = hook
+
+
+class ConfigCommandsTest(CliTestCase):
+    def test_apply_get_history(self) -> None:
+        applied = self.run_json("apply", OBJECTS, "-m", "first")
+        self.assertEqual((applied["changed"], applied["version"]), (True, 1))
+        self.assertIn("deposit-book", self.run_cli("get", "workspace/surakkha"))
+        listed = self.run_json("get", "service")["objects"]
+        self.assertEqual(set(listed), {"service/deposit-desk", "service/records-vault"})
+        self.assertEqual(self.run_json("history")["changes"][0]["author"], "asha")
+        self.assertIn("nothing to change", self.run_cli("apply", OBJECTS))
+
+    def test_wrong_input_never_reaches_the_platform(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "wrong.json"
+            path.write_text('{"workspace/x": {"template": "none"}}')
+            text = self.run_cli("apply", str(path), code=ExitCode.WRONG_INPUT)
+        self.assertIn("workspace/x: template", text)
+        self.assertEqual([call for call in self.platform.counts if call[0] == "PUT"], [])
+
+    def test_diff_names_the_fields(self) -> None:
+        self.run_cli("apply", OBJECTS)
+        objects = load_deployment("surakkha").objects
+        region = {**objects["region/kolkata"], "capacity_rps": 9}
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "region.json"
+            path.write_text(json.dumps({"region/kolkata": region}))
+            text = self.run_cli("diff", str(path))
+        self.assertEqual(text, "~ region/kolkata: capacity_rps: 1100 -> 9\n")
+        self.assertEqual(len(self.run_json("history")["changes"]), 1)
+
+    def test_delete_refuses_what_is_referred_to(self) -> None:
+        self.run_cli("apply", OBJECTS)
+        text = self.run_cli("delete", "template/deposit-book", code=ExitCode.WRONG_INPUT)
+        self.assertIn("workspace/surakkha: template", text)
+        self.run_cli("delete", "workspace/teesta-bonds")
+        self.run_cli("delete", "workspace/teesta-bonds", code=ExitCode.WRONG_INPUT)
+
+    def test_revert_writes_a_newer_version(self) -> None:
+        self.run_cli("apply", OBJECTS)
+        self.run_cli("workspace", "adjust", "surakkha", "--set", "max_rps=5")
+        reverted = self.run_json("revert", "--to", "1")
+        self.assertEqual((reverted["version"], reverted["put"]), (3, ["workspace/surakkha"]))
+        self.run_cli("revert", "--to", "9", code=ExitCode.WRONG_INPUT)
+
+    def test_check_needs_no_platform(self) -> None:
+        settings = str(EXAMPLES / "surakkha" / "settings")
+        self.assertIn("9 settings files, 13 objects", self.run_cli("check", settings, OBJECTS))
+        self.assertEqual(self.platform.counts, {})
+
+    def test_check_of_wrong_settings_names_the_file(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "entry.json"
+            path.write_text('{"address": "x"}')
+            text = self.run_cli("check", str(path), code=ExitCode.WRONG_INPUT)
+        self.assertIn("entry.json: address", text)
+
+    def test_profile_file(self) -> None:
+        with tempfile.TemporaryDirectory() as directory:
+            path = Path(directory) / "profile.json"
+            path.write_text('{"entrys": []}')
+            text = self.run_cli("get", "--profile", str(path), code=ExitCode.WRONG_INPUT)
+        self.assertIn("did you mean 'entries'", text)
+
+
+class WorkspaceCommandsTest(CliTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_cli("apply", OBJECTS)
+
+    def test_create_and_adjust(self) -> None:
+        create = ["workspace", "create", "jamuna-lets", "--template", "deposit-book"]
+        self.run_cli(*create, "--set", "deposit_group=acquired", "--set", "max_rps=40")
+        self.run_cli(*create, code=ExitCode.WRONG_INPUT)
+        self.run_cli("workspace", "adjust", "jamuna-lets", "--set", "max_rps=50")
+        self.run_cli("workspace", "adjust", "jamuna-lets", "--unset", "deposit_group")
+        found = self.run_json("get", "workspace/jamuna-lets")["objects"]["workspace/jamuna-lets"]
+        self.assertEqual(found["parameters"], {"max_rps": 50})
+
+    def test_wrong_parameters(self) -> None:
+        for given in ("max_rps", "max_rps=fast", "max_rps=-1", "max=5", "deposit_group=mian"):
+            with self.subTest(given=given):
+                arguments = ["workspace", "adjust", "surakkha", "--set", given]
+                self.run_cli(*arguments, code=ExitCode.WRONG_INPUT)
+
+
+class MoveCommandsTest(CliTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_cli("apply", OBJECTS)
+
+    def start(self, *more: str, code: ExitCode = ExitCode.OK) -> str:
+        plan = ["--workspace", "teesta-bonds", "--service", "deposit-desk", "--to", "main"]
+        return self.run_cli("move", "start", "teesta", *plan, *more, code=code)
+
+    def objects(self) -> dict[str, Any]:
+        found: dict[str, Any] = self.run_json("get")["objects"]
+        return found
+
+    def test_start_pause_resume_abort(self) -> None:
+        self.start("--cap-rps", "50", "--step", "0.5", "--step", "1")
+        plan = self.objects()["move/teesta"]
+        self.assertEqual((plan["from_group"], plan["steps"]), ("acquired", [0.5, 1.0]))
+        for command, state in (("pause", "pause"), ("resume", "run"), ("abort", "abort")):
+            self.run_cli("move", command, "teesta")
+            self.assertEqual(self.objects()["move/teesta"]["state"], state)
+
+    def test_finish_settles_the_workspace_and_deletes_the_move_in_one_change(self) -> None:
+        self.start("--cap-rps", "50")
+        done = self.run_json("move", "finish", "teesta")
+        self.assertEqual(
+            (done["put"], done["deleted"]), (["workspace/teesta-bonds"], ["move/teesta"])
+        )
+        parameters = self.objects()["workspace/teesta-bonds"]["parameters"]
+        self.assertEqual(parameters["deposit_group"], "main")
+
+    def test_wrong_moves(self) -> None:
+        self.start("--cap-rps", "0", code=ExitCode.WRONG_INPUT)
+        self.run_cli("move", "pause", "teesta", code=ExitCode.WRONG_INPUT)
+
+    def test_drains(self) -> None:
+        server = ["--backend-server", "127.20.1.101:9000"]
+        self.run_cli("drain", "start", "one", *server)
+        self.run_cli("drain", "start", "two", "--failure-domain", "new-town")
+        self.run_cli("drain", "start", "three", code=ExitCode.WRONG_INPUT)
+        self.run_cli("drain", "start", "four", "--failure-domain", "x", code=ExitCode.WRONG_INPUT)
+        self.run_cli("drain", "stop", "one")
+        self.assertEqual([key for key in self.objects() if "drain" in key], ["drain/two"])
+
+
+class RacesAndOutagesTest(CliTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.run_cli("apply", OBJECTS)
+
+    def adjust(self, code: ExitCode) -> str:
+        return self.run_cli("workspace", "adjust", "surakkha", "--set", "max_rps=7", code=code)
+
+    def test_conflict_names_the_other_change(self) -> None:
+        """One operator's change would silently undo another's.
+
+        Symptom: a limit that was just raised is low again, and nobody lowered it. Both operators
+        read version 1 and change the same workspace; the second write wins. Cause: writing without
+        the version that was read.
+        """
+        raised = {"template": "deposit-book", "parameters": {"max_rps": 3000}}
+        self.write_by_another({"workspace/surakkha": raised})
+        text = self.adjust(ExitCode.CONFLICT)
+        self.assertIn("by bela at 1970-01-01", text)
+        self.assertIn("mine first", text)
+        found = self.run_json("get", "workspace/surakkha")["objects"]["workspace/surakkha"]
+        self.assertEqual(found, raised)
+
+    def test_changes_that_are_wrong_together_are_reported(self) -> None:
+        """Two changes, each valid by itself, land and no instance can compile the result.
+
+        Symptom: changes are accepted and never come into force. One operator deletes a workspace
+        while another plans its move; they touch different objects, so both land. Cause: each was
+        checked against a version without the other.
+        """
+        self.write_by_another({}, ("workspace/teesta-bonds",))
+        plan = ["--workspace", "teesta-bonds", "--service", "deposit-desk", "--to", "main"]
+        arguments = ["move", "start", "teesta", *plan, "--cap-rps", "5"]
+        text = self.run_cli(*arguments, code=ExitCode.FAILED)
+        self.assertIn("move/teesta: workspace", text)
+
+    def test_lost_answer_is_settled_by_reading_back(self) -> None:
+        """An operator is told "failed" of a change that is in force.
+
+        Symptom: a change is made twice, or undone by a repeat. The write takes effect and its
+        answer is lost. Cause: a lost answer taken for a failure.
+        """
+        self.platform.writes_of = "config-head"
+        self.platform.lose_answers = 1
+        self.adjust(ExitCode.OK)
+        self.assertEqual(len(self.run_json("history")["changes"]), 2)
+
+    def test_platform_down(self) -> None:
+        self.platform.set_down(True)
+        self.assertIn("nothing was changed", self.adjust(ExitCode.PLATFORM_UNAVAILABLE))
+        answer = self.run_json("get", code=ExitCode.PLATFORM_UNAVAILABLE)
+        self.assertEqual(answer["exit_code"], 5)
+
+
+class WaitTest(CliTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.rounds = 0
+
+    def status(self) -> Any:
+        """Three instances, of which one more enforces version 1 at each question."""
+        self.rounds += 1
+        members = [member(last, 1 if self.rounds > last else 0) for last in (1, 2, 3)]
+        return {"instance": member(1, None), "config_version": 1, "members": members}
+
+    def apply_and_wait(self, *more: str, code: ExitCode) -> str:
+        entry = ["--entry", "127.0.0.1:8080"]
+        return self.run_cli("apply", OBJECTS, "--wait", *entry, *more, code=code)
+
+    def test_waits_until_every_instance_enforces_the_version(self) -> None:
+        self.answers["127.0.0.1", "/v1/status"] = self.status
+        text = self.apply_and_wait(code=ExitCode.OK)
+        self.assertIn("in force on 2 of 3 instances", text)
+        self.assertIn("version 1 is in force on 3 instances", text)
+
+    def test_lists_those_that_lag(self) -> None:
+        """A change is reported to be in force while one instance enforces the old version.
+
+        Symptom: callers of one instance still meet the old limits. The instance is cut off from
+        the platform and its peers. Cause: taking the write for the effect.
+        """
+        members = [member(2, 1), member(3, 0), member(4, 0, state="leaving")]
+        status = {"instance": member(1, None), "config_version": 1, "members": members}
+        self.answers["127.0.0.1", "/v1/status"] = status
+        text = self.apply_and_wait("--wait-timeout", "0.5", code=ExitCode.WAIT_TIMED_OUT)
+        self.assertIn("127.0.0.3:8080", text)
+        self.assertNotIn("127.0.0.4:8080", text)
+
+    def test_no_entry_answers(self) -> None:
+        text = self.apply_and_wait("--wait-timeout", "0.5", code=ExitCode.WAIT_TIMED_OUT)
+        self.assertIn("no answer from 127.0.0.1:8080: refused", text)
+
+    def test_wait_without_an_entry_changes_nothing(self) -> None:
+        self.run_cli("apply", OBJECTS, "--wait", code=ExitCode.WRONG_INPUT)
+        self.assertEqual(self.platform.counts, {})
+
+
+class EntryCommandsTest(CliTestCase):
+    ENTRY = ("--entry", "127.0.0.9:8080", "--entry", "127.0.0.1:8080")
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.answers["127.0.0.1", "/v1/status"] = {
+            "instance": member(1, None),
+            "config_version": 4,
+            "members": [member(1, 4), member(2, 3)],
+            "moves": [{"name": "teesta", "share": 0.25}],
+        }
+
+    def test_status_asks_the_next_entry_and_prints_unknown_sections(self) -> None:
+        text = self.run_cli("status", *self.ENTRY)
+        self.assertEqual(text.count("127.0.0.1:8080"), 1)
+        self.assertIn("127.0.0.2:8080", text)
+        self.assertRegex(text, r"moves:\nname +share\nteesta +0.25")
+
+    def test_status_without_an_entry(self) -> None:
+        self.run_cli("status", code=ExitCode.WRONG_INPUT)
+        self.run_cli("status", "--entry", "127.0.0.9:8080", code=ExitCode.FAILED)
+
+    def test_timeline_merges_all_instances(self) -> None:
+        for last, stamp in ((1, "02"), (2, "01")):
+            event = {"hlc": stamp, "instance": f"i{last}", "event": "move-step", "name": "teesta"}
+            self.answers[f"127.0.0.{last}", "/v1/timeline"] = {"events": [event]}
+        text = self.run_cli("timeline", "--since", "00", "--where", "name=teesta", *self.ENTRY)
+        lines = text.splitlines()
+        self.assertEqual(lines[0], "01 i2 move-step name=teesta")
+        self.assertEqual(lines[1], "02 i1 move-step name=teesta")
+        self.assertIn("no events from 127.0.0.9:8080", lines[2])
+        self.assertIn("127.0.0.2:8080/v1/timeline?since=00", self.asked)
+
+    def test_lookup(self) -> None:
+        answer = {"config_version": 4, "ttl_s": 2, "entries": [{"address": "127.0.0.1"}]}
+        self.answers["127.0.0.1", "/v1/lookup"] = answer
+        arguments = ["lookup", "--workspace", "surakkha", *self.ENTRY]
+        self.assertEqual(self.run_json(*arguments, "--client", "10.16.0.1"), answer)
+        self.assertIn("/v1/lookup?workspace=surakkha&address=10.16.0.1", self.asked[-1])
+        self.run_cli(*arguments, "--client", "here", code=ExitCode.WRONG_INPUT)
