Refuse a change that is wrong together with another, before it lands

Cause: the store merges changes of different objects, each checked without the other. One operator deletes a workspace, another plans its move: both were accepted, and no instance could compile the result, so later changes would not have come into force either.

Change: ConfigStore takes a `check` of what is about to be accepted; the command-line tool compiles it there and reports a conflict (exit 3) with nothing changed. Before, the tool only noticed it after the fact (exit 1).

Ruled out: refusing every change made against an older version; operators of different workspaces would then stand in each other's way.

--- a/src/wagtailpoint/cli/changing.py
+++ b/src/wagtailpoint/cli/changing.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from wagtailpoint.cli.exit_codes import ExitCode
-from wagtailpoint.cli.failures import CommandError, InvalidTogether, wrong_input
+from wagtailpoint.cli.failures import CommandError, wrong_input
 from wagtailpoint.cli.output import Report, change_data, format_change
 from wagtailpoint.cli.profile import default_author
 from wagtailpoint.cli.session import Session
@@ -120,7 +120,7 @@
     )
     if isinstance(landed, Err):
         return landed
-    return await report_landed(session, landed.ok_value, sorted(puts), edit.deletes, options)
+    return Ok(await report_landed(session, landed.ok_value, sorted(puts), edit.deletes, options))
 
 
 async def report_landed(
@@ -129,17 +129,9 @@
     put: Sequence[str],
     deleted: Sequence[str],
     options: ChangeOptions,
-) -> Result[Report, CommandError]:
-    """Say what landed, and follow it if asked for.
-
-    The store merges a change with others that landed meanwhile if they touch other objects. Each
-    was checked without the other (one deletes a group, one moves a workspace to it), so what
-    landed is checked once more.
-    """
+) -> Report:
+    """Say what landed, and follow it if asked for."""
     info = snapshot.change
-    compiled = compile_config(version=info.version, objects=snapshot.objects)
-    if isinstance(compiled, Err):
-        return Err(InvalidTogether(info, compiled.err_value.mistakes))
     lines = [format_change(info)]
     lines += [f"  put {key}" for key in put]
     lines += [f"  delete {key}" for key in deleted]
@@ -150,7 +142,7 @@
         "put": list(put),
         "deleted": list(deleted),
     }
-    return Ok(await follow(session, Report("\n".join(lines), data), info.version, options))
+    return await follow(session, Report("\n".join(lines), data), info.version, options)
 
 
 async def follow(session: Session, report: Report, version: int, options: ChangeOptions) -> Report:
--- a/src/wagtailpoint/cli/config_commands.py
+++ b/src/wagtailpoint/cli/config_commands.py
@@ -211,7 +211,7 @@
         return landed
     put = [key for key in sorted(target) if current.objects.get(key) != target[key]]
     deleted = sorted(current.objects.keys() - target.keys())
-    return await report_landed(session, landed.ok_value, put, deleted, options)
+    return Ok(await report_landed(session, landed.ok_value, put, deleted, options))
 
 
 @click.command()
--- a/src/wagtailpoint/cli/failures.py
+++ b/src/wagtailpoint/cli/failures.py
@@ -1,12 +1,10 @@
 """How each kind of error is shown, and the exit code that it leads to."""
 
-from collections.abc import Sequence
 from functools import singledispatch
 from typing import Any, NamedTuple
 
 from wagtailpoint.cli.exit_codes import ExitCode
 from wagtailpoint.cli.output import change_data, format_change
-from wagtailpoint.config.manifest import ChangeInfo
 from wagtailpoint.config.store import ApplyConflict
 from wagtailpoint.errors import InvalidInput, Mistake, OutcomeUnknown, PlatformUnavailable
 
@@ -21,25 +19,12 @@
     reason: str
 
 
-class InvalidTogether(NamedTuple):
-    """Two changes that were valid one by one landed, and together they are not.
-
-    Attributes:
-        change: The later one.
-        mistakes: What is wrong now.
-    """
-
-    change: ChangeInfo
-    mistakes: Sequence[Mistake]
+class InvalidTogether(InvalidInput):
+    """The change was valid, but not together with another one that landed meanwhile."""
 
 
 CommandError = (
-    InvalidInput
-    | ApplyConflict
-    | OutcomeUnknown
-    | PlatformUnavailable
-    | EntryUnreachable
-    | InvalidTogether
+    InvalidInput | ApplyConflict | OutcomeUnknown | PlatformUnavailable | EntryUnreachable
 )
 
 
@@ -118,10 +103,8 @@
 def _(error: InvalidTogether) -> Failure:
     lines = "\n".join(f"  {mistake}" for mistake in error.mistakes)
     message = (
-        f"{format_change(error.change)} landed, but another change landed before it and the two "
-        f"are wrong together, so instances keep the configuration before:\n{lines}\n"
-        "mend it by a change, or undo one: wagtailpoint history, wagtailpoint revert"
+        "conflict, nothing was changed: another change landed meanwhile (wagtailpoint history) "
+        f"and this one is wrong together with it:\n{lines}"
     )
     mistakes = [mistake._asdict() for mistake in error.mistakes]
-    details = {"change": change_data(error.change), "mistakes": mistakes}
-    return Failure(ExitCode.FAILED, message, details)
+    return Failure(ExitCode.CONFLICT, message, {"mistakes": mistakes})
--- a/src/wagtailpoint/cli/session.py
+++ b/src/wagtailpoint/cli/session.py
@@ -11,8 +11,10 @@
 from result import Err, Ok, Result
 
 from wagtailpoint.adapters.platform_http import HttpPlatform
-from wagtailpoint.cli.failures import EntryUnreachable, wrong_input
+from wagtailpoint.cli.failures import EntryUnreachable, InvalidTogether, wrong_input
 from wagtailpoint.cli.profile import EntryAddress, Profile
+from wagtailpoint.config.compile import compile_config
+from wagtailpoint.config.manifest import Snapshot
 from wagtailpoint.config.store import ConfigStore
 from wagtailpoint.errors import InvalidInput
 from wagtailpoint.ports.platform import Platform
@@ -64,6 +66,18 @@
     clock_wall: Callable[[], float] = time.time
 
 
+def _check_merged(snapshot: Snapshot) -> None:
+    """Refuse a change that is wrong together with others that landed meanwhile.
+
+    The store merges changes of different objects, and each was checked without the other (one
+    deletes a workspace, one plans its move). Instances keep their last good configuration, so the
+    result would be accepted and never come into force.
+    """
+    compiled = compile_config(version=snapshot.change.version, objects=snapshot.objects)
+    if isinstance(compiled, Err):
+        raise InvalidTogether(compiled.err_value.mistakes)
+
+
 class Session:
     """One run of the tool."""
 
@@ -84,7 +98,10 @@
             yield Err(wrong_input("--platform", "nothing", expected))
             return
         async with self._tools.open_platform(self._profile.platform) as platform:
-            yield Ok(ConfigStore(platform=platform, clock_wall=self._tools.clock_wall))
+            store = ConfigStore(
+                platform=platform, clock_wall=self._tools.clock_wall, check=_check_merged
+            )
+            yield Ok(store)
 
     async def ask(self, entry: EntryAddress, target: str) -> Result[Any, EntryUnreachable]:
         """GET a JSON document from one entry."""
--- a/src/wagtailpoint/config/store.py
+++ b/src/wagtailpoint/config/store.py
@@ -97,15 +97,23 @@
         platform: The platform.
         clock_wall: Seconds since the epoch, for the time that people see beside a change.
         settle_s: How long a write with a lost answer is looked for, in seconds.
+        check: Called with what is about to be accepted, merged with what others changed meanwhile;
+            raises ``InvalidInput`` to refuse it.
     """
 
     def __init__(
-        self, *, platform: Platform, clock_wall: Callable[[], float], settle_s: float = 10.0
+        self,
+        *,
+        platform: Platform,
+        clock_wall: Callable[[], float],
+        settle_s: float = 10.0,
+        check: Callable[[Snapshot], None] = lambda _: None,
     ) -> None:
         self._platform = platform
         self._reader = ConfigReader(platform=platform)
         self._clock_wall = clock_wall
         self._settle_s = settle_s
+        self._check = check
         # Of the newest snapshot, so that a change made on it fetches nothing again.
         self._contents: dict[str, Any] = {}
 
@@ -161,7 +169,7 @@
         ``OutcomeUnknown`` names the change id, by which ``history`` tells later whether it landed.
 
         Raises:
-            InvalidInput: A key or a value that can't be stored.
+            InvalidInput: A key or a value that can't be stored, or ``check`` refused the result.
         """
         check_objects(puts, frozenset(deletes))
         change = _Change(
@@ -180,7 +188,7 @@
         It concerns the whole configuration, so any change since ``base_version`` is a conflict.
 
         Raises:
-            InvalidInput: There is no such version.
+            InvalidInput: There is no such version, or ``check`` refused the result.
         """
         target = await self._manifest_at(to_version)
         if isinstance(target, Err):
@@ -276,6 +284,7 @@
         snapshot = await self._reader.snapshot(manifest, {**self._contents, **contents})
         if isinstance(snapshot, Err):
             return snapshot
+        self._check(snapshot.ok_value)
         known = set(current.objects.values())
         writes = [(CONTENT_KIND, name, contents[name]) for name in contents if name not in known]
         manifest_name = hash_of(manifest)
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -234,7 +234,7 @@
         found = self.run_json("get", "workspace/surakkha")["objects"]["workspace/surakkha"]
         self.assertEqual(found, raised)
 
-    def test_changes_that_are_wrong_together_are_reported(self) -> None:
+    def test_changes_that_are_wrong_together_are_a_conflict(self) -> None:
         """Two changes, each valid by itself, land and no instance can compile the result.
 
         Symptom: changes are accepted and never come into force. One operator deletes a workspace
@@ -244,8 +244,9 @@
         self.write_by_another({}, ("workspace/teesta-bonds",))
         plan = ["--workspace", "teesta-bonds", "--service", "deposit-desk", "--to", "main"]
         arguments = ["move", "start", "teesta", *plan, "--cap-rps", "5"]
-        text = self.run_cli(*arguments, code=ExitCode.FAILED)
+        text = self.run_cli(*arguments, code=ExitCode.CONFLICT)
         self.assertIn("move/teesta: workspace", text)
+        self.assertEqual(self.run_json("history")["changes"][0]["author"], "bela")
 
     def test_lost_answer_is_settled_by_reading_back(self) -> None:
         """An operator is told "failed" of a change that is in force.
