Peers and membership: links on pynng, hybrid clock, time line, failure detection

Instances need to find each other, notice deaths and tell on leaving and config versions without a full mesh. This adds the hybrid logical clock and the time line stamped by it, one-way messages in an envelope that names the process it is meant for, and a SWIM-style membership on them.

Deaths are not told on, only suspicions: each instance concludes a death itself when a suspicion was not refuted. Told-on deaths would make each side of a healed cut drop its own neighbours for a moment.

Seen failing with the mechanism taken out: refutation (freeze, cut and restart tests), indirect probes (half cut), order of facts (late message, farewell), probing (death, freeze, cut), the incarnation in the envelope (message for the former process), non-blocking send (full link).

--- /dev/null
+++ b/src/wagtailpoint/adapters/peers_nng.py
@@ -0,0 +1,136 @@
+"""Links between instances on pynng: each instance listens with one pull socket.
+
+A link is a push socket, dialled when it is first used and closed when it is not used any more, so
+an instance holds links only to those whom it talks to, not to all others.
+"""
+
+import pynng
+import trio
+from pynng import _nng
+
+from wagtailpoint.adapters.peer_dispatch import DispatchingPeers
+from wagtailpoint.observe.hlc import HybridClock
+from wagtailpoint.ports.clock import Clock
+from wagtailpoint.ports.peers import MOST_MESSAGE_BYTES, PeerAddress
+
+LINK_BUFFER_MESSAGES = 64
+LINK_IDLE_S = 30.0
+UNANSWERED_BEFORE_REDIAL = 2
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 1000
+
+
+def limit_threads() -> None:
+    """Make the library start 6 threads instead of 30; only before its first use in a process."""
+    library = _nng.lib
+    for parameter, number in (
+        (library.NNG_INIT_NUM_TASK_THREADS, 2),
+        (library.NNG_INIT_MAX_TASK_THREADS, 2),
+        (library.NNG_INIT_NUM_EXPIRE_THREADS, 1),
+        (library.NNG_INIT_MAX_EXPIRE_THREADS, 1),
+        (library.NNG_INIT_NUM_POLLER_THREADS, 1),
+        (library.NNG_INIT_MAX_POLLER_THREADS, 1),
+        (library.NNG_INIT_NUM_RESOLVER_THREADS, 1),
+    ):
+        library.nng_init_set_parameter(parameter, number)
+
+
+class _Link:
+    """A push socket to one address."""
+
+    def __init__(self, *, to: PeerAddress) -> None:
+        self._socket = pynng.Push0(send_buffer_size=LINK_BUFFER_MESSAGES)
+        self._socket.reconnect_time_min = RECONNECT_MIN_MS
+        self._socket.reconnect_time_max = RECONNECT_MAX_MS
+        self._socket.dial(f"tcp://{to.address}:{to.port}", block=False)
+        self.used_at = 0.0
+        self.unanswered = 0
+
+    def send(self, data: bytes) -> bool:
+        try:
+            self._socket.send(data, block=False)
+        except pynng.NNGException:
+            return False
+        return True
+
+    def close(self) -> None:
+        self._socket.close()
+
+
+class NngPeers(DispatchingPeers):
+    """Implements ``wagtailpoint.ports.peers.Peers``.
+
+    Args:
+        address: Where this instance hears its peers, with its incarnation.
+        hybrid_clock: Stamps what is sent.
+        clock: Tells which links were not used for long.
+    """
+
+    def __init__(self, *, address: PeerAddress, hybrid_clock: HybridClock, clock: Clock) -> None:
+        super().__init__(address=address, clock=hybrid_clock)
+        self._monotonic = clock.monotonic
+        self._links: dict[tuple[str, int], _Link] = {}
+
+    @property
+    def open_links(self) -> int:
+        """How many links are open, or being dialled."""
+        return len(self._links)
+
+    async def run(self) -> None:
+        """Listen and receive until cancelled.
+
+        Raises:
+            pynng.AddressInUse: Another process listens at the address.
+        """
+        limit_threads()
+        with pynng.Pull0(recv_max_size=MOST_MESSAGE_BYTES) as listener:
+            listener.listen(f"tcp://{self.address.address}:{self.address.port}")
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._close_unused)
+                    while True:
+                        self._receive(await listener.arecv())
+            finally:
+                self._close_all()
+
+    def _transmit(self, to: PeerAddress, data: bytes) -> bool:
+        key = (to.address, to.port)
+        link = self._links.get(key)
+        if link is None:
+            limit_threads()
+            link = _Link(to=to)
+            self._links[key] = link
+        link.used_at = self._monotonic()
+        return link.send(data)
+
+    def _answered(self, to: PeerAddress) -> None:
+        link = self._links.get((to.address, to.port))
+        if link is not None:
+            link.unanswered = 0
+
+    def _unanswered(self, to: PeerAddress) -> None:
+        # A cut that drops packets leaves the connection open, and its retransmissions wait longer
+        # and longer, up to two minutes: after a long cut the link would be mute that much longer
+        # than the cut. A fresh connection finds out at once.
+        key = (to.address, to.port)
+        link = self._links.get(key)
+        if link is None:
+            return
+        link.unanswered += 1
+        if link.unanswered >= UNANSWERED_BEFORE_REDIAL:
+            link.close()
+            del self._links[key]
+
+    async def _close_unused(self) -> None:
+        while True:
+            await trio.sleep(LINK_IDLE_S / 3)
+            oldest = self._monotonic() - LINK_IDLE_S
+            for key, link in list(self._links.items()):
+                if link.used_at < oldest:
+                    link.close()
+                    del self._links[key]
+
+    def _close_all(self) -> None:
+        for link in self._links.values():
+            link.close()
+        self._links.clear()
--- /dev/null
+++ b/src/wagtailpoint/membership/table.py
@@ -0,0 +1,197 @@
+"""The view of one instance: the newest fact of each address, and which of them are news."""
+
+from collections.abc import Iterable
+from math import ceil, log2
+from zlib import crc32
+
+from wagtailpoint.membership.member import Fact, Member, make_member
+from wagtailpoint.ports.clock import Clock
+
+BUCKETS = 32
+MOST_MEMBERS = 2000
+
+
+class MemberTable:
+    """Merges facts, whatever the order in which they arrive.
+
+    Deaths are not told on: each instance concludes them itself, when a suspicion was not refuted
+    for a while. Otherwise two sides of a healed cut would, for a moment, each be told by the other
+    that all their own neighbours are dead.
+
+    Args:
+        own: The fact of this instance.
+        clock: Measures how long a suspicion stands.
+        gossip_copies: How often this instance tells a piece of news on, at most.
+    """
+
+    def __init__(self, *, own: Fact, clock: Clock, gossip_copies: int) -> None:
+        self._own = own
+        self._monotonic = clock.monotonic
+        self._gossip_copies = gossip_copies
+        self._facts: dict[str, Fact] = {own.address: own}
+        self._suspect_since: dict[str, float] = {}
+        self._dead_since: dict[str, float] = {}
+        self._copies_left: dict[str, int] = {}
+        self._buckets = [0] * BUCKETS
+        self._members: tuple[Member, ...] | None = None
+        self._toggle(own)
+
+    @property
+    def own(self) -> Fact:
+        """The fact of this instance."""
+        return self._own
+
+    @property
+    def buckets(self) -> tuple[int, ...]:
+        """The hashes of the view, dead members left out, by bucket of addresses."""
+        return tuple(self._buckets)
+
+    @property
+    def view_hash(self) -> int:
+        """A hash of the whole view."""
+        combined = 0
+        for bucket in self._buckets:
+            combined ^= bucket
+        return combined
+
+    @property
+    def has_news(self) -> bool:
+        """Some facts have not been told on often enough."""
+        return bool(self._copies_left)
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """All members by address, this instance and the dead among them."""
+        if self._members is None:
+            self._members = tuple(
+                make_member(fact, dead=self.is_dead(address))
+                for address, fact in sorted(self._facts.items())
+            )
+        return self._members
+
+    def fact(self, address: str) -> Fact | None:
+        """Return the newest fact on an address."""
+        return self._facts.get(address)
+
+    def is_dead(self, address: str) -> bool:
+        """Tell whether an address is taken for dead."""
+        return address in self._dead_since or self._facts[address].state == "dead"
+
+    def reachable(self) -> list[Fact]:
+        """Return all facts but the own one and those of the dead."""
+        return [
+            fact
+            for address, fact in self._facts.items()
+            if address != self._own.address and not self.is_dead(address)
+        ]
+
+    def dead(self) -> list[Fact]:
+        """Return the facts of the dead."""
+        return [fact for address, fact in self._facts.items() if self.is_dead(address)]
+
+    def publish(self, own: Fact) -> None:
+        """Change what this instance says of itself."""
+        self._own = own._replace(sequence=self._own.sequence + 1, suspect=False)
+        self._store(self._own)
+
+    def apply(self, fact: Fact) -> bool:
+        """Take in a fact; True if it was news."""
+        known = self._facts.get(fact.address)
+        if fact.address == self._own.address:
+            return self._refute(fact)
+        if known is None and len(self._facts) >= MOST_MEMBERS:
+            return False
+        if known is not None and fact.order <= known.order:
+            return False
+        self._store(fact)
+        return True
+
+    def suspect(self, fact: Fact) -> None:
+        """Doubt that a member lives, unless something newer was heard of it meanwhile."""
+        if self._facts.get(fact.address) == fact and not fact.suspect:
+            self._store(fact._replace(suspect=True))
+
+    def conclude_deaths(self, *, suspicion_s: float) -> list[Fact]:
+        """Take for dead whom has been suspected, without a word from it, for ``suspicion_s``."""
+        limit = self._monotonic() - suspicion_s
+        died = [
+            self._facts[address]
+            for address, since in self._suspect_since.items()
+            if since <= limit and not self.is_dead(address)
+        ]
+        for fact in died:
+            self._toggle(fact)
+            self._dead_since[fact.address] = self._monotonic()
+            self._members = None
+        return died
+
+    def forget(self, *, dead_s: float) -> None:
+        """Drop members that have been dead for ``dead_s``."""
+        limit = self._monotonic() - dead_s
+        for address, since in list(self._dead_since.items()):
+            if since <= limit:
+                self._remove(address)
+
+    def take_news(self, most: int) -> tuple[Fact, ...]:
+        """Return the facts that were told on least, counting them as told."""
+        addresses = sorted(self._copies_left, key=lambda address: -self._copies_left[address])
+        for address in addresses[:most]:
+            self._copies_left[address] -= 1
+            if self._copies_left[address] == 0:
+                del self._copies_left[address]
+        return tuple(self._facts[address] for address in addresses[:most])
+
+    def in_buckets_unlike(self, buckets: Iterable[int]) -> list[Fact]:
+        """Return the facts in all buckets whose hash differs, the dead as suspects among them."""
+        unlike = {
+            index
+            for index, (own, other) in enumerate(zip(self._buckets, buckets, strict=False))
+            if own != other
+        }
+        return [fact for address, fact in self._facts.items() if _bucket_of(address) in unlike]
+
+    def _refute(self, fact: Fact) -> bool:
+        # Somebody doubts that this instance lives, or remembers the process that had this address
+        # before. Only a higher sequence ends that; otherwise this instance would be dead to all.
+        another = fact.incarnation != self._own.incarnation
+        if fact.order <= self._own.order and not (another and fact.sequence >= self._own.sequence):
+            return False
+        self._own = self._own._replace(sequence=fact.sequence)
+        self.publish(self._own)
+        return True
+
+    def _store(self, fact: Fact) -> None:
+        known = self._facts.get(fact.address)
+        if known is not None and not self.is_dead(fact.address):
+            self._toggle(known)
+        self._facts[fact.address] = fact
+        self._dead_since.pop(fact.address, None)
+        if fact.suspect:
+            self._suspect_since.setdefault(fact.address, self._monotonic())
+        else:
+            self._suspect_since.pop(fact.address, None)
+        if fact.state == "dead":
+            self._dead_since[fact.address] = self._monotonic()
+        else:
+            self._toggle(fact)
+        self._copies_left[fact.address] = self._gossip_copies
+        self._members = None
+
+    def _remove(self, address: str) -> None:
+        del self._facts[address]
+        self._dead_since.pop(address, None)
+        self._suspect_since.pop(address, None)
+        self._copies_left.pop(address, None)
+        self._members = None
+
+    def _toggle(self, fact: Fact) -> None:
+        self._buckets[_bucket_of(fact.address)] ^= fact.hash
+
+
+def _bucket_of(address: str) -> int:
+    return crc32(address.encode()) % BUCKETS
+
+
+def spread_rounds(members: int) -> int:
+    """Return how many rounds news needs to reach all, each telling a few others."""
+    return max(1, ceil(log2(members + 1)))
--- a/src/wagtailpoint/observe/__init__.py
+++ b/src/wagtailpoint/observe/__init__.py
@@ -1,1 +1,1 @@
-"""Logs, metrics and the time line of events."""
+"""What operators see: the time line of events over all processes, and its clock."""
--- a/tests/common/fake_clock.py
+++ b/tests/common/fake_clock.py
@@ -1,7 +1,13 @@
-"""A clock that moves only when told to."""
+"""Clocks for tests: one moved by hand, one that follows trio's (mock) clock."""
+
+import trio
+
+WALL_AT_START = 1_700_000_000.0
 
 
 class FakeClock:
+    """Moves only when told to."""
+
     def __init__(self) -> None:
         self.now = 1000.0
 
@@ -10,3 +16,13 @@
 
     def wall(self) -> float:
         return self.now
+
+
+class TrioClock:
+    """Follows trio's clock, so that a test under ``MockClock`` moves both at once."""
+
+    def monotonic(self) -> float:
+        return trio.current_time()
+
+    def wall(self) -> float:
+        return WALL_AT_START + trio.current_time()
--- /dev/null
+++ b/tests/common/fake_peers.py
@@ -0,0 +1,87 @@
+"""Links between instances in memory, which can be cut, and instances that can be frozen."""
+
+from collections.abc import Iterable
+from itertools import product
+
+import trio
+
+from tests.common.fake_clock import TrioClock
+from wagtailpoint.adapters.peer_dispatch import DispatchingPeers
+from wagtailpoint.observe.hlc import HybridClock
+from wagtailpoint.ports.peers import PeerAddress
+
+LATENCY_S = 0.01
+
+
+class FakeNetwork:
+    """Carries the messages of all ``FakePeers``; a frozen instance's are kept until it thaws."""
+
+    def __init__(self) -> None:
+        self._listening: dict[tuple[str, int], FakePeers] = {}
+        self._cut: set[tuple[str, str]] = set()
+        self._frozen: set[str] = set()
+        self._kept: list[tuple[str, PeerAddress, bytes]] = []
+        self.delivered_bytes = 0
+
+    def cut(self, senders: Iterable[str], receivers: Iterable[str]) -> None:
+        """Lose everything that goes this way; the other way still works."""
+        self._cut |= set(product(senders, receivers))
+
+    def cut_apart(self, some: Iterable[str], others: Iterable[str]) -> None:
+        """Lose everything between two sets of addresses."""
+        some, others = list(some), list(others)
+        self.cut(some, others)
+        self.cut(others, some)
+
+    def heal(self) -> None:
+        self._cut.clear()
+
+    def freeze(self, address: str) -> None:
+        """Keep all messages to and from an address."""
+        self._frozen.add(address)
+
+    def thaw(self, address: str) -> None:
+        """Deliver what was kept."""
+        self._frozen.discard(address)
+        kept, self._kept = self._kept, []
+        for sender, to, data in kept:
+            self.carry(sender, to, data)
+
+    def listen(self, peers: "FakePeers") -> None:
+        self._listening[(peers.address.address, peers.address.port)] = peers
+
+    def close(self, peers: "FakePeers") -> None:
+        key = (peers.address.address, peers.address.port)
+        if self._listening.get(key) is peers:
+            del self._listening[key]
+
+    def carry(self, sender: str, to: PeerAddress, data: bytes) -> None:
+        if sender in self._frozen or to.address in self._frozen:
+            self._kept.append((sender, to, data))
+        elif (sender, to.address) not in self._cut:
+            listener = self._listening.get((to.address, to.port))
+            if listener is not None:
+                listener.inbox.send_nowait((trio.current_time() + LATENCY_S, data))
+                self.delivered_bytes += len(data)
+
+
+class FakePeers(DispatchingPeers):
+    """Implements ``wagtailpoint.ports.peers.Peers`` on a ``FakeNetwork``."""
+
+    def __init__(self, *, network: FakeNetwork, address: PeerAddress) -> None:
+        super().__init__(address=address, clock=HybridClock(wall=TrioClock().wall))
+        self._network = network
+        self.inbox, self._arriving = trio.open_memory_channel[tuple[float, bytes]](100_000)
+
+    async def run(self) -> None:
+        self._network.listen(self)
+        try:
+            async for due_at, data in self._arriving:
+                await trio.sleep_until(due_at)
+                self._receive(data)
+        finally:
+            self._network.close(self)
+
+    def _transmit(self, to: PeerAddress, data: bytes) -> bool:
+        self._network.carry(self.address.address, to, data)
+        return True
--- /dev/null
+++ b/tests/common/member_group.py
@@ -0,0 +1,133 @@
+"""A group of instances in one process, on links in memory and trio's mock clock."""
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import trio
+from loguru import logger
+from trio.testing import MockClock
+
+from tests.common.fake_clock import TrioClock
+from tests.common.fake_peers import FakeNetwork, FakePeers
+from wagtailpoint.membership import Membership
+from wagtailpoint.membership.member import Fact
+from wagtailpoint.ports.peers import PeerAddress
+
+PEER_PORT = 7000
+POLL_S = 0.05
+REGIONS = ("kolkata", "siliguri", "durgapur")
+
+logger.disable("wagtailpoint.membership")
+
+SEEDS = tuple(PeerAddress(f"127.0.0.{number}", PEER_PORT) for number in (1, 2, 3))
+
+
+class Instance:
+    """One running instance."""
+
+    def __init__(
+        self, *, network: FakeNetwork, address: str, region: str, seed: int, wall_s: float
+    ):
+        self.address = address
+        self.incarnation = Random(seed).getrandbits(60)
+        self.peers = FakePeers(
+            network=network, address=PeerAddress(address, PEER_PORT, self.incarnation)
+        )
+        self.membership = Membership(
+            own=Fact(
+                address=address,
+                port=8000,
+                peer_port=PEER_PORT,
+                region=region,
+                failure_domain=f"{region}-a",
+                incarnation=self.incarnation,
+                sequence=int(wall_s * 1000),
+            ),
+            peers=self.peers,
+            clock=TrioClock(),
+            random=Random(seed),
+            seeds=SEEDS,
+        )
+        self.scope = trio.CancelScope()
+
+    async def run(self) -> None:
+        with self.scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.peers.run)
+                nursery.start_soon(self.membership.run)
+
+    def kill(self) -> None:
+        self.scope.cancel()
+
+    def states(self) -> dict[str, str]:
+        """Return what this instance takes the others for."""
+        return {member.address: member.state for member in self.membership.members()}
+
+
+class MemberGroup:
+    """Starts instances and waits for what they come to see."""
+
+    def __init__(self, *, nursery: trio.Nursery) -> None:
+        self._nursery = nursery
+        self._started = 0
+        self.network = FakeNetwork()
+        self.instances: dict[str, Instance] = {}
+
+    def start(
+        self, address: str, *, region: str = REGIONS[0], wall_s: float | None = None
+    ) -> Instance:
+        """Start an instance, or a replacement at an address in use before."""
+        self._started += 1
+        instance = Instance(
+            network=self.network,
+            address=address,
+            region=region,
+            seed=self._started,
+            wall_s=TrioClock().wall() if wall_s is None else wall_s,
+        )
+        self.instances[address] = instance
+        self._nursery.start_soon(instance.run)
+        instance.membership.publish(state="live")
+        return instance
+
+    async def start_all(self, count: int) -> None:
+        """Start instances, a third in each region, and wait until all see all."""
+        for number in range(1, count + 1):
+            region = REGIONS[(number - 1) * len(REGIONS) // count]
+            self.start(f"127.0.0.{number}", region=region)
+        await self.until(lambda: self.all_see_all("live"))
+
+    def all_see_all(self, state: str) -> bool:
+        return all(
+            set(instance.states()) >= set(self.instances)
+            and set(instance.states().values()) == {state}
+            for instance in self.instances.values()
+        )
+
+    def all_see(self, address: str, state: str) -> bool:
+        """Tell whether all running instances take one for this."""
+        return all(
+            instance.states().get(address) == state
+            for instance in self.instances.values()
+            if instance.address != address
+        )
+
+    async def until(self, condition: Callable[[], bool], *, within_s: float = 30) -> float:
+        """Wait for a condition; return how long it took, in seconds."""
+        started_at = trio.current_time()
+        for _ in range(int(within_s / POLL_S)):
+            if condition():
+                return trio.current_time() - started_at
+            await trio.sleep(POLL_S)
+        raise AssertionError(f"not so after {within_s} s")
+
+
+def run_group(story: Callable[[MemberGroup], Awaitable[None]]) -> None:
+    """Run a test on a group of instances, on a clock that jumps over every wait."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await story(MemberGroup(nursery=nursery))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
