--- /dev/null
+++ b/tests/integration/test_cli_process.py
@@ -0,0 +1,47 @@
+"""The command-line tool as a process, against a platform that runs as a process."""
+
+import json
+import unittest
+from pathlib import Path
+from typing import Any
+
+from tests.common.platform_process import PlatformProcess
+from tests.common.processes import ModuleProcess
+from wagtailpoint.cli.exit_codes import ExitCode
+
+OBJECTS = str(Path(__file__).parents[2] / "examples" / "heather-isles" / "objects")
+
+
+class CliProcessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.platform = self.enterContext(PlatformProcess())
+
+    def run_cli(self, *arguments: str, code: ExitCode = ExitCode.OK) -> Any:
+        """Run a command, check its exit code, and give its JSON."""
+        address, port = self.platform.listens_on
+        more = ["--json", "--platform", f"{address}:{port}"]
+        with ModuleProcess(
+            module="wagtailpoint.cli.main", arguments=[*arguments, *more]
+        ) as process:
+            self.assertEqual(process.wait(), code, process.log)
+            return json.loads(process.log)
+
+    def test_change_and_read_back(self) -> None:
+        self.assertEqual(self.run_cli("apply", OBJECTS)["version"], 1)
+        changed = self.run_cli("workspace", "adjust", "heather-isles", "--set", "max_rps=9")
+        self.assertEqual(changed["put"], ["workspace/heather-isles"])
+        found = self.run_cli("get", "workspace/heather-isles")["objects"]
+        self.assertEqual(found["workspace/heather-isles"]["parameters"]["max_rps"], 9)
+
+    def test_outage_and_lost_answers(self) -> None:
+        """An operator must be able to tell "nothing changed" from "changed, answer lost".
+
+        Symptom: a script repeats a change that had landed. The platform takes the writes and
+        closes each connection instead of answering. Cause: taking every error for a failure.
+        """
+        self.platform.set_mode(lose_answers=3)
+        self.assertEqual(self.run_cli("apply", OBJECTS)["version"], 1)
+        self.assertEqual(len(self.run_cli("history")["changes"]), 1)
+        self.platform.set_mode(down=True)
+        answer = self.run_cli("apply", OBJECTS, code=ExitCode.PLATFORM_UNAVAILABLE)
+        self.assertEqual(answer["error"], "platform_unavailable")
