Spread the configuration from instance to instance

Few instances may watch the platform, and a replacement has to start while it is out. Who is not told learns of it from the versions in the membership. A version that is not newer is never taken.

--- a/src/wagtailpoint/membership/__init__.py
+++ b/src/wagtailpoint/membership/__init__.py
@@ -1,6 +1,14 @@
 """Who is there: instances find each other, notice deaths, and tell on a few facts of each."""
 
+from wagtailpoint.membership.config_spread import ConfigSpread, ConfigSpreadSettings
 from wagtailpoint.membership.member import Member, MemberState
 from wagtailpoint.membership.service import Membership, MembershipSettings
 
-__all__ = ["Member", "MemberState", "Membership", "MembershipSettings"]
+__all__ = [
+    "ConfigSpread",
+    "ConfigSpreadSettings",
+    "Member",
+    "MemberState",
+    "Membership",
+    "MembershipSettings",
+]
--- a/tests/common/member_group.py
+++ b/tests/common/member_group.py
@@ -9,7 +9,8 @@
 
 from tests.common.fake_clock import TrioClock
 from tests.common.fake_peers import FakeNetwork, FakePeers
-from wagtailpoint.membership import Membership
+from wagtailpoint.config.manifest import Snapshot
+from wagtailpoint.membership import ConfigSpread, Membership
 from wagtailpoint.membership.member import Fact
 from wagtailpoint.ports.peers import PeerAddress
 
@@ -48,6 +49,11 @@
             random=Random(seed),
             seeds=SEEDS,
         )
+        self.spread = ConfigSpread(
+            peers=self.peers, membership=self.membership, random=Random(seed)
+        )
+        self.spread.on_snapshot(self._enforce)
+        self.versions: list[int] = []
         self.scope = trio.CancelScope()
 
     async def run(self) -> None:
@@ -55,6 +61,18 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.peers.run)
                 nursery.start_soon(self.membership.run)
+                nursery.start_soon(self.spread.run)
+
+    def offer(self, snapshot: Snapshot) -> bool:
+        """Hand over what the platform delivered to this instance."""
+        newer = self.spread.offer(snapshot)
+        if newer:
+            self._enforce(snapshot)
+        return newer
+
+    def _enforce(self, snapshot: Snapshot) -> None:
+        self.versions.append(snapshot.change.version)
+        self.membership.publish(config_version=snapshot.change.version)
 
     def kill(self) -> None:
         self.scope.cancel()
