--- a/src/wagtailpoint/checking.py
+++ b/src/wagtailpoint/checking.py
@@ -7,8 +7,8 @@
 
 import difflib
 import json
-import math
 import re
+import sys
 from collections.abc import Collection, Iterable
 from ipaddress import ip_address
 from typing import Any, Final
@@ -78,12 +78,18 @@
 def parse_json(text: str | bytes, *, path: str) -> Result[Any, InvalidInput]:
     """Parse JSON, naming line and column of a syntax error."""
     try:
-        return Ok(json.loads(text))
+        value = json.loads(text)
+        # "\ud800" is good JSON and no text: it could neither be stored nor be shown.
+        json.dumps(value, ensure_ascii=False).encode()
     except json.JSONDecodeError as error:
-        where = f"line {error.lineno}, column {error.colno}"
-        return Err(InvalidInput([Mistake(path, f"{error.msg} at {where}", "a JSON document")]))
-    except UnicodeDecodeError as error:
-        return Err(InvalidInput([Mistake(path, str(error), "a JSON document in UTF-8")]))
+        problem = f"{error.msg} at line {error.lineno}, column {error.colno}"
+    except RecursionError:
+        problem = "nested too deeply"
+    except ValueError as error:  # not UTF-8, half a character, or a number of thousands of digits
+        problem = str(error)
+    else:
+        return Ok(value)
+    return Err(InvalidInput([Mistake(path, problem, "a JSON document in UTF-8")]))
 
 
 class ObjectReader:
@@ -347,7 +353,9 @@
 
 def is_number(value: Any) -> bool:
     """Whether a value is a finite number; true and false are none."""
-    return isinstance(value, int | float) and not isinstance(value, bool) and math.isfinite(value)
+    # A comparison, because math.isfinite raises for an integer that is too large for a float.
+    number = isinstance(value, int | float) and not isinstance(value, bool)
+    return number and abs(value) <= sys.float_info.max
 
 
 def in_range(
--- a/tests/cover/test_checking.py
+++ b/tests/cover/test_checking.py
@@ -3,10 +3,21 @@
 import unittest
 from typing import Any
 
-from wagtailpoint.checking import ObjectReader, did_you_mean, show
+from wagtailpoint.checking import ObjectReader, did_you_mean, parse_json, show
 from wagtailpoint.errors import Mistake
 
 
+class ParseJsonTest(unittest.TestCase):
+    def test_what_is_no_json_document(self) -> None:
+        for text in (b"{,}", b"\xff", b'"\\ud800"', b"1" * 5000, b"[" * 100_000, b""):
+            with self.subTest(text=text[:10]):
+                mistakes = parse_json(text, path="x.json").unwrap_err().mistakes
+                self.assertEqual([mistake.path for mistake in mistakes], ["x.json"])
+
+    def test_value(self) -> None:
+        self.assertEqual(parse_json('{"a": "\u00e9"}', path="x.json").unwrap(), {"a": "\u00e9"})
+
+
 class ObjectReaderTest(unittest.TestCase):
     def setUp(self) -> None:
         self.mistakes: list[Mistake] = []
--- a/tests/cover/test_compile.py
+++ b/tests/cover/test_compile.py
@@ -74,6 +74,7 @@
     ("region/east", ["latency_ms"], {}, "region/east: latency_ms.west", "milliseconds"),
     ("region/east", ["latency_ms", "wets"], 5, "region/east: latency_ms.wets", "'west'"),
     ("region/east", ["latency_ms", "west"], "20ms", "region/east: latency_ms.west", "a number"),
+    ("region/east", ["capacity_rps"], 10**400, "region/east: capacity_rps", "a number"),
     ("region/west", ["failure_domains"], ["east-a"], "region/west: failure_domains[0]", "too"),
     (
         "service/desk",
