The whole path as separate processes

Cause: the parts stood alone; no request was served end to end. Ruled out: returning a response object with a lazy body, because the exchange's context would have to outlive its function; the handler writes to a sink inside the context instead. Conclusion: the thin path stands; limits, moves and failure proofs come next.

--- /dev/null
+++ b/src/wagtailpoint/daemon/instance.py
@@ -0,0 +1,288 @@
+"""One instance: all its parts, wired together, and its tasks."""
+
+from random import Random
+from typing import NamedTuple
+
+import trio
+
+from wagtailpoint.adapters.backend_http import HttpBackends
+from wagtailpoint.adapters.clock import SystemClock
+from wagtailpoint.adapters.http_server import AsgiReply, HttpServer, ServerOptions
+from wagtailpoint.adapters.peers_nng import NngPeers
+from wagtailpoint.adapters.platform_http import HttpPlatform
+from wagtailpoint.admission.slots import SlotPool
+from wagtailpoint.config.manifest import Snapshot
+from wagtailpoint.config.model import EffectiveConfig
+from wagtailpoint.config.store import ConfigStore
+from wagtailpoint.config.watcher import ConfigWatcher
+from wagtailpoint.daemon.api import PREFIX, OwnPages
+from wagtailpoint.daemon.config_state import ConfigState
+from wagtailpoint.daemon.lookups import Lookups
+from wagtailpoint.daemon.pages import InstancePages
+from wagtailpoint.daemon.probing import BackendProber
+from wagtailpoint.daemon.servers import ConfiguredServers
+from wagtailpoint.daemon.stopping import GracefulStop
+from wagtailpoint.entry.forwarding import Forwarder
+from wagtailpoint.entry.gate import RequestGate
+from wagtailpoint.entry.plan import Plan
+from wagtailpoint.entry.request import CallerRequest
+from wagtailpoint.entry.service import Completed, EntryService
+from wagtailpoint.health.board import HealthBoard
+from wagtailpoint.idempotency.binding import new_incarnation
+from wagtailpoint.idempotency.claims import Claims
+from wagtailpoint.idempotency.keys import KeyStore
+from wagtailpoint.membership import Membership, MembershipSettings
+from wagtailpoint.membership.member import Fact
+from wagtailpoint.observe.hlc import HybridClock
+from wagtailpoint.observe.log import log_event
+from wagtailpoint.observe.metrics import LatencyKey, Metrics
+from wagtailpoint.observe.timeline import Timeline
+from wagtailpoint.ports.peers import PeerAddress
+from wagtailpoint.retries.budget import RetryBudget
+from wagtailpoint.settings import Settings
+from wagtailpoint.verdict import Verdict
+
+TIMELINE_EVENTS = 10_000
+MOST_KEYS = 200_000
+MOST_KEPT_ANSWER_BYTES = 64 * 1024
+RETRIES_ALWAYS_ALLOWED_PER_S = 1.0
+WATCHERS_PER_FAILURE_DOMAIN = 1
+FACTS_INTERVAL_S = 0.25
+CLAIMS_CLEANING_S = 10.0
+CLAIM_EPOCHS = 3
+
+
+class Observation(NamedTuple):
+    """What records what happens."""
+
+    metrics: Metrics
+    timeline: Timeline
+
+
+class Instance:
+    """One instance of wagtailpoint."""
+
+    def __init__(self, *, settings: Settings, nursery: trio.Nursery) -> None:
+        self._settings = settings
+        self._nursery = nursery
+        timings = settings.timings
+        self._clock = SystemClock()
+        incarnation = new_incarnation()
+        hybrid = HybridClock(wall=self._clock.wall)
+        name = f"{settings.address}:{settings.port}"
+        self._metrics = Metrics()
+        self._timeline = Timeline(clock=hybrid, instance=name, most_events=TIMELINE_EVENTS)
+        self._platform = HttpPlatform(
+            addresses=[(each.address, each.port) for each in settings.platform],
+            timeout_s=timings.platform_timeout_s,
+        )
+        self._peers = NngPeers(
+            address=PeerAddress(settings.address, settings.peer_port, int(incarnation, 16)),
+            hybrid_clock=hybrid,
+            clock=self._clock,
+        )
+        self._membership = Membership(
+            own=self._own_fact(incarnation),
+            peers=self._peers,
+            clock=self._clock,
+            random=Random(),
+            seeds=[PeerAddress(each.address, each.peer_port) for each in settings.peers],
+            settings=MembershipSettings(heartbeat_interval_s=timings.heartbeat_interval_s),
+        )
+        self._config = ConfigState(timeline=self._timeline)
+        self._watcher = ConfigWatcher(
+            store=ConfigStore(platform=self._platform, clock_wall=self._clock.wall),
+            platform=self._platform,
+            on_snapshot=self._snapshot_from_platform,
+            wait_s=timings.watch_wait_s,
+        )
+        self._backends = HttpBackends()
+        self._health = HealthBoard(clock=self._clock)
+        self._prober = BackendProber(
+            backends=self._backends,
+            health=self._health,
+            interval_s=lambda: timings.probe_interval_s,
+            timeout_s=timings.connect_timeout_s,
+            random=Random(),
+        )
+        self._slots = SlotPool(clock=self._clock, most_queued=settings.limits.queued_requests)
+        self._gate = RequestGate(most_open=settings.limits.open_requests)
+        self._keys = KeyStore(
+            incarnation=incarnation,
+            clock=self._clock,
+            epoch_s=timings.epoch_s,
+            most_keys=MOST_KEYS,
+            most_answer_bytes=MOST_KEPT_ANSWER_BYTES,
+        )
+        self._claims = Claims(
+            platform=self._platform,
+            clock=self._clock,
+            incarnation=incarnation,
+            address=name,
+            keep_s=CLAIM_EPOCHS * timings.epoch_s,
+        )
+        self._lookups = Lookups(
+            membership=self._membership,
+            failure_domain=settings.failure_domain,
+            ttl_s=timings.lookup_ttl_s,
+        )
+        self._budgets: dict[str, RetryBudget] = {}
+        self._entry = self._make_entry()
+        self._pages = self._make_pages()
+        self._stop = GracefulStop(
+            membership=self._membership,
+            gate=self._gate,
+            timeline=self._timeline,
+            lookup_ttl_s=timings.lookup_ttl_s,
+            drain_timeout_s=timings.drain_timeout_s,
+        )
+        self._config.follow(self._apply)
+
+    async def run(self) -> None:
+        """Run until a graceful stop has ended."""
+        server = HttpServer(
+            options=ServerOptions(
+                address=self._settings.address,
+                port=self._settings.port,
+                header_bytes=self._settings.limits.header_bytes,
+                request_body_bytes=self._settings.limits.request_body_bytes,
+            ),
+            clock=self._clock,
+            handler=self._handle,
+        )
+        self._timeline.record("started")
+        for task in (
+            self._peers.run,
+            self._membership.run,
+            self._watcher.run,
+            self._prober.run,
+            self._publish_facts,
+            self._clean_claims,
+        ):
+            self._nursery.start_soon(task)
+        await server.run(stop=self._stop.wait)
+
+    async def _handle(self, request: CallerRequest, reply: AsgiReply) -> None:
+        if request.path.startswith(PREFIX):
+            await self._pages.serve(request, reply)
+            return
+        completed = await self._entry.handle(request, reply)
+        self._observe(request, completed)
+
+    def _observe(self, request: CallerRequest, completed: Completed) -> None:
+        latency_s = self._clock.monotonic() - request.arrived
+        plan = completed.plan
+        workspace = plan.workspace.name if plan is not None else ""
+        request_class = plan.policy.name if plan is not None else ""
+        key = LatencyKey("request", workspace, request_class, "")
+        self._metrics.record_latency(key, latency_s)
+        self._metrics.count(f"verdict.{completed.verdict.value}")
+        if completed.code != "ok":
+            self._metrics.count(f"refusal.{completed.code}")
+        if completed.code != "ok" or completed.verdict is not Verdict.RAN:
+            self._timeline.record(
+                "request-refused",
+                workspace=workspace,
+                target=request.target[:200],
+                code=completed.code,
+                verdict=completed.verdict.value,
+            )
+
+    def _snapshot_from_platform(self, snapshot: Snapshot) -> None:
+        self._config.offer(snapshot, source="platform")
+
+    def _apply(self, config: EffectiveConfig) -> None:
+        self._lookups.apply(config)
+        self._prober.apply(config)
+        state = self._membership.own.state
+        self._membership.publish(
+            state="live" if state == "starting" else state, config_version=config.version
+        )
+
+    def _budget(self, plan: Plan) -> RetryBudget:
+        budget = self._budgets.get(plan.service.name)
+        if budget is None:
+            budget = RetryBudget(
+                clock=self._clock,
+                ratio=plan.service.retry_ratio,
+                minimum_per_s=RETRIES_ALWAYS_ALLOWED_PER_S,
+            )
+            self._budgets[plan.service.name] = budget
+        return budget
+
+    async def _publish_facts(self) -> None:
+        """Tell the others of the epoch and the load of this instance."""
+        while True:
+            self._membership.publish(epoch=self._keys.binding.epoch, load=self._load())
+            watchers = self._membership.watchers(
+                self._settings.failure_domain, WATCHERS_PER_FAILURE_DOMAIN
+            )
+            own = self._membership.own
+            self._watcher.watching = any(each.address == own.address for each in watchers)
+            await trio.sleep(FACTS_INTERVAL_S)
+
+    def _load(self) -> float:
+        if not self._keys.accepts_new_keys:
+            return 1.0
+        return min(1.0, self._gate.open_requests / self._settings.limits.open_requests)
+
+    async def _clean_claims(self) -> None:
+        while True:
+            await trio.sleep(CLAIMS_CLEANING_S)
+            await self._claims.remove_old()
+
+    def _own_fact(self, incarnation: str) -> Fact:
+        settings = self._settings
+        return Fact(
+            address=settings.address,
+            port=settings.port,
+            peer_port=settings.peer_port,
+            region=settings.region,
+            failure_domain=settings.failure_domain,
+            incarnation=int(incarnation, 16),
+            sequence=int(self._clock.wall() * 1000),
+            epoch=1,
+        )
+
+    def _make_entry(self) -> EntryService:
+        servers = ConfiguredServers(
+            config=lambda: self._config.effective, health=self._health, metrics=self._metrics
+        )
+        return EntryService(
+            config=lambda: self._config.effective,
+            forwarder=Forwarder(
+                clock=self._clock,
+                backends=self._backends,
+                slots=self._slots,
+                servers=servers,
+                budget=self._budget,
+            ),
+            keys=self._keys,
+            claims=self._claims,
+            nursery=self._nursery,
+            gate=self._gate,
+            most_body_bytes=self._settings.limits.request_body_bytes,
+        )
+
+    def _make_pages(self) -> OwnPages:
+        pages = InstancePages(
+            config=self._config,
+            membership=self._membership,
+            peers=self._peers,
+            lookups=self._lookups,
+            gate=self._gate,
+            slots=self._slots,
+            keys=self._keys,
+            health=self._health,
+            metrics=self._metrics,
+            timeline=self._timeline,
+        )
+        return OwnPages(pages=pages.handlers)
+
+
+async def run_instance(settings: Settings) -> None:
+    """Run one instance until it was stopped gracefully."""
+    log_event("starting", region=settings.region, failure_domain=settings.failure_domain)
+    async with trio.open_nursery() as nursery:
+        await Instance(settings=settings, nursery=nursery).run()
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/src/wagtailpoint/daemon/lookups.py
@@ -0,0 +1,74 @@
+"""Keeps the lookup table in step with the configuration in force and with the members."""
+
+from http import HTTPStatus
+
+from result import Err, Result
+
+from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.config.model import EffectiveConfig
+from wagtailpoint.entry.plan import refuse
+from wagtailpoint.lookup.answer import EntryView, LookupAnswer
+from wagtailpoint.lookup.table import LookupTable
+from wagtailpoint.membership import Member, Membership
+
+NOT_READY_RETRY_AFTER_S = 1.0
+
+
+class Lookups:
+    """Answers lookups, or says that it can't yet."""
+
+    def __init__(self, *, membership: Membership, failure_domain: str, ttl_s: float) -> None:
+        self._membership = membership
+        self._failure_domain = failure_domain
+        self._ttl_s = ttl_s
+        self._config: EffectiveConfig | None = None
+        self._table: LookupTable | None = None
+        membership.on_change(self._update_entries)
+
+    def apply(self, config: EffectiveConfig) -> None:
+        """Follow another configuration."""
+        unchanged = self._config is not None and self._config.client_blocks == config.client_blocks
+        blocks = self._table.blocks if self._table is not None and unchanged else None
+        self._config = config
+        self._table = LookupTable(
+            config=config,
+            own_failure_domain=self._failure_domain,
+            ttl_s=self._ttl_s,
+            blocks=blocks,
+        )
+        self._update_entries()
+
+    def answer(self, *, workspace: str, address: str) -> Result[LookupAnswer, Refusal]:
+        """Answer one lookup from memory."""
+        if self._table is None:
+            return Err(_not_ready())
+        return self._table.answer(workspace=workspace, address=address)
+
+    def _update_entries(self) -> None:
+        if self._table is not None:
+            self._table.update([_view(member) for member in self._membership.members()])
+
+
+def _view(member: Member) -> EntryView:
+    # A suspect stays in the answers: it often only missed one heartbeat, and to drop it would send
+    # all of its callers to the others at once. Its callers retry elsewhere by themselves.
+    return EntryView(
+        address=member.address,
+        port=member.port,
+        region=member.region,
+        failure_domain=member.failure_domain,
+        incarnation=f"{member.incarnation:016x}",
+        epoch=member.epoch,
+        leaving=member.state == "leaving",
+        alive=member.state in ("live", "leaving"),
+        load=member.load,
+    )
+
+
+def _not_ready() -> Refusal:
+    return refuse(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        RefusalCode.NOT_READY,
+        "this instance has no configuration yet; ask another one",
+        NOT_READY_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/src/wagtailpoint/daemon/pages.py
@@ -0,0 +1,153 @@
+"""What the instance's own pages say, gathered from its parts."""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Any
+
+from result import Err
+
+from wagtailpoint.admission.slots import SlotPool
+from wagtailpoint.daemon.api import Page, PageHandler, Query, bad_query, refusal_page
+from wagtailpoint.daemon.config_state import ConfigState
+from wagtailpoint.daemon.lookups import Lookups
+from wagtailpoint.entry.gate import RequestGate
+from wagtailpoint.health.board import HealthBoard
+from wagtailpoint.idempotency.keys import KeyStore
+from wagtailpoint.membership import Member, Membership
+from wagtailpoint.observe.hlc import ZERO, parse_stamp
+from wagtailpoint.observe.metrics import Metrics
+from wagtailpoint.observe.timeline import Timeline, TimelineEvent
+from wagtailpoint.ports.peers import Peers, Traffic
+
+
+class InstancePages:
+    """The handlers of all pages under ``/v1/``."""
+
+    def __init__(
+        self,
+        *,
+        config: ConfigState,
+        membership: Membership,
+        peers: Peers,
+        lookups: Lookups,
+        gate: RequestGate,
+        slots: SlotPool,
+        keys: KeyStore,
+        health: HealthBoard,
+        metrics: Metrics,
+        timeline: Timeline,
+    ) -> None:
+        self._config = config
+        self._membership = membership
+        self._peers = peers
+        self._lookups = lookups
+        self._gate = gate
+        self._slots = slots
+        self._keys = keys
+        self._health = health
+        self._metrics = metrics
+        self._timeline = timeline
+
+    @property
+    def handlers(self) -> Mapping[str, PageHandler]:
+        """The pages by name."""
+        return {
+            "lookup": self.lookup,
+            "status": self.status,
+            "metrics": self.metrics,
+            "timeline": self.timeline,
+        }
+
+    async def lookup(self, query: Query) -> Page:
+        """Which entries a caller shall use."""
+        workspace, address = query.get("workspace"), query.get("address")
+        if not workspace or not address:
+            return bad_query(
+                f"given workspace={workspace} and address={address}, expected "
+                "/v1/lookup?workspace=NAME&address=IP"
+            )
+        answer = self._lookups.answer(workspace=workspace, address=address)
+        self._metrics.count("lookup.refused" if isinstance(answer, Err) else "lookup.answered")
+        if isinstance(answer, Err):
+            return refusal_page(answer.err_value)
+        return Page(HTTPStatus.OK, answer.ok_value)
+
+    async def status(self, _query: Query) -> Page:
+        """What this instance is, does and knows."""
+        own = self._membership.own
+        value = {
+            "instance": _member_fields(own),
+            "config_version": self._config.version,
+            "config_rejected_version": self._config.rejected_version,
+            "members": [_member_fields(member) for member in self._membership.members()],
+            "requests": {
+                "open": self._gate.open_requests,
+                "queued": self._slots.queued,
+                "slots_held": self._slots.in_flight,
+                "keys_remembered": self._keys.size,
+            },
+            "backend_servers": self._backend_servers(),
+        }
+        return Page(HTTPStatus.OK, value)
+
+    async def metrics(self, _query: Query) -> Page:
+        """Counts and latency percentiles since the start."""
+        counts = self._peers.counts
+        value = {
+            "counts": dict(self._metrics.counts),
+            "latencies": [
+                {**key._asdict(), **summary} for key, summary in self._metrics.latencies()
+            ],
+            "peers": {
+                "sent": _traffic_fields(counts.sent),
+                "received": _traffic_fields(counts.received),
+                "dropped": dict(counts.dropped),
+            },
+        }
+        return Page(HTTPStatus.OK, value)
+
+    async def timeline(self, query: Query) -> Page:
+        """The newest events of this instance."""
+        try:
+            since = parse_stamp(query["since"]) if "since" in query else ZERO
+        except ValueError as error:
+            return bad_query(f"since: {error}")
+        events = self._timeline.since(since)
+        return Page(HTTPStatus.OK, {"events": [_event_fields(event) for event in events]})
+
+    def _backend_servers(self) -> list[dict[str, Any]]:
+        config = self._config.effective
+        if config is None:
+            return []
+        return [
+            {
+                "service": service.name,
+                "group": group,
+                "address": str(server.address),
+                "failure_domain": server.failure_domain,
+                "health": self._health.state_of(server.address).value,
+                "slots_held": self._slots.held_of(server),
+            }
+            for service in config.services.values()
+            for group, servers in service.groups.items()
+            for server in servers
+        ]
+
+
+def _member_fields(member: Member) -> dict[str, Any]:
+    fields = member._asdict()
+    fields["incarnation"] = f"{member.incarnation:016x}"
+    return fields
+
+
+def _traffic_fields(traffic: Mapping[str, Traffic]) -> dict[str, Any]:
+    return {kind: counted._asdict() for kind, counted in traffic.items()}
+
+
+def _event_fields(event: TimelineEvent) -> dict[str, Any]:
+    return {
+        **event.fields,
+        "hlc": str(event.stamp),
+        "instance": event.instance,
+        "event": event.event,
+    }
--- /dev/null
+++ b/src/wagtailpoint/entry/plan.py
@@ -0,0 +1,107 @@
+"""What the configuration says about one request, worked out before anything is spent on it."""
+
+from http import HTTPStatus
+from typing import NamedTuple
+
+from result import Err, Ok, Result
+
+from wagtailpoint import headers as names
+from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.config.model import ClassPolicy, EffectiveConfig, Route, Service, Workspace
+from wagtailpoint.entry.request import CallerRequest, header
+from wagtailpoint.entry.routing import find_route
+from wagtailpoint.verdict import Verdict
+
+MISTAKE_RETRY_AFTER_S = 60.0
+"""A request that breaks the interface is as wrong a second later; come back after a change."""
+
+
+class Plan(NamedTuple):
+    """Where a request goes, and until when.
+
+    Attributes:
+        workspace: The caller's workspace.
+        route: The route it takes.
+        service: The service of the route.
+        policy: Its class.
+        deadline: By the monotonic clock.
+    """
+
+    workspace: Workspace
+    route: Route
+    service: Service
+    policy: ClassPolicy
+    deadline: float
+
+
+def refuse(status: HTTPStatus, code: RefusalCode, reason: str, retry_after_s: float) -> Refusal:
+    """A refusal of a request that certainly did not run."""
+    return Refusal(status, code, reason, Verdict.NOT_RUN, retry_after_s)
+
+
+def plan_request(config: EffectiveConfig, request: CallerRequest) -> Result[Plan, Refusal]:
+    """Find the workspace, the route and the deadline of a request."""
+    name = header(request.headers, names.WORKSPACE)
+    workspace = config.workspaces.get(name) if name else None
+    if workspace is None:
+        return Err(_unknown_workspace(name))
+    route = find_route(workspace, method=request.method, path=request.path)
+    if route is None:
+        return Err(_no_route(workspace, request))
+    timeout = _timeout(route, request)
+    if isinstance(timeout, Err):
+        return timeout
+    service = config.services[route.service]
+    return Ok(
+        Plan(
+            workspace=workspace,
+            route=route,
+            service=service,
+            policy=service.classes[route.request_class],
+            deadline=request.arrived + timeout.ok_value,
+        )
+    )
+
+
+def _timeout(route: Route, request: CallerRequest) -> Result[float, Refusal]:
+    """The shorter of the caller's remaining time and the route's timeout, in seconds."""
+    text = header(request.headers, names.DEADLINE_MS)
+    if text is None:
+        return Ok(route.timeout_s)
+    if not text.isascii() or not text.isdigit():
+        return Err(_bad_deadline(text))
+    return Ok(min(route.timeout_s, int(text) / 1000))
+
+
+def _unknown_workspace(name: str | None) -> Refusal:
+    if not name:
+        reason = "given no Wagtailpoint-Workspace header, expected the name of a workspace"
+        return refuse(
+            HTTPStatus.BAD_REQUEST, RefusalCode.BAD_REQUEST, reason, MISTAKE_RETRY_AFTER_S
+        )
+    # A workspace created a moment ago may not have reached this instance yet.
+    return refuse(
+        HTTPStatus.NOT_FOUND,
+        RefusalCode.UNKNOWN_WORKSPACE,
+        f"given workspace {name[:80]!r}, which is not in the configuration",
+        1.0,
+    )
+
+
+def _no_route(workspace: Workspace, request: CallerRequest) -> Refusal:
+    prefixes = ", ".join(sorted({route.prefix for route in workspace.routes}))
+    return refuse(
+        HTTPStatus.NOT_FOUND,
+        RefusalCode.NO_ROUTE,
+        f"given {request.method} {request.path[:80]}, expected a path under {prefixes}",
+        MISTAKE_RETRY_AFTER_S,
+    )
+
+
+def _bad_deadline(text: str) -> Refusal:
+    return refuse(
+        HTTPStatus.BAD_REQUEST,
+        RefusalCode.BAD_REQUEST,
+        f"given Wagtailpoint-Deadline-Ms {text[:20]!r}, expected whole milliseconds",
+        MISTAKE_RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/src/wagtailpoint/entry/routing.py
@@ -0,0 +1,17 @@
+"""Which route of a workspace a request takes."""
+
+from wagtailpoint.config.model import Route, Workspace
+
+
+def _rank(route: Route) -> tuple[int, bool]:
+    return len(route.prefix), route.method is not None
+
+
+def find_route(workspace: Workspace, *, method: str, path: str) -> Route | None:
+    """Find the route with the longest matching prefix; one that names the method wins a tie."""
+    matching = [
+        route
+        for route in workspace.routes
+        if path.startswith(route.prefix) and route.method in (None, method)
+    ]
+    return max(matching, key=_rank, default=None)
--- /dev/null
+++ b/src/wagtailpoint/entry/service.py
@@ -0,0 +1,375 @@
+"""The entry's work on one request, from its headers to the end of its reply."""
+
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import NamedTuple
+
+import trio
+from result import Err, Ok, Result
+
+from wagtailpoint import headers as names
+from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.config.model import EffectiveConfig
+from wagtailpoint.entry.forwarding import Forwarder
+from wagtailpoint.entry.gate import RequestGate
+from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, Plan, plan_request, refuse
+from wagtailpoint.entry.request import BodyTooLarge, CallerRequest, ReplySink, header, without
+from wagtailpoint.idempotency.binding import Binding, parse_binding
+from wagtailpoint.idempotency.claims import Claimed, Claims, NotClaimed
+from wagtailpoint.idempotency.keys import (
+    Begin,
+    Join,
+    KeyStore,
+    Reject,
+    Replay,
+    RequestKey,
+    Run,
+    fingerprint,
+)
+from wagtailpoint.idempotency.outcome import Answered, MayHaveRun, NotRun, Outcome, repeat_of
+from wagtailpoint.observe.log import log_event
+from wagtailpoint.ports.backend import BackendResponse, BodyBroken
+from wagtailpoint.verdict import Verdict
+
+READ_AHEAD_BYTES = 64 * 1024
+"""Request bodies promised to be no longer are read before dispatch, so that they can be retried;
+longer ones are streamed and can't."""
+
+MOST_KEYED_ANSWER_BYTES = 8 * 1024 * 1024
+"""The whole answer to a keyed request is held while it runs, for the copies that join it."""
+
+NO_CONFIG_RETRY_AFTER_S = 1.0
+CLAIM_RETRY_AFTER_S = 2.0
+
+
+Planned = Result[Plan, Refusal]
+
+
+class Completed(NamedTuple):
+    """What became of a request, for logs and metrics.
+
+    Attributes:
+        plan: Where it went; None if it was refused before that was known.
+        status: HTTP status of the reply.
+        verdict: What the caller was told.
+        code: The refusal's code, ``ok`` for an answer.
+    """
+
+    plan: Plan | None
+    status: int
+    verdict: Verdict
+    code: str
+
+
+class EntryService:
+    """Takes requests from callers."""
+
+    def __init__(
+        self,
+        *,
+        config: Callable[[], EffectiveConfig | None],
+        forwarder: Forwarder,
+        keys: KeyStore,
+        claims: Claims,
+        nursery: trio.Nursery,
+        gate: RequestGate,
+        most_body_bytes: int,
+    ) -> None:
+        """Make the service.
+
+        Args:
+            config: What is in force now; None before there is any.
+            forwarder: Sends admitted requests.
+            keys: Remembers keyed requests.
+            claims: Claims keys that come without a binding.
+            nursery: Runs keyed attempts, which outlive the connection of their first caller: a
+                repeat finds the attempt in flight or its answer, not a cancelled one.
+            gate: Counts the open requests and refuses new ones when the instance stops.
+            most_body_bytes: The longest request body.
+        """
+        self._config = config
+        self._forwarder = forwarder
+        self._keys = keys
+        self._claims = claims
+        self._nursery = nursery
+        self._gate = gate
+        self._most_body_bytes = most_body_bytes
+
+    async def handle(self, request: CallerRequest, sink: ReplySink) -> Completed:
+        """Reply to a request.
+
+        Raises:
+            BodyBroken: The response broke off after the reply had begun; cut the connection.
+        """
+        with self._gate.counted():
+            return await self._handle(request, sink)
+
+    async def _handle(self, request: CallerRequest, sink: ReplySink) -> Completed:
+        planned = self._plan(request)
+        key = header(request.headers, names.IDEMPOTENCY_KEY)
+        repeatable = isinstance(planned, Ok) and planned.ok_value.route.idempotent
+        if key is not None and not repeatable:
+            workspace = header(request.headers, names.WORKSPACE) or ""
+            return await self._handle_keyed(request, RequestKey(workspace, key), sink, planned)
+        if isinstance(planned, Err):
+            return await _send_refusal(sink, planned.err_value, None)
+        return await self._handle_plain(planned.ok_value, request, sink)
+
+    def _plan(self, request: CallerRequest) -> Planned:
+        refusal = self._gate.refusal()
+        if refusal is not None:
+            return Err(refusal)
+        config = self._config()
+        if config is None:
+            return Err(_not_ready())
+        if request.content_length is not None and request.content_length > self._most_body_bytes:
+            return Err(_too_large(self._most_body_bytes))
+        return plan_request(config, request)
+
+    async def _handle_plain(self, plan: Plan, request: CallerRequest, sink: ReplySink) -> Completed:
+        body: bytes | None = None
+        stream = request.body
+        if stream is None or (request.content_length or READ_AHEAD_BYTES + 1) <= READ_AHEAD_BYTES:
+            read = await self._read_body(plan.deadline, request)
+            if isinstance(read, Err):
+                return await _send_refusal(sink, read.err_value, plan)
+            body, stream = read.ok_value, None
+        status = 0
+
+        async def pass_on(response: BackendResponse) -> None:
+            nonlocal status
+            status = response.status
+            await sink.begin(status=status, headers=response.headers, verdict=Verdict.RAN)
+            async for chunk in response.body:
+                await sink.send(chunk)
+
+        try:
+            outcome = await self._forwarder.forward(
+                plan, request, body=body, stream=stream, sink=pass_on
+            )
+        except BodyTooLarge:
+            refusal = _too_large(self._most_body_bytes)
+            # A part of the body has gone to the backend server already.
+            refusal = refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+            return await _send_refusal(sink, refusal, plan)
+        if isinstance(outcome, Err):
+            return await _send_refusal(sink, outcome.err_value, plan)
+        return Completed(plan, status, Verdict.RAN, "ok")
+
+    async def _handle_keyed(
+        self, request: CallerRequest, key: RequestKey, sink: ReplySink, planned: Planned
+    ) -> Completed:
+        parsed = _binding(request)
+        if isinstance(parsed, Err):
+            return await _send_refusal(sink, parsed.err_value, planned.ok())
+        binding = parsed.ok_value
+        if isinstance(planned, Err):
+            return await self._refuse_keyed(key, binding, planned.err_value, sink, None)
+        plan = planned.ok_value
+        read = await self._read_body(plan.deadline, request)
+        if isinstance(read, Err):
+            return await self._refuse_keyed(key, binding, read.err_value, sink, plan)
+        body = read.ok_value
+        mark = fingerprint(method=request.method, target=request.target, body=body)
+        begun = self._keys.begin(key, mark, binding)
+        if isinstance(begun, Run):
+            # The key is in flight from here on; every way out of the attempt finishes it.
+            self._nursery.start_soon(self._attempt, key, plan, request, body, binding)
+            begun = self._keys.begin(key, mark, binding)
+        return await self._reply_keyed(begun, plan, sink)
+
+    async def _reply_keyed(self, begun: Begin, plan: Plan, sink: ReplySink) -> Completed:
+        match begun:
+            case Join(attempt):
+                outcome: Outcome = MayHaveRun("still in flight at the deadline")
+                with trio.move_on_after(self._forwarder.remaining(plan)):
+                    outcome = await attempt.wait()
+                return await _send_outcome(sink, outcome, plan)
+            case Replay(answer):
+                return await _send_answer(sink, answer, plan)
+            case Reject(refusal):
+                return await _send_refusal(sink, refusal, plan)
+            case Run():
+                raise AssertionError("a key that was just begun is in flight")
+
+    async def _refuse_keyed(
+        self,
+        key: RequestKey,
+        binding: Binding | None,
+        refusal: Refusal,
+        sink: ReplySink,
+        plan: Plan | None,
+    ) -> Completed:
+        """Refuse one copy of a keyed request before its body is known.
+
+        Its ``not-run`` is only true if no other copy runs, before or after: the key is forbidden
+        under this binding first. Otherwise a late copy could run after the caller, trusting the
+        refusal, has sent the request elsewhere.
+        """
+        if binding is None:
+            return await _send_refusal(sink, refusal, plan)
+        outcome = self._keys.forbid(key, binding)
+        match outcome:
+            case NotRun():
+                return await _send_refusal(sink, refusal, plan)
+            case None:
+                uncertain = refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+                return await _send_refusal(sink, uncertain, plan)
+            case _:
+                return await _send_outcome(sink, outcome, plan)
+
+    async def _attempt(
+        self,
+        key: RequestKey,
+        plan: Plan,
+        request: CallerRequest,
+        body: bytes,
+        binding: Binding | None,
+    ) -> None:
+        """Run a keyed request to its end, whoever still waits for it."""
+        outcome: Outcome = MayHaveRun("the attempt was cut off")
+        try:
+            with self._gate.counted():
+                outcome = await self._run_keyed(key, plan, request, body, binding)
+        except BodyBroken:
+            outcome = MayHaveRun("its answer broke off")
+        except Exception as error:  # noqa: BLE001 - one request's fault must not end the process
+            log_event("internal-error", level="ERROR", where="keyed attempt", error=repr(error))
+        finally:
+            self._keys.finish(key, outcome)
+
+    async def _run_keyed(
+        self,
+        key: RequestKey,
+        plan: Plan,
+        request: CallerRequest,
+        body: bytes,
+        binding: Binding | None,
+    ) -> Outcome:
+        if binding is None:
+            refusal = await self._claim(key, plan)
+            if refusal is not None:
+                return _outcome_of(refusal)
+        answers: list[Answered] = []
+
+        async def collect(response: BackendResponse) -> None:
+            answers.append(await _collected(response))
+
+        outcome = await self._forwarder.forward(plan, request, body=body, stream=None, sink=collect)
+        if isinstance(outcome, Ok):
+            return answers[0]
+        if binding is None and outcome.err_value.verdict is Verdict.NOT_RUN:
+            await self._claims.release(key)
+        return _outcome_of(outcome.err_value)
+
+    async def _claim(self, key: RequestKey, plan: Plan) -> Refusal | None:
+        """Claim a key that came without a binding; None if this process may run it."""
+        claimed: Claimed | NotClaimed = NotClaimed(_claim_timed_out(), None)
+        with trio.move_on_after(self._forwarder.remaining(plan)):
+            claimed = await self._claims.claim(key)
+        return claimed.refusal if isinstance(claimed, NotClaimed) else None
+
+    async def _read_body(self, deadline: float, request: CallerRequest) -> Result[bytes, Refusal]:
+        """Read the whole body within the deadline; a caller that sends slowly is refused then."""
+        if request.body is None:
+            return Ok(b"")
+        parts = bytearray()
+        with trio.move_on_after(self._forwarder.until(deadline)) as scope:
+            try:
+                async for part in request.body:
+                    parts += part
+            except BodyTooLarge:
+                return Err(_too_large(self._most_body_bytes))
+        if scope.cancelled_caught:
+            return Err(_body_too_slow())
+        return Ok(bytes(parts))
+
+
+def _binding(request: CallerRequest) -> Result[Binding | None, Refusal]:
+    text = header(request.headers, names.BINDING)
+    if text is None:
+        return Ok(None)
+    parsed = parse_binding(text)
+    if isinstance(parsed, Ok):
+        return Ok(parsed.ok_value)
+    reason = str(parsed.err_value)
+    refusal = refuse(HTTPStatus.BAD_REQUEST, RefusalCode.BAD_BINDING, reason, MISTAKE_RETRY_AFTER_S)
+    return Err(refusal)
+
+
+async def _collected(response: BackendResponse) -> Answered:
+    parts = bytearray()
+    async for chunk in response.body:
+        if len(parts) + len(chunk) > MOST_KEYED_ANSWER_BYTES:
+            # The request ran; only its answer is lost, and the repeat is told so.
+            return Answered(response.status, response.headers, None)
+        parts += chunk
+    return Answered(response.status, response.headers, bytes(parts))
+
+
+def _outcome_of(refusal: Refusal) -> Outcome:
+    if refusal.verdict is Verdict.NOT_RUN:
+        return NotRun(refusal)
+    return MayHaveRun(refusal.reason)
+
+
+async def _send_outcome(sink: ReplySink, outcome: Outcome, plan: Plan | None) -> Completed:
+    if isinstance(outcome, NotRun):
+        # The first to be told, and those that joined it, get the refusal itself.
+        return await _send_refusal(sink, outcome.refusal, plan)
+    repeat = repeat_of(outcome)
+    if isinstance(repeat, Refusal):
+        return await _send_refusal(sink, repeat, plan)
+    return await _send_answer(sink, repeat, plan)
+
+
+async def _send_answer(sink: ReplySink, answer: Answered, plan: Plan | None) -> Completed:
+    await sink.begin(status=answer.status, headers=answer.headers, verdict=Verdict.RAN)
+    await sink.send(answer.body or b"")
+    return Completed(plan, answer.status, Verdict.RAN, "ok")
+
+
+async def _send_refusal(sink: ReplySink, refusal: Refusal, plan: Plan | None) -> Completed:
+    body = refusal.body()
+    length = (b"content-length", str(len(body)).encode())
+    headers = [*without(refusal.headers(), (names.VERDICT,)), length]
+    await sink.begin(status=refusal.status, headers=headers, verdict=refusal.verdict)
+    await sink.send(body)
+    return Completed(plan, refusal.status, refusal.verdict, refusal.code.value)
+
+
+def _not_ready() -> Refusal:
+    return refuse(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        RefusalCode.NOT_READY,
+        "this instance has no configuration yet; use another entry",
+        NO_CONFIG_RETRY_AFTER_S,
+    )
+
+
+def _too_large(most_bytes: int) -> Refusal:
+    return refuse(
+        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        RefusalCode.BODY_TOO_LARGE,
+        f"given a body over {most_bytes} bytes, the most that this entry takes",
+        MISTAKE_RETRY_AFTER_S,
+    )
+
+
+def _claim_timed_out() -> Refusal:
+    return refuse(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        RefusalCode.PLATFORM_UNAVAILABLE,
+        "the key has no binding, and the platform did not answer its claim within the deadline; "
+        "send the binding of a lookup's entry with the key",
+        CLAIM_RETRY_AFTER_S,
+    )
+
+
+def _body_too_slow() -> Refusal:
+    return refuse(
+        HTTPStatus.REQUEST_TIMEOUT,
+        RefusalCode.DEADLINE_PASSED,
+        "the request's body did not arrive within the deadline",
+        NO_CONFIG_RETRY_AFTER_S,
+    )
--- a/tests/common/backend_standin.py
+++ b/tests/common/backend_standin.py
@@ -272,8 +272,8 @@
         elif worker.hit("bare_503"):
             worker.counts["bare_503"] += 1
             await self._answer_json(503, {})
-        elif self._scope["path"].startswith("/bulk/"):
-            await self._answer_bulk(int(self._scope["path"].removeprefix("/bulk/")))
+        elif "/bulk/" in self._scope["path"]:
+            await self._answer_bulk(int(self._scope["path"].rpartition("/bulk/")[2]))
         else:
             ran = worker.executions[self._request_id]
             key_ran = 0 if self._key is None else worker.by_key[self._key]
@@ -384,6 +384,7 @@
 @click.option("--address", required=True, help="Loopback address to listen on.")
 @click.option("--port", type=int, required=True, help="Port of the first worker.")
 @click.option("--count", type=int, default=1, help="Workers, on consecutive ports.")
+@click.option("--also", multiple=True, help="ADDRESS:PORT of one more worker; repeatable.")
 @click.option("--service", default="deposit-desk")
 @click.option("--slots", type=int, default=3)
 @click.option("--service-ms", type=float, default=20.0, help="Mean service time.")
@@ -391,16 +392,20 @@
 @click.option("--seed", type=int, default=1)
 @click.option("--cold-factor", type=float, default=1.0)
 @click.option("--cold-requests", type=int, default=0)
-def main(address: str, port: int, count: int, **options: Any) -> None:
+def main(address: str, port: int, count: int, also: tuple[str, ...], **options: Any) -> None:
     """Run stand-ins for backend servers until killed."""
+    places = [(address, port + number) for number in range(count)]
+    for text in also:
+        other, _, other_port = text.rpartition(":")
+        places.append((other, int(other_port)))
 
     async def run() -> None:
         seed = options.pop("seed")
         async with trio.open_nursery() as nursery:
             # The first worker listens last: who waits for its port then finds all of them.
-            for number in reversed(range(count)):
+            for number, place in reversed(list(enumerate(places))):
                 worker = Worker(seed=seed + number, **options)
-                await nursery.start(partial(serve_worker, worker, address, port + number))
+                await nursery.start(partial(serve_worker, worker, *place))
 
     trio.run(run)
 
--- /dev/null
+++ b/tests/common/deployment_process.py
@@ -0,0 +1,216 @@
+"""A whole example deployment as separate processes: platform, backend servers, entry instances.
+
+Used by the demo, the integration tests and the bench, so that all of them run the same programs.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from collections.abc import Mapping, Sequence
+from contextlib import ExitStack
+from pathlib import Path
+from types import TracebackType
+from typing import Any, Self
+
+import httpcore
+import msgspec
+from examples.deployment import load_deployment
+
+from tests.common.platform_process import fresh_address
+from tests.common.processes import LIMIT_S, ROOT, ModuleProcess, started_together
+from wagtailpoint.caller import Caller
+from wagtailpoint.ports.backend import BackendAddress
+from wagtailpoint.settings import Settings, check_settings
+
+
+class EntryProcess(ModuleProcess):
+    """One entry instance; its settings stay where a replacement finds them."""
+
+    def __init__(self, *, settings: Settings, settings_file: Path) -> None:
+        self.settings = settings
+        super().__init__(
+            module="wagtailpoint.daemon.main",
+            arguments=["--settings", str(settings_file)],
+            address=settings.address,
+            port=settings.port,
+        )
+
+    @property
+    def place(self) -> tuple[str, int]:
+        """Where callers and operators reach it."""
+        return self.settings.address, self.settings.port
+
+    def page(self, name: str) -> Any:
+        """One of its own pages, decoded; for example ``status``."""
+        url = f"http://{self.settings.address}:{self.settings.port}/v1/{name}"
+        limit = dict.fromkeys(("connect", "read", "write", "pool"), LIMIT_S)
+        answer = httpcore.request("GET", url, extensions={"timeout": limit})
+        return msgspec.json.decode(answer.content)
+
+
+class BackendsProcess(ModuleProcess):
+    """All backend servers of one service, in one process."""
+
+    def __init__(self, *, service: str, servers: Sequence[BackendAddress], options: Sequence[str]):
+        first = servers[0]
+        also = [text for server in servers[1:] for text in ("--also", str(server))]
+        self.servers = tuple(servers)
+        super().__init__(
+            module="tests.common.backend_standin",
+            arguments=[
+                *("--address", first.address, "--port", str(first.port), "--service", service),
+                *also,
+                *options,
+            ],
+            address=first.address,
+            port=first.port,
+        )
+
+    def control(self, server: BackendAddress, method: str, path: str, value: Any = None) -> Any:
+        """Order a fault of one backend server, or read its record."""
+        url = f"http://{server}/standin/{path}"
+        answer = httpcore.request(method, url, content=msgspec.json.encode(value))
+        return msgspec.json.decode(answer.content)
+
+    def set_mode(self, **modes: Any) -> None:
+        """Order the same faults of all; see ``backend_standin.Mode``."""
+        for server in self.servers:
+            self.control(server, "POST", "mode", modes)
+
+    def records(self) -> dict[BackendAddress, Any]:
+        """The record of each backend server."""
+        return {server: self.control(server, "GET", "record") for server in self.servers}
+
+
+class RunningDeployment:
+    """An example deployment that runs; use as a context manager.
+
+    Args:
+        name: One of ``examples.deployment.DEPLOYMENTS``.
+        entries: How many of its entry instances run.
+        timings: Replaces timings of the settings.
+        backend_options: Command line of the backend stand-ins.
+        platform_options: Command line of the platform stand-in.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        entries: int = 3,
+        timings: Mapping[str, float] | None = None,
+        backend_options: Sequence[str] = (),
+        platform_options: Sequence[str] = (),
+    ) -> None:
+        prefix = fresh_address().rpartition(".")[0]
+        self._deployment = load_deployment(name, prefix=prefix)
+        self._stack = ExitStack()
+        self._directory = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
+        files = self._spread(entries)
+        self.entries = [self._entry(file, value, timings or {}) for file, value in files.items()]
+        platform = self.entries[0].settings.platform[0]
+        self.platform = ModuleProcess(
+            module="tests.common.platform_standin",
+            arguments=[
+                *("--address", platform.address, "--port", str(platform.port)),
+                *platform_options,
+            ],
+            address=platform.address,
+            port=platform.port,
+        )
+        self.backends = {
+            service: BackendsProcess(service=service, servers=servers, options=backend_options)
+            for service, servers in self._servers().items()
+        }
+        self._profile = self._directory / "profile.json"
+        self._write_profile(platform.address, platform.port)
+
+    @property
+    def objects(self) -> Mapping[str, Any]:
+        """The configuration objects by ``kind/name``, with the addresses of this run."""
+        return self._deployment.objects
+
+    @property
+    def objects_file(self) -> Path:
+        """A file with all configuration objects, for ``wagtailpoint apply``."""
+        path = self._directory / "objects.json"
+        path.write_text(json.dumps(dict(self.objects)))
+        return path
+
+    def cli(self, *arguments: str) -> subprocess.CompletedProcess[str]:
+        """Run the command-line tool; the exit code is the caller's to check."""
+        path = os.pathsep.join([str(ROOT / "src"), str(ROOT)])
+        return subprocess.run(
+            [sys.executable, "-m", "wagtailpoint.cli", *arguments],
+            env={**os.environ, "PYTHONPATH": path, "WAGTAILPOINT_PROFILE": str(self._profile)},
+            capture_output=True,
+            text=True,
+            timeout=2 * LIMIT_S,
+            check=False,
+        )
+
+    def apply_objects(self) -> None:
+        """Apply all configuration objects and wait until they are in force everywhere."""
+        done = self.cli("apply", str(self.objects_file), "--wait")
+        if done.returncode != 0:
+            raise RuntimeError(f"apply: exit {done.returncode}\n{done.stdout}{done.stderr}")
+
+    def caller(self, workspace: str, *, address: str | None = None) -> Caller:
+        """A caller that knows all entry instances; by default from the region of the first one."""
+        client = address or self.entries[0].settings.address
+        places = [entry.place for entry in self.entries]
+        return Caller(entries=places, workspace=workspace, address=client, seed=1)
+
+    def __enter__(self) -> Self:
+        try:
+            processes = [self.platform, *self.backends.values(), *self.entries]
+            self._stack.enter_context(started_together(*processes))
+        except BaseException:
+            self._stack.close()
+            raise
+        return self
+
+    def __exit__(
+        self,
+        exception_type: type[BaseException] | None,
+        exception: BaseException | None,
+        traceback: TracebackType | None,
+    ) -> None:
+        self._stack.__exit__(exception_type, exception, traceback)
+
+    def _spread(self, count: int) -> Mapping[str, Any]:
+        """Some of the settings files, from as many failure domains as possible."""
+        by_domain: dict[str, list[str]] = {}
+        for name, value in self._deployment.settings_files.items():
+            by_domain.setdefault(value["failure_domain"], []).append(name)
+        rounds = max(len(names) for names in by_domain.values())
+        order = [names[i] for i in range(rounds) for names in by_domain.values() if i < len(names)]
+        return {name: self._deployment.settings_files[name] for name in order[:count]}
+
+    def _entry(self, name: str, value: Any, timings: Mapping[str, float]) -> EntryProcess:
+        changed = {**value, "timings": {**value.get("timings", {}), **timings}}
+        path = self._directory / f"{name}.json"
+        path.write_text(json.dumps(changed))
+        return EntryProcess(settings=check_settings(changed).unwrap(), settings_file=path)
+
+    def _servers(self) -> dict[str, list[BackendAddress]]:
+        servers: dict[str, list[BackendAddress]] = {}
+        for key, value in self.objects.items():
+            kind, _, service = key.partition("/")
+            if kind == "service":
+                servers[service] = [
+                    BackendAddress(server["address"], server["port"])
+                    for group in value["groups"].values()
+                    for server in group
+                ]
+        return servers
+
+    def _write_profile(self, address: str, port: int) -> None:
+        entries = [
+            {"address": entry.settings.address, "port": entry.settings.port}
+            for entry in self.entries
+        ]
+        profile = {"platform": [{"address": address, "port": port}], "entries": entries}
+        self._profile.write_text(json.dumps(profile))
