--- a/tests/common/fake_platform.py
+++ b/tests/common/fake_platform.py
@@ -28,6 +28,8 @@
         down: Every call answers ``PlatformUnavailable``; waiting watches too.
         lose_answers: So many next writes take effect and answer ``OutcomeUnknown``.
         lose_requests: So many next writes answer ``OutcomeUnknown`` and do not take effect.
+        late_writes: So many next puts answer ``OutcomeUnknown`` and take effect, if their condition
+            still holds, at ``deliver_late``.
         refuse_calls: So many next calls answer ``PlatformUnavailable``.
         writes_of: The faults of writes only meet objects of this kind; None: of any kind.
         before_put: Runs before each put, for example to let another operator be first.
@@ -42,6 +44,7 @@
         self.down = False
         self.lose_answers = 0
         self.lose_requests = 0
+        self.late_writes = 0
         self.refuse_calls = 0
         self.writes_of: str | None = None
         self.before_put: Callable[[str, str], Awaitable[None]] | None = None
@@ -49,6 +52,7 @@
         self.scripted_watches: deque[WatchAnswer] = deque()
         self.listed: Sequence[ListedInstance] = ()
         self.counts: Counter[tuple[str, str]] = Counter()
+        self._late: list[tuple[str, str, Any, int]] = []
         self._stale: ObjectStore | None = None
         self._changed = trio.Event()
 
@@ -61,6 +65,13 @@
         self._stale = None
         self._wake()
 
+    def deliver_late(self) -> None:
+        """Let the late writes take effect."""
+        for write in self._late:
+            self.store.put(*write)
+        self._late.clear()
+        self._wake()
+
     def set_down(self, down: bool) -> None:
         """Take the platform down or up, ending waiting watches."""
         self.down = down
@@ -104,6 +115,9 @@
             return Err(refusal)
         if self._take("lose_requests", kind):
             return Err(OutcomeUnknown("the fake lost the request"))
+        if self._take("late_writes", kind):
+            self._late.append((kind, name, value, if_version))
+            return Err(OutcomeUnknown("the fake delays the request"))
         outcome = self.store.put(kind, name, value, if_version)
         self._wake()
         answer_is_lost = self._take("lose_answers", kind)
--- a/tests/cover/test_config_watcher.py
+++ b/tests/cover/test_config_watcher.py
@@ -121,6 +121,27 @@
 
         self.run_with(test)
 
+    def test_a_change_whose_read_failed_is_not_missed(self) -> None:
+        """Symptom: one instance went on with an old configuration until the next change.
+
+        Sequence: a watch told of the new head, reading its manifest was refused, the next watch
+        went on behind that event. Cause: the event was used up before the change was delivered.
+        """
+
+        async def test(_: ConfigWatcher) -> None:
+            await self.change(1)
+            await self.until(1)
+
+            async def refuse_next(kind: str, _: str) -> None:
+                self.platform.refuse_calls = 1 if kind == HEAD_KIND else 0
+
+            self.platform.after_put = refuse_next
+            await self.change(2)
+            await self.until(2)
+            self.assertEqual(self.platform.refuse_calls, 0)
+
+        self.run_with(test)
+
     def test_an_outage_is_met_with_few_calls(self) -> None:
         async def test(_: ConfigWatcher) -> None:
             await self.change(1)
