Read client blocks again only when they changed

A block without `/LENGTH` passed the check, and the lookup table then raised on the accepted configuration.

Change: config/blocks.py reads the `blocks` objects; a BlockReader kept between configurations reads only the objects whose value is another one than before, and hands out the very same list when nothing changed. The list keeps the objects' own strings instead of a tuple for each block. Networks are parsed by inet_pton instead of ipaddress, and need ADDRESS/LENGTH.

--- /dev/null
+++ b/src/wagtailpoint/config/blocks.py
@@ -0,0 +1,160 @@
+"""The client blocks of a configuration, of which there may be hundreds of thousands.
+
+They change rarely and are most of the configuration. So a reader remembers the objects that it
+read before, and the blocks stay in the lists of strings that the objects hold anyway.
+"""
+
+import socket
+from collections.abc import Iterator, Mapping, Sequence
+from itertools import accumulate
+from typing import Any, NamedTuple, overload
+
+from wagtailpoint.checking import ObjectReader, show
+from wagtailpoint.config.model import ClientBlock
+from wagtailpoint.errors import Mistake
+
+_MOST_LENGTH_DIGITS = 3
+
+
+class RegionBlocks(NamedTuple):
+    """One ``blocks`` object."""
+
+    region: str
+    networks: tuple[str, ...]
+
+
+class BlockList(Sequence[ClientBlock]):
+    """All client blocks in order; a ``ClientBlock`` is made only while it is looked at."""
+
+    def __init__(self, *, parts: Sequence[RegionBlocks]) -> None:
+        self._parts = tuple(parts)
+        self._ends = tuple(accumulate(len(part.networks) for part in parts))
+
+    def __len__(self) -> int:
+        return self._ends[-1] if self._ends else 0
+
+    def __iter__(self) -> Iterator[ClientBlock]:
+        for part in self._parts:
+            for network in part.networks:
+                yield ClientBlock(network, part.region)
+
+    def __eq__(self, other: object) -> bool:
+        if self is other:
+            return True
+        return isinstance(other, BlockList) and self._parts == other._parts
+
+    __hash__ = None  # type: ignore[assignment]
+
+    @overload
+    def __getitem__(self, index: int) -> ClientBlock: ...
+
+    @overload
+    def __getitem__(self, index: slice) -> Sequence[ClientBlock]: ...
+
+    def __getitem__(self, index: int | slice) -> ClientBlock | Sequence[ClientBlock]:
+        if isinstance(index, slice):
+            return [self[place] for place in range(*index.indices(len(self)))]
+        place = index + len(self) if index < 0 else index
+        for part, end in zip(self._parts, self._ends, strict=True):
+            if 0 <= place < end:
+                return ClientBlock(part.networks[place - end], part.region)
+        raise IndexError(f"block {index} of {len(self)}")
+
+
+class BlockReader:
+    """Reads all ``blocks`` objects, and checks only those that are new.
+
+    An object whose JSON value is the very same as the last time is not read again: values are
+    never changed in place, and the store hands out the same one while its content is the same.
+    """
+
+    def __init__(self) -> None:
+        self._values: dict[str, Any] = {}
+        self._parts: dict[str, RegionBlocks] = {}
+        self._blocks = BlockList(parts=())
+
+    @property
+    def parts(self) -> Mapping[str, RegionBlocks]:
+        """The objects read last, by name."""
+        return self._parts
+
+    def read(self, values: Mapping[str, Any], mistakes: list[Mistake]) -> BlockList:
+        """Read the JSON values of all objects, by name.
+
+        Returns:
+            The blocks: the very same list as the last time if nothing changed. Of use only if no
+            mistake was recorded.
+        """
+        if self._is_same(values):
+            return self._blocks
+        found: list[Mistake] = []
+        parts = {name: self._read_one(name, value, found) for name, value in values.items()}
+        _check_duplicates(parts, found)
+        self._parts = parts
+        if found:
+            mistakes += found
+            self._values = {}
+        else:
+            self._values = dict(values)
+            self._blocks = BlockList(parts=tuple(parts.values()))
+        return self._blocks
+
+    def _is_same(self, values: Mapping[str, Any]) -> bool:
+        return self._values.keys() == values.keys() and all(
+            self._values[name] is value for name, value in values.items()
+        )
+
+    def _read_one(self, name: str, value: Any, mistakes: list[Mistake]) -> RegionBlocks:
+        if name in self._values and self._values[name] is value:
+            return self._parts[name]
+        reader = ObjectReader(value=value, path=_path(name), mistakes=mistakes)
+        region = reader.text("region")
+        networks = reader.texts("networks", expected="networks")
+        for index, network in enumerate(networks):
+            if not is_network(network):
+                expected = 'a network ADDRESS/LENGTH such as "10.1.0.0/16", no bits set after it'
+                reader.mistake(f"networks[{index}]", network, expected)
+        reader.finish()
+        return RegionBlocks(region, networks)
+
+
+def is_network(text: str) -> bool:
+    """Whether a string is ``ADDRESS/LENGTH`` without bits beyond the length."""
+    address, _, length = text.partition("/")
+    if not (length.isascii() and length.isdecimal()) or len(length) > _MOST_LENGTH_DIGITS:
+        return False
+    try:
+        packed = socket.inet_pton(socket.AF_INET6 if ":" in address else socket.AF_INET, address)
+    except (OSError, ValueError):
+        return False
+    host_bits = len(packed) * 8 - int(length)
+    return host_bits >= 0 and int.from_bytes(packed, "big") & ((1 << host_bits) - 1) == 0
+
+
+def _path(name: str) -> str:
+    return f"blocks/{name}: "
+
+
+def _check_duplicates(parts: Mapping[str, RegionBlocks], mistakes: list[Mistake]) -> None:
+    seen: set[str] = set()
+    for name, part in parts.items():
+        before = len(seen)
+        seen.update(part.networks)
+        if len(seen) == before + len(part.networks):
+            continue
+        for network in _repeated(name, part, parts):
+            expected = "a network of its own; it stands once before"
+            mistakes.append(Mistake(f"{_path(name)}networks", show(network), expected))
+
+
+def _repeated(name: str, part: RegionBlocks, parts: Mapping[str, RegionBlocks]) -> Iterator[str]:
+    """The networks of one object that stand before, in it or in an earlier one."""
+    earlier: set[str] = set()
+    for other, other_part in parts.items():
+        if other == name:
+            break
+        earlier.update(other_part.networks)
+    for network in part.networks:
+        if network in earlier:
+            yield network
+        earlier.add(network)
--- a/src/wagtailpoint/config/compile.py
+++ b/src/wagtailpoint/config/compile.py
@@ -10,8 +10,8 @@
 from result import Err, Ok, Result
 
 from wagtailpoint.checking import ObjectReader, check_name, check_reference, one_of, show
+from wagtailpoint.config.blocks import BlockList, BlockReader, RegionBlocks
 from wagtailpoint.config.model import (
-    ClientBlock,
     Drain,
     EffectiveConfig,
     Move,
@@ -22,7 +22,6 @@
 from wagtailpoint.config.objects import (
     KINDS,
     WorkspaceSource,
-    read_blocks,
     read_drain,
     read_move,
     read_region,
@@ -46,7 +45,8 @@
     sources: dict[str, WorkspaceSource]
     moves: dict[str, Move]
     drains: dict[str, Drain]
-    blocks: dict[str, tuple[ClientBlock, ...]]
+    blocks: BlockList
+    block_parts: Mapping[str, RegionBlocks]
 
     @property
     def failure_domains(self) -> list[str]:
@@ -55,20 +55,22 @@
 
 
 def compile_config(
-    *, version: int, objects: Mapping[str, Any]
+    *, version: int, objects: Mapping[str, Any], block_reader: BlockReader | None = None
 ) -> Result[EffectiveConfig, InvalidInput]:
     """Compile the effective configuration.
 
     Args:
         version: The version that the objects make up.
         objects: The JSON value of each object, by ``kind/name``.
+        block_reader: One that is kept from one configuration to the next saves reading the client
+            blocks again that did not change; the result is the same.
 
     Returns:
         The configuration, or every mistake found, each with the object, the field, what was given
         and what is expected.
     """
     mistakes: list[Mistake] = []
-    draft = _read_all(objects, mistakes)
+    draft = _read_all(objects, block_reader or BlockReader(), mistakes)
     _check_regions(draft, mistakes)
     _check_services(draft, mistakes)
     workspaces = _expand_workspaces(draft, mistakes)
@@ -77,7 +79,6 @@
     _check_blocks(draft, mistakes)
     if mistakes:
         return Err(InvalidInput(mistakes))
-    blocks = tuple(block for blocks in draft.blocks.values() for block in blocks)
     config = EffectiveConfig(
         version=version,
         regions=draft.regions,
@@ -85,12 +86,14 @@
         workspaces=workspaces,
         moves=draft.moves,
         drains=draft.drains,
-        client_blocks=blocks,
+        client_blocks=draft.blocks,
     )
     return Ok(config)
 
 
-def _read_all(objects: Mapping[str, Any], mistakes: list[Mistake]) -> _Draft:
+def _read_all(
+    objects: Mapping[str, Any], block_reader: BlockReader, mistakes: list[Mistake]
+) -> _Draft:
     by_kind: dict[str, dict[str, Any]] = {kind: {} for kind in KINDS}
     for key in sorted(objects):
         kind, _, name = key.partition("/")
@@ -115,7 +118,8 @@
         sources=read("workspace", read_workspace_source),
         moves=read("move", read_move),
         drains=read("drain", read_drain),
-        blocks=read("blocks", lambda _, reader: read_blocks(reader)),
+        blocks=block_reader.read(by_kind["blocks"], mistakes),
+        block_parts=block_reader.parts,
     )
 
 
@@ -307,20 +311,11 @@
 
 
 def _check_blocks(draft: _Draft, mistakes: list[Mistake]) -> None:
-    owner: dict[str, str] = {}
-    for name, blocks in draft.blocks.items():
-        path = f"blocks/{name}: "
-        if blocks:
-            check_reference(
-                path=f"{path}region",
-                given=blocks[0].region,
-                known=draft.regions,
-                what="a region",
-                mistakes=mistakes,
-            )
-        for index, block in enumerate(blocks):
-            place = f"{path}networks[{index}]"
-            if block.network in owner:
-                expected = f"a network of its own; {owner[block.network]} has it too"
-                mistakes.append(Mistake(place, show(block.network), expected))
-            owner[block.network] = place
+    for name, part in draft.block_parts.items():
+        check_reference(
+            path=f"blocks/{name}: region",
+            given=part.region,
+            known=draft.regions,
+            what="a region",
+            mistakes=mistakes,
+        )
--- a/src/wagtailpoint/config/model.py
+++ b/src/wagtailpoint/config/model.py
@@ -4,7 +4,7 @@
 sees half of an old and half of a new one.
 """
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from typing import Literal, NamedTuple
 
 from wagtailpoint.ports.backend import BackendAddress
@@ -189,4 +189,4 @@
     workspaces: Mapping[str, Workspace]
     moves: Mapping[str, Move]
     drains: Mapping[str, Drain]
-    client_blocks: tuple[ClientBlock, ...]
+    client_blocks: Sequence[ClientBlock]
--- a/src/wagtailpoint/config/objects.py
+++ b/src/wagtailpoint/config/objects.py
@@ -4,14 +4,12 @@
 """
 
 from collections.abc import Mapping
-from ipaddress import ip_network
 from typing import Any, Final, Literal, NamedTuple, cast
 
 from wagtailpoint.checking import ObjectReader
 from wagtailpoint.config.model import (
     BackendServer,
     ClassPolicy,
-    ClientBlock,
     Drain,
     Move,
     Region,
@@ -163,23 +161,6 @@
     return Drain(name, server, domain)
 
 
-def read_blocks(reader: ObjectReader) -> tuple[ClientBlock, ...]:
-    """Read ``blocks``: the networks of the clients that are nearest to one region."""
-    region = reader.text("region")
-    networks = reader.texts("networks", expected="networks")
-    for index, network in enumerate(networks):
-        _check_network(f"networks[{index}]", network, reader)
-    reader.finish()
-    return tuple(ClientBlock(network, region) for network in networks)
-
-
-def _check_network(field: str, network: str, reader: ObjectReader) -> None:
-    try:
-        ip_network(network)
-    except ValueError as error:
-        reader.mistake(field, network, f'a network such as "10.1.0.0/16" ({error})')
-
-
 def _read_servers(items: list[ObjectReader]) -> tuple[BackendServer, ...]:
     servers = []
     for item in items:
--- a/tests/cover/test_compile.py
+++ b/tests/cover/test_compile.py
@@ -162,7 +162,10 @@
     ("drain/one", ["backend_server", "port"], 9001, "drain/one: backend_server", "of a service"),
     ("drain/one", ["failure_domain"], "east-a", "drain/one", "exactly one"),
     ("blocks/east", ["region"], "north", "blocks/east: region", "east, west"),
-    ("blocks/east", ["networks", 0], "10.1.0.1/16", "blocks/east: networks[0]", "a network"),
+    ("blocks/east", ["networks", 0], "10.1.0.1/16", "blocks/east: networks[0]", "no bits set"),
+    ("blocks/east", ["networks", 0], "10.1.0.1", "blocks/east: networks[0]", "ADDRESS/LENGTH"),
+    ("blocks/east", ["networks", 0], "10.1.0.0/33", "blocks/east: networks[0]", "ADDRESS/LENGTH"),
+    ("blocks/east", ["networks"], ["::/8", "::/8"], "blocks/east: networks", "of its own"),
 ]
 
 
