Configuration from peers, and bound entries asked how a key ended

Cause: an instance only learnt its configuration from the platform, and a keyed request repeated at another entry always ended as may-have-run although the bound process often still lives. Ruled out: answering 'not known here, so not run': a copy still on its way could run afterwards.

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -17,6 +17,7 @@
 from wagtailpoint.config.watcher import ConfigWatcher
 from wagtailpoint.daemon.api import PREFIX, OwnPages
 from wagtailpoint.daemon.config_state import ConfigState
+from wagtailpoint.daemon.instance_list import InstanceList
 from wagtailpoint.daemon.lookups import Lookups
 from wagtailpoint.daemon.pages import InstancePages
 from wagtailpoint.daemon.probing import BackendProber
@@ -29,9 +30,11 @@
 from wagtailpoint.entry.service import Completed, EntryService
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.idempotency.binding import new_incarnation
+from wagtailpoint.idempotency.bound_entry import BoundEntries
 from wagtailpoint.idempotency.claims import Claims
 from wagtailpoint.idempotency.keys import KeyStore
 from wagtailpoint.membership import Membership, MembershipSettings
+from wagtailpoint.membership.config_spread import ConfigSpread
 from wagtailpoint.membership.member import Fact
 from wagtailpoint.observe.hlc import HybridClock
 from wagtailpoint.observe.log import log_event
@@ -81,15 +84,21 @@
             hybrid_clock=hybrid,
             clock=self._clock,
         )
+        self._instance_list = InstanceList(
+            platform=self._platform, peer_port=settings.peer_port, random=Random()
+        )
         self._membership = Membership(
             own=self._own_fact(incarnation),
             peers=self._peers,
             clock=self._clock,
             random=Random(),
             seeds=[PeerAddress(each.address, each.peer_port) for each in settings.peers],
+            hints=self._instance_list.addresses,
             settings=MembershipSettings(heartbeat_interval_s=timings.heartbeat_interval_s),
         )
         self._config = ConfigState(timeline=self._timeline)
+        self._spread = ConfigSpread(peers=self._peers, membership=self._membership, random=Random())
+        self._spread.on_snapshot(self._snapshot_from_peer)
         self._watcher = ConfigWatcher(
             store=ConfigStore(platform=self._platform, clock_wall=self._clock.wall),
             platform=self._platform,
@@ -154,6 +163,8 @@
         for task in (
             self._peers.run,
             self._membership.run,
+            self._instance_list.run,
+            self._spread.run,
             self._watcher.run,
             self._prober.run,
             self._publish_facts,
@@ -190,6 +201,11 @@
 
     def _snapshot_from_platform(self, snapshot: Snapshot) -> None:
         self._config.offer(snapshot, source="platform")
+        self._spread.offer(snapshot)
+
+    def _snapshot_from_peer(self, snapshot: Snapshot) -> None:
+        self._config.offer(snapshot, source="peer")
+        self._watcher.learn(snapshot)
 
     def _apply(self, config: EffectiveConfig) -> None:
         self._lookups.apply(config)
@@ -199,6 +215,18 @@
             state="live" if state == "starting" else state, config_version=config.version
         )
 
+    def _locate(self, incarnation: str) -> PeerAddress | None:
+        """Where an incarnation is heard, if it is believed to be alive."""
+        number = int(incarnation, 16)
+        return next(
+            (
+                member.peer_address
+                for member in self._membership.members()
+                if member.incarnation == number and member.state != "dead"
+            ),
+            None,
+        )
+
     def _budget(self, plan: Plan) -> RetryBudget:
         budget = self._budgets.get(plan.service.name)
         if budget is None:
@@ -259,6 +287,7 @@
             ),
             keys=self._keys,
             claims=self._claims,
+            bound_entries=BoundEntries(peers=self._peers, keys=self._keys, locate=self._locate),
             nursery=self._nursery,
             gate=self._gate,
             most_body_bytes=self._settings.limits.request_body_bytes,
--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -15,6 +15,7 @@
 from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, Plan, plan_request, refuse
 from wagtailpoint.entry.request import BodyTooLarge, CallerRequest, ReplySink, header, without
 from wagtailpoint.idempotency.binding import Binding, parse_binding
+from wagtailpoint.idempotency.bound_entry import BoundEntries
 from wagtailpoint.idempotency.claims import Claimed, Claims, NotClaimed
 from wagtailpoint.idempotency.keys import (
     Begin,
@@ -71,6 +72,7 @@
         forwarder: Forwarder,
         keys: KeyStore,
         claims: Claims,
+        bound_entries: BoundEntries,
         nursery: trio.Nursery,
         gate: RequestGate,
         most_body_bytes: int,
@@ -82,6 +84,7 @@
             forwarder: Sends admitted requests.
             keys: Remembers keyed requests.
             claims: Claims keys that come without a binding.
+            bound_entries: Asks the instance that a key is bound to, when it is another one.
             nursery: Runs keyed attempts, which outlive the connection of their first caller: a
                 repeat finds the attempt in flight or its answer, not a cancelled one.
             gate: Counts the open requests and refuses new ones when the instance stops.
@@ -91,6 +94,7 @@
         self._forwarder = forwarder
         self._keys = keys
         self._claims = claims
+        self._bound_entries = bound_entries
         self._nursery = nursery
         self._gate = gate
         self._most_body_bytes = most_body_bytes
@@ -176,6 +180,11 @@
             # The key is in flight from here on; every way out of the attempt finishes it.
             self._nursery.start_soon(self._attempt, key, plan, request, body, binding)
             begun = self._keys.begin(key, mark, binding)
+        if isinstance(begun, Reject) and begun.refusal.code is RefusalCode.OTHER_INCARNATION:
+            assert binding is not None
+            outcome = await self._bound_entries.settle(key, binding)
+            if outcome is not None:
+                return await _send_outcome(sink, outcome, plan)
         return await self._reply_keyed(begun, plan, sink)
 
     async def _reply_keyed(self, begun: Begin, plan: Plan, sink: ReplySink) -> Completed:
