Platform adapter: tests of broken, crossed and foreign answers; stand-in server split off

Cancelled watches were suspected of filling the connection pool; 100 of them do not, and the test stays.

--- a/tests/common/platform_standin.py
+++ b/tests/common/platform_standin.py
@@ -3,27 +3,23 @@
     python -m tests.common.platform_standin --address 127.1.2.3 --port 9000
 
 Beside the object API: ``POST /standin/mode`` (see ``Modes``), ``GET /standin/counts`` and
-``PUT /standin/instances``. It speaks HTTP by h11 directly, because an ASGI server does not let its
-application close a connection without any answer, which is the fault that matters most here.
+``PUT /standin/instances``.
 """
 
 import argparse
 import signal
 from collections import Counter
-from collections.abc import Sequence
 from http import HTTPStatus
-from typing import Any, NamedTuple, TypedDict
-from urllib.parse import parse_qs, unquote, urlsplit
+from typing import Any, TypedDict
 
-import h11
 import msgspec
 import trio
 
+from tests.common.http_server import Answer, Call, NoAnswer, serve
 from tests.common.object_store import ObjectStore
 from wagtailpoint.ports.platform import Conflict, StoredObject
 
 MOST_VALUE_BYTES = 1_000_000
-_CHUNK_BYTES = 65536
 _STALE_POLL_S = 0.02
 
 
@@ -47,31 +43,6 @@
     instances_lag_s: float
 
 
-class Call(NamedTuple):
-    """One request."""
-
-    method: str
-    path: Sequence[str]
-    query: dict[str, list[str]]
-    body: bytes
-
-    def number(self, name: str) -> float:
-        """A number from the query, 0 if absent."""
-        return float(self.query.get(name, ["0"])[0])
-
-
-class Answer(NamedTuple):
-    """One response."""
-
-    status: int
-    value: Any
-    headers: Sequence[tuple[str, str]] = ()
-
-
-class NoAnswer(Exception):
-    """The connection is to be closed without an answer."""
-
-
 def as_wire(stored: StoredObject | None) -> dict[str, Any] | None:
     """An object as it is sent."""
     return stored._asdict() if stored else None
@@ -212,49 +183,6 @@
         self._changed = trio.Event()
 
 
-async def receive(connection: h11.Connection, stream: trio.SocketStream) -> Call | None:
-    """The next request of a connection; None when the client has closed it."""
-    request: h11.Request | None = None
-    body = bytearray()
-    while True:
-        event = connection.next_event()
-        if event is h11.NEED_DATA:
-            connection.receive_data(await stream.receive_some(_CHUNK_BYTES))
-        elif isinstance(event, h11.Request):
-            request = event
-        elif isinstance(event, h11.Data):
-            body += event.data
-        elif isinstance(event, h11.EndOfMessage) and request is not None:
-            url = urlsplit(request.target.decode())
-            path = [unquote(part) for part in url.path.strip("/").split("/")]
-            return Call(request.method.decode(), path, parse_qs(url.query), bytes(body))
-        else:
-            return None
-
-
-async def send(connection: h11.Connection, stream: trio.SocketStream, answer: Answer) -> None:
-    """Send one response."""
-    body = msgspec.json.encode(answer.value)
-    headers = [*answer.headers, ("Content-Length", str(len(body)))]
-    head = connection.send(h11.Response(status_code=answer.status, headers=headers)) or b""
-    payload = connection.send(h11.Data(data=body)) or b""
-    await stream.send_all(head + payload + (connection.send(h11.EndOfMessage()) or b""))
-
-
-async def serve(standin: Standin, stream: trio.SocketStream) -> None:
-    """Serve one connection."""
-    connection = h11.Connection(h11.SERVER)
-    async with stream:
-        try:
-            while call := await receive(connection, stream):
-                await send(connection, stream, await standin.answer(call))
-                if connection.our_state is not h11.DONE:
-                    return
-                connection.start_next_cycle()
-        except (NoAnswer, trio.BrokenResourceError, h11.ProtocolError):
-            return
-
-
 async def run(address: str, port: int, most_calls_per_s: float | None) -> None:
     """Serve until SIGTERM."""
     standin = Standin(most_calls_per_s=most_calls_per_s)
@@ -262,7 +190,7 @@
         with trio.open_signal_receiver(signal.SIGTERM) as signals:
             listeners = await trio.open_tcp_listeners(port, host=address)
             nursery.start_soon(
-                trio.serve_listeners, lambda stream: serve(standin, stream), listeners
+                trio.serve_listeners, lambda stream: serve(standin.answer, stream), listeners
             )
             async for _ in signals:
                 nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/cover/test_platform_http.py
@@ -0,0 +1,136 @@
+"""What the HTTP adapter says of answers that are broken, crossed or somebody else's."""
+
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import trio
+from result import Result
+
+from wagtailpoint.adapters.platform_http import HttpPlatform
+from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
+from wagtailpoint.ports.platform import ABSENT, Conflict, StoredObject
+
+T = TypeVar("T")
+
+PORT = 9001
+LIMIT_S = 60
+WRITTEN = b'{"kind":"thing","name":"x","version":7}'
+OBJECT = b'{"kind":"thing","name":"x","version":7,"value":[1]}'
+CROSSED = OBJECT.replace(b'"x"', b'"y"')
+
+
+def http(status: int, body: bytes, *, promised: int | None = None, headers: str = "") -> bytes:
+    length = len(body) if promised is None else promised
+    return f"HTTP/1.1 {status} X\r\nContent-Length: {length}\r\n{headers}\r\n".encode() + body
+
+
+class Scripted:
+    """A server that gives each connection one answer and closes it."""
+
+    def __init__(self, answer: bytes) -> None:
+        numbers = random.SystemRandom()
+        self.address = "127." + ".".join(str(numbers.randint(1, 250)) for _ in range(3))
+        self.requests = 0
+        self._answer = answer
+
+    async def run(self, *, task_status: trio.TaskStatus[None]) -> None:
+        listeners = await trio.open_tcp_listeners(PORT, host=self.address)
+        task_status.started()
+        await trio.serve_listeners(self._serve, listeners)
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        async with stream:
+            received = b""
+            while b"\r\n\r\n" not in received:
+                received += await stream.receive_some() or b"\r\n\r\n"
+            self.requests += 1
+            await stream.send_all(self._answer)
+            await stream.send_eof()
+            while await stream.receive_some():
+                pass
+
+
+def ask(servers: list[Scripted], call: Callable[[HttpPlatform], Awaitable[T]]) -> T:
+    async def run() -> T:
+        with trio.fail_after(LIMIT_S):
+            async with trio.open_nursery() as nursery:
+                for server in servers:
+                    await nursery.start(server.run)
+                addresses = [(server.address, PORT) for server in servers]
+                async with HttpPlatform(addresses=addresses, timeout_s=LIMIT_S) as platform:
+                    outcome = await call(platform)
+                nursery.cancel_scope.cancel()
+        return outcome
+
+    return trio.run(run)
+
+
+async def put(
+    platform: HttpPlatform,
+) -> Result[StoredObject, Conflict | OutcomeUnknown | PlatformUnavailable]:
+    return await platform.put(kind="thing", name="x", value=[1], if_version=ABSENT)
+
+
+async def get(platform: HttpPlatform) -> Result[StoredObject | None, PlatformUnavailable]:
+    return await platform.get(kind="thing", name="x")
+
+
+class WriteTest(unittest.TestCase):
+    def test_whatever_is_no_clear_answer_leaves_the_outcome_unknown(self) -> None:
+        """Symptom: a change reported as "certainly not made" was in force.
+
+        Sequence: the write took effect, and its answer was broken off, was another request's, or
+        was an error page. Cause: taking every answer but success for a refusal.
+        """
+        for answer in (
+            http(500, b"null"),
+            http(504, b"null"),
+            http(200, WRITTEN[:10], promised=len(WRITTEN)),
+            http(200, WRITTEN[:10]),
+            http(200, WRITTEN.replace(b'"x"', b'"y"')),
+            http(409, CROSSED),
+            http(409, b"<html>"),
+            b"HTTP/1.1 200 OK\r\nConte",
+            b"nonsense\r\n\r\n",
+            b"",
+        ):
+            with self.subTest(answer=answer):
+                servers = [Scripted(answer), Scripted(http(200, WRITTEN))]
+                self.assertIsInstance(ask(servers, put).unwrap_err(), OutcomeUnknown)
+                self.assertEqual([server.requests for server in servers], [1, 0])
+
+    def test_clear_answers(self) -> None:
+        stored = StoredObject("thing", "x", 7, [1])
+        self.assertEqual(ask([Scripted(http(200, WRITTEN))], put).unwrap(), stored)
+        self.assertEqual(ask([Scripted(http(409, OBJECT))], put).unwrap_err(), Conflict(stored))
+        self.assertEqual(ask([Scripted(http(409, b"null"))], put).unwrap_err(), Conflict(None))
+        for status in (400, 413, 429, 503):
+            refused = ask([Scripted(http(status, b"", headers="Retry-After: 3\r\n"))], put)
+            error = refused.unwrap_err()
+            assert isinstance(error, PlatformUnavailable)
+            self.assertEqual(error.retry_after_s, 3.0)
+
+    def test_a_server_that_refuses_is_passed_over(self) -> None:
+        servers = [Scripted(http(503, b"")), Scripted(http(200, WRITTEN))]
+        self.assertTrue(ask(servers, put).is_ok())
+
+
+class ReadTest(unittest.TestCase):
+    def test_a_page_that_is_not_the_platforms_does_not_say_that_an_object_is_gone(self) -> None:
+        """Symptom: instances took the configuration for deleted.
+
+        Sequence: something between answered 404 with its own page. Cause: every 404 was read as
+        "no such object".
+        """
+        for answer in (http(404, b"<html>"), http(200, CROSSED), http(200, b"{}"), b""):
+            with self.subTest(answer=answer):
+                self.assertIsInstance(
+                    ask([Scripted(answer)], get).unwrap_err(), PlatformUnavailable
+                )
+        self.assertIsNone(ask([Scripted(http(404, b"null"))], get).unwrap())
+
+    def test_a_broken_read_is_asked_again_elsewhere(self) -> None:
+        servers = [Scripted(b""), Scripted(http(200, OBJECT))]
+        self.assertEqual(ask(servers, get).unwrap(), StoredObject("thing", "x", 7, [1]))
--- a/tests/integration/test_platform_http.py
+++ b/tests/integration/test_platform_http.py
@@ -115,6 +115,20 @@
 
         self.run_with(test, SHORT_TIMEOUT_S)
 
+    def test_cancelled_watches_give_their_connections_back(self) -> None:
+        """Symptom: after days of switching between watching and polling, every call timed out.
+
+        Sequence: each cancelled watch left its connection in the pool, until the pool was full.
+        """
+
+        async def test(platform: HttpPlatform) -> None:
+            for _ in range(100):
+                with trio.move_on_after(0.005):
+                    await platform.watch(kinds=["thing"], from_version=0, wait_s=LIMIT_S)
+            self.assertIsNone((await platform.get(kind="thing", name="x")).unwrap())
+
+        self.run_with(test)
+
     def test_the_list_of_instances(self) -> None:
         async def test(platform: HttpPlatform) -> None:
             listed = ListedInstance("127.0.0.9", "salt-lake", "leaving")
