Wait for instances that nobody sees; follow a change with real instances

Cause: `--wait` took the word of the entries that it asked. An instance that is cut off from them is dead to them and may serve on by the old configuration, so the tool could report a change in force where it was not. A configuration change also read all client blocks again in the daemon.

Change: when all seen instances enforce the version, the platform's list is read too; an instance that it lists as live and nobody sees is waited for and named. The daemon keeps its BlockReader from one configuration to the next. An integration test applies a change to real instances, finds it on the time line of each, and uses the tool while the platform is dead.

Price: after a crash `--wait` goes on until the platform's list, which lags, drops the instance.

--- a/src/wagtailpoint/cli/main.py
+++ b/src/wagtailpoint/cli/main.py
@@ -47,7 +47,3 @@
 def main() -> None:
     """Run the tool."""
     cli(obj=Tools(), prog_name="wagtailpoint")
-
-
-if __name__ == "__main__":
-    main()
--- a/src/wagtailpoint/cli/session.py
+++ b/src/wagtailpoint/cli/session.py
@@ -16,8 +16,8 @@
 from wagtailpoint.config.compile import compile_config
 from wagtailpoint.config.manifest import Snapshot
 from wagtailpoint.config.store import ConfigStore
-from wagtailpoint.errors import InvalidInput
-from wagtailpoint.ports.platform import Platform
+from wagtailpoint.errors import InvalidInput, PlatformUnavailable
+from wagtailpoint.ports.platform import ListedInstance, Platform
 from wagtailpoint.settings import PlatformAddress
 
 PLATFORM_TIMEOUT_S = 5.0
@@ -103,6 +103,13 @@
             )
             yield Ok(store)
 
+    async def listed_instances(
+        self,
+    ) -> Result[Sequence[ListedInstance], PlatformUnavailable]:
+        """Read the platform's list of instances, which lags."""
+        async with self._tools.open_platform(self._profile.platform) as platform:
+            return await platform.instances()
+
     async def ask(self, entry: EntryAddress, target: str) -> Result[Any, EntryUnreachable]:
         """GET a JSON document from one entry."""
         return await self._tools.fetch(entry, target)
--- a/src/wagtailpoint/cli/waiting.py
+++ b/src/wagtailpoint/cli/waiting.py
@@ -4,14 +4,16 @@
 from typing import Any, NamedTuple
 
 import trio
-from result import Ok
+from result import Err, Ok
 
 from wagtailpoint.cli.output import format_table
 from wagtailpoint.cli.profile import EntryAddress
 from wagtailpoint.cli.session import Session
 from wagtailpoint.cli.status import Member, read_members
+from wagtailpoint.ports.platform import ListedInstance
 
 POLL_INTERVAL_S = 0.2
+LIST_INTERVAL_S = 1.0
 
 
 class WaitReport(NamedTuple):
@@ -20,19 +22,23 @@
     Attributes:
         version: The version waited for.
         enforcing: The instances that enforce it, or a newer one.
+        seen: All instances that anyone sees alive, leaving ones included.
         lagging: The live instances that don't.
         unreachable: The entries that were asked and did not answer, with the reason.
+        unseen: Instances that the platform lists as live and no entry that was asked sees alive.
     """
 
     version: int
     enforcing: tuple[Member, ...] = ()
+    seen: tuple[Member, ...] = ()
     lagging: tuple[Member, ...] = ()
     unreachable: tuple[str, ...] = ()
+    unseen: tuple[ListedInstance, ...] = ()
 
     @property
     def done(self) -> bool:
         """Whether every live instance enforces the version."""
-        return bool(self.enforcing) and not self.lagging
+        return bool(self.enforcing) and not self.lagging and not self.unseen
 
     @property
     def data(self) -> dict[str, Any]:
@@ -46,22 +52,34 @@
                 for member in self.lagging
             ],
             "unreachable": list(self.unreachable),
+            "unseen": [instance._asdict() for instance in self.unseen],
         }
 
     @property
     def text(self) -> str:
         """The report for people."""
-        if self.done:
-            return f"version {self.version} is in force on {len(self.enforcing)} instances"
-        lines = [f"version {self.version} is not in force everywhere:"]
+        where = f"in force on {len(self.enforcing)} instances"
+        lines = [f"version {self.version} is {where}"]
+        if not self.done:
+            lines = [f"version {self.version} is not in force everywhere, but {where}"]
         if self.lagging:
             rows = [
-                [member.entry, member.region, member.failure_domain, member.config_version]
+                [
+                    str(member.entry),
+                    member.region,
+                    member.failure_domain,
+                    member.state,
+                    member.config_version,
+                ]
                 for member in self.lagging
             ]
-            shown = [[str(cell) if cell is not None else None for cell in row] for row in rows]
-            headers = ["instance", "region", "failure domain", "enforces version"]
-            lines.append(format_table(headers, shown))
+            headers = ["instance", "region", "failure domain", "state", "enforces version"]
+            lines.append(format_table(headers, rows))
+        lines += [
+            f"{instance.address} in {instance.failure_domain}: listed as live by the platform, "
+            "and no entry that was asked sees it"
+            for instance in self.unseen
+        ]
         lines += [f"no answer from {reason}" for reason in self.unreachable]
         return "\n".join(lines)
 
@@ -86,12 +104,29 @@
                 shown = len(report.enforcing)
                 total = shown + len(report.lagging)
                 progress(f"version {version}: in force on {shown} of {total} instances")
+            if report.done:
+                report = report._replace(unseen=await _unseen(session, report))
             if report.done:
                 break
-            await trio.sleep(POLL_INTERVAL_S)
+            await trio.sleep(LIST_INTERVAL_S if report.unseen else POLL_INTERVAL_S)
     return report
 
 
+async def _unseen(session: Session, report: WaitReport) -> tuple[ListedInstance, ...]:
+    """The instances that are live as far as the platform knows, and that nobody speaks for.
+
+    An instance that is cut off from all others is dead to them and may still serve its callers by
+    an old configuration. The platform's list lags, so one that really died is waited for until the
+    list drops it: rather a wait too long than a change reported in force where it is not.
+    """
+    listed = await session.listed_instances()
+    if isinstance(listed, Err):
+        return ()
+    seen = {member.entry.address for member in report.seen}
+    live = [instance for instance in listed.ok_value if instance.state == "live"]
+    return tuple(instance for instance in live if instance.address not in seen)
+
+
 async def _look(session: Session, version: int) -> WaitReport:
     """Ask all named entries once.
 
@@ -111,7 +146,13 @@
     live = [members[key] for key in sorted(members) if members[key].must_enforce]
     enforcing = [member for member in live if (member.config_version or 0) >= version]
     lagging = [member for member in live if (member.config_version or 0) < version]
-    return WaitReport(version, tuple(enforcing), tuple(lagging), tuple(unreachable))
+    return WaitReport(
+        version=version,
+        enforcing=tuple(enforcing),
+        seen=tuple(member for member in members.values() if member.state != "dead"),
+        lagging=tuple(lagging),
+        unreachable=tuple(unreachable),
+    )
 
 
 def _newer(known: Member | None, other: Member) -> Member:
--- a/src/wagtailpoint/daemon/config_state.py
+++ b/src/wagtailpoint/daemon/config_state.py
@@ -5,6 +5,7 @@
 
 from result import Err
 
+from wagtailpoint.config.blocks import BlockReader
 from wagtailpoint.config.compile import compile_config
 from wagtailpoint.config.manifest import Snapshot
 from wagtailpoint.config.model import EffectiveConfig
@@ -17,6 +18,7 @@
 
     def __init__(self, *, timeline: Timeline) -> None:
         self._timeline = timeline
+        self._block_reader = BlockReader()
         self._snapshot: Snapshot | None = None
         self._effective: EffectiveConfig | None = None
         self._rejected_version: int | None = None
@@ -59,7 +61,9 @@
         if self._snapshot is not None and version <= self._snapshot.change.version:
             return False
         self._snapshot = snapshot
-        compiled = compile_config(version=version, objects=snapshot.objects)
+        compiled = compile_config(
+            version=version, objects=snapshot.objects, block_reader=self._block_reader
+        )
         if isinstance(compiled, Err):
             # An object written by a newer program, say. Serving with the last good configuration
             # is better than not serving; status and log name the mistake.
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -19,6 +19,7 @@
 from wagtailpoint.cli.profile import EntryAddress
 from wagtailpoint.cli.session import Tools
 from wagtailpoint.config.store import ConfigStore
+from wagtailpoint.ports.platform import ListedInstance
 
 EXAMPLES = Path(__file__).parents[2] / "examples"
 OBJECTS = str(EXAMPLES / "surakkha" / "objects")
@@ -300,6 +301,22 @@
         self.assertIn("127.0.0.3:8080", text)
         self.assertNotIn("127.0.0.4:8080", text)
 
+    def test_lists_those_that_nobody_sees(self) -> None:
+        """A change is reported to be in force while a part of the fleet serves the old one.
+
+        Symptom: callers in one region meet the old limits for as long as its link is cut. Its
+        instances are dead to all that the tool asks, and serve on. Cause: asking only one side.
+        """
+        members = [member(1, 1), member(2, 1), member(3, 0, state="dead")]
+        status = {"instance": member(1, None), "config_version": 1, "members": members}
+        self.answers["127.0.0.1", "/v1/status"] = status
+        listed = [ListedInstance(f"127.0.0.{last}", "salt-lake", "live") for last in (1, 2, 3)]
+        self.platform.listed = listed
+        text = self.apply_and_wait("--wait-timeout", "0.5", code=ExitCode.WAIT_TIMED_OUT)
+        self.assertIn("127.0.0.3 in salt-lake: listed as live", text)
+        self.platform.listed = listed[:2]
+        self.assertIn("in force on 2 instances", self.apply_and_wait(code=ExitCode.OK))
+
     def test_no_entry_answers(self) -> None:
         text = self.apply_and_wait("--wait-timeout", "0.5", code=ExitCode.WAIT_TIMED_OUT)
         self.assertIn("no answer from 127.0.0.1:8080: refused", text)
--- a/tests/integration/test_cli_process.py
+++ b/tests/integration/test_cli_process.py
@@ -5,6 +5,7 @@
 from pathlib import Path
 from typing import Any
 
+from tests.common.deployment_process import RunningDeployment
 from tests.common.platform_process import PlatformProcess
 from tests.common.processes import ModuleProcess
 from wagtailpoint.cli.exit_codes import ExitCode
@@ -20,9 +21,7 @@
         """Run a command, check its exit code, and give its JSON."""
         address, port = self.platform.listens_on
         more = ["--json", "--platform", f"{address}:{port}"]
-        with ModuleProcess(
-            module="wagtailpoint.cli.main", arguments=[*arguments, *more]
-        ) as process:
+        with ModuleProcess(module="wagtailpoint.cli", arguments=[*arguments, *more]) as process:
             self.assertEqual(process.wait(), code, process.log)
             return json.loads(process.log)
 
@@ -45,3 +44,34 @@
         self.platform.set_mode(down=True)
         answer = self.run_cli("apply", OBJECTS, code=ExitCode.PLATFORM_UNAVAILABLE)
         self.assertEqual(answer["error"], "platform_unavailable")
+
+
+class CliWithEntriesTest(unittest.TestCase):
+    def test_change_followed_over_all_instances_and_through_an_outage(self) -> None:
+        """During an outage of the platform an operator must still see the system.
+
+        Symptom: the tool says nothing but "unavailable" when it is needed most. The platform dies
+        while instances serve on. Cause: asking the platform for what the instances know.
+        """
+        running = self.enterContext(RunningDeployment(name="heather-isles", entries=2))
+        running.apply_objects()
+        adjust = ["workspace", "adjust", "heather-isles", "--set", "max_rps=77", "--json"]
+        changed = json.loads(self.cli(running, *adjust, "--wait"))
+        instances = {entry.settings.address for entry in running.entries}
+        waited = {place.partition(":")[0] for place in changed["wait"]["enforcing"]}
+        self.assertEqual((changed["version"], waited), (2, instances))
+        where = ["--where", "event=config-in-force", "--where", "version=2", "--json"]
+        events = json.loads(self.cli(running, "timeline", *where))["events"]
+        self.assertEqual(len({event["instance"] for event in events}), len(instances))
+        running.platform.kill()
+        self.cli(running, *adjust, code=ExitCode.PLATFORM_UNAVAILABLE)
+        self.assertIn("config_version: 2", self.cli(running, "status"))
+        lookup = ["lookup", "--workspace", "heather-isles", "--client", "10.40.0.9", "--json"]
+        entries = json.loads(self.cli(running, *lookup))["entries"]
+        self.assertEqual({entry["address"] for entry in entries}, instances)
+
+    def cli(self, running: RunningDeployment, *arguments: str, code: ExitCode = ExitCode.OK) -> str:
+        """Run a command, check its exit code, and give what it printed."""
+        done = running.cli(*arguments)
+        self.assertEqual(done.returncode, code, done.stdout + done.stderr)
+        return done.stdout
