Prefer backend servers of the entry's own region

An entry chose the backend server with the fewest of its own requests in flight, wherever it was, so with 55 ms between regions about a third of the requests paid the way to another region and back.

Change: the slot rule is given a choice in place of a function: candidates() is still flat and in order of preference, tier_of() tells the tier, taken() is called in the step that takes the slot. Regions are tiers by latency. Equals take turns.

--- a/src/wagtailpoint/admission/slots.py
+++ b/src/wagtailpoint/admission/slots.py
@@ -7,9 +7,9 @@
 import heapq
 import itertools
 from collections import Counter
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from http import HTTPStatus
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import trio
 from result import Err, Ok, Result
@@ -22,19 +22,35 @@
 SHED_RETRY_AFTER_S = 1.0
 
 
+class ServerChoice(Protocol):
+    """The backend servers that may take one request, from best to worst."""
+
+    def candidates(self) -> Sequence[BackendServer]:
+        """Those that may take it now, in order of preference."""
+        ...
+
+    def tier_of(self, server: BackendServer) -> int:
+        """The tier of one of the last ``candidates``; the next is used when one is full."""
+        ...
+
+    def taken(self, server: BackendServer) -> None:
+        """A slot of this backend server was taken, in the same step as ``candidates``."""
+        ...
+
+
 class SlotDemand(NamedTuple):
     """What one request needs.
 
     Attributes:
         pool: The service and group that it goes to.
-        servers: The backend servers that may take it, now.
+        servers: The backend servers that may take it.
         policy: Its class.
         deadline: By the monotonic clock.
         avoid: Backend servers already tried; taken only if there is no other.
     """
 
     pool: str
-    servers: Callable[[], Sequence[BackendServer]]
+    servers: ServerChoice
     policy: ClassPolicy
     deadline: float
     avoid: Sequence[BackendServer] = ()
@@ -86,7 +102,7 @@
         slot = self._take(demand)
         if slot is not None:
             return Ok(slot)
-        if not demand.servers():
+        if not demand.servers.candidates():
             return Err(_no_server(demand))
         if len(self._queue) >= self._most_queued:
             return Err(_no_slot(demand, "the queue is full"))
@@ -119,12 +135,14 @@
         return Ok(waiter.slot)
 
     def _take(self, demand: SlotDemand) -> Slot | None:
-        free = [server for server in demand.servers() if self._in_flight[server] < server.slots]
+        choice = demand.servers
+        free = [each for each in choice.candidates() if self._in_flight[each] < each.slots]
         preferred = [server for server in free if server not in demand.avoid] or free
         if not preferred:
             return None
-        server = min(preferred, key=lambda known: self._in_flight[known])
+        server = min(preferred, key=lambda each: (choice.tier_of(each), self._in_flight[each]))
         self._in_flight[server] += 1
+        choice.taken(server)
         return Slot(demand.pool, server, demand.policy)
 
     def _serve_queue(self) -> None:
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -274,7 +274,10 @@
 
     def _make_entry(self) -> EntryService:
         servers = ConfiguredServers(
-            config=lambda: self._config.effective, health=self._health, metrics=self._metrics
+            config=lambda: self._config.effective,
+            health=self._health,
+            metrics=self._metrics,
+            failure_domain=self._settings.failure_domain,
         )
         return EntryService(
             config=lambda: self._config.effective,
--- a/src/wagtailpoint/daemon/servers.py
+++ b/src/wagtailpoint/daemon/servers.py
@@ -1,15 +1,25 @@
-"""Which backend servers take new work: groups, drains and health, put together."""
+"""Which backend servers take new work: groups, drains, health and nearness, put together."""
 
+import itertools
 from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple
 
 from wagtailpoint.config.model import BackendServer, Drain, EffectiveConfig
 from wagtailpoint.entry.plan import Plan
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.health.evidence import outcome_of
+from wagtailpoint.locality import Nearness
 from wagtailpoint.observe.metrics import LatencyKey, Metrics
 from wagtailpoint.ports.backend import BackendFailure, BackendResponse
 
 
+class _Group(NamedTuple):
+    """A group of a service, worked out once for each configuration."""
+
+    staying: tuple[BackendServer, ...]
+    nearness: Nearness
+
+
 class ConfiguredServers:
     """Implements ``entry.forwarding.ServerSource`` from the configuration in force."""
 
@@ -19,25 +29,32 @@
         config: Callable[[], EffectiveConfig | None],
         health: HealthBoard,
         metrics: Metrics,
+        failure_domain: str,
     ) -> None:
         self._config = config
         self._health = health
         self._metrics = metrics
+        self._failure_domain = failure_domain
+        self._groups: dict[tuple[str, str], _Group] = {}
+        self._groups_of: EffectiveConfig | None = None
+        self._turns = itertools.count()
 
-    def candidates(self, plan: Plan) -> Sequence[BackendServer]:
-        """The backend servers that may take a request now.
+    def choice(self, plan: Plan) -> "ConfiguredChoice":
+        """The choice of a request's backend server."""
+        return ConfiguredChoice(servers=self, plan=plan)
+
+    def tiers(self, plan: Plan) -> dict[BackendServer, int]:
+        """The backend servers that may take a request now, with their tiers, the best first.
 
         It reads the configuration in force, not the one that the request was planned with: a
         request may have waited in a queue while a drain came into force.
         """
         config = self._config()
-        service = config.services.get(plan.service.name) if config is not None else None
-        if config is None or service is None:
-            return ()
+        if config is None or plan.service.name not in config.services:
+            return {}
         workspace = config.workspaces.get(plan.workspace.name, plan.workspace)
-        group = service.groups.get(workspace.groups.get(service.name, ""), ())
-        staying = [server for server in group if not is_drained(server, config.drains.values())]
-        return self._health.usable(staying)
+        name = workspace.groups.get(plan.service.name, "")
+        return self._tiers_of_group(config, plan.service.name, name)
 
     def note(
         self, server: BackendServer, answered: BackendResponse | BackendFailure, latency_s: float
@@ -50,6 +67,53 @@
         else:
             self._metrics.record_latency(LatencyKey("backend", "", "", name), latency_s)
 
+    def _tiers_of_group(
+        self, config: EffectiveConfig, service: str, name: str
+    ) -> dict[BackendServer, int]:
+        group = self._group(config, service, name)
+        usable = self._health.usable(group.staying)
+        if not usable:
+            return {}
+        # Of equals the first is taken: without turns an idle entry would always ask the same one.
+        turn = next(self._turns) % len(usable)
+        return group.nearness.tiers_of(usable[turn:] + usable[:turn])
+
+    def _group(self, config: EffectiveConfig, service: str, name: str) -> _Group:
+        if config is not self._groups_of:
+            self._groups, self._groups_of = {}, config
+        group = self._groups.get((service, name))
+        if group is None:
+            servers = config.services[service].groups.get(name, ())
+            group = _Group(
+                tuple(one for one in servers if not is_drained(one, config.drains.values())),
+                Nearness(
+                    servers=servers, regions=config.regions, failure_domain=self._failure_domain
+                ),
+            )
+            self._groups[service, name] = group
+        return group
+
+
+class ConfiguredChoice:
+    """Implements ``admission.slots.ServerChoice`` for one request."""
+
+    def __init__(self, *, servers: ConfiguredServers, plan: Plan) -> None:
+        self._servers = servers
+        self._plan = plan
+        self._tiers: dict[BackendServer, int] = {}
+
+    def candidates(self) -> Sequence[BackendServer]:
+        """Those that may take the request now, in order of preference."""
+        self._tiers = self._servers.tiers(self._plan)
+        return tuple(self._tiers)
+
+    def tier_of(self, server: BackendServer) -> int:
+        """The tier of one of the last candidates."""
+        return self._tiers[server]
+
+    def taken(self, server: BackendServer) -> None:
+        """Nothing to note."""
+
 
 def is_drained(server: BackendServer, drains: Iterable[Drain]) -> bool:
     """Whether any drain covers the backend server."""
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -9,7 +9,7 @@
 
 from wagtailpoint import headers as names
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
-from wagtailpoint.admission.slots import Slot, SlotDemand, SlotPool
+from wagtailpoint.admission.slots import ServerChoice, Slot, SlotDemand, SlotPool
 from wagtailpoint.config.model import BackendServer
 from wagtailpoint.entry.plan import Plan
 from wagtailpoint.entry.request import CallerRequest, without
@@ -46,8 +46,8 @@
 class ServerSource(Protocol):
     """Which backend servers take new work of a request, and what became of it there."""
 
-    def candidates(self, plan: Plan) -> Sequence[BackendServer]:
-        """The backend servers that may take it now."""
+    def choice(self, plan: Plan) -> ServerChoice:
+        """The choice among the backend servers that may take it."""
         ...
 
     def note(
@@ -157,7 +157,7 @@
     def _demand(self, plan: Plan, tried: Sequence[Attempt]) -> SlotDemand:
         return SlotDemand(
             pool=plan.service.name,
-            servers=lambda: self._servers.candidates(plan),
+            servers=self._servers.choice(plan),
             policy=plan.policy,
             deadline=plan.deadline,
             avoid=[attempt.server for attempt in tried],
--- /dev/null
+++ b/src/wagtailpoint/locality/nearness.py
@@ -0,0 +1,74 @@
+"""How near the backend servers of one group are to one entry."""
+
+from collections.abc import Mapping, Sequence
+from math import inf
+from typing import Final
+
+from wagtailpoint.config.model import BackendServer, Region
+
+LEAST_USABLE_PART: Final = 0.5
+"""With less than this part of the nearest region's backend servers usable, the next region is used
+alike. The few that are left would otherwise be filled to the last slot before anything spills over,
+and one more failure would meet them at their worst."""
+
+
+class Nearness:
+    """The tiers of one group's backend servers, as seen from one failure domain.
+
+    The backend servers of the entry's own region are tier 0, those of the next region by latency
+    tier 1, and so on; regions of equal latency share a tier. Failure domains of one region share
+    a tier as well: the millisecond between them is less than a slot's turn.
+    """
+
+    def __init__(
+        self,
+        *,
+        servers: Sequence[BackendServer],
+        regions: Mapping[str, Region],
+        failure_domain: str,
+    ) -> None:
+        """Rank a group's backend servers.
+
+        Args:
+            servers: All backend servers of the group, drained ones too.
+            regions: All regions.
+            failure_domain: Where the entry runs.
+        """
+        latencies = _latencies(regions, failure_domain)
+        distances = [latencies.get(server.failure_domain, inf) for server in servers]
+        ranks = {latency: rank for rank, latency in enumerate(sorted(set(distances)))}
+        self._tiers = {
+            server: ranks[distance] for server, distance in zip(servers, distances, strict=True)
+        }
+        self._nearest_count = sum(tier == 0 for tier in self._tiers.values())
+        self._failure_domain = failure_domain
+
+    def tiers_of(self, usable: Sequence[BackendServer]) -> dict[BackendServer, int]:
+        """The tier of each usable backend server, lower is better, in order of preference.
+
+        Args:
+            usable: Those that may get new work now, a part of the group. Their order is kept
+                among those that are equally near.
+        """
+        nearest = sum(self._tiers[server] == 0 for server in usable)
+        joined = nearest < LEAST_USABLE_PART * self._nearest_count
+        tiers = {server: max(0, self._tiers[server] - joined) for server in usable}
+        order = sorted(usable, key=lambda server: (tiers[server], not self._is_own(server)))
+        return {server: tiers[server] for server in order}
+
+    def _is_own(self, server: BackendServer) -> bool:
+        return server.failure_domain == self._failure_domain
+
+
+def _latencies(regions: Mapping[str, Region], failure_domain: str) -> dict[str, float]:
+    """One-way latency to each failure domain in milliseconds, that within a region taken as 0."""
+    own = next(
+        (region for region in regions.values() if failure_domain in region.failure_domains), None
+    )
+    if own is None:
+        return {}
+    return {
+        domain: 0.0 if region.name == own.name else own.latency_ms.get(region.name, inf)
+        for region in regions.values()
+        for domain in region.failure_domains
+    }
--- /dev/null
+++ b/tests/common/small_config.py
@@ -0,0 +1,87 @@
+"""A small configuration with three regions, for tests of decisions."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from wagtailpoint.config.model import (
+    BackendServer,
+    ClassPolicy,
+    Drain,
+    EffectiveConfig,
+    Move,
+    Region,
+    Route,
+    Service,
+    Workspace,
+)
+from wagtailpoint.entry.plan import Plan
+from wagtailpoint.ports.backend import BackendAddress
+
+SERVICE = "desk"
+WORKSPACE = "books"
+REGIONS = ("region-0", "region-1", "region-2")
+
+
+def small_servers(group: str, count: int) -> tuple[BackendServer, ...]:
+    """So many backend servers in each region, half of them in each failure domain."""
+    place = {"old": 1, "new": 2}[group]
+    return tuple(
+        BackendServer(
+            BackendAddress(f"127.9.{place}.{10 * number + index}", 9000),
+            f"{region}-{'ab'[index % 2]}",
+            3,
+        )
+        for number, region in enumerate(REGIONS)
+        for index in range(count)
+    )
+
+
+def small_config(
+    *,
+    version: int = 1,
+    servers: int = 2,
+    latency_ms: float = 55.0,
+    moves: Sequence[Move] = (),
+    drains: Sequence[Drain] = (),
+) -> EffectiveConfig:
+    """Three regions, one service with the groups ``old`` and ``new``, one workspace on ``old``."""
+    regions = {
+        name: Region(
+            name=name,
+            failure_domains=(f"{name}-a", f"{name}-b"),
+            latency_ms={other: latency_ms for other in REGIONS if other != name},
+            capacity_rps=None,
+        )
+        for name in REGIONS
+    }
+    service = Service(
+        name=SERVICE,
+        groups={group: small_servers(group, servers) for group in ("old", "new")},
+        classes={"check": ClassPolicy("check", 0, 1.0)},
+        retry_ratio=0.1,
+        report_path="/health",
+        echoes_request_id=True,
+    )
+    route = Route("GET", "/", SERVICE, "check", True, 1.0, False)
+    return EffectiveConfig(
+        version=version,
+        regions=regions,
+        services={SERVICE: service},
+        workspaces={WORKSPACE: Workspace(WORKSPACE, "book", (route,), {SERVICE: "old"}, None)},
+        moves={move.name: move for move in moves},
+        drains={drain.name: drain for drain in drains},
+        client_blocks=(),
+    )
+
+
+def small_move(**changes: Any) -> Move:
+    """A move of the workspace from ``old`` to ``new``."""
+    move = Move("shift", WORKSPACE, SERVICE, "old", "new", 100.0, (0.1, 0.5, 1.0), 10.0, "run")
+    return move._replace(**changes)
+
+
+def small_plan(config: EffectiveConfig, *, deadline: float = 0.0) -> Plan:
+    """A request of the workspace."""
+    workspace = config.workspaces[WORKSPACE]
+    service = config.services[SERVICE]
+    return Plan(workspace, workspace.routes[0], service, service.classes["check"], deadline)
