Test the unknown outcome; say when a repeat is safe

Cause: exit code 4 had no test, its advice ("don't repeat it") left the operator without a way on, and `check` of a directory without files called it valid.

An empty directory is a mistake.

Seen failing: the empty directory ended with 0.

--- a/src/wagtailpoint/cli/config_commands.py
+++ b/src/wagtailpoint/cli/config_commands.py
@@ -244,7 +244,7 @@
     settings_files: dict[Path, Any] = {}
     object_files: list[Path] = []
     for path in files:
-        for inside in sorted(path.glob("*.json")) if path.is_dir() else [path]:
+        for inside in sorted(path.glob("*.json")) or [path]:
             parsed = parse_json(inside.read_bytes(), path=str(inside)) if inside.is_file() else None
             value = parsed.ok() if parsed is not None else None
             if isinstance(value, dict) and "address" in value:
--- a/src/wagtailpoint/cli/failures.py
+++ b/src/wagtailpoint/cli/failures.py
@@ -83,7 +83,7 @@
 def _(error: OutcomeUnknown) -> Failure:
     message = (
         f"outcome unknown: the change may or may not have landed ({error})\n"
-        "don't repeat it yet: look for it in `wagtailpoint history` once the platform answers"
+        "look for it in `wagtailpoint history` once the platform answers, before you repeat it"
     )
     return Failure(ExitCode.UNKNOWN_OUTCOME, message, {})
 
--- a/src/wagtailpoint/cli/session.py
+++ b/src/wagtailpoint/cli/session.py
@@ -59,11 +59,19 @@
 
 
 class Tools(NamedTuple):
-    """How the outside is reached; tests put fakes in their place."""
+    """How the outside is reached; tests put fakes in their place.
+
+    Attributes:
+        open_platform: Connects to the platform.
+        fetch: Gets a JSON document from an entry.
+        clock_wall: Seconds since the epoch.
+        settle_s: How long a write with a lost answer is looked for, in seconds.
+    """
 
     open_platform: OpenPlatform = open_http_platform
     fetch: Fetch = fetch_json
     clock_wall: Callable[[], float] = time.time
+    settle_s: float = 10.0
 
 
 def _check_merged(snapshot: Snapshot) -> None:
@@ -99,7 +107,10 @@
             return
         async with self._tools.open_platform(self._profile.platform) as platform:
             store = ConfigStore(
-                platform=platform, clock_wall=self._tools.clock_wall, check=_check_merged
+                platform=platform,
+                clock_wall=self._tools.clock_wall,
+                settle_s=self._tools.settle_s,
+                check=_check_merged,
             )
             yield Ok(store)
 
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -53,7 +53,9 @@
 
     def run_cli(self, *arguments: str, code: ExitCode = ExitCode.OK) -> str:
         """Run a command, check its exit code, and give all that it printed."""
-        tools = Tools(open_platform=lambda _: nullcontext(self.platform), fetch=self.fetch)
+        tools = Tools(
+            open_platform=lambda _: nullcontext(self.platform), fetch=self.fetch, settle_s=0.5
+        )
         runner = CliRunner(env={"WAGTAILPOINT_AUTHOR": "asha"})
         result = runner.invoke(cli, [*arguments, *PLATFORM], obj=tools)
         self.assertEqual(result.exit_code, code, result.output)
@@ -135,6 +137,7 @@
     def test_check_of_wrong_settings_names_the_file(self) -> None:
         with tempfile.TemporaryDirectory() as directory:
             path = Path(directory) / "entry.json"
+            self.assertIn("*.json", self.run_cli("check", directory, code=ExitCode.WRONG_INPUT))
             path.write_text('{"address": "x"}')
             text = self.run_cli("check", str(path), code=ExitCode.WRONG_INPUT)
         self.assertIn("entry.json: address", text)
@@ -260,6 +263,32 @@
         self.adjust(ExitCode.OK)
         self.assertEqual(len(self.run_json("history")["changes"]), 2)
 
+    def test_unknown_outcome_is_said_to_be_unknown(self) -> None:
+        """A script takes a change for refused that comes into force a moment later.
+
+        Symptom: a change that "failed" is found in force. The platform takes the write and goes
+        down before it answers, and stays down. Cause: to say "failed" where nobody can know.
+        """
+
+        class GoesDown(FakePlatform):
+            async def put(self, *, kind: str, name: str, value: Any, if_version: int) -> Any:
+                outcome = await super().put(
+                    kind=kind, name=name, value=value, if_version=if_version
+                )
+                self.set_down(kind == "config-head" and if_version != 0)
+                return outcome
+
+        self.platform = GoesDown()
+        self.run_cli("apply", OBJECTS)
+        self.platform.writes_of = "config-head"
+        self.platform.lose_answers = 1
+        text = self.adjust(ExitCode.UNKNOWN_OUTCOME)
+        self.platform.set_down(False)
+        change_id = text.partition("look for change ")[2].partition(")")[0]
+        found = self.run_json("history", "--change-id", change_id)["changes"]
+        self.assertEqual([change["version"] for change in found], [2])
+        self.run_cli("history", "--change-id", "none", code=ExitCode.FAILED)
+
     def test_platform_down(self) -> None:
         self.platform.set_down(True)
         self.assertIn("nothing was changed", self.adjust(ExitCode.PLATFORM_UNAVAILABLE))
