--- a/src/wagtailpoint/caller/answer.py
+++ b/src/wagtailpoint/caller/answer.py
@@ -62,3 +62,11 @@
         return None
     code = decoded.get("code") if isinstance(decoded, dict) else None
     return code if isinstance(code, str) else None
+
+
+def with_verdict(reply: Reply, verdict: Verdict) -> Reply:
+    """Return a reply that carries another verdict."""
+    if read_verdict(reply.headers) is verdict:
+        return reply
+    others = [(name, value) for name, value in reply.headers if name.lower() != headers.VERDICT]
+    return reply._replace(headers=[*others, (headers.VERDICT, verdict.value.encode())])
--- a/src/wagtailpoint/caller/caller.py
+++ b/src/wagtailpoint/caller/caller.py
@@ -3,14 +3,20 @@
 import random
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from http import HTTPStatus
 from types import TracebackType
 from typing import Self
 
 import trio
 
 from wagtailpoint import headers as names
-from wagtailpoint.admission.refusal import RefusalCode
-from wagtailpoint.caller.answer import Answer, make_answer, read_retry_after_s, read_verdict
+from wagtailpoint.caller.answer import (
+    Answer,
+    make_answer,
+    read_retry_after_s,
+    read_verdict,
+    with_verdict,
+)
 from wagtailpoint.caller.download import Download
 from wagtailpoint.caller.entries import Entries, KnownEntry
 from wagtailpoint.caller.exchange import (
@@ -30,10 +36,9 @@
 
 IDEMPOTENT_METHODS = frozenset({"GET", "HEAD"})
 _COME_BACK_STATUSES = frozenset({429, 502, 503, 504})
-# The copy that got this answer will not run, but the entry cannot speak for earlier copies.
-_THIS_COPY_REFUSED = frozenset({RefusalCode.STALE_EPOCH.value, RefusalCode.OTHER_INCARNATION.value})
 _LEAST_PAUSE_S = 0.02
 _JITTER = 0.5
+_MOST_COPIES = 6
 
 
 class _Monotonic:
@@ -196,13 +201,19 @@
                 return result, entry
             if not self._may_repeat(result, idempotent, len(tried), until):
                 return _give_up(result), entry
-            if isinstance(result, Broken):
-                self._entries.suspect(entry.address)
-            elif not await self._pause(result, tried, until):
-                return result, entry
+            self._note_entry(entry, result)
+            if not await self._pause(result, tried, until):
+                return _give_up(result), entry
 
     async def _send_keyed(self, outgoing: Outgoing, key: str, until: float) -> Answer:
         bound = self._keys.get(key)
+        with bound.call():
+            result, entry = await self._send_copies(outgoing, key, bound, until)
+            return make_answer(_sure_keyed(result, bound), entry.address)
+
+    async def _send_copies(
+        self, outgoing: Outgoing, key: str, bound: BoundKey, until: float
+    ) -> tuple[Reply | Broken, KnownEntry]:
         tried: list[KnownEntry] = []
         while True:
             entry = bound.entry
@@ -213,37 +224,32 @@
                 entry.address, _with_key(outgoing, key, entry.binding), until=until
             )
             tried.append(entry)
-            result = self._note_keyed(bound, entry, result)
+            result = bound.settle(entry, result)
+            self._note_entry(entry, result)
             if not _worth_repeating(result):
-                assert isinstance(result, Reply)
-                return make_answer(result, entry.address)
-            # A repeat of a key is joined or answered from memory: safe, whatever the verdict.
-            if not self._may_repeat(result, True, len(tried), until):
-                return make_answer(_give_up_keyed(result, bound), entry.address)
-            if not await self._pause(result, tried, until):
-                return make_answer(_give_up_keyed(result, bound), entry.address)
+                return result, entry
+            if not await self._may_send_copy(result, bound, tried, until):
+                return result, entry
 
-    def _note_keyed(
-        self, bound: BoundKey, entry: KnownEntry, result: Reply | Broken
-    ) -> Reply | Broken:
-        """Draw the consequences of one copy's result for its key."""
+    async def _may_send_copy(
+        self, result: Reply | Broken, bound: BoundKey, tried: list[KnownEntry], until: float
+    ) -> bool:
+        """Decide on another copy, and wait for its time."""
+        if bound.entry is None:
+            may = self._may_repeat(result, False, len(tried), until)
+            return may and await self._pause(result, tried, until)
+        # The bound entry joins or repeats: safe and cheap, and the only way to learn the outcome.
+        # A little patience outlasts a cut connection; a dead entry does not come back.
+        if len(tried) >= _MOST_COPIES:
+            return False
+        return await self._sleep(_LEAST_PAUSE_S * 2 ** len(tried), until)
+
+    def _note_entry(self, entry: KnownEntry, result: OpenReply | Reply | Broken) -> None:
         if isinstance(result, Broken):
-            if not result.sent:
-                bound.unsent(entry)
-                self._entries.suspect(entry.address)
-            return result
-        only_copy = bound.copies == 1
-        answer = make_answer(result, entry.address)
-        if answer.code in _THIS_COPY_REFUSED and only_copy:
+            self._entries.suspect(entry.address)
+        elif result.status == HTTPStatus.CONFLICT:
+            # A conflict that may be repeated is an old binding: so the lookup's answer is old.
             self._entries.outdate()
-            bound.not_run(entry)
-            return _as_not_run(result)
-        if answer.verdict is Verdict.NOT_RUN:
-            if not entry.binding and not only_copy:
-                # Without a binding a refusal speaks for its own copy only.
-                return _with_verdict(result, Verdict.MAY_HAVE_RUN)
-            bound.not_run(entry)
-        return result
 
     def _may_repeat(
         self, result: OpenReply | Reply | Broken, idempotent: bool, attempts: int, until: float
@@ -263,12 +269,15 @@
         self, result: OpenReply | Reply | Broken, tried: list[KnownEntry], until: float
     ) -> bool:
         """Wait before a repeat as the refusal asks; False if the deadline is too near for it."""
+        best = await self._entries.choose(tried, until=until)
+        if best.failure_domain not in {entry.failure_domain for entry in tried}:
+            return True
         wanted_s = _LEAST_PAUSE_S
         if isinstance(result, Reply):
-            best = await self._entries.choose(tried, until=until)
-            if best.failure_domain not in {entry.failure_domain for entry in tried}:
-                return True
             wanted_s = max(wanted_s, read_retry_after_s(result.headers))
+        return await self._sleep(wanted_s, until)
+
+    async def _sleep(self, wanted_s: float, until: float) -> bool:
         # Jitter: callers refused together would otherwise come back together.
         wanted_s *= 1 + _JITTER * self._chance.random()
         if trio.current_time() + wanted_s >= until:
@@ -301,7 +310,10 @@
 def _worth_repeating(result: OpenReply | Reply | Broken) -> bool:
     if isinstance(result, Broken):
         return True
-    return result.status in _COME_BACK_STATUSES and read_verdict(result.headers) is not Verdict.RAN
+    verdict = read_verdict(result.headers)
+    if result.status == HTTPStatus.CONFLICT:
+        return verdict is Verdict.NOT_RUN
+    return result.status in _COME_BACK_STATUSES and verdict is not Verdict.RAN
 
 
 def _give_up(result: OpenReply | Reply | Broken) -> OpenReply | Reply:
@@ -310,18 +322,11 @@
     return result
 
 
-def _give_up_keyed(result: Reply | Broken, bound: BoundKey) -> Reply:
+def _sure_keyed(result: Reply | Broken, bound: BoundKey) -> Reply:
     if isinstance(result, Broken):
         # A copy that never left says nothing of an earlier one that did.
-        verdict = Verdict.MAY_HAVE_RUN if bound.copies else Verdict.NOT_RUN
+        verdict = Verdict.NOT_RUN if bound.certain else Verdict.MAY_HAVE_RUN
         raise RequestUnanswered(verdict=verdict, reason=result.reason)
+    if read_verdict(result.headers) is Verdict.NOT_RUN and not bound.certain:
+        return with_verdict(result, Verdict.MAY_HAVE_RUN)
     return result
-
-
-def _as_not_run(reply: Reply) -> Reply:
-    return _with_verdict(reply, Verdict.NOT_RUN)._replace(status=503)
-
-
-def _with_verdict(reply: Reply, verdict: Verdict) -> Reply:
-    others = [(key, value) for key, value in reply.headers if key.lower() != names.VERDICT]
-    return reply._replace(headers=[*others, (names.VERDICT, verdict.value.encode())])
--- a/src/wagtailpoint/caller/keys.py
+++ b/src/wagtailpoint/caller/keys.py
@@ -1,11 +1,20 @@
 """What a caller remembers of its keys, so that every copy goes where the first one went."""
 
 from collections import OrderedDict
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 from result import Ok
 
+from wagtailpoint.admission.refusal import RefusalCode
+from wagtailpoint.caller.answer import read_verdict, refusal_code, with_verdict
 from wagtailpoint.caller.entries import KnownEntry
+from wagtailpoint.caller.exchange import Broken, Reply
 from wagtailpoint.idempotency.binding import parse_binding
+from wagtailpoint.verdict import Verdict
+
+# The copy that got this answer will not run, but the entry cannot speak for earlier copies.
+_THIS_COPY_REFUSED = frozenset({RefusalCode.STALE_EPOCH.value, RefusalCode.OTHER_INCARNATION.value})
 
 
 class BoundKey:
@@ -19,6 +28,7 @@
         self._entry: KnownEntry | None = None
         self._attempt = 0
         self._copies = 0
+        self._calls = 0
 
     @property
     def entry(self) -> KnownEntry | None:
@@ -30,6 +40,20 @@
         """Copies of this attempt that may have left, whichever task sent them."""
         return self._copies
 
+    @property
+    def certain(self) -> bool:
+        """Whether a ``not-run`` may be told: nothing else of this key is on its way, or may be."""
+        return self._copies == 0 and self._calls == 1
+
+    @contextmanager
+    def call(self) -> Iterator[None]:
+        """Count a call of the user as long as it may send copies."""
+        self._calls += 1
+        try:
+            yield
+        finally:
+            self._calls -= 1
+
     def bind(self, entry: KnownEntry) -> KnownEntry:
         """Bind this attempt, unless another task with the same key has just done it."""
         if self._entry is None:
@@ -40,21 +64,47 @@
         """Count a copy before it is sent: a cancelled task must leave it counted."""
         self._copies += 1
 
-    def unsent(self, entry: KnownEntry) -> None:
-        """A copy certainly did not leave: nobody connected it."""
+    def settle(self, entry: KnownEntry, result: Reply | Broken) -> Reply | Broken:
+        """Draw the consequences of one copy's result.
+
+        Args:
+            entry: Where the copy was bound, the very object that ``bind`` returned.
+            result: What came of it.
+
+        Returns:
+            The result, its verdict corrected by what only the caller knows: how many copies left.
+        """
+        if isinstance(result, Broken):
+            if not result.sent:
+                self._take_back(entry)
+            return result
+        verdict = read_verdict(result.headers)
+        if entry is not self._entry and verdict is not Verdict.RAN:
+            # A late answer to an attempt that is over says nothing of the one that followed.
+            return with_verdict(result, Verdict.MAY_HAVE_RUN)
+        only_copy = self._copies == 1
+        if only_copy and refusal_code(result.status, result.body) in _THIS_COPY_REFUSED:
+            verdict = Verdict.NOT_RUN
+        elif verdict is Verdict.NOT_RUN and not entry.binding and not only_copy:
+            # Without a binding a refusal speaks for its own copy only.
+            verdict = Verdict.MAY_HAVE_RUN
+        if verdict is Verdict.NOT_RUN:
+            self._next_attempt()
+        return with_verdict(result, verdict)
+
+    def _take_back(self, entry: KnownEntry) -> None:
+        """A copy certainly did not leave."""
         if entry is not self._entry:
             return
         self._copies -= 1
         if self._copies == 0:
             self._entry = None
 
-    def not_run(self, entry: KnownEntry) -> None:
-        """The entry said that this attempt, with all its copies, will not run there."""
-        # Another task with the same key may have gone on to the next attempt already.
-        if entry is self._entry:
-            self._entry = None
-            self._copies = 0
-            self._attempt += 1
+    def _next_attempt(self) -> None:
+        """No copy of this attempt will run: the next one may be bound anywhere."""
+        self._entry = None
+        self._copies = 0
+        self._attempt += 1
 
 
 class CallerKeys:
