Bound what a slow, malformed or oversized caller can hold

Cause: the HTTP side was hypercorn's own server, whose write is shielded from cancellation without a limit, whose reader waits for ever for room in the queue of an application that stopped reading, whose errors bear no verdict, and whose HTTP/2 part raises KeyError, through the nursery of all connections, when a DATA frame comes after the reply was over.

Change: an own connection task on hypercorn's HTTP/1.1 protocol and ASGI stream. - One limit for standing still, in headers, body and reply (caller_stall_s), one for idle connections (caller_idle_s); connections bounded, and those that were idle for a second make room. - Every error is a refusal with verdict, Retry-After and JSON body. It says may-have-run when the headers were not read: the entry has not seen the key, and a copy of the request may have run before. - 100 Continue is sent when the body is wanted, so an announced body that is too long is refused before it is sent. The rest of a refused body is read and dropped within bounds, so that a reset does not overtake the refusal. - HTTP/2 gets 505, upgrades are ignored, a request with both Content-Length and Transfer-Encoding 400, a deadline of thousands of digits 400 (was 500). - The first 64 KiB of a body are read before a slot is taken. - HEAD takes the route of GET.

--- /dev/null
+++ b/src/wagtailpoint/adapters/http_body.py
@@ -0,0 +1,60 @@
+"""The body of a caller's request, as it arrives."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import trio
+from hypercorn.typing import ASGIReceiveCallable
+
+from wagtailpoint.adapters.http_connection import CallerConnection
+from wagtailpoint.entry.request import BodyTooLarge, BodyTooSlow
+
+LEAST_BYTES_PER_S = 8 * 1024
+"""A body is waited for as long as a caller may stall, and a second more for each so many bytes.
+
+A caller that trickles its body, on purpose or not, would otherwise hold the slot of a backend
+server for as long as the route's timeout allows.
+"""
+
+
+class RequestBody:
+    """The body of one request."""
+
+    def __init__(
+        self,
+        *,
+        receive: ASGIReceiveCallable,
+        connection: CallerConnection,
+        most_bytes: int,
+        stall_s: float,
+    ) -> None:
+        self._receive = receive
+        self._connection = connection
+        self._most_bytes = most_bytes
+        self._stall_s = stall_s
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        Raises:
+            BodyTooLarge: It is longer than this instance takes.
+            BodyTooSlow: The caller sends it too slowly.
+        """
+        await self._connection.ask_for_body()
+        size = 0
+        waited_s = 0.0
+        while True:
+            began = trio.current_time()
+            with trio.move_on_after(self._stall_s + size / LEAST_BYTES_PER_S - waited_s) as scope:
+                message: Any = await self._receive()
+            if scope.cancelled_caught:
+                raise BodyTooSlow
+            # Only the time in which the caller was waited for, not that in which we did not read.
+            waited_s += trio.current_time() - began
+            size += len(message["body"])
+            if size > self._most_bytes:
+                raise BodyTooLarge
+            if message["body"]:
+                yield message["body"]
+            if not message["more_body"]:
+                return
--- /dev/null
+++ b/src/wagtailpoint/adapters/http_connection.py
@@ -0,0 +1,223 @@
+"""One caller's connection: reading, writing, and the limits on a caller that does neither."""
+
+import socket
+import struct
+from collections.abc import Iterator
+from contextlib import contextmanager, suppress
+from typing import NamedTuple
+
+import trio
+from hypercorn.events import Closed, Event, RawData, Updated
+from hypercorn.trio.task_group import TaskGroup
+from hypercorn.trio.worker_context import WorkerContext
+from hypercorn.typing import AppWrapper, ConnectionState, LifespanState
+from hypercorn.utils import parse_socket_addr
+
+from wagtailpoint.adapters.http_protocol import CallerProtocol, ServerConfig, slow_head
+
+LINGER_S = 2.0
+LINGER_BYTES = 16 * 1024 * 1024
+"""The rest of a request's body that is read and dropped after an early reply, before the connection
+is closed: a close with unread bytes resets the connection, and the reset can overtake the reply."""
+
+READ_BYTES = 64 * 1024
+
+
+class CallerLimits(NamedTuple):
+    """How long a caller may do nothing, in seconds.
+
+    Attributes:
+        idle_s: Between two requests.
+        stall_s: In the middle of the headers or the body of a request, and for each piece of a
+            reply (64 KiB at most). A reader that stops would otherwise hold the slot of a backend
+            server, its connection and the entry's memory forever, and a graceful stop would wait
+            for it. A slow but steady reader gets its whole download.
+    """
+
+    idle_s: float
+    stall_s: float
+
+
+Resting = dict["CallerConnection", float]
+"""The connections without an open request and since when, longest first."""
+
+
+class CallerConnection:
+    """One caller's connection; one task reads it, and each request has one."""
+
+    def __init__(
+        self,
+        *,
+        stream: trio.SocketStream,
+        app: AppWrapper,
+        config: ServerConfig,
+        context: WorkerContext,
+        limits: CallerLimits,
+        resting: Resting,
+    ) -> None:
+        """Make a connection that was just accepted.
+
+        Args:
+            stream: Its socket.
+            app: The application that serves its requests.
+            config: Hypercorn's configuration.
+            context: Hypercorn's state of the whole server.
+            limits: How long the caller may do nothing.
+            resting: Where it enters itself while it has no open request.
+        """
+        self._stream = stream
+        self._app = app
+        self._config = config
+        self._context = context
+        self._limits = limits
+        self._resting = resting
+        self._reading = trio.CancelScope()
+        self._request: trio.CancelScope | None = None
+        self._gone = False
+        self._over = False
+        self._head_began = False
+        self._protocol: CallerProtocol
+
+    async def run(self) -> None:
+        """Serve it to its end."""
+        try:
+            async with TaskGroup() as group:
+                self._protocol = self._make_protocol(group)
+                self._rest()
+                with self._reading:
+                    await self._read()
+                if self._reading.cancelled_caught and not self._over:
+                    await self._end_idle()
+                if not self._over:
+                    self._caller_is_gone()
+        finally:
+            self._resting.pop(self, None)
+            with trio.move_on_after(LINGER_S, shield=True):
+                await self._close()
+
+    def end_if_resting(self) -> None:
+        """Close it, unless a request is open."""
+        if self in self._resting:
+            self._over = True
+            self._reading.cancel()
+
+    @contextmanager
+    def open_request(self) -> Iterator[None]:
+        """Cancel what runs inside when the caller has gone."""
+        with trio.CancelScope() as scope:
+            self._request = scope
+            if self._gone:
+                scope.cancel()
+            yield
+        self._request = None
+
+    async def ask_for_body(self) -> None:
+        """Tell a caller that waits for it to send its body."""
+        await self._protocol.ask_for_body()
+
+    async def flush(self) -> None:
+        """Send the headers of the reply now, without waiting for a part of its body."""
+        await self._protocol.flush()
+
+    def _make_protocol(self, group: TaskGroup) -> CallerProtocol:
+        sock = self._stream.socket
+        return CallerProtocol(
+            self._app,
+            self._config,
+            self._context,
+            group,
+            ConnectionState(LifespanState({"connection": self})),
+            False,
+            parse_socket_addr(sock.family, sock.getpeername()),
+            parse_socket_addr(sock.family, sock.getsockname()),
+            self._send,
+        )
+
+    async def _read(self) -> None:
+        while True:
+            try:
+                data = bytes(await self._stream.receive_some(READ_BYTES))
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            await self._protocol.handle(RawData(data))
+            if not data:
+                return
+            if not self._head_began and self._protocol.head_is_unfinished:
+                self._head_began = True
+                self._reading.deadline = trio.current_time() + self._limits.stall_s
+
+    async def _send(self, event: Event) -> None:
+        if isinstance(event, RawData):
+            await self._write(event.data)
+        elif isinstance(event, Closed):
+            self._over = True
+            self._reading.cancel()
+        elif isinstance(event, Updated) and event.idle:
+            self._rest()
+        elif isinstance(event, Updated):
+            self._resting.pop(self, None)
+            self._reading.deadline = float("inf")
+
+    async def _write(self, data: bytes) -> None:
+        if self._gone:
+            return
+        whole = False
+        try:
+            with (
+                trio.move_on_after(self._limits.stall_s),
+                suppress(OSError, trio.ClosedResourceError),
+            ):
+                await self._stream.send_all(data)
+                whole = True
+        finally:
+            # Whatever ended the write half-way, nothing may follow what was sent of it.
+            if not whole:
+                self._caller_is_gone()
+
+    def _rest(self) -> None:
+        now = trio.current_time()
+        self._head_began = False
+        self._resting[self] = now
+        self._reading.deadline = now + self._limits.idle_s
+
+    def _caller_is_gone(self) -> None:
+        self._gone = True
+        self._reading.cancel()
+        if self._request is not None:
+            self._request.cancel()
+
+    async def _end_idle(self) -> None:
+        if self._protocol.head_is_unfinished:
+            await self._protocol.refuse(slow_head())
+
+    async def _close(self) -> None:
+        try:
+            if self._gone or self._protocol.end_is_ambiguous:
+                reset_on_close(self._stream)
+            elif self._protocol.has_unread_body:
+                await linger(self._stream)
+        finally:
+            await self._stream.aclose()
+
+
+def reset_on_close(stream: trio.SocketStream) -> None:
+    """Have the connection reset when it is closed.
+
+    A reply that broke off must not look whole, as it would to a caller of HTTP/1.0 who waits for
+    the end of the connection; and what a stalled caller has not taken is dropped at once.
+    """
+    with suppress(OSError):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
+async def linger(stream: trio.SocketStream) -> None:
+    """End our side, and read what the caller still sends, within bounds."""
+    with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
+        await stream.send_eof()
+        left = LINGER_BYTES
+        with trio.move_on_after(LINGER_S):
+            while left > 0:
+                data = await stream.receive_some(READ_BYTES)
+                if not data:
+                    return
+                left -= len(data)
--- /dev/null
+++ b/src/wagtailpoint/adapters/http_protocol.py
@@ -0,0 +1,227 @@
+"""HTTP/1.1 towards callers: hypercorn's protocol, in which every error is answered as a refusal."""
+
+from http import HTTPStatus
+from time import time
+from wsgiref.handlers import format_date_time
+
+import h11
+from hypercorn.config import Config
+from hypercorn.events import Closed, RawData, Updated
+from hypercorn.protocol.events import Body, EndBody, Event, Response
+from hypercorn.protocol.events import Request as RequestEvent
+from hypercorn.protocol.h11 import STREAM_ID, H11Protocol
+from hypercorn.protocol.http_stream import HTTPStream
+from hypercorn.typing import H11SendableEvent
+
+from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.verdict import Verdict
+
+MISTAKE_RETRY_AFTER_S = 60.0
+SLOW_RETRY_AFTER_S = 1.0
+
+
+def refuse_unread(status: HTTPStatus, code: RefusalCode, reason: str, retry_s: float) -> Refusal:
+    """A refusal of a request whose headers were not read.
+
+    It may have run: the entry has not seen its key, and so can't rule out that this is a copy of a
+    request that ran before. A `not-run` here would let a release be paid twice.
+    """
+    return Refusal(status, code, reason, Verdict.MAY_HAVE_RUN, retry_s)
+
+
+class CallerProtocol(H11Protocol):
+    """One caller's connection as HTTP/1.1.
+
+    It differs from hypercorn's own in this: errors are refusals with a body; upgrades are ignored
+    and HTTP/2 is refused; `100 Continue` is sent when the body is wanted, not before; the headers
+    of a response leave together with the first part of its body; nothing waits for the application
+    to take notice of the connection's end.
+    """
+
+    _held = b""
+
+    @property
+    def head_is_unfinished(self) -> bool:
+        """Whether a part of a request's headers has arrived, and not yet all."""
+        return self.connection.their_state is h11.IDLE and bool(self.connection.trailing_data[0])
+
+    @property
+    def has_unread_body(self) -> bool:
+        """Whether the reply is whole, but the request's body was not read to its end."""
+        return self.connection.our_state in (h11.DONE, h11.MUST_CLOSE) and (
+            self.connection.their_state in (h11.SEND_BODY, h11.ERROR)
+        )
+
+    @property
+    def end_is_ambiguous(self) -> bool:
+        """Whether the end of the connection would look like the regular end of the reply."""
+        connection = self.connection
+        unfinished = connection.our_state is h11.SEND_BODY
+        return (
+            unfinished
+            and isinstance(connection, h11.Connection)
+            and connection.their_http_version == b"1.0"
+        )
+
+    async def refuse(self, refusal: Refusal) -> None:
+        """Answer a request that never reaches the application, and end the connection."""
+        if self.connection.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            body = refusal.body()
+            headers = [
+                *refusal.headers(),
+                (b"content-length", str(len(body)).encode()),
+                (b"connection", b"close"),
+                *self.config.response_headers("h11"),
+            ]
+            await self._send_h11_event(h11.Response(status_code=refusal.status, headers=headers))
+            await self._send_h11_event(h11.Data(data=body))
+            await self._send_h11_event(h11.EndOfMessage())
+        await self.send(Closed())
+
+    async def ask_for_body(self) -> None:
+        """Send `100 Continue` if the caller waits for it."""
+        if self.connection.they_are_waiting_for_100_continue:
+            await self._send_h11_event(h11.InformationalResponse(status_code=100, headers=[]))
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Send the headers of a response now, without waiting for a part of its body."""
+        held, self._held = self._held, b""
+        if held:
+            await self._write(held)
+
+    async def stream_send(self, event: Event) -> None:
+        """Pass on what the application sends."""
+        if isinstance(event, Response) and self.connection.their_state is h11.SEND_BODY:
+            # The rest of the body is not going to be read; the next request would stand behind it.
+            closing = [*event.headers, (b"connection", b"close")]
+            event = Response(STREAM_ID, headers=closing, status_code=event.status_code)
+        await super().stream_send(event)
+
+    async def _handle_events(self) -> None:
+        while True:
+            try:
+                event = self.connection.next_event()
+            except h11.RemoteProtocolError as error:
+                await self.refuse(_unreadable(error))
+                return
+            if isinstance(event, h11.Request):
+                refusal = _check_head(event)
+                if refusal is not None:
+                    await self.refuse(refusal)
+                    return
+                await self.send(Updated(idle=False))
+                await self._create_stream(event)
+            elif event is h11.PAUSED:
+                # A pipelined request waits in the parser until the reply before it has ended.
+                await self.can_read.clear()
+                await self.can_read.wait()
+            elif self.stream is None or not isinstance(event, h11.Data | h11.EndOfMessage):
+                return
+            elif isinstance(event, h11.Data):
+                await self.stream.handle(Body(STREAM_ID, data=bytes(event.data)))
+            else:
+                await self.stream.handle(EndBody(STREAM_ID))
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        self.stream = HTTPStream(
+            self.app,
+            self.config,
+            self.context,
+            self.task_group,
+            self.ssl,
+            self.client,
+            self.server,
+            self.stream_send,
+            STREAM_ID,
+        )
+        self.keep_alive_requests += 1
+        event = RequestEvent(
+            STREAM_ID,
+            headers=list(request.headers),
+            http_version=request.http_version.decode(),
+            method=request.method.decode("ascii").upper(),
+            raw_path=request.target,
+            state=self.connection_state,
+        )
+        await self.stream.handle(event)
+
+    async def _send_h11_event(self, event: H11SendableEvent) -> None:
+        try:
+            data = self.connection.send(event) or b""
+        except h11.LocalProtocolError:
+            # After an error of the caller the refusal is out, and the application comes too late.
+            if self.connection.their_state is not h11.ERROR:
+                raise
+            return
+        if isinstance(event, h11.Response):
+            self._held = data
+        elif isinstance(event, h11.InformationalResponse):
+            await self._write(data)
+        elif data or self._held:
+            held, self._held = self._held, b""
+            await self._write(held + data)
+
+    async def _write(self, data: bytes) -> None:
+        await self.send(RawData(data=data))
+
+    async def _close_stream(self) -> None:
+        # Hypercorn's own puts a message into the application's queue. If that is full, because the
+        # application stopped reading the body, it waits for room forever, and the connection, its
+        # tasks and its buffers stay for good. The connection cancels the request instead.
+        if self.stream is not None:
+            self.stream.closed = True
+            self.stream = None
+
+
+def _unreadable(error: h11.RemoteProtocolError) -> Refusal:
+    status = HTTPStatus(error.error_status_hint)
+    reason = f"given bytes that are no HTTP/1.1 request: {error}"
+    return refuse_unread(status, RefusalCode.BAD_REQUEST, reason, MISTAKE_RETRY_AFTER_S)
+
+
+def _check_head(request: h11.Request) -> Refusal | None:
+    if request.http_version not in (b"1.0", b"1.1"):
+        # Hypercorn's HTTP/2 is not used: a DATA frame that comes after the reply was over raises
+        # KeyError in it, and a reply that breaks off leaves its stream open, so that the caller
+        # waits until its own timeout.
+        return refuse_unread(
+            HTTPStatus.HTTP_VERSION_NOT_SUPPORTED,
+            RefusalCode.BAD_REQUEST,
+            f"given HTTP/{request.http_version.decode('ascii')}, expected HTTP/1.1",
+            MISTAKE_RETRY_AFTER_S,
+        )
+    names = {name for name, _ in request.headers}
+    if b"content-length" in names and b"transfer-encoding" in names:
+        return refuse_unread(
+            HTTPStatus.BAD_REQUEST,
+            RefusalCode.BAD_REQUEST,
+            "given both Content-Length and Transfer-Encoding, expected one of them",
+            MISTAKE_RETRY_AFTER_S,
+        )
+    return None
+
+
+def slow_head() -> Refusal:
+    """The refusal of a caller that does not finish its headers."""
+    return refuse_unread(
+        HTTPStatus.REQUEST_TIMEOUT,
+        RefusalCode.HEADERS_TOO_SLOW,
+        "the request's headers did not arrive in time",
+        SLOW_RETRY_AFTER_S,
+    )
+
+
+class ServerConfig(Config):
+    """Hypercorn's configuration; the `Date` header is made once a second, not for each reply."""
+
+    _date_s = 0
+    _date: list[tuple[bytes, bytes]] = []
+
+    def response_headers(self, protocol: str) -> list[tuple[bytes, bytes]]:
+        """The headers that every reply bears."""
+        now = int(time())
+        if now != self._date_s:
+            self._date_s = now
+            self._date = [(b"date", format_date_time(now).encode("ascii"))]
+        return self._date
--- a/src/wagtailpoint/adapters/http_server.py
+++ b/src/wagtailpoint/adapters/http_server.py
@@ -1,26 +1,49 @@
-"""The HTTP side towards callers and operators: an ASGI application on hypercorn's trio worker."""
+"""The HTTP side towards callers and operators: an ASGI application on hypercorn's protocol."""
 
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
+from functools import partial
+from http import HTTPStatus
 from typing import Any, NamedTuple
 
 import trio
-from hypercorn.config import Config
-from hypercorn.trio import serve
+from hypercorn.app_wrappers import ASGIWrapper
+from hypercorn.trio.worker_context import WorkerContext
 from hypercorn.typing import ASGIReceiveCallable, ASGISendCallable, HTTPScope
 
 from wagtailpoint import headers as names
-from wagtailpoint.entry.request import BodyTooLarge, CallerRequest, header, without
+from wagtailpoint.adapters.http_body import RequestBody
+from wagtailpoint.adapters.http_connection import CallerConnection, CallerLimits, Resting, linger
+from wagtailpoint.adapters.http_protocol import ServerConfig, refuse_unread
+from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.entry.request import CallerRequest, header, without
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.backend import BodyBroken, Headers
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.verdict import Verdict
 
-KEEP_ALIVE_S = 10.0
-"""Idle connections are closed after it, and so are callers that send their headers slowly."""
-
 MOST_REQUESTS_A_CONNECTION = 100_000
 BACKLOG = 1024
 
+GRACE_S = 3.0
+"""How long replies that are still under way when the server ends may take, in seconds."""
+
+QUEUED_BODY_PARTS = 2
+"""Parts (of 64 KiB at most) of a request's body that wait for the application."""
+
+HELD_HEADERS_BYTES = 64 * 1024
+"""The headers of a reply with a body up to this length leave together with it."""
+
+PIECE_BYTES = 64 * 1024
+"""Replies are written in pieces of this size; a caller has a limited time to take each."""
+
+SETTLED_S = 1.0
+"""A connection that has been idle for so many seconds makes room for a new one when all are
+taken."""
+
+MOST_TURNED_AWAY = 64
+TURNED_AWAY_RETRY_AFTER_S = 1.0
+FAULT_RETRY_AFTER_S = 1.0
+
 RequestHandler = Callable[[CallerRequest, "AsgiReply"], Awaitable[None]]
 
 
@@ -32,26 +55,34 @@
         port: TCP port.
         header_bytes: The most bytes of one request's headers.
         request_body_bytes: The most bytes of one request's body.
+        connections: The most connections.
+        limits: How long a caller may do nothing.
     """
 
     address: str
     port: int
     header_bytes: int
     request_body_bytes: int
+    connections: int
+    limits: CallerLimits
 
 
 class AsgiReply:
     """The reply to one request; implements ``entry.request.ReplySink``."""
 
-    def __init__(self, *, send: ASGISendCallable, request_id: bytes | None) -> None:
+    def __init__(
+        self, *, send: ASGISendCallable, connection: CallerConnection, request_id: bytes | None
+    ) -> None:
         """Make a reply.
 
         Args:
             send: Hypercorn's.
+            connection: Where it goes.
             request_id: The caller's id, which the reply repeats: by it the caller notices an
                 answer that was crossed with another's on the way.
         """
         self._send = send
+        self._connection = connection
         self._own_headers = [] if request_id is None else [(names.REQUEST_ID, request_id)]
         self._begun = False
 
@@ -67,54 +98,30 @@
         sent = without(headers, (names.REQUEST_ID, names.VERDICT))
         sent += [(names.VERDICT, verdict.value.encode()), *self._own_headers]
         await self._send({"type": "http.response.start", "status": int(status), "headers": sent})
+        length = header(headers, b"content-length")
+        if length is None or not length.isdigit() or int(length) > HELD_HEADERS_BYTES:
+            await self._connection.flush()
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body; waits while the caller reads slowly."""
-        if data:
-            await self._send({"type": "http.response.body", "body": data, "more_body": True})
+        for start in range(0, len(data), PIECE_BYTES):
+            piece = data[start : start + PIECE_BYTES]
+            await self._send({"type": "http.response.body", "body": piece, "more_body": True})
 
     async def finish(self) -> None:
         """End the body: from here on the reply is whole."""
         await self._send({"type": "http.response.body", "body": b"", "more_body": False})
 
+    async def cut(self) -> None:
+        """Give up a reply that has begun: the connection ends without the end of the body."""
+        await self._connection.flush()
 
-class _RequestBody:
-    """The body of one request, and the notice that its caller has gone."""
-
-    def __init__(self, *, receive: ASGIReceiveCallable, most_bytes: int) -> None:
-        self._receive = receive
-        self._most_bytes = most_bytes
-        self._ended = trio.Event()
-
-    async def chunks(self) -> AsyncIterator[bytes]:
-        """Yield the body as it arrives."""
-        size = 0
-        while True:
-            message: Any = await self._receive()
-            if message["type"] != "http.request":
-                # The caller has gone in the middle of its body: nothing waits for a reply.
-                raise CallerGone
-            size += len(message["body"])
-            if size > self._most_bytes:
-                raise BodyTooLarge
-            if message["body"]:
-                yield message["body"]
-            if not message["more_body"]:
-                self._ended.set()
-                return
-
-    async def until_caller_is_gone(self, *, has_body: bool) -> None:
-        """Wait until the caller has closed its connection."""
-        if has_body:
-            await self._ended.wait()
-        while True:
-            message: Any = await self._receive()
-            if message["type"] == "http.disconnect":
-                return
-
-
-class CallerGone(Exception):
-    """The caller closed its connection before its request was whole."""
+    async def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal as the whole reply, but for its end."""
+        body = refusal.body()
+        headers = [*refusal.headers(), (b"content-length", str(len(body)).encode())]
+        await self.begin(status=refusal.status, headers=headers, verdict=refusal.verdict)
+        await self.send(body)
 
 
 class HttpServer:
@@ -124,6 +131,16 @@
         self._options = options
         self._clock = clock
         self._handler = handler
+        self._config = _hypercorn_config(options)
+        self._context = WorkerContext(None)
+        self._connections = 0
+        self._turned_away = 0
+        self._resting: Resting = {}
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return self._connections
 
     async def run(
         self,
@@ -136,69 +153,120 @@
         Whoever stops the server first waits for the requests in flight: what is still open a
         moment after ``stop`` returned is cut.
         """
-        config = Config()
-        config.bind = [f"{self._options.address}:{self._options.port}"]
-        config.h11_max_incomplete_size = self._options.header_bytes
-        config.keep_alive_timeout = KEEP_ALIVE_S
-        config.keep_alive_max_requests = MOST_REQUESTS_A_CONNECTION
-        config.backlog = BACKLOG
-        config.include_server_header = False
-        config.errorlog = None
-        config.accesslog = None
-        await serve(
-            self._application,
-            config,
-            shutdown_trigger=stop,
-            task_status=task_status,
-            mode="asgi",
+        listeners = await trio.open_tcp_listeners(
+            self._options.port, host=self._options.address, backlog=BACKLOG
         )
+        async with trio.open_nursery() as connections:
+            async with trio.open_nursery() as accepting:
+                accepting.start_soon(
+                    partial(
+                        trio.serve_listeners,
+                        self._serve_connection,
+                        listeners,
+                        handler_nursery=connections,
+                    )
+                )
+                task_status.started()
+                await stop()
+                accepting.cancel_scope.cancel()
+            await self._context.terminated.set()
+            for connection in list(self._resting):
+                connection.end_if_resting()
+            connections.cancel_scope.deadline = trio.current_time() + GRACE_S
+
+    async def _serve_connection(self, stream: trio.SocketStream) -> None:
+        if self._connections >= self._options.connections and not self._make_room():
+            await self._turn_away(stream)
+            return
+        self._connections += 1
+        try:
+            await CallerConnection(
+                stream=stream,
+                app=ASGIWrapper(self._application),
+                config=self._config,
+                context=self._context,
+                limits=self._options.limits,
+                resting=self._resting,
+            ).run()
+        except Exception as error:  # noqa: BLE001 - one connection's fault must not end the others
+            log_event("internal-error", level="ERROR", where="connection", error=repr(error))
+        finally:
+            self._connections -= 1
+
+    def _make_room(self) -> bool:
+        """End the connection that has been idle for the longest, if that is long enough.
+
+        Otherwise callers that open connections and send nothing would keep out all others. One
+        that was used a moment ago is spared: its caller may be sending the next request just now.
+        """
+        connection, since = next(iter(self._resting.items()), (None, 0.0))
+        if connection is None or trio.current_time() - since < SETTLED_S:
+            return False
+        connection.end_if_resting()
+        return True
+
+    async def _turn_away(self, stream: trio.SocketStream) -> None:
+        async with stream:
+            if self._turned_away >= MOST_TURNED_AWAY:
+                return
+            self._turned_away += 1
+            try:
+                with trio.move_on_after(TURNED_AWAY_RETRY_AFTER_S):
+                    await stream.send_all(_turned_away_bytes(self._options.connections))
+                    await linger(stream)
+            except (OSError, trio.BrokenResourceError):
+                pass
+            finally:
+                self._turned_away -= 1
 
     async def _application(
         self, scope: Any, receive: ASGIReceiveCallable, send: ASGISendCallable
     ) -> None:
-        if scope["type"] == "lifespan":
-            await _accept_lifespan(receive, send)
-        elif scope["type"] == "http":
-            await self._serve_request(scope, receive, send)
-
-    async def _serve_request(
-        self, scope: HTTPScope, receive: ASGIReceiveCallable, send: ASGISendCallable
-    ) -> None:
-        body = _RequestBody(receive=receive, most_bytes=self._options.request_body_bytes)
+        connection: CallerConnection = scope["state"]["connection"]
+        body = RequestBody(
+            receive=receive,
+            connection=connection,
+            most_bytes=self._options.request_body_bytes,
+            stall_s=self._options.limits.stall_s,
+        )
         request = _caller_request(scope, body, self._clock.monotonic())
         request_id = header(request.headers, names.REQUEST_ID)
-        reply = AsgiReply(send=send, request_id=request_id.encode() if request_id else None)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(
-                _cancel_when_gone, body, request.body is not None, nursery.cancel_scope
-            )
-            try:
-                await self._handler(request, reply)
+        reply = AsgiReply(
+            send=send,
+            connection=connection,
+            request_id=request_id.encode("latin-1") if request_id else None,
+        )
+        with connection.open_request():
+            await self._serve_request(request, reply)
+
+    async def _serve_request(self, request: CallerRequest, reply: AsgiReply) -> None:
+        try:
+            await self._handler(request, reply)
+            await reply.finish()
+        except BodyBroken as error:
+            # Not finished: the connection is closed, and the caller sees a broken body.
+            log_event("reply-cut", level="WARNING", target=request.target, error=str(error))
+            await reply.cut()
+        except Exception as error:  # noqa: BLE001 - one request's fault must not end the others
+            log_event("internal-error", level="ERROR", target=request.target, error=repr(error))
+            if reply.begun:
+                await reply.cut()
+            else:
+                await reply.refuse(_fault())
                 await reply.finish()
-            except CallerGone:
-                pass
-            except BodyBroken as error:
-                # Not finished: hypercorn closes the connection, and the caller sees a broken body.
-                log_event("reply-cut", level="WARNING", target=request.target, error=str(error))
-            nursery.cancel_scope.cancel()
-
 
-async def _cancel_when_gone(body: _RequestBody, has_body: bool, scope: trio.CancelScope) -> None:
-    await body.until_caller_is_gone(has_body=has_body)
-    scope.cancel()
 
-
-async def _accept_lifespan(receive: ASGIReceiveCallable, send: ASGISendCallable) -> None:
-    while True:
-        message = await receive()
-        if message["type"] == "lifespan.startup":
-            await send({"type": "lifespan.startup.complete"})
-        else:
-            await send({"type": "lifespan.shutdown.complete"})
-            return
+def _hypercorn_config(options: ServerOptions) -> ServerConfig:
+    config = ServerConfig()
+    config.h11_max_incomplete_size = options.header_bytes
+    config.keep_alive_max_requests = MOST_REQUESTS_A_CONNECTION
+    config.max_app_queue_size = QUEUED_BODY_PARTS
+    config.errorlog = None
+    config.accesslog = None
+    return config
 
 
-def _caller_request(scope: HTTPScope, body: _RequestBody, arrived: float) -> CallerRequest:
+def _caller_request(scope: HTTPScope, body: RequestBody, arrived: float) -> CallerRequest:
     headers = list(scope["headers"])
     length = header(headers, b"content-length")
     chunked = header(headers, b"transfer-encoding") is not None
@@ -215,3 +283,30 @@
         body=body.chunks() if has_body else None,
         arrived=arrived,
     )
+
+
+def _turned_away_bytes(most: int) -> bytes:
+    refusal = refuse_unread(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        RefusalCode.CONNECTIONS_FULL,
+        f"this instance has {most} open connections and takes no more; use another entry",
+        TURNED_AWAY_RETRY_AFTER_S,
+    )
+    body = refusal.body()
+    headers = [
+        *refusal.headers(),
+        (b"content-length", str(len(body)).encode()),
+        (b"connection", b"close"),
+    ]
+    lines = [b"HTTP/1.1 503 Service Unavailable", *(b": ".join(pair) for pair in headers)]
+    return b"\r\n".join(lines) + b"\r\n\r\n" + body
+
+
+def _fault() -> Refusal:
+    return Refusal(
+        HTTPStatus.INTERNAL_SERVER_ERROR,
+        RefusalCode.INTERNAL_ERROR,
+        "a fault of this instance; its log says more",
+        Verdict.MAY_HAVE_RUN,
+        FAULT_RETRY_AFTER_S,
+    )
--- a/src/wagtailpoint/admission/refusal.py
+++ b/src/wagtailpoint/admission/refusal.py
@@ -16,6 +16,10 @@
 
     BAD_REQUEST = "bad-request"
     BODY_TOO_LARGE = "body-too-large"
+    BODY_TOO_SLOW = "body-too-slow"
+    HEADERS_TOO_SLOW = "headers-too-slow"
+    CONNECTIONS_FULL = "connections-full"
+    INTERNAL_ERROR = "internal-error"
     UNKNOWN_WORKSPACE = "unknown-workspace"
     NO_ROUTE = "no-route"
     NOT_READY = "not-ready"
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -7,6 +7,7 @@
 
 from wagtailpoint.adapters.backend_http import HttpBackends
 from wagtailpoint.adapters.clock import SystemClock
+from wagtailpoint.adapters.http_connection import CallerLimits
 from wagtailpoint.adapters.http_server import AsgiReply, HttpServer, ServerOptions
 from wagtailpoint.adapters.peers_nng import NngPeers
 from wagtailpoint.adapters.platform_http import HttpPlatform
@@ -53,6 +54,8 @@
 FACTS_INTERVAL_S = 0.25
 CLAIMS_CLEANING_S = 10.0
 CLAIM_EPOCHS = 3
+CONNECTIONS_PER_REQUEST = 2
+"""Connections for each open request that the limits allow: most callers' connections are idle."""
 
 
 class Observation(NamedTuple):
@@ -155,6 +158,11 @@
                 port=self._settings.port,
                 header_bytes=self._settings.limits.header_bytes,
                 request_body_bytes=self._settings.limits.request_body_bytes,
+                connections=CONNECTIONS_PER_REQUEST * self._settings.limits.open_requests,
+                limits=CallerLimits(
+                    idle_s=self._settings.timings.caller_idle_s,
+                    stall_s=self._settings.timings.caller_stall_s,
+                ),
             ),
             clock=self._clock,
             handler=self._handle,
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -176,7 +176,8 @@
         method=request.method,
         target=request.target,
         headers=without(request.headers, NOT_FORWARDED),
-        body=stream if body is None else _once(body),
+        # None and not an empty body: a GET would else be sent as chunked.
+        body=_once(body) if body else stream,
         deadline_s=max(remaining_s, LEAST_EXCHANGE_S),
         idempotent=plan.route.idempotent,
         echoes_request_id=plan.service.echoes_request_id,
--- a/src/wagtailpoint/entry/plan.py
+++ b/src/wagtailpoint/entry/plan.py
@@ -12,6 +12,8 @@
 from wagtailpoint.entry.routing import find_route
 from wagtailpoint.verdict import Verdict
 
+MOST_DEADLINE_DIGITS = 12
+
 MISTAKE_RETRY_AFTER_S = 60.0
 """A request that breaks the interface is as wrong a second later; come back after a change."""
 
@@ -68,7 +70,8 @@
     text = header(request.headers, names.DEADLINE_MS)
     if text is None:
         return Ok(route.timeout_s)
-    if not text.isascii() or not text.isdigit():
+    # Python refuses to convert thousands of digits; no caller waits for 30 years.
+    if not text.isascii() or not text.isdigit() or len(text) > MOST_DEADLINE_DIGITS:
         return Err(_bad_deadline(text))
     return Ok(min(route.timeout_s, int(text) / 1000))
 
--- a/src/wagtailpoint/entry/request.py
+++ b/src/wagtailpoint/entry/request.py
@@ -49,6 +49,10 @@
     """A request body over the limit of this instance's settings."""
 
 
+class BodyTooSlow(Exception):
+    """A request body that its caller sends too slowly, or not at all."""
+
+
 def header(headers: Headers, name: bytes) -> str | None:
     """The first value of a header, or None; ``name`` is in lower case."""
     for known, value in headers:
--- a/src/wagtailpoint/entry/routing.py
+++ b/src/wagtailpoint/entry/routing.py
@@ -8,10 +8,14 @@
 
 
 def find_route(workspace: Workspace, *, method: str, path: str) -> Route | None:
-    """Find the route with the longest matching prefix; one that names the method wins a tie."""
+    """Find the route with the longest matching prefix; one that names the method wins a tie.
+
+    HEAD goes where GET goes (RFC 9110, section 9.3.2).
+    """
+    accepted = (None, method, "GET" if method == "HEAD" else method)
     matching = [
         route
         for route in workspace.routes
-        if path.startswith(route.prefix) and route.method in (None, method)
+        if path.startswith(route.prefix) and route.method in accepted
     ]
     return max(matching, key=_rank, default=None)
--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -1,6 +1,6 @@
 """The entry's work on one request, from its headers to the end of its reply."""
 
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -13,7 +13,14 @@
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, Plan, plan_request, refuse
-from wagtailpoint.entry.request import BodyTooLarge, CallerRequest, ReplySink, header, without
+from wagtailpoint.entry.request import (
+    BodyTooLarge,
+    BodyTooSlow,
+    CallerRequest,
+    ReplySink,
+    header,
+    without,
+)
 from wagtailpoint.idempotency.binding import Binding, parse_binding
 from wagtailpoint.idempotency.bound_entry import BoundEntries
 from wagtailpoint.idempotency.claims import Claimed, Claims, NotClaimed
@@ -33,8 +40,8 @@
 from wagtailpoint.verdict import Verdict
 
 READ_AHEAD_BYTES = 64 * 1024
-"""Request bodies promised to be no longer are read before dispatch, so that they can be retried;
-longer ones are streamed and can't."""
+"""So much of a request body is read before a slot is taken: a caller that sends nothing holds none,
+and a body that ends within it can be sent again. The rest of a longer one is streamed and can't."""
 
 MOST_KEYED_ANSWER_BYTES = 8 * 1024 * 1024
 """The whole answer to a keyed request is held while it runs, for the copies that join it."""
@@ -46,6 +53,18 @@
 Planned = Result[Plan, Refusal]
 
 
+class ReadBody(NamedTuple):
+    """A request body that was read.
+
+    Attributes:
+        read: What was read of it.
+        rest: The rest as it arrives; None if there is none.
+    """
+
+    read: bytes
+    rest: AsyncIterator[bytes] | None
+
+
 class Completed(NamedTuple):
     """What became of a request, for logs and metrics.
 
@@ -131,13 +150,10 @@
         return plan_request(config, request)
 
     async def _handle_plain(self, plan: Plan, request: CallerRequest, sink: ReplySink) -> Completed:
-        body: bytes | None = None
-        stream = request.body
-        if stream is None or (request.content_length or READ_AHEAD_BYTES + 1) <= READ_AHEAD_BYTES:
-            read = await self._read_body(plan.deadline, request)
-            if isinstance(read, Err):
-                return await _send_refusal(sink, read.err_value, plan)
-            body, stream = read.ok_value, None
+        read = await self._read_body(plan.deadline, request, READ_AHEAD_BYTES)
+        if isinstance(read, Err):
+            return await _send_refusal(sink, read.err_value, plan)
+        body, rest = read.ok_value
         status = 0
 
         async def pass_on(response: BackendResponse) -> None:
@@ -149,12 +165,15 @@
 
         try:
             outcome = await self._forwarder.forward(
-                plan, request, body=body, stream=stream, sink=pass_on
+                plan,
+                request,
+                body=body if rest is None else None,
+                stream=None if rest is None else _joined(body, rest),
+                sink=pass_on,
             )
-        except BodyTooLarge:
-            refusal = _too_large(self._most_body_bytes)
+        except (BodyTooLarge, BodyTooSlow) as error:
             # A part of the body has gone to the backend server already.
-            refusal = refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
+            refusal = self._bad_body(error)._replace(verdict=Verdict.MAY_HAVE_RUN)
             return await _send_refusal(sink, refusal, plan)
         if isinstance(outcome, Err):
             return await _send_refusal(sink, outcome.err_value, plan)
@@ -170,10 +189,10 @@
         if isinstance(planned, Err):
             return await self._refuse_keyed(key, binding, planned.err_value, sink, None)
         plan = planned.ok_value
-        read = await self._read_body(plan.deadline, request)
+        read = await self._read_body(plan.deadline, request, self._most_body_bytes)
         if isinstance(read, Err):
             return await self._refuse_keyed(key, binding, read.err_value, sink, plan)
-        body = read.ok_value
+        body, _ = read.ok_value
         mark = fingerprint(method=request.method, target=request.target, body=body)
         begun = self._keys.begin(key, mark, binding)
         if isinstance(begun, Run):
@@ -278,20 +297,35 @@
             claimed = await self._claims.claim(key)
         return claimed.refusal if isinstance(claimed, NotClaimed) else None
 
-    async def _read_body(self, deadline: float, request: CallerRequest) -> Result[bytes, Refusal]:
-        """Read the whole body within the deadline; a caller that sends slowly is refused then."""
+    async def _read_body(
+        self, deadline: float, request: CallerRequest, most_bytes: int
+    ) -> Result[ReadBody, Refusal]:
+        """Read the body, up to a size, within the deadline."""
         if request.body is None:
-            return Ok(b"")
+            return Ok(ReadBody(b"", None))
         parts = bytearray()
         with trio.move_on_after(self._forwarder.until(deadline)) as scope:
             try:
                 async for part in request.body:
                     parts += part
-            except BodyTooLarge:
-                return Err(_too_large(self._most_body_bytes))
+                    if len(parts) > most_bytes:
+                        return Ok(ReadBody(bytes(parts), request.body))
+            except (BodyTooLarge, BodyTooSlow) as error:
+                return Err(self._bad_body(error))
         if scope.cancelled_caught:
-            return Err(_body_too_slow())
-        return Ok(bytes(parts))
+            return Err(_body_too_late())
+        return Ok(ReadBody(bytes(parts), None))
+
+    def _bad_body(self, error: BodyTooLarge | BodyTooSlow) -> Refusal:
+        if isinstance(error, BodyTooLarge):
+            return _too_large(self._most_body_bytes)
+        return _body_too_slow()
+
+
+async def _joined(first: bytes, rest: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+    yield first
+    async for part in rest:
+        yield part
 
 
 def _binding(request: CallerRequest) -> Result[Binding | None, Refusal]:
@@ -375,10 +409,19 @@
     )
 
 
-def _body_too_slow() -> Refusal:
+def _body_too_late() -> Refusal:
     return refuse(
         HTTPStatus.REQUEST_TIMEOUT,
         RefusalCode.DEADLINE_PASSED,
         "the request's body did not arrive within the deadline",
         NO_CONFIG_RETRY_AFTER_S,
     )
+
+
+def _body_too_slow() -> Refusal:
+    return refuse(
+        HTTPStatus.REQUEST_TIMEOUT,
+        RefusalCode.BODY_TOO_SLOW,
+        "the request's body arrives too slowly",
+        NO_CONFIG_RETRY_AFTER_S,
+    )
--- a/src/wagtailpoint/settings.py
+++ b/src/wagtailpoint/settings.py
@@ -62,6 +62,9 @@
         platform_timeout_s: For one call of the platform, a watch's own waiting not counted.
         watch_wait_s: How long one watch waits at the platform.
         move_interval_s: Between two looks at a running move.
+        caller_idle_s: An idle connection of a caller is closed after it.
+        caller_stall_s: The longest that a caller may stand still in the middle of its headers, of
+            its body, or of a reply (64 KiB of it), before its connection is closed.
         drain_timeout_s: The longest that a stopping instance waits for requests in flight; long
             enough for the longest download, for what is cut then is cut for good.
     """
@@ -77,6 +80,8 @@
     platform_timeout_s: float = 2.0
     watch_wait_s: float = 20.0
     move_interval_s: float = 0.5
+    caller_idle_s: float = 10.0
+    caller_stall_s: float = 20.0
     drain_timeout_s: float = 900.0
 
 
--- a/tests/common/deployment_process.py
+++ b/tests/common/deployment_process.py
@@ -91,6 +91,7 @@
         name: One of ``examples.deployment.DEPLOYMENTS``.
         entries: How many of its entry instances run.
         timings: Replaces timings of the settings.
+        limits: Replaces limits of the settings.
         backend_options: Command line of the backend stand-ins.
         platform_options: Command line of the platform stand-in.
     """
@@ -101,6 +102,7 @@
         name: str,
         entries: int = 3,
         timings: Mapping[str, float] | None = None,
+        limits: Mapping[str, int] | None = None,
         backend_options: Sequence[str] = (),
         platform_options: Sequence[str] = (),
     ) -> None:
@@ -109,7 +111,8 @@
         self._stack = ExitStack()
         self._directory = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
         files = self._spread(entries)
-        self.entries = [self._entry(file, value, timings or {}) for file, value in files.items()]
+        changes = {"timings": timings or {}, "limits": limits or {}}
+        self.entries = [self._entry(file, value, changes) for file, value in files.items()]
         platform = self.entries[0].settings.platform[0]
         self.platform = ModuleProcess(
             module="tests.common.platform_standin",
@@ -189,8 +192,10 @@
         order = [names[i] for i in range(rounds) for names in by_domain.values() if i < len(names)]
         return {name: self._deployment.settings_files[name] for name in order[:count]}
 
-    def _entry(self, name: str, value: Any, timings: Mapping[str, float]) -> EntryProcess:
-        changed = {**value, "timings": {**value.get("timings", {}), **timings}}
+    def _entry(self, name: str, value: Any, changes: Mapping[str, Any]) -> EntryProcess:
+        changed = {**value}
+        for part, values in changes.items():
+            changed[part] = {**value.get(part, {}), **values}
         path = self._directory / f"{name}.json"
         path.write_text(json.dumps(changed))
         return EntryProcess(settings=check_settings(changed).unwrap(), settings_file=path)
