Add leases and seats: shares of limits that add up under any fault

Cause: limits are spent by several instances that cannot see each other, through outages of the platform, freezes and cuts. A holder that cannot renew may neither stop (a long outage would stop the system) nor go on (a successor may hold its seat).

Change: a seat is split into a doubt part (1/8) and the rest. A successor waits a whole lease by its own clock and spends the doubt part until its predecessor is surely gone; a holder with an old renewal spends only the rest. A seat in doubt is not taken a second time. A process that was frozen for more than half a lease spends nothing until the platform has confirmed its seats: without that, one that was dropped from the platform's list while frozen wakes during an outage and spends beside its successor. A lost write is settled by reading back; an instance with many seats gives one to a newcomer.

Ruled out: stopping at the end of the lease; going on; peers' word (the successor may be one that the holder cannot hear).

--- a/src/wagtailpoint/config/model.py
+++ b/src/wagtailpoint/config/model.py
@@ -21,6 +21,8 @@
             region; None if not limited.
         failure_domain_latency_ms: One-way latency between its failure domains, in milliseconds.
         client_latency_ms: One-way latency from its clients to its instances, in milliseconds.
+        seats_per_failure_domain: How many seats each of its failure domains has; every limit is
+            split evenly over all seats of all regions.
     """
 
     name: str
@@ -29,6 +31,7 @@
     capacity_rps: float | None
     failure_domain_latency_ms: float = 1.0
     client_latency_ms: float = 1.0
+    seats_per_failure_domain: int = 2
 
 
 class BackendServer(NamedTuple):
--- a/src/wagtailpoint/config/objects.py
+++ b/src/wagtailpoint/config/objects.py
@@ -26,6 +26,7 @@
 """Paths that an instance answers itself; a route for one of them would never be reached."""
 
 MAX_SLOTS: Final = 10_000
+MAX_SEATS: Final = 100
 MAX_PRIORITY: Final = 100
 MAX_TIMEOUT_MS: Final = 600_000
 MILLISECONDS_PER_SECOND: Final = 1000.0
@@ -60,6 +61,9 @@
         client_latency_ms=reader.number(
             "client_latency_ms", unit="milliseconds, one way", minimum=0, default=1.0
         ),
+        seats_per_failure_domain=reader.integer(
+            "seats_per_failure_domain", unit="seats", minimum=1, maximum=MAX_SEATS, default=2
+        ),
     )
     if reader.has("failure_domains") and not region.failure_domains:
         reader.mistake("failure_domains", [], "at least one failure domain")
--- /dev/null
+++ b/src/wagtailpoint/limits/seat.py
@@ -0,0 +1,176 @@
+"""A seat: a fixed part of every limit, held by one process, and never spent twice.
+
+Each limit is split evenly over all seats. A seat is an object of the platform. What its holder may
+spend is decided here, without any call, at the moment of each spend:
+
+* its last renewal is fresh: all of the seat;
+* its last renewal is old: all but the doubt part, for a successor may have that by now;
+* it took the seat from somebody who may still run: the doubt part alone.
+"""
+
+from collections.abc import Mapping
+from typing import Final, NamedTuple, TypedDict
+
+from wagtailpoint.config.model import Region
+from wagtailpoint.limits.lease import (
+    LAPSE_PART,
+    Holder,
+    HolderValue,
+    holder_from_value,
+    holder_to_value,
+)
+from wagtailpoint.limits.pulse import NEVER, Pulse
+from wagtailpoint.ports.clock import Clock
+from wagtailpoint.ports.platform import StoredObject
+
+SEAT_KIND: Final = "seat"
+DOUBT_PART: Final = 1 / 8
+REST_PART: Final = 1 - DOUBT_PART
+
+
+class SeatValue(TypedDict):
+    """What a seat's object holds.
+
+    Attributes:
+        holder: Who holds it; None if nobody.
+        former: The holder before, if it may still run: then the seat is in doubt.
+        wanted: A process without any seat asks for this one.
+        write: Identity of the write, so that its writer knows it again.
+    """
+
+    holder: HolderValue | None
+    former: HolderValue | None
+    wanted: bool
+    write: str
+
+
+class SeatState(NamedTuple):
+    """A seat as it was read.
+
+    Attributes:
+        name: The seat.
+        version: Its version; ``ABSENT`` if it was never held.
+        holder: Who holds it.
+        former: Who held it and may still run.
+        wanted: A process without any seat asks for it.
+        write: Identity of the last write.
+    """
+
+    name: str
+    version: int
+    holder: Holder | None
+    former: Holder | None
+    wanted: bool
+    write: str
+
+    def to_value(self) -> SeatValue:
+        """Return what is stored."""
+        return SeatValue(
+            holder=holder_to_value(self.holder),
+            former=holder_to_value(self.former),
+            wanted=self.wanted,
+            write=self.write,
+        )
+
+
+def read_seat(stored: StoredObject) -> SeatState:
+    """Read a stored seat."""
+    value: SeatValue = stored.value
+    return SeatState(
+        name=stored.name,
+        version=stored.version,
+        holder=holder_from_value(value["holder"]),
+        former=holder_from_value(value["former"]),
+        wanted=value["wanted"],
+        write=value["write"],
+    )
+
+
+def seat_names(regions: Mapping[str, Region]) -> tuple[str, ...]:
+    """Return the names of all seats, in the order that all instances agree on."""
+    return tuple(
+        f"{failure_domain}-{index}"
+        for region in sorted(regions)
+        for failure_domain in sorted(regions[region].failure_domains)
+        for index in range(regions[region].seats_per_failure_domain)
+    )
+
+
+def is_seat_of(name: str, failure_domain: str) -> bool:
+    """Whether a seat belongs to a failure domain."""
+    return name.rpartition("-")[0] == failure_domain
+
+
+class Seat:
+    """A seat that this process holds or held, and what it may spend of it now."""
+
+    def __init__(self, *, clock: Clock, pulse: Pulse, lease_s: float, state: SeatState) -> None:
+        """Make it as read; ``confirm`` makes it fresh.
+
+        Args:
+            clock: Must count suspension.
+            pulse: Tells whether this process was frozen.
+            lease_s: The lease, in seconds; the same everywhere.
+            state: The seat with this process as its holder.
+        """
+        self._clock = clock
+        self._pulse = pulse
+        self._lapse_s = lease_s * LAPSE_PART
+        self._state = state
+        self._counted_from = NEVER
+        self._given_up = False
+
+    @property
+    def name(self) -> str:
+        """Its name."""
+        return self._state.name
+
+    @property
+    def state(self) -> SeatState:
+        """How it was read or written last."""
+        return self._state
+
+    @property
+    def given_up(self) -> bool:
+        """It was lost or is being given up; nothing of it may be spent any more."""
+        return self._given_up
+
+    @property
+    def in_doubt(self) -> bool:
+        """Its former holder may still run."""
+        return self._state.former is not None
+
+    @property
+    def fresh_until(self) -> float:
+        """By the clock, until when all of it may be spent without another renewal.
+
+        What holds a slot beyond this moment must not be started on the doubt part.
+        """
+        return self._counted_from + self._lapse_s
+
+    def spendable_fraction(self) -> float:
+        """The part of the seat (0 to 1) that may be spent at this moment.
+
+        Call it in the same step as the spend, with no await between: a process that wakes from a
+        freeze between the two would spend by what it knew before.
+        """
+        if self._given_up or self._counted_from < self._pulse.woke_at:
+            return 0.0
+        if self.in_doubt:
+            return DOUBT_PART
+        return 1.0 if self._clock.monotonic() < self.fresh_until else REST_PART
+
+    def confirm(self, state: SeatState, sent_at: float | None) -> None:
+        """Take in that the platform has this process as the holder.
+
+        Args:
+            state: The seat as the platform has it.
+            sent_at: When the write that made this state was *sent*; None if it was not ours.
+        """
+        self._state = state
+        if sent_at is not None:
+            self._counted_from = max(self._counted_from, sent_at)
+
+    def give_up(self) -> None:
+        """Spend nothing of it from now on. There is no way back but to take it again."""
+        self._given_up = True
