At most once under real faults: keys in flight are waited for over the peer link

A repeat of a keyed request at another entry was told may-have-run while the first copy was still in flight, and a copy without a binding was told so whenever another entry held its claim. Both can be known: the instance with the key is asked, and replies when the key is no longer in flight. Bound keys are asked in two steps, because one question with a long timeout would hold up the callers of a dead entry until their deadlines (ruled out for that).

The backend stand-in now answers the load report under the path that the example deployments configure; before, probes ran there as requests and took slots.

Every answer of these tests is compared with the records of the backend servers (tests/common/verdict_check.py).

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -298,7 +298,9 @@
             ),
             keys=self._keys,
             claims=self._claims,
-            bound_entries=BoundEntries(peers=self._peers, keys=self._keys, locate=self._locate),
+            bound_entries=BoundEntries(
+                peers=self._peers, keys=self._keys, locate=self._locate, nursery=self._nursery
+            ),
             nursery=self._nursery,
             gate=self._gate,
             most_body_bytes=self._settings.limits.request_body_bytes,
--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -201,7 +201,8 @@
             begun = self._keys.begin(key, mark, binding)
         if isinstance(begun, Reject) and begun.refusal.code is RefusalCode.OTHER_INCARNATION:
             assert binding is not None
-            outcome = await self._bound_entries.settle(key, binding)
+            remaining_s = self._forwarder.remaining(plan)
+            outcome = await self._bound_entries.settle(key, binding, wait_s=remaining_s)
             if outcome is not None:
                 return await _send_outcome(sink, outcome, plan)
         return await self._reply_keyed(begun, plan, sink)
@@ -275,9 +276,9 @@
         binding: Binding | None,
     ) -> Outcome:
         if binding is None:
-            refusal = await self._claim(key, plan)
-            if refusal is not None:
-                return _outcome_of(refusal)
+            refused = await self._claim(key, plan)
+            if refused is not None:
+                return refused
         answers: list[Answered] = []
 
         async def collect(response: BackendResponse) -> None:
@@ -290,12 +291,20 @@
             await self._claims.release(key)
         return _outcome_of(outcome.err_value)
 
-    async def _claim(self, key: RequestKey, plan: Plan) -> Refusal | None:
+    async def _claim(self, key: RequestKey, plan: Plan) -> Outcome | None:
         """Claim a key that came without a binding; None if this process may run it."""
         claimed: Claimed | NotClaimed = NotClaimed(_claim_timed_out(), None)
         with trio.move_on_after(self._forwarder.remaining(plan)):
             claimed = await self._claims.claim(key)
-        return claimed.refusal if isinstance(claimed, NotClaimed) else None
+        if isinstance(claimed, Claimed):
+            return None
+        outcome: Outcome | None = None
+        if claimed.holder is not None:
+            # Another copy has the claim: its answer is this one's, too.
+            outcome = await self._bound_entries.await_claimed(
+                key, claimed.holder["incarnation"], wait_s=self._forwarder.remaining(plan)
+            )
+        return outcome if outcome is not None else _outcome_of(claimed.refusal)
 
     async def _read_body(
         self, deadline: float, request: CallerRequest, most_bytes: int
--- a/src/wagtailpoint/idempotency/bound_entry.py
+++ b/src/wagtailpoint/idempotency/bound_entry.py
@@ -9,6 +9,7 @@
 from http import HTTPStatus
 from typing import NamedTuple
 
+import trio
 from result import Ok
 
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
@@ -19,6 +20,11 @@
 from wagtailpoint.verdict import Verdict
 
 REPLY_TIMEOUT_S = 0.5
+"""An instance that lives replies at once, also when the key is still in flight there."""
+
+LONGEST_WAIT_S = 60.0
+"""No longer than this is a key in flight waited for on behalf of a peer, in seconds."""
+
 FORBIDDEN_RETRY_AFTER_S = 0.0
 
 
@@ -32,8 +38,29 @@
     attempt: int
 
 
+class AwaitKey(NamedTuple):
+    """Asks the same, but to be answered only when the key is no longer in flight."""
+
+    workspace: str
+    key: str
+    incarnation: str
+    epoch: int
+    attempt: int
+
+
+class AwaitClaimedKey(NamedTuple):
+    """Asks the holder of a claim how a key without a binding ended, once it has."""
+
+    workspace: str
+    key: str
+
+
+class KeyInFlight(NamedTuple):
+    """The key is in flight: ask by ``AwaitKey`` how it ends."""
+
+
 class KeyUnsettled(NamedTuple):
-    """The key is in flight, or no longer remembered."""
+    """The key is no longer remembered, or it did not end in time."""
 
 
 class KeyForbidden(NamedTuple):
@@ -54,9 +81,12 @@
     body: bytes | None
 
 
-KeySettled = KeyUnsettled | KeyForbidden | KeyMayHaveRun | KeyAnswered
+KeySettled = KeyInFlight | KeyUnsettled | KeyForbidden | KeyMayHaveRun | KeyAnswered
 
 register_message("settle-key", SettleKey)
+register_message("await-key", AwaitKey)
+register_message("await-claimed-key", AwaitClaimedKey)
+register_message("key-in-flight", KeyInFlight)
 register_message("key-unsettled", KeyUnsettled)
 register_message("key-forbidden", KeyForbidden)
 register_message("key-may-have-run", KeyMayHaveRun)
@@ -72,6 +102,7 @@
         peers: Peers,
         keys: KeyStore,
         locate: Callable[[str], PeerAddress | None],
+        nursery: trio.Nursery,
     ) -> None:
         """Make it and answer from now on.
 
@@ -79,33 +110,96 @@
             peers: The links to the other instances.
             keys: The keys of this instance.
             locate: Where an incarnation is heard, if it is believed to be alive.
+            nursery: Runs the waits for keys in flight.
         """
         self._peers = peers
         self._keys = keys
         self._locate = locate
+        self._nursery = nursery
         peers.handle(SettleKey, self._on_settle)
+        peers.handle(AwaitKey, self._on_await)
+        peers.handle(AwaitClaimedKey, self._on_await_claimed)
+
+    async def settle(self, key: RequestKey, binding: Binding, *, wait_s: float) -> Outcome | None:
+        """Ask the bound incarnation; None if it does not know or does not answer.
 
-    async def settle(self, key: RequestKey, binding: Binding) -> Outcome | None:
-        """Ask the bound incarnation; None if it does not know or does not answer."""
+        Args:
+            key: The key.
+            binding: As the caller sent it.
+            wait_s: How long a key in flight there is waited for, in seconds.
+        """
         address = self._locate(binding.incarnation)
         if address is None:
             return None
         question = SettleKey(key.workspace, key.key, *binding)
         replied = await self._peers.request(address, question, timeout_s=REPLY_TIMEOUT_S)
+        if isinstance(replied, Ok) and isinstance(replied.ok_value, KeyInFlight):
+            # Two questions, because one with so long a timeout would hold up the callers of a
+            # dead entry until their deadlines.
+            wait = AwaitKey(*question)
+            replied = await self._peers.request(address, wait, timeout_s=wait_s)
         return _outcome(replied.ok_value) if isinstance(replied, Ok) else None
 
+    async def await_claimed(
+        self, key: RequestKey, incarnation: str, *, wait_s: float
+    ) -> Answered | MayHaveRun | None:
+        """Ask the holder of a claim how the key ended; None if it can't say."""
+        address = self._locate(incarnation)
+        if address is None:
+            return None
+        question = AwaitClaimedKey(key.workspace, key.key)
+        replied = await self._peers.request(address, question, timeout_s=wait_s)
+        outcome = _outcome(replied.ok_value) if isinstance(replied, Ok) else None
+        return None if isinstance(outcome, NotRun) else outcome
+
     def _on_settle(self, received: Received) -> KeySettled:
-        asked: SettleKey = received.message
+        return self._settled(received.message)
+
+    def _on_await(self, received: Received) -> None:
+        self._nursery.start_soon(self._reply_settled, received)
+
+    def _on_await_claimed(self, received: Received) -> None:
+        self._nursery.start_soon(self._reply_claimed, received)
+
+    async def _reply_settled(self, received: Received) -> None:
+        asked: AwaitKey = received.message
+        attempt = self._keys.in_flight(RequestKey(asked.workspace, asked.key))
+        if attempt is not None:
+            with trio.move_on_after(LONGEST_WAIT_S):
+                await attempt.wait()
+        self._peers.reply(received, self._settled(asked))
+
+    async def _reply_claimed(self, received: Received) -> None:
+        asked: AwaitClaimedKey = received.message
+        key = RequestKey(asked.workspace, asked.key)
+        outcome = self._keys.outcome(key)
+        attempt = self._keys.in_flight(key)
+        if attempt is not None:
+            with trio.move_on_after(LONGEST_WAIT_S):
+                outcome = await attempt.wait()
+        # A refusal of a copy without a binding speaks for that copy only.
+        told = KeyUnsettled() if isinstance(outcome, NotRun) else _as_message(outcome)
+        self._peers.reply(received, told)
+
+    def _settled(self, asked: SettleKey | AwaitKey) -> KeySettled:
+        key = RequestKey(asked.workspace, asked.key)
         binding = Binding(asked.incarnation, asked.epoch, asked.attempt)
-        match self._keys.forbid(RequestKey(asked.workspace, asked.key), binding):
-            case Answered(status, headers, body):
-                return KeyAnswered(status, tuple(headers), body)
-            case MayHaveRun(reason):
-                return KeyMayHaveRun(reason)
-            case NotRun():
-                return KeyForbidden()
-            case None:
-                return KeyUnsettled()
+        outcome = self._keys.forbid(key, binding)
+        if outcome is None and self._keys.in_flight(key) is not None:
+            return KeyInFlight()
+        return _as_message(outcome)
+
+
+def _as_message(outcome: Outcome | None) -> KeySettled:
+    match outcome:
+        case Answered(status, headers, body):
+            return KeyAnswered(status, tuple(headers), body)
+        case MayHaveRun(reason):
+            return KeyMayHaveRun(reason)
+        case NotRun():
+            return KeyForbidden()
+        case None:
+            return KeyUnsettled()
 
 
 def _outcome(settled: KeySettled) -> Outcome | None:
@@ -116,7 +210,7 @@
             return MayHaveRun(reason)
         case KeyForbidden():
             return NotRun(_forbidden())
-        case KeyUnsettled():
+        case KeyInFlight() | KeyUnsettled():
             return None
 
 
--- a/src/wagtailpoint/idempotency/keys.py
+++ b/src/wagtailpoint/idempotency/keys.py
@@ -172,6 +172,16 @@
         self._advance()
         return self._sealed_through < self._epoch
 
+    def in_flight(self, key: RequestKey) -> InFlight | None:
+        """The attempt of a key that has begun and not finished."""
+        return self._in_flight.get(key.digest())
+
+    def outcome(self, key: RequestKey) -> Outcome | None:
+        """How a key ended; None if it is in flight or not remembered."""
+        self._advance()
+        record = self._record(key.digest())
+        return record.outcome if record is not None else None
+
     def begin(self, key: RequestKey, fingerprint: bytes, binding: Binding | None) -> Begin:
         """Decide what happens to one copy of a keyed request.
 
--- a/tests/common/backend_standin.py
+++ b/tests/common/backend_standin.py
@@ -27,6 +27,7 @@
 
 MOST_ARRIVALS = 200_000
 BULK_CHUNK = 16 * 1024
+REPORT_PATHS = ("/load", "/health")
 PATTERN = bytes(range(251))
 
 
@@ -189,7 +190,7 @@
     async def run(self) -> None:
         path = self._scope["path"]
         body = await self._read_body()
-        if path == "/load":
+        if path in REPORT_PATHS:
             await self._answer_json(200, self._worker.report())
         elif path == "/standin/record":
             await self._answer_json(200, self._worker.record())
--- a/tests/common/deployment_process.py
+++ b/tests/common/deployment_process.py
@@ -160,6 +160,20 @@
         if done.returncode != 0:
             raise RuntimeError(f"apply: exit {done.returncode}\n{done.stdout}{done.stderr}")
 
+    def set_platform(self, **modes: Any) -> None:
+        """Switch faults of the platform on or off; see ``platform_standin.Modes``."""
+        self._control_platform("POST", "mode", modes)
+
+    def platform_counts(self) -> Any:
+        """The platform's calls so far; see ``PlatformProcess.counts``."""
+        return self._control_platform("GET", "counts", None)
+
+    def _control_platform(self, method: str, path: str, value: Any) -> Any:
+        platform = self.entries[0].settings.platform[0]
+        url = f"http://{platform.address}:{platform.port}/standin/{path}"
+        answer = httpcore.request(method, url, content=msgspec.json.encode(value))
+        return msgspec.json.decode(answer.content)
+
     def caller(self, workspace: str, *, address: str | None = None) -> Caller:
         """A caller that knows all entry instances; by default from the region of the first one."""
         client = address or self.entries[0].settings.address
--- /dev/null
+++ b/tests/common/verdict_check.py
@@ -0,0 +1,63 @@
+"""Compares what callers were told with what the backend servers' own records say.
+
+Each request of a test has a path of its own, so that its executions are found in the records
+whatever entry, attempt or request id it went by.
+"""
+
+from collections import Counter
+from collections.abc import Iterable, Mapping
+from typing import Any, NamedTuple
+
+from tests.common.raw_caller import Heard
+from wagtailpoint.verdict import Verdict
+
+
+class VerdictFaults(NamedTuple):
+    """The false verdicts of a run; all three must be empty.
+
+    Attributes:
+        ran_although_not_run: Paths whose every answer said ``not-run``, but which ran.
+        not_run_although_ran: Paths told ``ran`` that no backend server has run.
+        ran_twice: Non-idempotent paths that ran more often than once.
+    """
+
+    ran_although_not_run: tuple[str, ...]
+    not_run_although_ran: tuple[str, ...]
+    ran_twice: tuple[str, ...]
+
+
+NO_FAULTS = VerdictFaults((), (), ())
+
+
+def count_executions(records: Iterable[Mapping[str, Any]]) -> Counter[str]:
+    """How often each path was executed, over all backend servers."""
+    executions: Counter[str] = Counter()
+    for record in records:
+        for arrival in record["arrivals"]:
+            ran = record["executions"].get(arrival["request_id"], 0)
+            executions[arrival["path"]] += ran
+    return executions
+
+
+def find_false_verdicts(
+    heard: Iterable[Heard], records: Iterable[Mapping[str, Any]], *, at_most_once: bool = True
+) -> VerdictFaults:
+    """Check every answer of a run.
+
+    Args:
+        heard: All answers, also those of repeats. A path told ``not-run`` and later ``ran`` must
+            have run once: a copy that ran in spite of the refusal would make it two.
+        records: Of all backend servers, read after the last answer.
+        at_most_once: Whether the requests may run only once each.
+    """
+    executions = count_executions(records)
+    told: dict[str, set[Verdict]] = {}
+    for answer in heard:
+        told.setdefault(answer.path, set()).add(answer.verdict)
+    return VerdictFaults(
+        tuple(
+            path for path, said in told.items() if said == {Verdict.NOT_RUN} and executions[path]
+        ),
+        tuple(path for path, said in told.items() if Verdict.RAN in said and not executions[path]),
+        tuple(path for path in told if at_most_once and executions[path] > 1),
+    )
