Refuse addresses of no machine and base versions that don't exist yet

Cause: an instance with the address 0.0.0.0 would start and be named to callers who can't reach it.

Change: 0.0.0.0 and :: are no addresses; a base version above the newest is wrong input (exit 2).

--- a/src/wagtailpoint/checking.py
+++ b/src/wagtailpoint/checking.py
@@ -191,7 +191,7 @@
         expected = 'an IP number such as "10.0.0.7"'
         value = self.text(name, expected=expected)
         if value and not is_ip_number(value):
-            self.mistake(name, value, expected + "; host names are not resolved")
+            self.mistake(name, value, expected + ", of one machine; names are not resolved")
         return value
 
     def port(self, name: str) -> int:
@@ -343,12 +343,14 @@
 
 
 def is_ip_number(value: str) -> bool:
-    """Whether a string is an IP number."""
+    """Whether a string is the IP number of one machine.
+
+    ``0.0.0.0`` is none: others are told an instance's address, and could not reach it there.
+    """
     try:
-        ip_address(value)
+        return not ip_address(value).is_unspecified
     except ValueError:
         return False
-    return True
 
 
 def is_number(value: Any) -> bool:
--- a/src/wagtailpoint/cli/changing.py
+++ b/src/wagtailpoint/cli/changing.py
@@ -111,10 +111,13 @@
     checked = compile_config(version=current.version + 1, objects=merged | puts)
     if isinstance(checked, Err):
         return checked
+    base = base_version_of(options, current)
+    if isinstance(base, Err):
+        return base
     landed = await store.apply(
         puts=puts,
         deletes=edit.deletes,
-        base_version=current.version if options.base_version is None else options.base_version,
+        base_version=base.ok_value,
         author=author_of(session, options),
         message=options.message or edit.message,
     )
@@ -162,6 +165,16 @@
     )
 
 
+def base_version_of(options: ChangeOptions, current: Current) -> Result[int, InvalidInput]:
+    """The version against which a change is made."""
+    if options.base_version is None:
+        return Ok(current.version)
+    if options.base_version > current.version:
+        expected = f"a version up to the newest, {current.version}"
+        return Err(wrong_input("--base-version", str(options.base_version), expected))
+    return Ok(options.base_version)
+
+
 def author_of(session: Session, options: ChangeOptions) -> str:
     """Who makes the change."""
     return options.author or session.profile.author or default_author()
--- a/src/wagtailpoint/cli/config_commands.py
+++ b/src/wagtailpoint/cli/config_commands.py
@@ -12,6 +12,7 @@
     ChangeOptions,
     Edit,
     author_of,
+    base_version_of,
     change,
     read_current,
     report_landed,
@@ -201,11 +202,14 @@
     checked = compile_config(version=current.version + 1, objects=target)
     if isinstance(checked, Err):
         return checked
+    base = base_version_of(options, current)
+    if isinstance(base, Err):
+        return base
     landed = await store.revert(
         to_version=to_version,
         author=author_of(session, options),
         message=options.message or f"revert to version {to_version}",
-        base_version=current.version if options.base_version is None else options.base_version,
+        base_version=base.ok_value,
     )
     if isinstance(landed, Err):
         return landed
--- a/tests/cover/test_cli.py
+++ b/tests/cover/test_cli.py
@@ -1,89 +1,17 @@
-"""The command-line tool against an in-memory platform and scripted entries."""
+"""The commands that change the configuration, against an in-memory platform."""
 
 import json
 import tempfile
-import unittest
 from collections.abc import Awaitable, Callable
-from contextlib import nullcontext
 from pathlib import Path
 from typing import Any
 
-from click.testing import CliRunner
 from examples.deployment import load_deployment
-from result import Err, Ok, Result
 
+from tests.common.cli import EXAMPLES, OBJECTS, CliTestCase
 from tests.common.fake_platform import FakePlatform
 from wagtailpoint.cli.exit_codes import ExitCode
-from wagtailpoint.cli.failures import EntryUnreachable
-from wagtailpoint.cli.main import cli
-from wagtailpoint.cli.profile import EntryAddress
-from wagtailpoint.cli.session import Tools
 from wagtailpoint.config.store import ConfigStore
-from wagtailpoint.ports.platform import ListedInstance
-
-EXAMPLES = Path(__file__).parents[2] / "examples"
-OBJECTS = str(EXAMPLES / "surakkha" / "objects")
-PLATFORM = ["--platform", "127.0.0.1:7000"]
-
-
-def member(last: int, version: int | None, state: str = "live") -> dict[str, Any]:
-    """One line of a status."""
-    return {
-        "address": f"127.0.0.{last}",
-        "port": 8080,
-        "incarnation": f"i{last}",
-        "region": "kolkata",
-        "failure_domain": "salt-lake",
-        "state": state,
-        "config_version": version,
-    }
-
-
-class CliTestCase(unittest.TestCase):
-    def setUp(self) -> None:
-        self.platform = FakePlatform()
-        self.answers: dict[tuple[str, str], Any] = {}
-        self.asked: list[str] = []
-
-    async def fetch(self, entry: EntryAddress, target: str) -> Result[Any, EntryUnreachable]:
-        self.asked.append(f"{entry}{target}")
-        answer = self.answers.get((entry.address, target.partition("?")[0]))
-        answer = answer() if callable(answer) else answer
-        return Ok(answer) if answer is not None else Err(EntryUnreachable(f"{entry}: refused"))
-
-    def run_cli(self, *arguments: str, code: ExitCode = ExitCode.OK) -> str:
-        """Run a command, check its exit code, and give all that it printed."""
-        tools = Tools(
-            open_platform=lambda _: nullcontext(self.platform), fetch=self.fetch, settle_s=0.5
-        )
-        runner = CliRunner(env={"WAGTAILPOINT_AUTHOR": "asha"})
-        result = runner.invoke(cli, [*arguments, *PLATFORM], obj=tools)
-        self.assertEqual(result.exit_code, code, result.output)
-        return result.output
-
-    def run_json(self, *arguments: str, code: ExitCode = ExitCode.OK) -> Any:
-        return json.loads(self.run_cli(*arguments, "--json", code=code))
-
-    def write_by_another(self, puts: dict[str, Any], deletes: tuple[str, ...] = ()) -> None:
-        """Let another operator's change land just before the next change's head is written."""
-        store = ConfigStore(platform=self.platform, clock_wall=lambda: 0.0)
-
-        async def before_put(kind: str, name: str) -> None:
-            if kind != "config-head":
-                return
-            self.platform.before_put = None
-            current = (await store.read()).unwrap()
-            assert current is not None
-            await store.apply(
-                puts=puts,
-                deletes=deletes,
-                base_version=current.change.version,
-                author="bela",
-                message="mine first",
-            )
-
-        hook: Callable[[str, str], Awaitable[None]] = before_put
-        self.platform.before_put = hook
 
 
 class ConfigCommandsTest(CliTestCase):
@@ -128,6 +56,9 @@
         reverted = self.run_json("revert", "--to", "1")
         self.assertEqual((reverted["version"], reverted["put"]), (3, ["workspace/surakkha"]))
         self.run_cli("revert", "--to", "9", code=ExitCode.WRONG_INPUT)
+        revert = ["revert", "--to", "2", "--base-version"]
+        self.run_cli(*revert, "4", code=ExitCode.WRONG_INPUT)
+        self.run_cli(*revert, "2", code=ExitCode.CONFLICT)
 
     def test_check_needs_no_platform(self) -> None:
         settings = str(EXAMPLES / "surakkha" / "settings")
@@ -220,6 +151,27 @@
         super().setUp()
         self.run_cli("apply", OBJECTS)
 
+    def write_by_another(self, puts: dict[str, Any], deletes: tuple[str, ...] = ()) -> None:
+        """Let another operator's change land just before the next change's head is written."""
+        store = ConfigStore(platform=self.platform, clock_wall=lambda: 0.0)
+
+        async def before_put(kind: str, name: str) -> None:
+            if kind != "config-head":
+                return
+            self.platform.before_put = None
+            current = (await store.read()).unwrap()
+            assert current is not None
+            await store.apply(
+                puts=puts,
+                deletes=deletes,
+                base_version=current.change.version,
+                author="bela",
+                message="mine first",
+            )
+
+        hook: Callable[[str, str], Awaitable[None]] = before_put
+        self.platform.before_put = hook
+
     def adjust(self, code: ExitCode) -> str:
         return self.run_cli("workspace", "adjust", "surakkha", "--set", "max_rps=7", code=code)
 
@@ -294,104 +246,3 @@
         self.assertIn("nothing was changed", self.adjust(ExitCode.PLATFORM_UNAVAILABLE))
         answer = self.run_json("get", code=ExitCode.PLATFORM_UNAVAILABLE)
         self.assertEqual(answer["exit_code"], 5)
-
-
-class WaitTest(CliTestCase):
-    def setUp(self) -> None:
-        super().setUp()
-        self.rounds = 0
-
-    def status(self) -> Any:
-        """Three instances, of which one more enforces version 1 at each question."""
-        self.rounds += 1
-        members = [member(last, 1 if self.rounds > last else 0) for last in (1, 2, 3)]
-        return {"instance": member(1, None), "config_version": 1, "members": members}
-
-    def apply_and_wait(self, *more: str, code: ExitCode) -> str:
-        entry = ["--entry", "127.0.0.1:8080"]
-        return self.run_cli("apply", OBJECTS, "--wait", *entry, *more, code=code)
-
-    def test_waits_until_every_instance_enforces_the_version(self) -> None:
-        self.answers["127.0.0.1", "/v1/status"] = self.status
-        text = self.apply_and_wait(code=ExitCode.OK)
-        self.assertIn("in force on 2 of 3 instances", text)
-        self.assertIn("version 1 is in force on 3 instances", text)
-
-    def test_lists_those_that_lag(self) -> None:
-        """A change is reported to be in force while one instance enforces the old version.
-
-        Symptom: callers of one instance still meet the old limits. The instance is cut off from
-        the platform and its peers. Cause: taking the write for the effect.
-        """
-        members = [member(2, 1), member(3, 0), member(4, 0, state="leaving")]
-        status = {"instance": member(1, None), "config_version": 1, "members": members}
-        self.answers["127.0.0.1", "/v1/status"] = status
-        text = self.apply_and_wait("--wait-timeout", "0.5", code=ExitCode.WAIT_TIMED_OUT)
-        self.assertIn("127.0.0.3:8080", text)
-        self.assertNotIn("127.0.0.4:8080", text)
-
-    def test_lists_those_that_nobody_sees(self) -> None:
-        """A change is reported to be in force while a part of the fleet serves the old one.
-
-        Symptom: callers in one region meet the old limits for as long as its link is cut. Its
-        instances are dead to all that the tool asks, and serve on. Cause: asking only one side.
-        """
-        members = [member(1, 1), member(2, 1), member(3, 0, state="dead")]
-        status = {"instance": member(1, None), "config_version": 1, "members": members}
-        self.answers["127.0.0.1", "/v1/status"] = status
-        listed = [ListedInstance(f"127.0.0.{last}", "salt-lake", "live") for last in (1, 2, 3)]
-        self.platform.listed = listed
-        text = self.apply_and_wait("--wait-timeout", "0.5", code=ExitCode.WAIT_TIMED_OUT)
-        self.assertIn("127.0.0.3 in salt-lake: listed as live", text)
-        self.platform.listed = listed[:2]
-        self.assertIn("in force on 2 instances", self.apply_and_wait(code=ExitCode.OK))
-
-    def test_no_entry_answers(self) -> None:
-        text = self.apply_and_wait("--wait-timeout", "0.5", code=ExitCode.WAIT_TIMED_OUT)
-        self.assertIn("no answer from 127.0.0.1:8080: refused", text)
-
-    def test_wait_without_an_entry_changes_nothing(self) -> None:
-        self.run_cli("apply", OBJECTS, "--wait", code=ExitCode.WRONG_INPUT)
-        self.assertEqual(self.platform.counts, {})
-
-
-class EntryCommandsTest(CliTestCase):
-    ENTRY = ("--entry", "127.0.0.9:8080", "--entry", "127.0.0.1:8080")
-
-    def setUp(self) -> None:
-        super().setUp()
-        self.answers["127.0.0.1", "/v1/status"] = {
-            "instance": member(1, None),
-            "config_version": 4,
-            "members": [member(1, 4), member(2, 3)],
-            "moves": [{"name": "teesta", "share": 0.25}],
-        }
-
-    def test_status_asks_the_next_entry_and_prints_unknown_sections(self) -> None:
-        text = self.run_cli("status", *self.ENTRY)
-        self.assertEqual(text.count("127.0.0.1:8080"), 1)
-        self.assertIn("127.0.0.2:8080", text)
-        self.assertRegex(text, r"moves:\nname +share\nteesta +0.25")
-
-    def test_status_without_an_entry(self) -> None:
-        self.run_cli("status", code=ExitCode.WRONG_INPUT)
-        self.run_cli("status", "--entry", "127.0.0.9:8080", code=ExitCode.FAILED)
-
-    def test_timeline_merges_all_instances(self) -> None:
-        for last, stamp in ((1, "02"), (2, "01")):
-            event = {"hlc": stamp, "instance": f"i{last}", "event": "move-step", "name": "teesta"}
-            self.answers[f"127.0.0.{last}", "/v1/timeline"] = {"events": [event]}
-        text = self.run_cli("timeline", "--since", "00", "--where", "name=teesta", *self.ENTRY)
-        lines = text.splitlines()
-        self.assertEqual(lines[0], "01 i2 move-step name=teesta")
-        self.assertEqual(lines[1], "02 i1 move-step name=teesta")
-        self.assertIn("no events from 127.0.0.9:8080", lines[2])
-        self.assertIn("127.0.0.2:8080/v1/timeline?since=00", self.asked)
-
-    def test_lookup(self) -> None:
-        answer = {"config_version": 4, "ttl_s": 2, "entries": [{"address": "127.0.0.1"}]}
-        self.answers["127.0.0.1", "/v1/lookup"] = answer
-        arguments = ["lookup", "--workspace", "surakkha", *self.ENTRY]
-        self.assertEqual(self.run_json(*arguments, "--client", "10.16.0.1"), answer)
-        self.assertIn("/v1/lookup?workspace=surakkha&address=10.16.0.1", self.asked[-1])
-        self.run_cli(*arguments, "--client", "here", code=ExitCode.WRONG_INPUT)
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -34,7 +34,7 @@
             "address": "entry-1.example",
             "port": "8080",
             "prot": 1,
-            "platform": [],
+            "platform": [{"address": "0.0.0.0", "port": 7000}],
             "limits": {"open_requests": 0},
             "timings": {"lookup_ttl_ms": 2000, "epoch_s": "2m", "seat_lease_s": float("nan")},
         }
@@ -47,7 +47,7 @@
                 "address",
                 "port",
                 "prot",
-                "platform",
+                "platform[0].address",
                 "limits.open_requests",
                 "timings.lookup_ttl_ms",
                 "timings.epoch_s",
@@ -57,6 +57,10 @@
         self.assertIn("did you mean 'lookup_ttl_s'", found["timings.lookup_ttl_ms"])
         self.assertIn("seconds", found["timings.epoch_s"])
 
+    def test_a_platform_is_needed(self) -> None:
+        mistakes = check_settings({**SETTINGS, "platform": []}).unwrap_err().mistakes
+        self.assertEqual([mistake.path for mistake in mistakes], ["platform"])
+
     def test_rules_that_bind_several_fields(self) -> None:
         timings = {"heartbeat_interval_s": 3, "epoch_s": 1, "seat_lease_s": 1}
         result = check_settings({**SETTINGS, "peer_port": 8080, "timings": timings})
