--- /dev/null
+++ b/bench/membership.py
@@ -0,0 +1,271 @@
+"""What the membership costs each instance, and how fast news spreads, by the number of instances.
+
+Real processes on loopback: links, membership and configuration, without requests. The bound is a
+ratio within the run: what an instance sends may not grow with the number of instances.
+"""
+
+import json
+import random
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from typing import Any, NamedTuple
+
+MOST_GROWTH_9_TO_30 = 1.5
+CHANGES = 4
+CHANGE_EVERY_S = 1.5
+SETTLE_S = 3.0
+HEADER_BYTES = 8 + 52 + 52
+"""Length and IP and TCP headers of a small message, and of the acknowledgement it may get."""
+
+LIMIT_S = 60.0
+POLL_S = 0.1
+
+
+class Cost(NamedTuple):
+    """What one instance costs on average."""
+
+    instances: int
+    seconds: float
+    messages_s: float
+    bytes_s: float
+    core: float
+    rss_mb: float
+    threads: int
+    links: float
+    by_kind: dict[str, float]
+
+
+class Change(NamedTuple):
+    """What one change of the configuration costs each instance."""
+
+    messages: float
+    bytes: float
+    processor_ms: float
+
+
+class Spread(NamedTuple):
+    """Seconds until all instances knew."""
+
+    config_has: float
+    config_reported: float
+    leave: float
+    death: float
+
+
+class Figures(NamedTuple):
+    """All that is measured of one group."""
+
+    idle: Cost
+    change: Change
+    spread: Spread
+
+
+class _Group:
+    """Instances as processes of their own."""
+
+    def __init__(self, *, count: int, settings: dict[str, Any]) -> None:
+        self._prefix = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
+        self._processes = {
+            f"{self._prefix}.{number}": subprocess.Popen(
+                [
+                    sys.executable,
+                    "-m",
+                    "bench.member_process",
+                    self._prefix,
+                    str(number),
+                    json.dumps(settings),
+                ],
+                stdin=subprocess.PIPE,
+                stdout=subprocess.PIPE,
+                text=True,
+            )
+            for number in range(1, count + 1)
+        }
+
+    def __enter__(self) -> "_Group":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        for process in self._processes.values():
+            process.kill()
+        for process in self._processes.values():
+            process.communicate()
+
+    @property
+    def addresses(self) -> list[str]:
+        return list(self._processes)
+
+    def command(self, address: str, line: str) -> None:
+        stdin = self._processes[address].stdin
+        assert stdin is not None
+        stdin.write(line + "\n")
+        stdin.flush()
+
+    def kill(self, address: str) -> None:
+        process = self._processes.pop(address)
+        process.kill()
+        process.communicate()
+
+    def reports(self) -> dict[str, dict[str, Any]]:
+        for address in self._processes:
+            self.command(address, "report")
+        return {
+            address: json.loads(process.stdout.readline())  # type: ignore[union-attr]
+            for address, process in self._processes.items()
+        }
+
+    def until(self, condition: Callable[[dict[str, dict[str, Any]]], bool]) -> dict[str, Any]:
+        """Wait until a condition holds for the reports; return them."""
+        ends_at = time.monotonic() + LIMIT_S
+        while time.monotonic() < ends_at:
+            reports = self.reports()
+            if condition(reports):
+                return reports
+            time.sleep(POLL_S)
+        raise AssertionError(f"not so after {LIMIT_S} s with {len(self._processes)} instances")
+
+    def until_seen(self, key: str) -> float:
+        """Wait until all instances saw something; return when the last one did."""
+        reports = self.until(lambda now: all(key in one["seen"] for one in now.values()))
+        return max(float(one["seen"][key]) for one in reports.values())
+
+
+def _wait_joined(group: _Group) -> None:
+    expected = dict.fromkeys(group.addresses, "live")
+    group.until(lambda reports: all(one["states"] == expected for one in reports.values()))
+
+
+def _total(report: dict[str, Any], index: int) -> int:
+    return sum(int(traffic[index]) for traffic in report["sent"].values())
+
+
+def _bytes_of(kind: str) -> Callable[[dict[str, Any]], float]:
+    return lambda report: float(report["sent"].get(kind, [0, 0])[1])
+
+
+def _measure_cost(group: _Group, work: Callable[[], None]) -> Cost:
+    """Measure what the instances cost while ``work`` is done."""
+    before = group.reports()
+    work()
+    after = group.reports()
+    count = len(before)
+    seconds = sum(after[one]["at"] - before[one]["at"] for one in before)
+
+    def rate(reading: Callable[[dict[str, Any]], float]) -> float:
+        return float(sum(reading(after[one]) - reading(before[one]) for one in before) / seconds)
+
+    kinds = {kind for report in after.values() for kind in report["sent"]}
+    return Cost(
+        instances=count,
+        seconds=seconds / count,
+        messages_s=rate(lambda report: _total(report, 0)),
+        bytes_s=rate(lambda report: _total(report, 1)),
+        core=rate(lambda report: float(report["processor_s"])),
+        rss_mb=max(report["rss_kb"] for report in after.values()) / 1024,
+        threads=max(report["threads"] for report in after.values()),
+        links=sum(report["links"] for report in after.values()) / count,
+        by_kind={kind: rate(_bytes_of(kind)) for kind in sorted(kinds)},
+    )
+
+
+def _change_config(group: _Group) -> None:
+    for version in range(2, 2 + CHANGES):
+        group.command(group.addresses[version % len(group.addresses)], f"offer {version}")
+        time.sleep(CHANGE_EVERY_S)
+
+
+def _cost_of_change(idle: Cost, busy: Cost) -> Change:
+    """What one change of the configuration costs each instance beyond idling."""
+
+    def extra(busy_rate: float, idle_rate: float) -> float:
+        return (busy_rate - idle_rate) * busy.seconds / CHANGES
+
+    return Change(
+        messages=extra(busy.messages_s, idle.messages_s),
+        bytes=extra(busy.bytes_s, idle.bytes_s),
+        processor_ms=extra(busy.core, idle.core) * 1000,
+    )
+
+
+def _measure_spread(group: _Group) -> Spread:
+    teller, leaver, victim = group.addresses[0], group.addresses[1], group.addresses[2]
+    time.sleep(1)
+    newest = 2 + CHANGES
+    started_at = time.monotonic()
+    group.command(teller, f"offer {newest}")
+    reported_at = group.until_seen(f"all enforce {newest}")
+    has_at = group.until_seen(f"has {newest}")
+    left_at = time.monotonic()
+    group.command(leaver, "leave")
+    leave_s = group.until_seen(f"{leaver} leaving") - left_at
+    died_at = time.monotonic()
+    group.kill(victim)
+    death_s = group.until_seen(f"{victim} dead") - died_at
+    return Spread(has_at - started_at, reported_at - started_at, leave_s, death_s)
+
+
+def _measure(count: int, *, window_s: float, settings: dict[str, Any]) -> Figures:
+    with _Group(count=count, settings=settings) as group:
+        _wait_joined(group)
+        group.command(group.addresses[0], "offer 1")
+        group.until_seen("all enforce 1")
+        time.sleep(SETTLE_S)
+        idle = _measure_cost(group, lambda: time.sleep(window_s))
+        busy = _measure_cost(group, lambda: _change_config(group))
+        return Figures(idle, _cost_of_change(idle, busy), _measure_spread(group))
+
+
+def _row(figures: Figures) -> str:
+    idle, change, spread = figures
+    on_wire = idle.bytes_s + idle.messages_s * HEADER_BYTES
+    return (
+        f"{idle.instances:9d} {idle.messages_s:7.1f} {idle.bytes_s:8.0f} {on_wire:8.0f}"
+        f" {idle.core:7.2%} {idle.rss_mb:5.1f} {idle.threads:4d} {idle.links:5.1f}"
+        f" {change.messages:8.1f} {change.bytes:8.0f} {change.processor_ms:7.1f}"
+        f" {spread.config_has:6.2f} {spread.config_reported:6.2f}"
+        f" {spread.leave:6.2f} {spread.death:6.2f}"
+    )
+
+
+def measure_all(
+    counts: tuple[int, ...], *, window_s: float, settings: dict[str, Any] | None = None
+) -> tuple[dict[int, Figures], list[str]]:
+    """Measure groups of several sizes; the figures and the lines of the table."""
+    lines = [
+        "          |          idle, for each instance            |   one change, each    |"
+        " s until all know",
+        "instances  sent/s  bytes/s on wire*   core    MB thr links"
+        " messages    bytes    ms     has    told  leave  death",
+    ]
+    all_figures = {}
+    for count in counts:
+        all_figures[count] = _measure(count, window_s=window_s, settings=settings or {})
+        lines.append(_row(all_figures[count]))
+    lines.append(f"* estimated: {HEADER_BYTES} bytes of headers and acknowledgement a message")
+    for count, figures in all_figures.items():
+        kinds = figures.idle.by_kind.items()
+        text = ", ".join(f"{kind} {size:.0f}" for kind, size in kinds if size >= 1)
+        lines.append(f"idle bytes/s by kind at {count}: {text}")
+    return all_figures, lines
+
+
+def run(short: bool) -> list[str]:
+    """Measure; the lines of the table.
+
+    Raises:
+        AssertionError: What an idle instance sends grows with the number of instances.
+    """
+    if short:
+        figures, lines = measure_all((9, 30), window_s=6.0)
+    else:
+        figures, lines = measure_all((3, 9, 30, 60), window_s=20.0)
+    growth = figures[30].idle.bytes_s / figures[9].idle.bytes_s
+    lines.append(f"growth of bytes/s from 9 to 30: {growth:.2f}, at most {MOST_GROWTH_9_TO_30}")
+    assert growth <= MOST_GROWTH_9_TO_30, lines[-1]
+    return lines
+
+
+if __name__ == "__main__":
+    print("\n".join(run(short="short" in sys.argv)))
