Tell on only what changed of a member

What never changes while a process lives (region, failure domain, ports, incarnation) went along with each piece of news.

--- a/src/wagtailpoint/membership/messages.py
+++ b/src/wagtailpoint/membership/messages.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from wagtailpoint.membership.change import News
 from wagtailpoint.membership.member import Fact
 from wagtailpoint.ports.peers import register_message
 
@@ -10,19 +11,19 @@
     """Asks an instance whether it lives.
 
     Attributes:
-        facts: The sender's own fact, what the sender believes of the one asked if it doubts that
+        news: The sender's own state, what the sender believes of the one asked if it doubts that
             it lives, and news.
         view_hash: The hash of the sender's view.
     """
 
-    facts: tuple[Fact, ...]
+    news: News
     view_hash: int
 
 
 class Ack(NamedTuple):
     """The answer to a ``Ping``."""
 
-    facts: tuple[Fact, ...]
+    news: News
     view_hash: int
 
 
@@ -43,7 +44,7 @@
 class Gossip(NamedTuple):
     """News, sent on at once."""
 
-    facts: tuple[Fact, ...]
+    news: News
 
 
 class SyncRequest(NamedTuple):
--- a/src/wagtailpoint/membership/service.py
+++ b/src/wagtailpoint/membership/service.py
@@ -13,6 +13,7 @@
 from loguru import logger
 from result import Err, Ok
 
+from wagtailpoint.membership.change import News, change_of, unpack_address
 from wagtailpoint.membership.member import Fact, Member, MemberState
 from wagtailpoint.membership.messages import (
     Ack,
@@ -27,10 +28,11 @@
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received
 
-MOST_FACTS_PIGGYBACKED = 6
-MOST_FACTS_PUSHED = 30
+MOST_NEWS_PIGGYBACKED = 6
+MOST_NEWS_PUSHED = 60
 MOST_FACTS_SYNCED = 400
 MOST_SYNC_ROUNDS = 8
+NO_NEWS = News((), ())
 
 
 class MembershipSettings(NamedTuple):
@@ -232,7 +234,7 @@
         ping = Ping(self._piggyback(to.address), self._table.view_hash)
         match await self._peers.request(to, ping, timeout_s=self._settings.reply_timeout_s):
             case Ok(Ack() as ack):
-                self._take_in(ack.facts, view_hash=ack.view_hash, sender=to)
+                self._take_in(ack.news, view_hash=ack.view_hash, sender=to)
                 return True
             case _:
                 return False
@@ -268,7 +270,7 @@
 
     def _on_ping(self, received: Received) -> Ack:
         self._take_in(
-            received.message.facts, view_hash=received.message.view_hash, sender=received.sender
+            received.message.news, view_hash=received.message.view_hash, sender=received.sender
         )
         return Ack(self._piggyback(received.sender.address), self._table.view_hash)
 
@@ -292,20 +294,22 @@
 
     # News.
 
-    def _piggyback(self, to: str) -> tuple[Fact, ...]:
+    def _piggyback(self, to: str) -> News:
         about = self._table.fact(to)
-        doubted = (about,) if about is not None and about.suspect else ()
-        return (self._table.own, *doubted, *self._table.take_news(MOST_FACTS_PIGGYBACKED))
-
-    def _take_in(self, facts: Sequence[Fact], *, view_hash: int, sender: PeerAddress) -> None:
-        self._apply(facts)
+        news = self._table.take_news(MOST_NEWS_PIGGYBACKED)
+        told = [change_of(self._table.own)]
+        if about is not None and about.suspect:
+            told.append(change_of(about))
+        return news._replace(changes=(*told, *news.changes))
+
+    def _take_in(self, news: News, *, view_hash: int, sender: PeerAddress) -> None:
+        self._apply(news)
         if view_hash != self._table.view_hash:
             self._sync_with = sender
             self._sync_wanted.set()
 
-    def _apply(self, facts: Sequence[Fact]) -> None:
-        news = [fact for fact in facts if self._table.apply(fact)]
-        if news:
+    def _apply(self, news: News) -> None:
+        if self._table.apply_news(news):
             self._note_change()
 
     def _note_change(self) -> None:
@@ -330,17 +334,22 @@
         others = self._table.reachable()
         chosen = self._random.sample(others, min(fanout, len(others)))
         for fact in chosen:
-            news = self._table.take_news(MOST_FACTS_PUSHED)
-            if not news:
+            news = self._table.take_news(MOST_NEWS_PUSHED)
+            if news == NO_NEWS:
                 break
             self._peers.send(fact.peer_address, Gossip(news))
-            for doubted in news:
-                if doubted.suspect and doubted.address != fact.address:
-                    self._peers.send(doubted.peer_address, Gossip((doubted,)))
+            self._tell_suspects(news, but=fact.address)
         return bool(chosen)
 
+    def _tell_suspects(self, news: News, *, but: str) -> None:
+        """Tell suspects at once that they are, so that they refute it in time."""
+        for change in news.changes:
+            fact = self._table.fact(unpack_address(change.packed_address))
+            if change.suspect and fact is not None and fact.address != but:
+                self._peers.send(fact.peer_address, Gossip(News((), (change,))))
+
     def _on_gossip(self, received: Received) -> None:
-        self._apply(received.message.facts)
+        self._apply(received.message.news)
 
     def _load_is_due(self, load: float) -> bool:
         interval_s = max(2.0, 0.2 * len(self._table.members))
@@ -376,18 +385,18 @@
     def _take_sync(self, to: PeerAddress, reply: SyncReply) -> None:
         mine = self._table.in_buckets_unlike(reply.buckets)
         theirs = {fact.address: fact for fact in reply.facts}
-        self._apply(reply.facts)
+        self._apply(News(reply.facts, ()))
         lacking = [
             fact
             for fact in mine
             if fact.address not in theirs or fact.order > theirs[fact.address].order
         ]
         if lacking:
-            self._peers.send(to, Gossip(tuple(lacking[:MOST_FACTS_SYNCED])))
+            self._peers.send(to, Gossip(News(tuple(lacking[:MOST_FACTS_SYNCED]), ())))
 
     def _on_sync(self, received: Received) -> SyncReply:
         request = received.message
-        self._apply((request.own,))
+        self._apply(News((request.own,), ()))
         facts = self._table.in_buckets_unlike(request.buckets)
         self._random.shuffle(facts)
         return SyncReply(
--- a/src/wagtailpoint/membership/table.py
+++ b/src/wagtailpoint/membership/table.py
@@ -1,9 +1,15 @@
 """The view of one instance: the newest fact of each address, and which of them are news."""
 
 from collections.abc import Iterable
-from math import ceil, log2
 from zlib import crc32
 
+from wagtailpoint.membership.change import (
+    Change,
+    News,
+    change_of,
+    changed_fact,
+    unpack_address,
+)
 from wagtailpoint.membership.member import Fact, Member, make_member
 from wagtailpoint.ports.clock import Clock
 
@@ -32,6 +38,7 @@
         self._suspect_since: dict[str, float] = {}
         self._dead_since: dict[str, float] = {}
         self._copies_left: dict[str, int] = {}
+        self._new_processes: set[str] = set()
         self._buckets = [0] * BUCKETS
         self._members: tuple[Member, ...] | None = None
         self._toggle(own)
@@ -106,6 +113,12 @@
         self._store(fact)
         return True
 
+    def apply_news(self, news: News) -> bool:
+        """Take in news; True if some of it was new here."""
+        applied = [self.apply(fact) for fact in news.facts]
+        applied += [self._apply_change(change) for change in news.changes]
+        return any(applied)
+
     def suspect(self, fact: Fact) -> None:
         """Doubt that a member lives, unless something newer was heard of it meanwhile."""
         if self._facts.get(fact.address) == fact and not fact.suspect:
@@ -132,14 +145,18 @@
             if since <= limit:
                 self._remove(address)
 
-    def take_news(self, most: int) -> tuple[Fact, ...]:
-        """Return the facts that were told on least, counting them as told."""
+    def take_news(self, most: int) -> News:
+        """Return what was told on least, counting it as told."""
         addresses = sorted(self._copies_left, key=lambda address: -self._copies_left[address])
+        facts: list[Fact] = []
+        changes: list[Change] = []
         for address in addresses[:most]:
-            self._copies_left[address] -= 1
-            if self._copies_left[address] == 0:
-                del self._copies_left[address]
-        return tuple(self._facts[address] for address in addresses[:most])
+            if address in self._new_processes:
+                facts.append(self._facts[address])
+            else:
+                changes.append(change_of(self._facts[address]))
+            self._count_copy(address)
+        return News(tuple(facts), tuple(changes))
 
     def in_buckets_unlike(self, buckets: Iterable[int]) -> list[Fact]:
         """Return the facts in all buckets whose hash differs, the dead as suspects among them."""
@@ -158,12 +175,30 @@
             return False
         self._own = self._own._replace(sequence=fact.sequence)
         self.publish(self._own)
+        if another:
+            self._new_processes.add(self._own.address)
         return True
 
+    def _apply_change(self, change: Change) -> bool:
+        try:
+            known = self._facts.get(unpack_address(change.packed_address))
+        except ValueError:
+            return False
+        fact = changed_fact(known, change) if known is not None else None
+        return fact is not None and self.apply(fact)
+
+    def _count_copy(self, address: str) -> None:
+        self._copies_left[address] -= 1
+        if self._copies_left[address] <= 0:
+            del self._copies_left[address]
+            self._new_processes.discard(address)
+
     def _store(self, fact: Fact) -> None:
         known = self._facts.get(fact.address)
         if known is not None and not self.is_dead(fact.address):
             self._toggle(known)
+        if known is None or known.incarnation != fact.incarnation:
+            self._new_processes.add(fact.address)
         self._facts[fact.address] = fact
         self._dead_since.pop(fact.address, None)
         if fact.suspect:
@@ -182,6 +217,7 @@
         self._dead_since.pop(address, None)
         self._suspect_since.pop(address, None)
         self._copies_left.pop(address, None)
+        self._new_processes.discard(address)
         self._members = None
 
     def _toggle(self, fact: Fact) -> None:
@@ -190,8 +226,3 @@
 
 def _bucket_of(address: str) -> int:
     return crc32(address.encode()) % BUCKETS
-
-
-def spread_rounds(members: int) -> int:
-    """Return how many rounds news needs to reach all, each telling a few others."""
-    return max(1, ceil(log2(members + 1)))
