Compare views when news has settled; one module for each task of the membership

The last instances to hear of news waited for a comparison of views 1.5 to 3 s after a difference was seen. Now it waits until no news came for half a second, and is left out if both views have become the same meanwhile.

The membership's service had grown past 400 lines; probing, telling, comparing and finding lost members are modules of their own. Tests with real processes: a killed one replaced at its address, and a frozen one that comes back.

--- a/bench/member_process.py
+++ b/bench/member_process.py
@@ -73,6 +73,7 @@
     def report(self) -> dict[str, object]:
         """Return what it cost so far, and what was seen when."""
         counts = self.peers.counts
+        snapshot = self.spread.current()
         return {
             "at": time.monotonic(),
             "processor_s": time.process_time(),
@@ -84,6 +85,8 @@
             "rss_kb": _rss_kb(),
             "states": {member.address: member.state for member in self.membership.members()},
             "seen": self.seen,
+            "incarnations": {one.address: one.incarnation for one in self.membership.members()},
+            "version": snapshot.change.version if snapshot is not None else 0,
         }
 
     def _enforce(self, snapshot: Snapshot) -> None:
--- a/bench/membership.py
+++ b/bench/membership.py
@@ -4,14 +4,13 @@
 ratio within the run: what an instance sends may not grow with the number of instances.
 """
 
-import json
-import random
-import subprocess
 import sys
 import time
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
+from bench.member_group import ProcessGroup
+
 MOST_GROWTH_9_TO_30 = 1.5
 CHANGES = 4
 CHANGE_EVERY_S = 1.5
@@ -19,9 +18,6 @@
 HEADER_BYTES = 8 + 52 + 52
 """Length and IP and TCP headers of a small message, and of the acknowledgement it may get."""
 
-LIMIT_S = 60.0
-POLL_S = 0.1
-
 
 class Cost(NamedTuple):
     """What one instance costs on average."""
@@ -62,81 +58,6 @@
     spread: Spread
 
 
-class _Group:
-    """Instances as processes of their own."""
-
-    def __init__(self, *, count: int, settings: dict[str, Any]) -> None:
-        self._prefix = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
-        self._processes = {
-            f"{self._prefix}.{number}": subprocess.Popen(
-                [
-                    sys.executable,
-                    "-m",
-                    "bench.member_process",
-                    self._prefix,
-                    str(number),
-                    json.dumps(settings),
-                ],
-                stdin=subprocess.PIPE,
-                stdout=subprocess.PIPE,
-                text=True,
-            )
-            for number in range(1, count + 1)
-        }
-
-    def __enter__(self) -> "_Group":
-        return self
-
-    def __exit__(self, *_: object) -> None:
-        for process in self._processes.values():
-            process.kill()
-        for process in self._processes.values():
-            process.communicate()
-
-    @property
-    def addresses(self) -> list[str]:
-        return list(self._processes)
-
-    def command(self, address: str, line: str) -> None:
-        stdin = self._processes[address].stdin
-        assert stdin is not None
-        stdin.write(line + "\n")
-        stdin.flush()
-
-    def kill(self, address: str) -> None:
-        process = self._processes.pop(address)
-        process.kill()
-        process.communicate()
-
-    def reports(self) -> dict[str, dict[str, Any]]:
-        for address in self._processes:
-            self.command(address, "report")
-        return {
-            address: json.loads(process.stdout.readline())  # type: ignore[union-attr]
-            for address, process in self._processes.items()
-        }
-
-    def until(self, condition: Callable[[dict[str, dict[str, Any]]], bool]) -> dict[str, Any]:
-        """Wait until a condition holds for the reports; return them."""
-        ends_at = time.monotonic() + LIMIT_S
-        while time.monotonic() < ends_at:
-            reports = self.reports()
-            if condition(reports):
-                return reports
-            time.sleep(POLL_S)
-        raise AssertionError(f"not so after {LIMIT_S} s with {len(self._processes)} instances")
-
-    def until_seen(self, key: str) -> float:
-        """Wait until all instances saw something; return when the last one did."""
-        reports = self.until(lambda now: all(key in one["seen"] for one in now.values()))
-        return max(float(one["seen"][key]) for one in reports.values())
-
-
-def _wait_joined(group: _Group) -> None:
-    expected = dict.fromkeys(group.addresses, "live")
-    group.until(lambda reports: all(one["states"] == expected for one in reports.values()))
-
-
 def _total(report: dict[str, Any], index: int) -> int:
     return sum(int(traffic[index]) for traffic in report["sent"].values())
 
@@ -145,7 +66,7 @@
     return lambda report: float(report["sent"].get(kind, [0, 0])[1])
 
 
-def _measure_cost(group: _Group, work: Callable[[], None]) -> Cost:
+def _measure_cost(group: ProcessGroup, work: Callable[[], None]) -> Cost:
     """Measure what the instances cost while ``work`` is done."""
     before = group.reports()
     work()
@@ -170,7 +91,7 @@
     )
 
 
-def _change_config(group: _Group) -> None:
+def _change_config(group: ProcessGroup) -> None:
     for version in range(2, 2 + CHANGES):
         group.command(group.addresses[version % len(group.addresses)], f"offer {version}")
         time.sleep(CHANGE_EVERY_S)
@@ -189,7 +110,7 @@
     )
 
 
-def _measure_spread(group: _Group) -> Spread:
+def _measure_spread(group: ProcessGroup) -> Spread:
     teller, leaver, victim = group.addresses[0], group.addresses[1], group.addresses[2]
     time.sleep(1)
     newest = 2 + CHANGES
@@ -207,8 +128,8 @@
 
 
 def _measure(count: int, *, window_s: float, settings: dict[str, Any]) -> Figures:
-    with _Group(count=count, settings=settings) as group:
-        _wait_joined(group)
+    with ProcessGroup(count=count, settings=settings) as group:
+        group.until_all_live()
         group.command(group.addresses[0], "offer 1")
         group.until_seen("all enforce 1")
         time.sleep(SETTLE_S)
--- a/src/wagtailpoint/membership/__init__.py
+++ b/src/wagtailpoint/membership/__init__.py
@@ -2,7 +2,8 @@
 
 from wagtailpoint.membership.config_spread import ConfigSpread, ConfigSpreadSettings
 from wagtailpoint.membership.member import Member, MemberState
-from wagtailpoint.membership.service import Membership, MembershipSettings
+from wagtailpoint.membership.service import Membership
+from wagtailpoint.membership.settings import MembershipSettings
 
 __all__ = [
     "ConfigSpread",
--- /dev/null
+++ b/src/wagtailpoint/membership/news.py
@@ -0,0 +1,102 @@
+"""Telling news on: to a few members at once, and along with every probe."""
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+
+from wagtailpoint.membership.change import News, change_of, unpack_address
+from wagtailpoint.membership.messages import Gossip
+from wagtailpoint.membership.settings import MembershipSettings
+from wagtailpoint.membership.table import MemberTable
+from wagtailpoint.ports.peers import Peers, Received
+
+MOST_NEWS_PIGGYBACKED = 6
+MOST_NEWS_PUSHED = 60
+NO_NEWS = News((), ())
+
+
+class NewsTeller:
+    """Takes news in, tells it on, and wakes who waits for changes.
+
+    Args:
+        table: The view of this instance.
+        peers: The links to the others.
+        random: Chooses whom to tell.
+        settings: Times and numbers.
+    """
+
+    def __init__(
+        self, *, table: MemberTable, peers: Peers, random: Random, settings: MembershipSettings
+    ) -> None:
+        self._table = table
+        self._peers = peers
+        self._random = random
+        self._settings = settings
+        self._arrived = trio.Event()
+        self._changed = trio.Event()
+        self._callbacks: list[Callable[[], None]] = []
+        peers.handle(Gossip, self._on_gossip)
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Call ``callback``, which must not block, after every change of the view."""
+        self._callbacks.append(callback)
+
+    async def wait_changed(self) -> None:
+        """Wait for the next change of the view."""
+        await self._changed.wait()
+
+    def apply(self, news: News) -> None:
+        """Take in news."""
+        if self._table.apply_news(news):
+            self.note_change()
+
+    def note_change(self) -> None:
+        """Tell on, and wake who waits, after the view was changed."""
+        if self._table.has_news:
+            self._arrived.set()
+        changed, self._changed = self._changed, trio.Event()
+        changed.set()
+        for callback in self._callbacks:
+            callback()
+
+    def piggyback(self, to: str) -> News:
+        """Return what goes along with a probe or its answer."""
+        about = self._table.fact(to)
+        news = self._table.take_news(MOST_NEWS_PIGGYBACKED)
+        told = [change_of(self._table.own)]
+        if about is not None and about.suspect:
+            told.append(change_of(about))
+        return news._replace(changes=(*told, *news.changes))
+
+    async def run(self) -> None:
+        """Tell news on until cancelled."""
+        while True:
+            await self._arrived.wait()
+            self._arrived = trio.Event()
+            while self._table.has_news:
+                await trio.sleep(self._settings.push_delay_s * self._random.uniform(0.8, 1.2))
+                if not self.push(self._settings.push_fanout):
+                    break
+
+    def push(self, fanout: int) -> bool:
+        """Tell news to a few members, and suspects that they are suspected; False if to nobody."""
+        others = self._table.reachable()
+        chosen = self._random.sample(others, min(fanout, len(others)))
+        for fact in chosen:
+            news = self._table.take_news(MOST_NEWS_PUSHED)
+            if news == NO_NEWS:
+                break
+            self._peers.send(fact.peer_address, Gossip(news))
+            self._tell_suspects(news, but=fact.address)
+        return bool(chosen)
+
+    def _tell_suspects(self, news: News, *, but: str) -> None:
+        """Tell suspects at once that they are, so that they refute it in time."""
+        for change in news.changes:
+            fact = self._table.fact(unpack_address(change.packed_address))
+            if change.suspect and fact is not None and fact.address != but:
+                self._peers.send(fact.peer_address, Gossip(News((), (change,))))
+
+    def _on_gossip(self, received: Received) -> None:
+        self.apply(received.message.news)
