Classes with ceilings, a queue bounded by deadlines, fairness between workspaces

Cause: the slot rule knew an order of classes but no room kept free, no bound by time and no workspaces; each release sorted the queue, removal was linear.

Change: ceilings count a class with all lower ones, in each tier, against those of every class above; waits are estimated from hold times and the slots that more urgent classes hold on average, and what cannot be answered in time is refused at once, the least urgent first; within a class the workspace with the fewest slots held is next; a queue item is found and removed in O(log n), one waiter is woken for a freed slot; Retry-After is spread by the overload; Workspace.max_rps is a token bucket of this instance's even part. The slots that may be used at all come through SlotGrants, which permits can implement.

--- a/src/wagtailpoint/admission/slots.py
+++ b/src/wagtailpoint/admission/slots.py
@@ -1,124 +1,136 @@
-"""Slots of backend servers, as one instance spends them: choice of server, queue, classes.
+"""Slots of backend servers, as one instance spends them: classes, queue, refusals.
 
-This is the rule "least in flight of all, by the instance's own count", the best of the rules that
-need no message between instances.
+Strict order with guaranteed room: a class waits while a more urgent one does, and may use idle
+slots up to its ceiling, so that an arriving burst of urgent requests always finds room. What
+cannot be answered within its deadline is refused at once, the least urgent first.
 """
 
-import heapq
-import itertools
-from collections import Counter
-from collections.abc import Sequence
-from http import HTTPStatus
-from typing import NamedTuple, Protocol
+from collections.abc import Callable, Sequence
+from itertools import groupby
+from random import Random
+from typing import Final
 
 import trio
 from result import Err, Ok, Result
 
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
-from wagtailpoint.config.model import BackendServer, ClassPolicy
+from wagtailpoint.admission.ceilings import (
+    HeldSlots,
+    binding_policies,
+    is_below_ceilings,
+    most_held,
+)
+from wagtailpoint.admission.demand import ServerChoice, Slot, SlotDemand, SlotGrants
+from wagtailpoint.admission.own_count import OwnCount
+from wagtailpoint.admission.rates import WorkspaceRates
+from wagtailpoint.admission.refusal import Refusal
+from wagtailpoint.admission.refusals import refuse_server, refuse_slot, refuse_workspace
+from wagtailpoint.admission.return_times import ReturnTimes
+from wagtailpoint.admission.waiting import Waiter, WaitingLine
+from wagtailpoint.admission.waits import Waits
+from wagtailpoint.config.model import BackendServer
 from wagtailpoint.ports.clock import Clock
-from wagtailpoint.verdict import Verdict
 
-SHED_RETRY_AFTER_S = 1.0
+__all__ = ["ServerChoice", "Slot", "SlotDemand", "SlotGrants", "SlotPool"]
 
+TOO_LATE: Final = "it could not be answered within its deadline"
+PUSHED_OUT: Final = "more urgent requests came"
+QUEUE_FULL: Final = "the queue is full"
 
-class ServerChoice(Protocol):
-    """The backend servers that may take one request, from best to worst."""
 
-    def candidates(self) -> Sequence[BackendServer]:
-        """Those that may take it now, in order of preference."""
-        ...
+class _Pool:
+    """What is kept of one pool."""
 
-    def tier_of(self, server: BackendServer) -> int:
-        """The tier of one of the last ``candidates``; the next is used when one is full."""
-        ...
-
-    def taken(self, server: BackendServer) -> None:
-        """A slot of this backend server was taken, in the same step as ``candidates``."""
-        ...
-
-
-class SlotDemand(NamedTuple):
-    """What one request needs.
-
-    Attributes:
-        pool: The service and group that it goes to.
-        servers: The backend servers that may take it.
-        policy: Its class.
-        deadline: By the monotonic clock.
-        avoid: Backend servers already tried; taken only if there is no other.
-    """
-
-    pool: str
-    servers: ServerChoice
-    policy: ClassPolicy
-    deadline: float
-    avoid: Sequence[BackendServer] = ()
-
-
-class Slot(NamedTuple):
-    """A slot of a backend server, held until it is released."""
-
-    pool: str
-    server: BackendServer
-    policy: ClassPolicy
-
-
-class _Waiter:
-    """A request in the queue."""
-
-    def __init__(self, *, demand: SlotDemand) -> None:
-        self.demand = demand
-        self.ready = trio.Event()
-        self.slot: Slot | None = None
+    def __init__(self, *, clock: Clock) -> None:
+        self.line = WaitingLine()
+        self.waits = Waits(clock=clock)
 
 
 class SlotPool:
     """The slots of all backend servers, as far as this instance uses them."""
 
-    def __init__(self, *, clock: Clock, most_queued: int) -> None:
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        most_queued: int,
+        random: Random | None = None,
+        grants: SlotGrants | None = None,
+        limit_part: Callable[[], float] = lambda: 1.0,
+    ) -> None:
+        """Make it with all slots free.
+
+        Args:
+            clock: Of this instance.
+            most_queued: The most requests that wait, of all pools.
+            random: Spreads ``Retry-After``.
+            grants: The slots that this instance may use; by default all, by its own count.
+            limit_part: The part of every workspace's limit that this instance may spend.
+        """
         self._clock = clock
         self._most_queued = most_queued
-        self._in_flight: Counter[BackendServer] = Counter()
-        self._queue: list[tuple[int, int, _Waiter]] = []
-        self._numbers = itertools.count()
+        self._grants = grants if grants is not None else OwnCount()
+        self._rates = WorkspaceRates(clock=clock, part=limit_part)
+        self._return_times = ReturnTimes(clock=clock, random=random or Random())
+        self._held = HeldSlots()
+        self._pools: dict[str, _Pool] = {}
 
     @property
     def queued(self) -> int:
         """Requests waiting for a slot."""
-        return len(self._queue)
+        return sum(len(pool.line) for pool in self._pools.values())
 
     @property
     def in_flight(self) -> int:
         """Slots held."""
-        return sum(self._in_flight.values())
+        return self._held.total()
 
     def held_of(self, server: BackendServer) -> int:
         """Slots of one backend server that this instance holds."""
-        return self._in_flight[server]
+        return self._held.of(server)
 
     async def acquire(self, demand: SlotDemand) -> Result[Slot, Refusal]:
         """Take a slot, waiting within the deadline; the caller must release it."""
-        slot = self._take(demand)
+        pool = self._pool(demand.pool)
+        if not demand.avoid:
+            wait_s = self._rates.take(demand.workspace, demand.max_rps)
+            if wait_s is not None:
+                retry_after_s = wait_s + self._return_times.next_s()
+                return Err(refuse_workspace(demand.workspace, demand.max_rps, retry_after_s))
+        # Who comes now must not pass those that wait already, should a slot have become free
+        # unnoticed, as when a backend server has recovered.
+        self._serve_pool(pool, most=self._most_queued)
+        slot = self._take(demand, pool) if not self._must_queue(demand, pool) else None
         if slot is not None:
             return Ok(slot)
-        if not demand.servers.candidates():
-            return Err(_no_server(demand))
-        if len(self._queue) >= self._most_queued:
-            return Err(_no_slot(demand, "the queue is full"))
-        return await self._wait(demand)
+        refusal = self._refuse_newcomer(demand, pool)
+        return Err(refusal) if refusal is not None else await self._wait(demand, pool)
 
     def release(self, slot: Slot) -> None:
         """Give a slot back, and hand it to the most urgent request that waits."""
-        self._in_flight[slot.server] -= 1
-        if not self._in_flight[slot.server]:
-            del self._in_flight[slot.server]
-        self._serve_queue()
-
-    async def _wait(self, demand: SlotDemand) -> Result[Slot, Refusal]:
-        waiter = _Waiter(demand=demand)
-        item = (demand.policy.priority, next(self._numbers), waiter)
-        heapq.heappush(self._queue, item)
+        self._held.remove(slot.server, slot.policy.priority)
+        self._grants.give_back(slot.server)
+        pool = self._pool(slot.pool)
+        pool.line.queue(slot.policy.priority).note_released(slot.workspace)
+        pool.waits.note_released(slot.policy.priority, self._clock.monotonic() - slot.taken_at)
+        self.serve(most=1)
+
+    def serve(self, *, most: int | None = None) -> None:
+        """Give free slots to waiting requests; call it when more slots may be used than before.
+
+        Args:
+            most: So many at the most; a release frees only one, and to look for more would cost
+                as much again. None: as many as there are.
+        """
+        left = self._most_queued if most is None else most
+        waiting = [pool for pool in self._pools.values() if len(pool.line)]
+        waiting.sort(key=lambda pool: pool.line.most_urgent().demand.policy.priority)
+        for pool in waiting:
+            left -= self._serve_pool(pool, most=left)
+            if not left:
+                return
+
+    async def _wait(self, demand: SlotDemand, pool: _Pool) -> Result[Slot, Refusal]:
+        waiter = pool.line.add(demand)
         try:
             with trio.move_on_after(demand.deadline - self._clock.monotonic()):
                 await waiter.ready.wait()
@@ -127,49 +139,152 @@
                 self.release(waiter.slot)
             raise
         finally:
-            if waiter.slot is None:
-                self._queue.remove(item)
-                heapq.heapify(self._queue)
-        if waiter.slot is None:
-            return Err(_no_slot(demand, "no slot became free within the deadline"))
-        return Ok(waiter.slot)
-
-    def _take(self, demand: SlotDemand) -> Slot | None:
+            if not waiter.ready.is_set():
+                pool.line.remove(waiter)
+        if waiter.slot is not None:
+            return Ok(waiter.slot)
+        return Err(waiter.refusal or self._no_slot(demand, TOO_LATE))
+
+    def _must_queue(self, demand: SlotDemand, pool: _Pool) -> bool:
+        if not len(pool.line):
+            return False
+        return pool.line.most_urgent().demand.policy.priority <= demand.policy.priority
+
+    def _take(self, demand: SlotDemand, pool: _Pool) -> Slot | None:
         choice = demand.servers
-        free = [each for each in choice.candidates() if self._in_flight[each] < each.slots]
-        preferred = [server for server in free if server not in demand.avoid] or free
-        if not preferred:
+        server = self._take_server(demand, choice.candidates(), pool)
+        if server is None:
             return None
-        server = min(preferred, key=lambda each: (choice.tier_of(each), self._in_flight[each]))
-        self._in_flight[server] += 1
         choice.taken(server)
-        return Slot(demand.pool, server, demand.policy)
-
-    def _serve_queue(self) -> None:
-        for item in sorted(self._queue):
-            waiter = item[2]
-            waiter.slot = self._take(waiter.demand)
-            if waiter.slot is not None:
-                self._queue.remove(item)
-                waiter.ready.set()
-        heapq.heapify(self._queue)
-
-
-def _no_slot(demand: SlotDemand, why: str) -> Refusal:
-    return Refusal(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        RefusalCode.NO_SLOT,
-        f"all slots of {demand.pool} that class {demand.policy.name} may use are taken: {why}",
-        Verdict.NOT_RUN,
-        SHED_RETRY_AFTER_S,
-    )
-
-
-def _no_server(demand: SlotDemand) -> Refusal:
-    return Refusal(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        RefusalCode.NO_BACKEND_SERVER,
-        f"{demand.pool} has no backend server that takes new work",
-        Verdict.NOT_RUN,
-        SHED_RETRY_AFTER_S,
-    )
+        priority = demand.policy.priority
+        self._held.add(server, priority)
+        pool.line.queue(priority).note_taken(demand.workspace)
+        pool.waits.note_taken(priority)
+        self._return_times.note_served()
+        return Slot(demand.pool, server, demand.policy, demand.workspace, self._clock.monotonic())
+
+    def _take_server(
+        self, demand: SlotDemand, candidates: Sequence[BackendServer], pool: _Pool
+    ) -> BackendServer | None:
+        open_tiers = self._open_tiers(demand, candidates, pool)
+
+        def rank(server: BackendServer) -> tuple[int, int]:
+            return _avoid_rank(server, demand.avoid), demand.servers.tier_of(server)
+
+        usable = [each for each in candidates if demand.servers.tier_of(each) in open_tiers]
+        for _, alike in groupby(sorted(usable, key=rank), key=rank):
+            server = self._grants.take(list(alike), deadline=demand.deadline, long=demand.long)
+            if server is not None:
+                return server
+        return None
+
+    def _open_tiers(
+        self, demand: SlotDemand, candidates: Sequence[BackendServer], pool: _Pool
+    ) -> set[int]:
+        """The tiers in which the class is below its ceilings.
+
+        Ceilings hold in each tier: brochures that filled all near slots, being below their ceiling
+        of all slots near and far, would send an urgent request to another region.
+        """
+        tiers: dict[int, list[BackendServer]] = {}
+        for server in candidates:
+            tiers.setdefault(demand.servers.tier_of(server), []).append(server)
+        slots = {tier: sum(map(self._grants.slots_of, servers)) for tier, servers in tiers.items()}
+        # One at least: an instance that has no slot yet would refuse all, and so never ask for any.
+        pool.waits.slots = max(1, sum(slots.values()))
+        binding = binding_policies(demand.policy, demand.classes)
+        found = {
+            tier
+            for tier, servers in tiers.items()
+            if is_below_ceilings(binding, self._held.by_priority(servers), slots[tier])
+        }
+        if not found and not any(most_held(demand.policy, count) for count in slots.values()):
+            # With so few slots the ceiling is less than one; a class that is never served at all
+            # is worse than one slot too many.
+            held = self._held.by_priority(candidates)
+            if is_below_ceilings(binding, held, pool.waits.slots, least=1):
+                return set(tiers)
+        return found
+
+    def _serve_pool(self, pool: _Pool, *, most: int) -> int:
+        """Serve up to ``most`` waiting requests of a pool; return how many were.
+
+        When the most urgent finds no slot, nobody behind it does: the candidates are the same, and
+        what is open to a lower class is open to it.
+        """
+        served = 0
+        while served < most and len(pool.line):
+            waiter = pool.line.most_urgent()
+            if self._is_too_late(waiter.demand, pool):
+                self._turn_away(waiter, pool, TOO_LATE)
+                continue
+            slot = self._take(waiter.demand, pool)
+            if slot is None:
+                break
+            waiter.slot = slot
+            pool.line.remove(waiter)
+            waiter.ready.set()
+            served += 1
+        return served
+
+    def _refuse_newcomer(self, demand: SlotDemand, pool: _Pool) -> Refusal | None:
+        """Refuse a request that has to wait, or else make room for it in the queue."""
+        if not demand.servers.candidates():
+            return refuse_server(demand.pool, self._return_times.next_s())
+        if self._wait_s(demand, pool, None) > self._patience_s(demand, pool):
+            return self._no_slot(demand, TOO_LATE)
+        while len(pool.line):
+            last = pool.line.least_urgent()
+            if self._wait_s(last.demand, pool, last) <= self._patience_s(last.demand, pool):
+                break
+            self._turn_away(last, pool, PUSHED_OUT)
+        if self.queued < self._most_queued:
+            return None
+        return self._push_out(demand)
+
+    def _push_out(self, demand: SlotDemand) -> Refusal | None:
+        """Make room in the full queue, at the cost of the least urgent request of all pools."""
+        longest = [pool for pool in self._pools.values() if len(pool.line)]
+        if longest:
+            pool = max(longest, key=lambda each: each.line.least_urgent().demand.policy.priority)
+            last = pool.line.least_urgent()
+            if pool.line.gives_way(last, demand):
+                self._turn_away(last, pool, PUSHED_OUT)
+                return None
+        return self._no_slot(demand, QUEUE_FULL)
+
+    def _wait_s(self, demand: SlotDemand, pool: _Pool, waiter: Waiter | None) -> float:
+        line = pool.line
+        ahead = line.ahead_of_newcomer(demand) if waiter is None else line.ahead_of(waiter)
+        binding = binding_policies(demand.policy, demand.classes)
+        return pool.waits.estimate(demand.policy, binding, ahead)
+
+    def _patience_s(self, demand: SlotDemand, pool: _Pool) -> float:
+        """How long a request can wait and still be answered in time."""
+        left_s = demand.deadline - self._clock.monotonic()
+        return left_s if demand.long else left_s - pool.waits.hold_s(demand.policy.priority)
+
+    def _is_too_late(self, demand: SlotDemand, pool: _Pool) -> bool:
+        return self._patience_s(demand, pool) < 0
+
+    def _turn_away(self, waiter: Waiter, pool: _Pool, why: str) -> None:
+        pool.line.remove(waiter)
+        waiter.refusal = self._no_slot(waiter.demand, why)
+        waiter.ready.set()
+
+    def _no_slot(self, demand: SlotDemand, why: str) -> Refusal:
+        retry_after_s = self._return_times.next_s()
+        return refuse_slot(demand.pool, demand.policy.name, why, retry_after_s)
+
+    def _pool(self, name: str) -> _Pool:
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = _Pool(clock=self._clock)
+        return pool
+
+
+def _avoid_rank(server: BackendServer, avoid: Sequence[BackendServer]) -> int:
+    """0 in a failure domain not tried yet, 1 for another backend server of one, 2 for the same."""
+    if server in avoid:
+        return 2
+    return int(any(server.failure_domain == tried.failure_domain for tried in avoid))
--- /dev/null
+++ b/src/wagtailpoint/admission/waiting.py
@@ -0,0 +1,91 @@
+"""The requests of one pool that wait for a slot: strict order of classes, fair within each."""
+
+from collections.abc import Mapping
+from itertools import count
+
+import trio
+
+from wagtailpoint.admission.demand import Slot, SlotDemand
+from wagtailpoint.admission.fair_queue import FairQueue
+from wagtailpoint.admission.refusal import Refusal
+
+
+class Waiter:
+    """A request in the queue; it ends with a slot or with a refusal."""
+
+    def __init__(self, *, demand: SlotDemand, number: int) -> None:
+        self.demand = demand
+        self.number = number
+        self.ready = trio.Event()
+        self.slot: Slot | None = None
+        self.refusal: Refusal | None = None
+
+
+class WaitingLine:
+    """The waiting requests of one pool."""
+
+    def __init__(self) -> None:
+        self._queues: dict[int, FairQueue[Waiter]] = {}
+        self._numbers = count()
+        self._size = 0
+
+    def __len__(self) -> int:
+        return self._size
+
+    def add(self, demand: SlotDemand) -> Waiter:
+        """Add a request."""
+        waiter = Waiter(demand=demand, number=next(self._numbers))
+        self.queue(demand.policy.priority).push(demand.workspace, waiter.number, waiter)
+        self._size += 1
+        return waiter
+
+    def remove(self, waiter: Waiter) -> None:
+        """Remove a request, wherever it stands."""
+        demand = waiter.demand
+        self.queue(demand.policy.priority).remove(demand.workspace, waiter.number)
+        self._size -= 1
+
+    def queue(self, priority: int) -> FairQueue[Waiter]:
+        """The waiting requests of one class."""
+        queue = self._queues.get(priority)
+        if queue is None:
+            queue = self._queues[priority] = FairQueue()
+        return queue
+
+    def most_urgent(self) -> Waiter:
+        """The request to be served next; there must be one."""
+        return self._queues[min(self._waiting_priorities())].first()
+
+    def least_urgent(self) -> Waiter:
+        """The request to be refused first; there must be one."""
+        return self._queues[max(self._waiting_priorities())].last()
+
+    def ahead_of_newcomer(self, demand: SlotDemand) -> Mapping[int, int]:
+        """How many are served before a request that comes now, by priority."""
+        own = demand.policy.priority
+        ahead = {priority: len(queue) for priority, queue in self._queues.items() if priority < own}
+        ahead[own] = self.queue(own).ahead_of_newcomer(demand.workspace)
+        return ahead
+
+    def ahead_of(self, waiter: Waiter) -> Mapping[int, int]:
+        """How many are served before the newest request of a workspace, by priority."""
+        own = waiter.demand.policy.priority
+        ahead = {priority: len(queue) for priority, queue in self._queues.items() if priority < own}
+        ahead[own] = self.queue(own).ahead_of_newest(waiter.demand.workspace)
+        return ahead
+
+    def gives_way(self, waiter: Waiter, demand: SlotDemand) -> bool:
+        """Whether a waiting request is turned away for one that comes now, the queue being full.
+
+        It is less urgent, or its workspace has more waiting than the other would have: the flood of
+        one workspace must not keep the others out of the queue.
+        """
+        own, other = waiter.demand.policy.priority, demand.policy.priority
+        if own != other:
+            return own > other
+        queue = self.queue(own)
+        waiting = queue.waiting_of(waiter.demand.workspace)
+        return waiting > queue.waiting_of(demand.workspace) + 1
+
+    def _waiting_priorities(self) -> list[int]:
+        return [priority for priority, queue in self._queues.items() if len(queue)]
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -18,6 +18,7 @@
 from wagtailpoint.config.watcher import ConfigWatcher
 from wagtailpoint.daemon.api import PREFIX, OwnPages
 from wagtailpoint.daemon.config_state import ConfigState
+from wagtailpoint.daemon.even_part import even_part
 from wagtailpoint.daemon.instance_list import InstanceList
 from wagtailpoint.daemon.lookups import Lookups
 from wagtailpoint.daemon.pages import InstancePages
@@ -117,7 +118,11 @@
             timeout_s=timings.connect_timeout_s,
             random=Random(),
         )
-        self._slots = SlotPool(clock=self._clock, most_queued=settings.limits.queued_requests)
+        self._slots = SlotPool(
+            clock=self._clock,
+            most_queued=settings.limits.queued_requests,
+            limit_part=lambda: even_part(self._config.effective),
+        )
         self._gate = RequestGate(most_open=settings.limits.open_requests)
         self._keys = KeyStore(
             incarnation=incarnation,
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -156,11 +156,15 @@
 
     def _demand(self, plan: Plan, tried: Sequence[Attempt]) -> SlotDemand:
         return SlotDemand(
-            pool=plan.service.name,
+            pool=f"{plan.service.name}/{plan.workspace.groups.get(plan.service.name)}",
             servers=self._servers.choice(plan),
             policy=plan.policy,
             deadline=plan.deadline,
             avoid=[attempt.server for attempt in tried],
+            workspace=plan.workspace.name,
+            max_rps=plan.workspace.max_rps,
+            classes=plan.service.classes.values(),
+            long=plan.route.bulk,
         )
 
 
