Close connections that outlive their server's place; let draining reports hold longer

Cause: an exchange that outlived its backend server's place in the configuration gave its connection back to a pool that nobody looked at any more; and a backend server that reported draining came back into use 5 s after its reports stopped. Change: a retired pool keeps nothing; a report of draining holds 30 s. Ruled out: seeing the closed connection at the stand-in; hypercorn keeps a connection that its peer closed while idle until its keep-alive time is over.

--- a/src/wagtailpoint/adapters/backend_http.py
+++ b/src/wagtailpoint/adapters/backend_http.py
@@ -16,7 +16,7 @@
 from result import Err, Ok, Result
 
 from wagtailpoint.adapters import backend_headers
-from wagtailpoint.adapters.backend_pool import IDLE_LIMIT_S, ConnectionPool, PooledConnection
+from wagtailpoint.adapters.backend_pool import ConnectionPool, PooledConnection
 from wagtailpoint.ports.backend import (
     BackendAddress,
     BackendFailure,
@@ -155,12 +155,7 @@
         """Close idle connections to a backend server that left the configuration."""
         pool = self._pools.pop(server, None)
         if pool is not None:
-            await pool.close_idle()
-
-    async def close_rested(self) -> None:
-        """Close the connections that rested too long to be used again; call it now and then."""
-        for pool in tuple(self._pools.values()):
-            await pool.close_idle(rested_s=IDLE_LIMIT_S)
+            await pool.retire()
 
     def _pool(self, server: BackendAddress) -> ConnectionPool:
         pool = self._pools.get(server)
--- a/src/wagtailpoint/adapters/backend_pool.py
+++ b/src/wagtailpoint/adapters/backend_pool.py
@@ -133,6 +133,13 @@
         while len(self._idle) > self._kept:
             await self._idle.popleft().close()
 
+    async def retire(self) -> None:
+        """Close the idle connections, and the others as their exchanges end."""
+        # Otherwise an exchange that outlives its backend server's place in the configuration would
+        # leave its connection open in a pool that nobody looks at any more.
+        self._kept = 0
+        await self.close_idle()
+
     async def close_idle(self, *, rested_s: float = 0.0) -> None:
         """Close the idle connections that rested for so many seconds."""
         while self._idle and self._idle[0].rest_s >= rested_s:
--- a/src/wagtailpoint/health/server.py
+++ b/src/wagtailpoint/health/server.py
@@ -27,6 +27,10 @@
 REPORT_AGE_S = 5.0
 """A load report older than this says nothing any more, in seconds."""
 
+DRAINING_REPORT_AGE_S = 30.0
+"""A report of draining holds longer, in seconds: a backend server that is leaving must not come
+back into use because its reports stop arriving."""
+
 DRAINING_MEMORY_S = 10.0
 """How long a shed answer that says "draining" holds, in seconds, whatever reports say meanwhile."""
 
@@ -91,8 +95,9 @@
     @property
     def reports_draining(self) -> bool:
         """Whether its newest report says "draining", and is not too old."""
-        report = self.report
-        return report is not None and report.draining
+        age_s = self._clock.monotonic() - self._report_at
+        report = self._report
+        return report is not None and report.draining and age_s <= DRAINING_REPORT_AGE_S
 
     @property
     def report(self) -> LoadReport | None:
--- a/tests/cover/test_backend_http.py
+++ b/tests/cover/test_backend_http.py
@@ -245,6 +245,24 @@
 
         run_with_standin(test)
 
+    def test_exchange_outlives_the_configuration(self) -> None:
+        """Sockets pile up to backend servers that left the configuration.
+
+        A download goes on while its backend server leaves; its connection went back to a pool
+        that nobody looked at any more.
+        """
+
+        async def test(bench: Bench) -> None:
+            request = request_of("r", target="/bulk/1000000")
+            pool = bench.backends._pool(bench.server)
+            async with bench.backends.exchange(bench.server, request) as answered:
+                await bench.backends.close(bench.server)
+                body = b"".join([chunk async for chunk in answered.unwrap().body])
+            self.assertEqual(body, bulk_bytes(0, 1_000_000))
+            self.assertEqual((pool.opened, pool.idle), (1, 0))
+
+        run_with_standin(test)
+
     def test_body_left_unread_closes_its_connection(self) -> None:
         """A download is given up half-way; its rest must not be read by the next request."""
 
