Add permits for slots, moved between instances by loans that end

Cause: slots of backend servers are spent by several instances; fixed shares collapse when one entry gets most callers, and least-in-flight goes above a server's slots because nobody sees all.

Change: a permit is one slot of one backend server, at home in a seat. A loan ends by itself: the borrower counts from before it asked, the lender from when it granted. A successor lets loans of a dead holder end first.

--- a/src/wagtailpoint/limits/keeper.py
+++ b/src/wagtailpoint/limits/keeper.py
@@ -48,6 +48,7 @@
         place: KeeperPlace,
         names: Callable[[], Sequence[str]],
         lease_s: float,
+        loan_s: float,
         drained: Callable[[str], bool],
     ) -> None:
         """Make it without any seat.
@@ -59,6 +60,7 @@
             place: Where this process runs.
             names: All seats there are, see ``seat_names``.
             lease_s: The lease in seconds; the same everywhere.
+            loan_s: The longest loan of a part of a seat, in seconds; the same everywhere.
             drained: Whether nothing in flight spends a seat any more. Asked after the seat's
                 spendable fraction has become zero, before others are let in.
         """
@@ -69,11 +71,13 @@
         self._failure_domain = place.failure_domain
         self._names = names
         self._lease_s = lease_s
+        self._loan_s = loan_s
         self._drained = drained
         self._pulse = Pulse(clock=clock, longest_pause_s=lease_s * PAUSE_PART)
         self._sightings = Sightings(clock=clock)
         self._writes = SentWrites(incarnation=place.own.incarnation)
         self._seats: dict[str, Seat] = {}
+        self._known: dict[str, SeatState] = {}
         self._stopping = False
         self._stop_asked = trio.Event()
         self._stopped = trio.Event()
@@ -145,11 +149,15 @@
         if not self._sightings.see(stored.name, stored.version):
             return False
         state = read_seat(stored)
+        before = self._known.get(state.name)
+        self._known[state.name] = state
         seat = self._seats.get(state.name)
         if state.holder == self._own:
             if seat is None:
-                seat = self._seats[state.name] = self._make_seat(state)
+                seat = self._seats[state.name] = self._make_seat(state, before)
                 logger.info("event=seat-taken seat={} doubt={}", state.name, seat.in_doubt)
+            elif seat.in_doubt and state.former is None:
+                seat.await_loans(self._loan_s, doubt_part=False)
             seat.confirm(state, self._writes.sent_at(state.write))
             if self._stopping:
                 # A write that took it was still on its way when the stop was asked for.
@@ -163,8 +171,14 @@
                 del self._seats[state.name]
         return True
 
-    def _make_seat(self, state: SeatState) -> Seat:
-        return Seat(clock=self._clock, pulse=self._pulse, lease_s=self._lease_s, state=state)
+    def _make_seat(self, state: SeatState, before: SeatState | None) -> Seat:
+        seat = Seat(clock=self._clock, pulse=self._pulse, lease_s=self._lease_s, state=state)
+        vacant = before is None or (before.holder is None and before.former is None)
+        # Who may still run does not lend its doubt part beyond its lease, which is over.
+        may_still_run = before is not None and state.former == before.holder is not None
+        if not vacant and not may_still_run:
+            seat.await_loans(self._loan_s, doubt_part=True)
+        return seat
 
     async def _keep(self, state: SeatState) -> None:
         """Renew, settle or give up a seat that this process holds or held."""
--- /dev/null
+++ b/src/wagtailpoint/limits/permits.py
@@ -0,0 +1,430 @@
+"""Permits: one permit is one slot of one backend server, held by one instance at a time.
+
+Each permit has a home seat, computed from the configuration alone. Who holds the seat may use its
+permits, or lend them. A loan ends by itself: the borrower counts its length from before it asked,
+the lender from when it granted, so the borrower's use is over before the lender's begins, without
+any agreement of clocks. A lost message, a cut, a freeze or a kill wastes the permit until then, and
+no more.
+
+What runs on a permit must end while the permit is held: a request is started on a loan only if its
+deadline lies within it, and a long download only on a permit that has no end.
+"""
+
+import itertools
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from math import inf
+from typing import Final, NamedTuple
+
+from wagtailpoint.config.model import BackendServer
+from wagtailpoint.limits.lease import LAPSE_PART
+from wagtailpoint.limits.seat import Seat
+from wagtailpoint.ports.backend import BackendAddress
+from wagtailpoint.ports.clock import Clock
+
+DOUBT_EVERY: Final = 8
+"""One permit in so many belongs to the doubt part of its seat."""
+
+
+class Permit(NamedTuple):
+    """One slot of one backend server.
+
+    Attributes:
+        address: Where the backend server listens.
+        port: Where the backend server listens.
+        slot: Which of its slots, from 0.
+    """
+
+    address: str
+    port: int
+    slot: int
+
+    @property
+    def server(self) -> BackendAddress:
+        """The backend server."""
+        return BackendAddress(self.address, self.port)
+
+
+class HomePermit(NamedTuple):
+    """Where a permit is at home.
+
+    Attributes:
+        seat: The seat's name.
+        in_doubt_part: Who took the seat from somebody who may still run, may use it; its former
+            holder may not, once its lease has ended.
+    """
+
+    seat: str
+    in_doubt_part: bool
+
+
+class LoanedPermit(NamedTuple):
+    """A permit and the number of the loan, which tells it from an earlier loan of the same."""
+
+    permit: Permit
+    loan: int
+
+
+class PermitAsk(NamedTuple):
+    """Asks another instance for permits.
+
+    Attributes:
+        pool: The backend servers meant.
+        held: How many permits the asking instance has, those in use among them.
+        need: How many it needs, smoothed over time, its queue included.
+        keep: Loans by the asked instance that shall be prolonged.
+        returned: Loans by the asked instance that are over; they are no longer used.
+    """
+
+    pool: str
+    held: int
+    need: float
+    keep: tuple[LoanedPermit, ...]
+    returned: tuple[LoanedPermit, ...]
+
+
+class PermitLoan(NamedTuple):
+    """Answers ``PermitAsk``.
+
+    Attributes:
+        held: How many permits the lender still has.
+        need: How many it needs.
+        permits: What is lent, prolonged loans among them.
+        returned: Loans by the asking instance that are over; they are no longer used.
+        loan_s: For so many seconds from when the ask was *sent*, by the borrower's clock.
+    """
+
+    held: int
+    need: float
+    permits: tuple[LoanedPermit, ...]
+    returned: tuple[LoanedPermit, ...]
+    loan_s: float
+
+
+class _Lent(NamedTuple):
+    loan: int
+    until: float
+
+
+class _Borrowed(NamedTuple):
+    lender: str
+    loan: int
+    until: float
+
+
+def home_permits(
+    servers: Iterable[BackendServer], seats: Sequence[str]
+) -> dict[Permit, HomePermit]:
+    """Spread the slots of backend servers over seats, the same way in every instance.
+
+    Args:
+        servers: The backend servers of one pool; none of them in another pool too.
+        seats: The names of all seats, in the order of ``seat_names``.
+    """
+    ordered = sorted(set(servers), key=lambda server: server.address)
+    most_slots = max((server.slots for server in ordered), default=0)
+    permits = [
+        Permit(server.address.address, server.address.port, slot)
+        for slot in range(most_slots)
+        for server in ordered
+        if slot < server.slots
+    ]
+    homes = {}
+    for number, permit in enumerate(permits):
+        place, seat = divmod(number, len(seats))
+        # Shifted from seat to seat, so that small seats too lose one in eight on the whole.
+        homes[permit] = HomePermit(seats[seat], (place + seat) % DOUBT_EVERY == 0)
+    return homes
+
+
+class Permits:
+    """The permits of one pool that this instance may use, and its loans.
+
+    An instance without any seat and without a loan has no permit, and its requests wait or are
+    refused: what it might otherwise send is not its to send. A lone instance takes all seats.
+    """
+
+    def __init__(
+        self,
+        *,
+        pool: str,
+        clock: Clock,
+        homes: Callable[[], Mapping[Permit, HomePermit]],
+        seats: Callable[[], Mapping[str, Seat]],
+        usable: Callable[[BackendAddress], bool],
+        loan_s: float,
+    ) -> None:
+        """Make it without any loan.
+
+        Args:
+            pool: The name of the pool, the same in all instances.
+            clock: Must count suspension.
+            homes: Of all permits of the pool; returns the same mapping until it changes.
+            seats: Those of this instance.
+            usable: Whether a backend server takes work now; permits of the others are neither
+                counted as free nor lent, or an instance full of them would ask for no more.
+            loan_s: How long a loan lasts, in seconds; the same in all instances.
+        """
+        self._pool = pool
+        self._clock = clock
+        self._homes = homes
+        self._seats = seats
+        self._usable = usable
+        self._loan_s = loan_s
+        self._numbers = itertools.count(1)
+        self._used: set[Permit] = set()
+        self._finished = 0
+        self._own_homes: Mapping[Permit, HomePermit] | None = None
+        self._own_seats: tuple[str, ...] = ()
+        self._own: list[Permit] = []
+        self._lent: dict[Permit, _Lent] = {}
+        self._borrowed: dict[Permit, _Borrowed] = {}
+        self._newest_loan: dict[str, int] = {}
+        self._to_return: dict[str, list[LoanedPermit]] = {}
+
+    @property
+    def used(self) -> int:
+        """Permits on which something runs."""
+        return len(self._used)
+
+    @property
+    def finished(self) -> int:
+        """How often a permit was given back since the start."""
+        return self._finished
+
+    @property
+    def borrowed(self) -> int:
+        """Permits that were lent to this instance."""
+        return len(self._borrowed)
+
+    def lenders(self) -> Mapping[str, float]:
+        """Whose loans this instance has, and when the first of each ends."""
+        ends: dict[str, float] = {}
+        for loan in self._borrowed.values():
+            ends[loan.lender] = min(loan.until, ends.get(loan.lender, inf))
+        return ends
+
+    def free(self, *, until: float) -> list[Permit]:
+        """Return the permits on which something that ends by ``until`` may be started now."""
+        return [permit for permit in self._candidates() if self._usable_until(permit) >= until]
+
+    def take(
+        self, servers: Sequence[BackendServer], *, deadline: float, long: bool = False
+    ) -> BackendServer | None:
+        """Use a permit of one of these backend servers.
+
+        Args:
+            servers: The candidates, best first.
+            deadline: When what is started will be over, by the clock.
+            long: It may run on after the deadline, as a download does.
+
+        Returns:
+            The backend server; None if there is no free permit now. Between this and the dispatch
+            there must be no await.
+        """
+        by_address = {server.address: server for server in servers}
+        free = [
+            permit
+            for permit in self.free(until=inf if long else deadline)
+            if permit.server in by_address
+        ]
+        if not free:
+            return None
+        in_use = self._in_use_by_server()
+        order = {server.address: place for place, server in enumerate(servers)}
+        # Of one backend server's permits the one that ends first: loans before one's own.
+        chosen = min(
+            free,
+            key=lambda permit: (
+                in_use.get(permit.server, 0),
+                order[permit.server],
+                self._usable_until(permit),
+            ),
+        )
+        self._used.add(chosen)
+        return by_address[chosen.server]
+
+    def give_back(self, server: BackendServer) -> None:
+        """Note that something on this backend server is over.
+
+        Frees the permit that ends first, whichever it was taken for: what still runs is then
+        covered by permits that last at least as long as those it was started on.
+        """
+        used = [permit for permit in self._used if permit.server == server.address]
+        if used:
+            self._used.remove(min(used, key=self._end_of))
+            self._finished += 1
+
+    def is_drained(self, seat: str) -> bool:
+        """Whether nothing runs on a seat's permits and none of them is lent."""
+        now = self._clock.monotonic()
+        homes = self._homes()
+        busy = itertools.chain(
+            (permit for permit in self._used if permit not in self._borrowed),
+            (permit for permit, lent in self._lent.items() if lent.until > now),
+        )
+        return not any(permit in homes and homes[permit].seat == seat for permit in busy)
+
+    def ask(self, lender: str, *, need: float) -> PermitAsk:
+        """Compose what is sent to ``lender``; note the time *before* composing it."""
+        loans = [
+            LoanedPermit(permit, loan.loan)
+            for permit, loan in self._borrowed.items()
+            if loan.lender == lender
+        ]
+        return PermitAsk(
+            pool=self._pool,
+            held=self.held(),
+            need=need,
+            keep=tuple(loans),
+            returned=tuple(self._to_return.pop(lender, ())),
+        )
+
+    def held(self) -> int:
+        """How many permits this instance has now, those in use among them."""
+        return len(self._candidates()) + len(self._used)
+
+    def lend(
+        self, asker: str, ask: PermitAsk, *, most: int, prolong: int, need: float
+    ) -> PermitLoan:
+        """Answer an ask.
+
+        Args:
+            asker: Who asked.
+            ask: What was asked.
+            most: How many permits may be lent or returned beyond those that are prolonged.
+            prolong: How many loans may be prolonged.
+            need: How many permits this instance needs itself.
+        """
+        self._claim(ask.returned)
+        until = self._clock.monotonic() + self._loan_s
+        kept = [loan for loan in ask.keep[:prolong] if self._prolong(loan, until)]
+        self._stop_using(asker, max(0, most))
+        returned = tuple(self._to_return.pop(asker, ()))
+        fresh = [
+            LoanedPermit(permit, next(self._numbers)) for permit in self._lendable()[: max(0, most)]
+        ]
+        for permit, loan in fresh:
+            self._lent[permit] = _Lent(loan, until)
+        return PermitLoan(self.held(), need, (*kept, *fresh), returned, self._loan_s)
+
+    def receive(self, lender: str, loan: PermitLoan, *, asked_at: float) -> None:
+        """Take in a loan.
+
+        Args:
+            lender: Who lent.
+            loan: The answer.
+            asked_at: When the ask was sent, or any earlier moment, by this process's clock.
+        """
+        # A little less than lent, as for a lease: the clocks' rates may differ.
+        until = asked_at + loan.loan_s * LAPSE_PART
+        self._claim(loan.returned)
+        for permit, number in loan.permits:
+            held = self._borrowed.get(permit)
+            prolonged = held is not None and (held.lender, held.loan) == (lender, number)
+            # An answer that crossed with the loan's return must not bring it back.
+            if until > self._clock.monotonic() and (
+                prolonged or number > self._newest_loan.get(lender, 0)
+            ):
+                self._borrowed[permit] = _Borrowed(lender, number, until)
+        newest = max((number for _, number in loan.permits), default=0)
+        self._newest_loan[lender] = max(newest, self._newest_loan.get(lender, 0))
+
+    def give_up_loans_ending(self, *, by: float) -> None:
+        """Return idle loans that end before ``by``: too short to start anything on them."""
+        for lender in self.lenders():
+            self._stop_using(lender, len(self._borrowed), by)
+
+    def to_return(self) -> Mapping[str, Sequence[LoanedPermit]]:
+        """Loans that are over, by lender, as long as the lender was not told."""
+        return self._to_return
+
+    def _stop_using(self, lender: str, most: int, by: float = inf) -> None:
+        idle = [
+            permit
+            for permit, loan in self._borrowed.items()
+            if loan.lender == lender and loan.until <= by and permit not in self._used
+        ]
+        for permit in idle[:most]:
+            loan = self._borrowed.pop(permit)
+            self._to_return.setdefault(lender, []).append(LoanedPermit(permit, loan.loan))
+
+    def _claim(self, returned: Iterable[LoanedPermit]) -> None:
+        for permit, loan in returned:
+            lent = self._lent.get(permit)
+            # A return that was under way for long may name an earlier loan of the same permit,
+            # which is lent again by now.
+            if lent is not None and lent.loan == loan:
+                del self._lent[permit]
+
+    def _lendable(self) -> list[Permit]:
+        until = self._clock.monotonic() + self._loan_s
+        return [
+            permit
+            for permit in self._candidates()
+            if permit not in self._borrowed and self._usable_until(permit) >= until
+        ]
+
+    def _prolong(self, loan: LoanedPermit, until: float) -> bool:
+        lent = self._lent.get(loan.permit)
+        if lent is None or lent.loan != loan.loan or lent.until <= self._clock.monotonic():
+            return False
+        if self._home_end_of(loan.permit) < until:
+            return False
+        self._lent[loan.permit] = _Lent(loan.loan, until)
+        return True
+
+    def _candidates(self) -> list[Permit]:
+        """The permits at home here or borrowed on which nothing runs."""
+        now = self._clock.monotonic()
+        for permit in [each for each, lent in self._lent.items() if lent.until <= now]:
+            del self._lent[permit]
+        for permit in [each for each, loan in self._borrowed.items() if loan.until <= now]:
+            if permit not in self._used:
+                del self._borrowed[permit]
+        home = [
+            permit
+            for permit in self._own_permits()
+            if permit not in self._lent and permit not in self._borrowed
+        ]
+        return [
+            permit
+            for permit in (*self._borrowed, *home)
+            if permit not in self._used and self._usable(permit.server)
+        ]
+
+    def _own_permits(self) -> list[Permit]:
+        """The permits of the seats of this instance, lent ones among them."""
+        homes, seats = self._homes(), tuple(self._seats())
+        if homes is not self._own_homes or seats != self._own_seats:
+            # Kept, because it is asked for with each request.
+            self._own_homes, self._own_seats = homes, seats
+            self._own = [permit for permit, place in homes.items() if place.seat in seats]
+        return self._own
+
+    def _usable_until(self, permit: Permit) -> float:
+        loan = self._borrowed.get(permit)
+        return loan.until if loan is not None else self._home_end_of(permit)
+
+    def _home_end_of(self, permit: Permit) -> float:
+        place = self._homes().get(permit)
+        seat = self._seats().get(place.seat) if place is not None else None
+        if place is None or seat is None:
+            return -inf
+        return seat.spendable_until(in_doubt_part=place.in_doubt_part)
+
+    def _end_of(self, permit: Permit) -> float:
+        """When a permit in use ends; no earlier than it was when it was taken."""
+        loan = self._borrowed.get(permit)
+        if loan is not None:
+            return loan.until
+        place = self._homes().get(permit)
+        seat = self._seats().get(place.seat) if place is not None else None
+        if place is not None and place.in_doubt_part and seat is not None and not seat.in_doubt:
+            return seat.fresh_until
+        return inf
+
+    def _in_use_by_server(self) -> dict[BackendAddress, int]:
+        counts: dict[BackendAddress, int] = {}
+        for permit in self._used:
+            counts[permit.server] = counts.get(permit.server, 0) + 1
+        return counts
--- a/src/wagtailpoint/limits/seat.py
+++ b/src/wagtailpoint/limits/seat.py
@@ -9,6 +9,7 @@
 """
 
 from collections.abc import Mapping
+from math import inf
 from typing import Final, NamedTuple, TypedDict
 
 from wagtailpoint.config.model import Region
@@ -119,6 +120,8 @@
         self._state = state
         self._counted_from = NEVER
         self._given_up = False
+        self._loans_over_at = NEVER
+        self._rest_loans_over_at = NEVER
 
     @property
     def name(self) -> str:
@@ -160,6 +163,41 @@
             return DOUBT_PART
         return 1.0 if self._clock.monotonic() < self.fresh_until else REST_PART
 
+    def spendable_until(self, *, in_doubt_part: bool) -> float:
+        """Until when something that is started at this moment may go on spending.
+
+        For shares that are *held* for a while, such as a slot of a backend server: what was
+        started on the doubt part must be over when the lease ends, because a successor may hold
+        that part from then on.
+
+        Args:
+            in_doubt_part: Whether what is spent belongs to the doubt part or to the rest.
+
+        Returns:
+            A moment by the clock; minus infinity if nothing may be started now.
+        """
+        if self._given_up or self._counted_from < self._pulse.woke_at:
+            return -inf
+        over_at = self._loans_over_at if in_doubt_part else self._rest_loans_over_at
+        if self._clock.monotonic() < over_at:
+            return -inf
+        if self.in_doubt:
+            return inf if in_doubt_part else -inf
+        return self.fresh_until if in_doubt_part else inf
+
+    def await_loans(self, seconds: float, *, doubt_part: bool) -> None:
+        """Let loans of the former holder come to their end before anything is held.
+
+        It is gone, but whom it lent a part of the seat uses that until the loan ends.
+
+        Args:
+            seconds: The length of a loan.
+            doubt_part: The doubt part too may still be lent; else only the rest.
+        """
+        self._rest_loans_over_at = self._clock.monotonic() + seconds
+        if doubt_part:
+            self._loans_over_at = self._rest_loans_over_at
+
     def confirm(self, state: SeatState, sent_at: float | None) -> None:
         """Take in that the platform has this process as the holder.
 
--- a/tests/cover/test_seat_keeper.py
+++ b/tests/cover/test_seat_keeper.py
@@ -8,6 +8,7 @@
 from wagtailpoint.limits.seat import DOUBT_PART, REST_PART, SEAT_KIND
 
 LEASE_S = 10.0
+LOAN_S = 4.0
 STEP_S = LEASE_S / 4
 NAMES = ("inv-a-0", "inv-a-1", "inv-b-0", "inv-b-1")
 
@@ -31,6 +32,7 @@
                 place=KeeperPlace(holder, failure_domain),
                 names=lambda: NAMES,
                 lease_s=LEASE_S,
+                loan_s=LOAN_S,
                 drained=lambda name: process.drained,
             )
         )
--- a/tests/nocover/test_seats.py
+++ b/tests/nocover/test_seats.py
@@ -19,6 +19,7 @@
 from wagtailpoint.limits.lease import Holder, Lease
 
 LEASE_S = 10.0
+LOAN_S = 4.0
 LIST_MARGIN_S = 7.0
 MOST_TICK_S = 1.0
 STEP_S = 2.5
@@ -155,6 +156,7 @@
             place=KeeperPlace(process.holder, "inv-a"),
             names=lambda: NAMES,
             lease_s=LEASE_S,
+            loan_s=LOAN_S,
             drained=lambda name: process.drained,
         )
 
