--- a/bench/slots.py
+++ b/bench/slots.py
@@ -70,9 +70,11 @@
         self.now = 0.0
 
     def monotonic(self) -> float:
+        """The virtual time in seconds."""
         return self.now
 
     def wall(self) -> float:
+        """The same."""
         return self.now
 
 
@@ -130,19 +132,21 @@
         self.made = self.refused = self.messages = self.above = 0
 
     def is_dead(self, port: int) -> bool:
+        """Whether a backend server takes no work now, as all know."""
         fault = self.case.entries_killed == 0 or self.clock.now >= self.case.kill_at_s
         return fault and port >= SERVERS - self.case.dead
 
-    def later(self, delay_s: float, act: Callable[..., None], *what: Any) -> None:
+    def _later(self, delay_s: float, act: Callable[..., None], *what: Any) -> None:
         heapq.heappush(self.events, (self.clock.now + delay_s, next(self.numbers), act, what))
 
     def measure(self) -> Outcome:
-        self.later(0.0, self.arrive)
-        self.later(self.case.kill_at_s, self.kill)
+        """Run to the end."""
+        self._later(0.0, self._arrive)
+        self._later(self.case.kill_at_s, self._kill)
         for number, entry in enumerate(self.entries):
             if self.rule == "permits lent":
-                self.later(self.settings.period_s * number / ENTRIES, self.round_of, entry)
-            self.later(2.0, self.renew, entry)
+                self._later(self.settings.period_s * number / ENTRIES, self._round_of, entry)
+            self._later(2.0, self._renew, entry)
         finished = False
         while self.events and not finished:
             self.clock.now, _, act, what = heapq.heappop(self.events)
@@ -152,21 +156,21 @@
         per_entry = self.messages / self.clock.now / ENTRIES
         return Outcome(at(50) / 1000, at(99) / 1000, self.refused, self.above, per_entry)
 
-    def renew(self, entry: Entry) -> None:
+    def _renew(self, entry: Entry) -> None:
         if entry.alive:
             entry.seat.confirm(entry.seat.state, self.clock.now)
-            self.later(2.0, self.renew, entry)
+            self._later(2.0, self._renew, entry)
 
-    def kill(self) -> None:
+    def _kill(self) -> None:
         for entry in self.entries[: self.case.entries_killed]:
             entry.alive = False
             self.refused += len(entry.queue)
             entry.queue.clear()
 
-    def arrive(self) -> None:
+    def _arrive(self) -> None:
         self.made += 1
         case, rate = self.case, self.case.load * SERVERS * SLOTS / MEAN_S
-        self.later(self.random.expovariate(rate), self.arrive)
+        self._later(self.random.expovariate(rate), self._arrive)
         weights = [1.0] * ENTRIES
         if case.skew:
             weights[-1] = (ENTRIES - 1) * case.skew / (1 - case.skew)
@@ -174,24 +178,24 @@
         entry = self.random.choices(alive, weights[-len(alive) :])[0]
         entry.arrived += 1
         entry.queue.append(self.clock.now)
-        self.serve(entry)
+        self._serve(entry)
 
-    def serve(self, entry: Entry) -> None:
+    def _serve(self, entry: Entry) -> None:
         while entry.queue:
             arrived = entry.queue[0]
             if self.clock.now > arrived + TIMEOUT_S:
                 entry.queue.popleft()
                 self.refused += 1
                 continue
-            port = self.choose(entry, arrived)
+            port = self._choose(entry, arrived)
             if port is None:
                 return
             entry.queue.popleft()
             entry.in_flight[port] += 1
             self.waiting[port].append((arrived, entry))
-            self.start_on(port)
+            self._start_on(port)
 
-    def choose(self, entry: Entry, arrived: float) -> int | None:
+    def _choose(self, entry: Entry, arrived: float) -> int | None:
         ports = [port for port in range(SERVERS) if not self.is_dead(port)]
         self.random.shuffle(ports)
         if self.rule == "random":
@@ -201,13 +205,12 @@
         if self.rule == "least own":
             return min(ports, key=lambda port: entry.in_flight[port])
         if self.rule == "oracle":
-            port = min(ports, key=lambda port: self.busy[port] + len(self.waiting[port]))
-            return port
+            return min(ports, key=lambda port: self.busy[port] + len(self.waiting[port]))
         servers = [self.servers[port] for port in ports]
         server = entry.permits.take(servers, deadline=arrived + TIMEOUT_S)
         return server.address.port if server is not None else None
 
-    def start_on(self, port: int) -> None:
+    def _start_on(self, port: int) -> None:
         if self.rule.startswith("permits"):
             # By the rules of permits nothing may wait at a backend server.
             self.above += self.busy[port] + len(self.waiting[port]) > SLOTS
@@ -215,40 +218,40 @@
             self.busy[port] += 1
             slower = 5 if port < self.case.slow else 1
             service_s = self.random.expovariate(1 / MEAN_S) * slower
-            self.later(service_s, self.finish, port, *self.waiting[port].popleft())
+            self._later(service_s, self._finish, port, *self.waiting[port].popleft())
 
-    def finish(self, port: int, arrived: float, entry: Entry) -> None:
+    def _finish(self, port: int, arrived: float, entry: Entry) -> None:
         self.busy[port] -= 1
         entry.in_flight[port] -= 1
         if arrived >= WARM_UP_S:
             self.histogram.record_value(int((self.clock.now - arrived) * 1e6))
-        self.start_on(port)
+        self._start_on(port)
         if entry.alive:
             entry.permits.give_back(self.servers[port])
-            self.serve(entry)
+            self._serve(entry)
 
-    def round_of(self, entry: Entry) -> None:
+    def _round_of(self, entry: Entry) -> None:
         if not entry.alive:
             return
-        self.later(self.settings.period_s, self.round_of, entry)
+        self._later(self.settings.period_s, self._round_of, entry)
         others = [other.name for other in self.entries if other.alive and other is not entry]
         planned = entry.rounds.plan(queued=len(entry.queue), arrived=entry.arrived, peers=others)
         if planned is not None:
             self.messages += 1
-            self.later(self.latency_s, self.asked, entry, planned)
+            self._later(self.latency_s, self._asked, entry, planned)
 
-    def asked(self, entry: Entry, planned: PlannedAsk) -> None:
+    def _asked(self, entry: Entry, planned: PlannedAsk) -> None:
         lender = next(other for other in self.entries if other.name == planned.to)
         if lender.alive:
             loan = lender.rounds.answer(entry.name, planned.ask, queued=len(lender.queue))
             self.messages += 1
-            self.serve(lender)
-            self.later(self.latency_s, self.lent, entry, planned, loan)
+            self._serve(lender)
+            self._later(self.latency_s, self._lent, entry, planned, loan)
 
-    def lent(self, entry: Entry, planned: PlannedAsk, loan: Any) -> None:
+    def _lent(self, entry: Entry, planned: PlannedAsk, loan: Any) -> None:
         if entry.alive:
             entry.rounds.receive(planned, loan)
-            self.serve(entry)
+            self._serve(entry)
 
 
 RULES = ("random", "two choices", "least own", "permits fixed", "permits lent", "oracle")
