--- a/bench/slots.py
+++ b/bench/slots.py
@@ -16,7 +16,7 @@
 
 from wagtailpoint.config.model import BackendServer
 from wagtailpoint.limits.lease import Holder
-from wagtailpoint.limits.permits import Permits, home_permits
+from wagtailpoint.limits.permits import Collection, Permits, home_permits
 from wagtailpoint.limits.pulse import Pulse
 from wagtailpoint.limits.rounds import PlannedAsk, Rounds, RoundSettings
 from wagtailpoint.limits.seat import Seat, SeatState
@@ -243,7 +243,15 @@
     def _asked(self, entry: Entry, planned: PlannedAsk) -> None:
         lender = next(other for other in self.entries if other.name == planned.to)
         if lender.alive:
-            loan = lender.rounds.answer(entry.name, planned.ask, queued=len(lender.queue))
+            collection = lender.rounds.collect(entry.name, planned.ask, queued=len(lender.queue))
+            wait_s = 0.0 if collection.is_full else lender.rounds.collect_s
+            self._later(wait_s, self._answered, entry, lender, planned, collection)
+
+    def _answered(
+        self, entry: Entry, lender: Entry, planned: PlannedAsk, collection: Collection
+    ) -> None:
+        if lender.alive:
+            loan = lender.rounds.answer(planned.ask, collection, queued=len(lender.queue))
             self.messages += 1
             self._serve(lender)
             self._later(self.latency_s, self._lent, entry, planned, loan)
--- a/src/wagtailpoint/limits/keeper.py
+++ b/src/wagtailpoint/limits/keeper.py
@@ -94,6 +94,13 @@
             return 0.0
         return sum(seat.spendable_fraction() for seat in self._seats.values()) / len(names)
 
+    def lendable_share(self) -> float:
+        """The part of every limit that this process may lend at this moment."""
+        names = self._names()
+        if not names:
+            return 0.0
+        return sum(seat.lendable_fraction() for seat in self._seats.values()) / len(names)
+
     async def run(self) -> None:
         """Keep the seats until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/src/wagtailpoint/limits/permits.py
+++ b/src/wagtailpoint/limits/permits.py
@@ -122,12 +122,15 @@
     """
     ordered = sorted(set(servers), key=lambda server: server.address)
     most_slots = max((server.slots for server in ordered), default=0)
-    permits = [
-        Permit(server.address.address, server.address.port, slot)
-        for slot in range(most_slots)
-        for server in ordered
-        if slot < server.slots
-    ]
+    # Each round of slots starts elsewhere. Otherwise a seat would have all slots of a few backend
+    # servers, and its holder would lose most of them at once when one of these dies.
+    step = max(1, len(seats) // max(1, most_slots))
+    permits = []
+    for slot in range(most_slots):
+        start = slot * step % len(ordered)
+        for server in (*ordered[start:], *ordered[:start]):
+            if slot < server.slots:
+                permits.append(Permit(server.address.address, server.address.port, slot))
     homes = {}
     for number, permit in enumerate(permits):
         place, seat = divmod(number, len(seats))
@@ -136,6 +139,24 @@
     return homes
 
 
+class Collection:
+    """Permits set aside for one asker, among them such as were in use when it asked.
+
+    At a high load nothing is idle at most moments, so an asker that is only given what is idle
+    would stay short for good.
+    """
+
+    def __init__(self, *, asker: str, wanted: int) -> None:
+        self.asker = asker
+        self.wanted = wanted
+        self.permits: list[Permit] = []
+
+    @property
+    def is_full(self) -> bool:
+        """All that was wanted is there."""
+        return len(self.permits) >= self.wanted
+
+
 class Permits:
     """The permits of one pool that this instance may use, and its loans.
 
@@ -178,6 +199,7 @@
         self._own: list[Permit] = []
         self._lent: dict[Permit, _Lent] = {}
         self._borrowed: dict[Permit, _Borrowed] = {}
+        self._collections: list[Collection] = []
         self._newest_loan: dict[str, int] = {}
         self._to_return: dict[str, list[LoanedPermit]] = {}
 
@@ -251,8 +273,10 @@
         """
         used = [permit for permit in self._used if permit.server == server.address]
         if used:
-            self._used.remove(min(used, key=self._end_of))
+            freed = min(used, key=self._end_of)
+            self._used.remove(freed)
             self._finished += 1
+            self._set_aside(freed)
 
     def is_drained(self, seat: str) -> bool:
         """Whether nothing runs on a seat's permits and none of them is lent."""
@@ -283,28 +307,38 @@
         """How many permits this instance has now, those in use among them."""
         return len(self._candidates()) + len(self._used)
 
+    def collect(self, asker: str, *, most: int) -> Collection:
+        """Set permits aside for an asker, now and as they become free, until ``lend``."""
+        collection = Collection(asker=asker, wanted=max(0, most))
+        idle = self._candidates()
+        self._collections.append(collection)
+        for permit in idle:
+            self._set_aside(permit)
+        return collection
+
     def lend(
-        self, asker: str, ask: PermitAsk, *, most: int, prolong: int, need: float
+        self, ask: PermitAsk, collection: Collection, *, prolong: int, need: float
     ) -> PermitLoan:
         """Answer an ask.
 
         Args:
-            asker: Who asked.
             ask: What was asked.
-            most: How many permits may be lent or returned beyond those that are prolonged.
+            collection: What was set aside for it.
             prolong: How many loans may be prolonged.
             need: How many permits this instance needs itself.
         """
+        self._collections.remove(collection)
         self._claim(ask.returned)
         until = self._clock.monotonic() + self._loan_s
         kept = [loan for loan in ask.keep[:prolong] if self._prolong(loan, until)]
-        self._stop_using(asker, max(0, most))
-        returned = tuple(self._to_return.pop(asker, ()))
-        fresh = [
-            LoanedPermit(permit, next(self._numbers)) for permit in self._lendable()[: max(0, most)]
-        ]
-        for permit, loan in fresh:
-            self._lent[permit] = _Lent(loan, until)
+        fresh = []
+        for permit in collection.permits:
+            if permit in self._borrowed:
+                self._stop_using(permit)
+            elif self._home_end_of(permit) >= until:
+                fresh.append(LoanedPermit(permit, next(self._numbers)))
+                self._lent[permit] = _Lent(fresh[-1].loan, until)
+        returned = tuple(self._to_return.pop(collection.asker, ()))
         return PermitLoan(self.held(), need, (*kept, *fresh), returned, self._loan_s)
 
     def receive(self, lender: str, loan: PermitLoan, *, asked_at: float) -> None:
@@ -331,22 +365,33 @@
 
     def give_up_loans_ending(self, *, by: float) -> None:
         """Return idle loans that end before ``by``: too short to start anything on them."""
-        for lender in self.lenders():
-            self._stop_using(lender, len(self._borrowed), by)
+        for permit in self._candidates():
+            if permit in self._borrowed and self._borrowed[permit].until <= by:
+                self._stop_using(permit)
 
     def to_return(self) -> Mapping[str, Sequence[LoanedPermit]]:
         """Loans that are over, by lender, as long as the lender was not told."""
         return self._to_return
 
-    def _stop_using(self, lender: str, most: int, by: float = inf) -> None:
-        idle = [
-            permit
-            for permit, loan in self._borrowed.items()
-            if loan.lender == lender and loan.until <= by and permit not in self._used
-        ]
-        for permit in idle[:most]:
-            loan = self._borrowed.pop(permit)
-            self._to_return.setdefault(lender, []).append(LoanedPermit(permit, loan.loan))
+    def _stop_using(self, permit: Permit) -> None:
+        loan = self._borrowed.pop(permit)
+        self._to_return.setdefault(loan.lender, []).append(LoanedPermit(permit, loan.loan))
+
+    def _set_aside(self, permit: Permit) -> None:
+        loan = self._borrowed.get(permit)
+        until = self._clock.monotonic() + self._loan_s
+        for collection in self._collections:
+            if collection.is_full:
+                continue
+            # To whom it belongs it goes back; to others only one's own is lent.
+            suits = (
+                loan.lender == collection.asker
+                if loan is not None
+                else self._home_end_of(permit) >= until
+            )
+            if suits:
+                collection.permits.append(permit)
+                return
 
     def _claim(self, returned: Iterable[LoanedPermit]) -> None:
         for permit, loan in returned:
@@ -356,13 +401,11 @@
             if lent is not None and lent.loan == loan:
                 del self._lent[permit]
 
-    def _lendable(self) -> list[Permit]:
-        until = self._clock.monotonic() + self._loan_s
-        return [
-            permit
-            for permit in self._candidates()
-            if permit not in self._borrowed and self._usable_until(permit) >= until
-        ]
+    def _forget_loan(self, permit: Permit) -> None:
+        del self._borrowed[permit]
+        for collection in self._collections:
+            if permit in collection.permits:
+                collection.permits.remove(permit)
 
     def _prolong(self, loan: LoanedPermit, until: float) -> bool:
         lent = self._lent.get(loan.permit)
@@ -380,7 +423,8 @@
             del self._lent[permit]
         for permit in [each for each, loan in self._borrowed.items() if loan.until <= now]:
             if permit not in self._used:
-                del self._borrowed[permit]
+                self._forget_loan(permit)
+        aside = {permit for each in self._collections for permit in each.permits}
         home = [
             permit
             for permit in self._own_permits()
@@ -389,7 +433,7 @@
         return [
             permit
             for permit in (*self._borrowed, *home)
-            if permit not in self._used and self._usable(permit.server)
+            if permit not in self._used and permit not in aside and self._usable(permit.server)
         ]
 
     def _own_permits(self) -> list[Permit]:
--- a/src/wagtailpoint/limits/rounds.py
+++ b/src/wagtailpoint/limits/rounds.py
@@ -1,6 +1,7 @@
 """Rounds in which permits are moved by demand: whom to ask, for how many, and when to return."""
 
 from collections.abc import Callable, Mapping, Sequence
+from contextlib import suppress
 from math import inf
 from random import Random
 from typing import Final, NamedTuple
@@ -8,7 +9,7 @@
 import trio
 from result import Ok
 
-from wagtailpoint.limits.permits import PermitAsk, PermitLoan, Permits
+from wagtailpoint.limits.permits import Collection, PermitAsk, PermitLoan, Permits
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
 
@@ -25,6 +26,7 @@
 LEAST_NEED: Final = 0.5
 USUAL_ROOM: Final = 1.5
 REPLY_PERIODS: Final = 5
+MOST_UNANSWERED: Final = 64
 
 
 class RoundSettings(NamedTuple):
@@ -36,17 +38,17 @@
         burst: Asks at most in a row.
         smoothing_s: Time constant of the need.
         drain_s: In this time a queue shall be emptied.
-        dead_band: So many permits that one is short of are not worth a loan.
+        collect_s: So long an answer may wait for permits that are in use.
         queue_to_ask: So many requests have to wait before a peer is asked.
     """
 
     period_s: float = 0.1
     asks_per_s: float = 2.0
     burst: float = 8.0
-    smoothing_s: float = 2.0
+    smoothing_s: float = 4.0
     drain_s: float = 1.0
     queue_to_ask: int = 1
-    dead_band: float = 0.0
+    collect_s: float = 0.03
 
 
 class PlannedAsk(NamedTuple):
@@ -81,6 +83,11 @@
         self._looked_at = clock.monotonic()
         self._asks = settings.burst
 
+    @property
+    def collect_s(self) -> float:
+        """How long an answer may wait for permits that are in use, in seconds."""
+        return self._settings.collect_s
+
     def need(self, queued: int) -> float:
         """How many permits this instance needs: its offered load, and more to empty its queue."""
         backlog = queued * self._service_s / self._settings.drain_s
@@ -105,15 +112,21 @@
         self._asks -= 1
         return PlannedAsk(to, self._permits.ask(to, need=self.need(queued)), self._looked_at)
 
-    def answer(self, sender: str, ask: PermitAsk, *, queued: int) -> PermitLoan:
-        """Lend what makes both have the same room for their needs."""
-        need = self.need(queued)
+    def collect(self, sender: str, ask: PermitAsk, *, queued: int) -> Collection:
+        """Begin to answer: set aside what makes both have the same room for their needs."""
         self._hear(sender, ask.held, ask.need)
-        held = self._permits.held()
-        fair = (held + ask.held) * ask.need / (ask.need + need)
-        more = int(fair - ask.held - self._settings.dead_band)
-        prolong = max(0, len(ask.keep) + min(0, more))
-        return self._permits.lend(sender, ask, most=more, prolong=prolong, need=need)
+        return self._permits.collect(sender, most=self._short_of(ask, queued))
+
+    def answer(self, ask: PermitAsk, collection: Collection, *, queued: int) -> PermitLoan:
+        """Answer, as soon as the collection is full or ``collect_s`` has passed."""
+        # Who has more than its share keeps the less of its loans.
+        prolong = len(ask.keep) + min(0, self._short_of(ask, queued))
+        return self._permits.lend(ask, collection, prolong=max(0, prolong), need=self.need(queued))
+
+    def _short_of(self, ask: PermitAsk, queued: int) -> int:
+        need = self.need(queued)
+        both = self._permits.held() + ask.held
+        return int(both * ask.need / (ask.need + need) - ask.held)
 
     def receive(self, planned: PlannedAsk, loan: PermitLoan) -> None:
         """Take in an answer."""
@@ -210,16 +223,18 @@
         self._peers = peers
         self._period_s = period_s
         self._others = others
+        self._asked, self._to_answer = trio.open_memory_channel[Received](MOST_UNANSWERED)
         peers.handle(PermitAsk, self._on_ask)
 
     async def run(self) -> None:
-        """Ask in rounds until cancelled; the pool with the longest queue goes first."""
-        while True:
-            await trio.sleep(self._period_s)
-            pools = sorted(self._pools().values(), key=lambda pool: -pool.queued())
-            for pool in pools:
-                if await self._ask_for(pool):
-                    break
+        """Ask and answer until cancelled; the pool with the longest queue asks first."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._answer_all, nursery)
+            while True:
+                await trio.sleep(self._period_s)
+                for pool in sorted(self._pools().values(), key=lambda pool: -pool.queued()):
+                    if await self._ask_for(pool):
+                        break
 
     async def _ask_for(self, pool: PoolRounds) -> bool:
         by_name = {str(peer): peer for peer in self._others()}
@@ -236,10 +251,24 @@
             pool.changed()
         return True
 
-    def _on_ask(self, received: Received) -> PermitLoan:
+    def _on_ask(self, received: Received) -> None:
+        # What finds no room is lost: the asker asks again, or somebody else.
+        with suppress(trio.WouldBlock):
+            self._asked.send_nowait(received)
+
+    async def _answer_all(self, nursery: trio.Nursery) -> None:
+        async for received in self._to_answer:
+            nursery.start_soon(self._answer, received)
+
+    async def _answer(self, received: Received) -> None:
         ask: PermitAsk = received.message
         pool = self._pools().get(ask.pool)
         if pool is None:
             # Another version of the configuration, for a moment.
-            return PermitLoan(0, 0.0, (), (), 0.0)
-        return pool.rounds.answer(str(received.sender), ask, queued=pool.queued())
+            return
+        collection = pool.rounds.collect(str(received.sender), ask, queued=pool.queued())
+        if not collection.is_full:
+            await trio.sleep(pool.rounds.collect_s)
+        loan = pool.rounds.answer(ask, collection, queued=pool.queued())
+        self._peers.reply(received, loan)
+        pool.changed()
--- a/src/wagtailpoint/limits/seat.py
+++ b/src/wagtailpoint/limits/seat.py
@@ -159,9 +159,20 @@
         """
         if self._given_up or self._counted_from < self._pulse.woke_at:
             return 0.0
+        now = self._clock.monotonic()
+        doubt_part = DOUBT_PART if now >= self._loans_over_at else 0.0
         if self.in_doubt:
-            return DOUBT_PART
-        return 1.0 if self._clock.monotonic() < self.fresh_until else REST_PART
+            return doubt_part
+        rest_part = REST_PART if now >= self._rest_loans_over_at else 0.0
+        return rest_part + (doubt_part if now < self.fresh_until else 0.0)
+
+    def lendable_fraction(self) -> float:
+        """The part of the seat that may be lent beyond its lease.
+
+        Never the doubt part: the loan could outlast the lease, and a successor spends that part.
+        """
+        fraction = self.spendable_fraction()
+        return 0.0 if self.in_doubt else min(fraction, REST_PART)
 
     def spendable_until(self, *, in_doubt_part: bool) -> float:
         """Until when something that is started at this moment may go on spending.
--- a/tests/cover/test_permits.py
+++ b/tests/cover/test_permits.py
@@ -6,7 +6,7 @@
 from tests.common.fake_clock import FakeClock
 from wagtailpoint.config.model import BackendServer
 from wagtailpoint.limits.lease import Holder
-from wagtailpoint.limits.permits import PermitAsk, Permits, home_permits
+from wagtailpoint.limits.permits import PermitAsk, PermitLoan, Permits, home_permits
 from wagtailpoint.limits.pulse import Pulse
 from wagtailpoint.limits.seat import Seat, SeatState
 from wagtailpoint.ports.backend import BackendAddress
@@ -24,6 +24,11 @@
         self.assertEqual(Counter(home.seat for home in homes.values()), dict.fromkeys(SEATS, 12))
         self.assertEqual(homes, home_permits(reversed(SERVERS), SEATS))
 
+    def test_seat_is_spread_over_backend_servers(self) -> None:
+        homes = home_permits(SERVERS, tuple("abcdefgh"))
+        servers = {permit.server for permit, home in homes.items() if home.seat == "a"}
+        self.assertEqual(len(servers), 3)
+
     def test_one_in_eight_is_in_doubt(self) -> None:
         homes = home_permits(SERVERS, SEATS)
         self.assertEqual(sum(home.in_doubt_part for home in homes.values()), 3)
@@ -51,10 +56,16 @@
             loan_s=LOAN_S,
         )
 
+    def lend(
+        self, lender: Permits, asker: str, ask: PermitAsk, *, most: int = 0, prolong: int = 0
+    ) -> PermitLoan:
+        collection = lender.collect(asker, most=most)
+        return lender.lend(ask, collection, prolong=prolong, need=1.0)
+
     def borrow(self, most: int) -> PermitAsk:
         asked_at = self.clock.now
         ask = self.a.ask("b", need=9.0)
-        loan = self.b.lend("a", ask, most=most, prolong=len(ask.keep), need=1.0)
+        loan = self.lend(self.b, "a", ask, most=most, prolong=len(ask.keep))
         self.a.receive("b", loan, asked_at=asked_at)
         return ask
 
@@ -101,7 +112,7 @@
         self.renew()
         self.borrow(12)
         held = self.a.held()
-        self.b.lend("a", late._replace(keep=()), most=0, prolong=0, need=1.0)
+        self.lend(self.b, "a", late._replace(keep=()))
         self.assertLessEqual(held + self.b.held(), 24)
 
     def renew(self) -> None:
@@ -119,12 +130,24 @@
         self.borrow(4)
         asked_at = self.clock.now
         ask = self.a.ask("b", need=9.0)
-        answer = self.b.lend("a", ask, most=0, prolong=4, need=1.0)
-        back = self.a.lend("b", self.b.ask("a", need=9.0), most=4, prolong=0, need=1.0)
+        answer = self.lend(self.b, "a", ask, most=0, prolong=4)
+        back = self.lend(self.a, "b", self.b.ask("a", need=9.0), most=4)
         self.b.receive("a", back, asked_at=asked_at)
         self.a.receive("b", answer, asked_at=asked_at)
         self.assertEqual(self.a.held() + self.b.held(), 24)
 
+    def test_busy_permits_are_lent_as_they_become_free(self) -> None:
+        in_use = []
+        while server := self.b.take(SERVERS, deadline=self.clock.now + 1.0):
+            in_use.append(server)
+        collection = self.b.collect("a", most=2)
+        for _ in range(3):
+            self.b.give_back(in_use.pop())
+        self.assertTrue(collection.is_full)
+        self.assertEqual(self.take_all(self.b, seconds=1.0), 1)
+        loan = self.b.lend(self.a.ask("b", need=9.0), collection, prolong=0, need=1.0)
+        self.assertEqual(len(loan.permits), 2)
+
     def test_drained_when_nothing_runs_and_nothing_is_lent(self) -> None:
         self.assertTrue(self.b.is_drained(SEATS[1]))
         self.borrow(1)
