--- /dev/null
+++ b/tests/cover/test_lease.py
@@ -0,0 +1,69 @@
+"""Leases that make one process the only writer."""
+
+import unittest
+
+from tests.common.stepped_platform import SteppedProcess, World
+from wagtailpoint.limits.lease import Holder, Lease
+
+LEASE_S = 10.0
+
+
+class LeaseTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = World()
+        self.processes = [
+            SteppedProcess(self.world, Holder("127.0.0.1", port, port), rate=1.0, offset=0.0)
+            for port in (1, 2)
+        ]
+        self.leases = [
+            Lease(
+                platform=process.platform,
+                clock=process.clock,
+                name="move",
+                own=process.holder,
+                lease_s=LEASE_S,
+            )
+            for process in self.processes
+        ]
+
+    def step(self, which: int) -> bool:
+        self.processes[which].begin(self.leases[which].step)
+        self.processes[which].finish()
+        return self.leases[which].held()
+
+    def test_successor_waits_a_whole_lease(self) -> None:
+        self.assertTrue(self.step(0))
+        fence = self.leases[0].fence
+        self.assertFalse(self.step(1))
+        self.world.now += LEASE_S - 0.1
+        self.assertFalse(self.leases[0].held())
+        self.assertFalse(self.step(1))
+        self.world.now += 0.2
+        self.assertTrue(self.step(1))
+        self.assertGreater(self.leases[1].fence, fence)
+
+    def test_late_give_up_finds_no_holder(self) -> None:
+        """Symptom: two processes write under one lease.
+
+        Sequence: a holder gives up and its write is delayed; it wants the lease again and reads
+        that it still has it; the delayed write lands; another takes the vacant lease. Cause: the
+        holder adopted its lease although its own write against it was still under way.
+        """
+        self.step(0)
+        holder = self.processes[0]
+        holder.begin(self.leases[0].give_up)
+        late = holder.waiting
+        assert late is not None
+        holder.receive(lost=True)
+        holder.finish()
+        holder.begin(self.leases[0].step)
+        assert holder.waiting is not None
+        holder.waiting.deliver(self.world)
+        holder.receive()
+        late.deliver(self.world)
+        self.assertTrue(self.step(1))
+        self.assertFalse(self.leases[0].held())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/nocover/test_seats.py
+++ b/tests/nocover/test_seats.py
@@ -99,6 +99,25 @@
                 self.check()
             self.pass_time(STEP_S)
 
+    @rule(which=WHICH, other=WHICH, skipped=st.integers(0, 2), early=st.booleans())
+    def slow_write(self, which: int, other: int, skipped: int, early: bool) -> None:
+        """One of a step's writes, or its answer, is under way for longer than a lease."""
+        process = self.living[which]
+        process.finish()
+        self.begin_step(which)
+        while process.awake and (request := process.waiting) is not None:
+            if request.is_write and skipped == 0:
+                break
+            skipped -= request.is_write
+            request.deliver(self.world)
+            process.receive()
+        if early:
+            self.deliver(which)
+        self.work(12.5, other)
+        self.deliver(which)
+        process.receive()
+        self.check()
+
     @rule(which=WHICH)
     def deliver(self, which: int) -> None:
         request = self.living[which].waiting
