Ask elsewhere after a peer had nothing; longer loans; split permits by subject

Besides, prolonging loans of 20 s from eight lenders took most of the asks, and those whose turn did not come were returned together.

Change: a peer that gave nothing counts as full for a while; loans of 30 s in the bench, prolonged at the half; a quarter of what is held has to wait before an ask beyond the need.

--- a/bench/slots.py
+++ b/bench/slots.py
@@ -15,8 +15,10 @@
 from hdrh.histogram import HdrHistogram
 
 from wagtailpoint.config.model import BackendServer
+from wagtailpoint.limits.homes import home_permits
 from wagtailpoint.limits.lease import Holder
-from wagtailpoint.limits.permits import Collection, Permits, home_permits
+from wagtailpoint.limits.loans import Collection
+from wagtailpoint.limits.permits import Permits
 from wagtailpoint.limits.pulse import Pulse
 from wagtailpoint.limits.rounds import PlannedAsk, Rounds, RoundSettings
 from wagtailpoint.limits.seat import Seat, SeatState
@@ -26,7 +28,7 @@
 MEAN_S = 0.020
 TIMEOUT_S = 2.0
 WARM_UP_S = 6.0
-LOAN_S = 20.0
+LOAN_S = 30.0
 SEATS = tuple(f"domain-{number}" for number in range(ENTRIES))
 SETTINGS = RoundSettings()
 
--- a/src/wagtailpoint/limits/permits.py
+++ b/src/wagtailpoint/limits/permits.py
@@ -13,92 +13,16 @@
 import itertools
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from math import inf
-from typing import Final, NamedTuple
+from typing import NamedTuple
 
 from wagtailpoint.config.model import BackendServer
+from wagtailpoint.limits.homes import HomePermit, Permit
 from wagtailpoint.limits.lease import LAPSE_PART
+from wagtailpoint.limits.loans import Collection, LoanedPermit, PermitAsk, PermitLoan
 from wagtailpoint.limits.seat import Seat
 from wagtailpoint.ports.backend import BackendAddress
 from wagtailpoint.ports.clock import Clock
 
-DOUBT_EVERY: Final = 8
-"""One permit in so many belongs to the doubt part of its seat."""
-
-
-class Permit(NamedTuple):
-    """One slot of one backend server.
-
-    Attributes:
-        address: Where the backend server listens.
-        port: Where the backend server listens.
-        slot: Which of its slots, from 0.
-    """
-
-    address: str
-    port: int
-    slot: int
-
-    @property
-    def server(self) -> BackendAddress:
-        """The backend server."""
-        return BackendAddress(self.address, self.port)
-
-
-class HomePermit(NamedTuple):
-    """Where a permit is at home.
-
-    Attributes:
-        seat: The seat's name.
-        in_doubt_part: Who took the seat from somebody who may still run, may use it; its former
-            holder may not, once its lease has ended.
-    """
-
-    seat: str
-    in_doubt_part: bool
-
-
-class LoanedPermit(NamedTuple):
-    """A permit and the number of the loan, which tells it from an earlier loan of the same."""
-
-    permit: Permit
-    loan: int
-
-
-class PermitAsk(NamedTuple):
-    """Asks another instance for permits.
-
-    Attributes:
-        pool: The backend servers meant.
-        held: How many permits the asking instance has, those in use among them.
-        need: How many it needs, smoothed over time, its queue included.
-        keep: Loans by the asked instance that shall be prolonged.
-        returned: Loans by the asked instance that are over; they are no longer used.
-    """
-
-    pool: str
-    held: int
-    need: float
-    keep: tuple[LoanedPermit, ...]
-    returned: tuple[LoanedPermit, ...]
-
-
-class PermitLoan(NamedTuple):
-    """Answers ``PermitAsk``.
-
-    Attributes:
-        held: How many permits the lender still has.
-        need: How many it needs.
-        permits: What is lent, prolonged loans among them.
-        returned: Loans by the asking instance that are over; they are no longer used.
-        loan_s: For so many seconds from when the ask was *sent*, by the borrower's clock.
-    """
-
-    held: int
-    need: float
-    permits: tuple[LoanedPermit, ...]
-    returned: tuple[LoanedPermit, ...]
-    loan_s: float
-
 
 class _Lent(NamedTuple):
     loan: int
@@ -111,52 +35,6 @@
     until: float
 
 
-def home_permits(
-    servers: Iterable[BackendServer], seats: Sequence[str]
-) -> dict[Permit, HomePermit]:
-    """Spread the slots of backend servers over seats, the same way in every instance.
-
-    Args:
-        servers: The backend servers of one pool; none of them in another pool too.
-        seats: The names of all seats, in the order of ``seat_names``.
-    """
-    ordered = sorted(set(servers), key=lambda server: server.address)
-    most_slots = max((server.slots for server in ordered), default=0)
-    # Each round of slots starts elsewhere. Otherwise a seat would have all slots of a few backend
-    # servers, and its holder would lose most of them at once when one of these dies.
-    step = max(1, len(seats) // max(1, most_slots))
-    permits = []
-    for slot in range(most_slots):
-        start = slot * step % len(ordered)
-        for server in (*ordered[start:], *ordered[:start]):
-            if slot < server.slots:
-                permits.append(Permit(server.address.address, server.address.port, slot))
-    homes = {}
-    for number, permit in enumerate(permits):
-        place, seat = divmod(number, len(seats))
-        # Shifted from seat to seat, so that small seats too lose one in eight on the whole.
-        homes[permit] = HomePermit(seats[seat], (place + seat) % DOUBT_EVERY == 0)
-    return homes
-
-
-class Collection:
-    """Permits set aside for one asker, among them such as were in use when it asked.
-
-    At a high load nothing is idle at most moments, so an asker that is only given what is idle
-    would stay short for good.
-    """
-
-    def __init__(self, *, asker: str, wanted: int) -> None:
-        self.asker = asker
-        self.wanted = wanted
-        self.permits: list[Permit] = []
-
-    @property
-    def is_full(self) -> bool:
-        """All that was wanted is there."""
-        return len(self.permits) >= self.wanted
-
-
 class Permits:
     """The permits of one pool that this instance may use, and its loans.
 
--- a/src/wagtailpoint/limits/rounds.py
+++ b/src/wagtailpoint/limits/rounds.py
@@ -9,17 +9,15 @@
 import trio
 from result import Ok
 
-from wagtailpoint.limits.permits import Collection, PermitAsk, PermitLoan, Permits
+from wagtailpoint.limits.loans import Collection, PermitAsk, PermitLoan
+from wagtailpoint.limits.permits import Permits
 from wagtailpoint.ports.clock import Clock
-from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
+from wagtailpoint.ports.peers import PeerAddress, Peers, Received
 
-register_message("permit-ask", PermitAsk)
-register_message("permit-loan", PermitLoan)
-
-PROLONG_PART: Final = 0.4
+PROLONG_PART: Final = 0.5
 """A loan is prolonged when this part of it is left."""
 
-USELESS_PART: Final = 0.3
+USELESS_PART: Final = 0.2
 """A loan with less than this part left is returned when idle."""
 
 FORGET_S: Final = 2.0
@@ -39,15 +37,17 @@
         smoothing_s: Time constant of the need.
         drain_s: In this time a queue shall be emptied.
         collect_s: So long an answer may wait for permits that are in use.
-        queue_to_ask: So many requests have to wait before a peer is asked.
+        queue_to_ask: A queue this long, as a part of what is held, is worth an ask.
+        spare_asks: This part of ``burst`` is kept for those that hold less than they need.
     """
 
     period_s: float = 0.1
     asks_per_s: float = 2.0
     burst: float = 8.0
+    spare_asks: float = 0.5
     smoothing_s: float = 4.0
     drain_s: float = 1.0
-    queue_to_ask: int = 1
+    queue_to_ask: float = 0.25
     collect_s: float = 0.03
 
 
@@ -130,7 +130,11 @@
 
     def receive(self, planned: PlannedAsk, loan: PermitLoan) -> None:
         """Take in an answer."""
-        self._hear(planned.to, loan.held, loan.need)
+        kept = {permit for permit, _ in planned.ask.keep}
+        got = loan.returned or any(permit not in kept for permit, _ in loan.permits)
+        # What a peer has free may be lent to it, and then it cannot lend it on. Asking the same
+        # one again and again, a short instance would stay short while others have room.
+        self._hear(planned.to, loan.held if got else 0, loan.need)
         self._permits.receive(planned.to, loan, asked_at=planned.sent_at)
 
     def _look(self, arrived: int) -> None:
@@ -163,9 +167,9 @@
             return None
         if self.need(queued) > self._permits.held():
             return max(peers, key=self._likely_room)
-        if self._asks < self._settings.burst / 2:
+        if self._asks < self._settings.burst * self._settings.spare_asks:
             return None
-        if queued >= self._settings.queue_to_ask:
+        if queued >= self._settings.queue_to_ask * self._permits.held():
             return max(peers, key=self._likely_room)
         if self._asks >= self._settings.burst:
             return min(peers, key=self._heard_at)
--- a/tests/cover/test_permit_rounds.py
+++ b/tests/cover/test_permit_rounds.py
@@ -9,8 +9,9 @@
 from tests.common.fake_clock import TrioClock
 from tests.common.fake_peers import FakeNetwork, FakePeers
 from wagtailpoint.config.model import BackendServer
+from wagtailpoint.limits.homes import home_permits
 from wagtailpoint.limits.lease import Holder
-from wagtailpoint.limits.permits import Permits, home_permits
+from wagtailpoint.limits.permits import Permits
 from wagtailpoint.limits.pulse import Pulse
 from wagtailpoint.limits.rounds import PermitRounds, PoolRounds, Rounds, RoundSettings
 from wagtailpoint.limits.seat import Seat, SeatState
--- a/tests/cover/test_permits.py
+++ b/tests/cover/test_permits.py
@@ -5,8 +5,10 @@
 
 from tests.common.fake_clock import FakeClock
 from wagtailpoint.config.model import BackendServer
+from wagtailpoint.limits.homes import home_permits
 from wagtailpoint.limits.lease import Holder
-from wagtailpoint.limits.permits import PermitAsk, PermitLoan, Permits, home_permits
+from wagtailpoint.limits.loans import PermitAsk, PermitLoan
+from wagtailpoint.limits.permits import Permits
 from wagtailpoint.limits.pulse import Pulse
 from wagtailpoint.limits.seat import Seat, SeatState
 from wagtailpoint.ports.backend import BackendAddress
