Take all vacant seats that nobody else needs at once; clear wishes that cannot be met

A lone instance took one seat for each step, 30 s for a dozen. A mark on a seat whose holder has no other one stayed, and kept all others from asking elsewhere; its test was seen failing without the change.

--- a/src/wagtailpoint/limits/keeper.py
+++ b/src/wagtailpoint/limits/keeper.py
@@ -128,7 +128,7 @@
         self._stop_asked.set()
 
     async def step(self) -> None:
-        """Read all seats, renew the own ones, and take or ask for one more if that is due."""
+        """Read all seats, renew the own ones, and take or ask for more if that is due."""
         self._pulse.beat()
         listing = await self._platform.list(kind=SEAT_KIND)
         if isinstance(listing, Err):
@@ -140,7 +140,7 @@
         for state in states.values():
             await self._keep(state)
         if not self._stopping:
-            await self._take_one(states)
+            await self._take_some(states)
 
     def beat(self) -> None:
         """Note that this process runs; ``run`` does it often enough."""
@@ -194,7 +194,9 @@
             if state.wanted and self._live_seats() > 1:
                 seat.give_up()
             if not seat.given_up:
-                await self._write(state._replace(former=await self._still_there(state.former)))
+                # A wish that cannot be met is cleared, or it would keep others from wishing.
+                former = await self._still_there(state.former)
+                await self._write(state._replace(former=former, wanted=False))
             elif self._drained(state.name):
                 await self._write(state._replace(holder=None, wanted=False))
         elif state.former == self._own and self._drained(state.name):
@@ -218,11 +220,11 @@
             logger.info("event=holder-gone holder={} evidence={}", holder, evidence.value)
         return evidence is not None
 
-    async def _take_one(self, states: Mapping[str, SeatState]) -> None:
-        held = Counter(state.holder for state in states.values() if state.holder is not None)
+    async def _take_some(self, states: Mapping[str, SeatState]) -> None:
+        holders = (state.holder for state in states.values())
+        held = Counter(holder for holder in holders if holder not in (None, self._own))
         for state in self._others(states):
-            if await self._try_to_take(state, held):
-                return
+            await self._try_to_take(state, held)
         if not self._live_seats():
             await self._ask_for_one(states, held)
 
@@ -234,21 +236,19 @@
         absent = SeatState("", ABSENT, None, None, False, "")
         return (states.get(name, absent._replace(name=name)) for name in names)
 
-    async def _try_to_take(self, state: SeatState, held: Counter[Holder]) -> bool:
+    async def _try_to_take(self, state: SeatState, held: Counter[Holder]) -> None:
         own_address = state.holder is not None and state.holder[:2] == self._own[:2]
         first = not self._live_seats()
         quiet = self._sightings.unchanged_s(state.name) >= self._lease_s
         if not (quiet or own_address or (first and state.holder is None)):
-            return False
+            return
+        # Who has fewer seats shall have it; loans even out the rest.
         fewest = all(self._live_seats() <= count for count in held.values())
         if not (first or fewest):
-            # Who has fewer seats shall have it; loans even out the rest.
-            return False
+            return
         former = await self._former_of_a_successor(state)
-        if former is _NOT_TAKEABLE:
-            return False
-        taken = state._replace(holder=self._own, former=former, wanted=False)
-        return await self._write(taken)
+        if former is not _NOT_TAKEABLE:
+            await self._write(state._replace(holder=self._own, former=former, wanted=False))
 
     async def _former_of_a_successor(self, state: SeatState) -> Holder | None:
         """Who may still spend a seat if it is taken now; ``_NOT_TAKEABLE`` if two might."""
--- a/tests/cover/test_seat_keeper.py
+++ b/tests/cover/test_seat_keeper.py
@@ -54,10 +54,28 @@
 
     def test_lone_instance_takes_all_seats(self) -> None:
         self.start("inv-a")
-        self.work(2.5)
-        self.work(30)
+        self.work(STEP_S)
+        self.assertEqual(self.share(0), 1 / 4)
+        self.work(LEASE_S + STEP_S)
         self.assertEqual(self.share(0), 1.0)
 
+    def test_wish_that_cannot_be_met_is_cleared(self) -> None:
+        """Symptom: an instance never gets a seat though another has two.
+
+        Sequence: a seat is marked as wanted, and before its holder sees that, it has no other.
+        Cause: the mark stays, and whoever sees one waits instead of marking another seat.
+        """
+        for _ in range(4):
+            self.start("inv-a")
+        self.work(60)
+        stored = self.world.store.list(SEAT_KIND)[0]
+        value = {**stored.value, "wanted": True}
+        self.world.store.put(SEAT_KIND, stored.name, value, stored.version)
+        self.work(2 * STEP_S)
+        marks = [stored.value["wanted"] for stored in self.world.store.list(SEAT_KIND)]
+        self.assertEqual(marks, [False] * 4)
+        self.assertEqual([len(keeper.seats) for keeper in self.keepers], [1] * 4)
+
     def test_newcomer_is_given_a_seat(self) -> None:
         self.start("inv-a")
         self.work(30)
@@ -95,6 +113,8 @@
         self.work(5)
         self.assertFalse(any(seat.in_doubt for seat in self.keepers[1].seats.values()))
         self.assertEqual(len(self.keepers[0].seats), held - len(in_doubt))
+        self.work(30)
+        self.assertGreaterEqual(self.share(0), 1 / 4)
         self.assertEqual(self.share(0) + self.share(1), 1.0)
 
     def test_stop_gives_seats_back_once_they_are_drained(self) -> None:
