Bench of an entry process; test that a fault counts at once

bench/entry.py measures an entry process beside hypercorn alone and the backend server directly: processor time, latency, memory with 500 open requests.

--- /dev/null
+++ b/bench/entry.py
@@ -0,0 +1,239 @@
+"""What one entry process costs: processor time, added latency, memory.
+
+The baselines are measured in the same run: hypercorn alone, as it comes, and the backend server
+asked directly.
+"""
+
+import os
+import re
+import socket
+import time
+from collections.abc import Mapping
+from contextlib import ExitStack
+from pathlib import Path
+from typing import NamedTuple
+
+from hdrh.histogram import HdrHistogram
+from tests.common.deployment_process import RunningDeployment
+from tests.common.processes import ModuleProcess
+
+OPEN_REQUESTS = 500
+PLAIN_PORT = 7999
+REQUESTS_A_CONNECTION = 500
+"""Fewer than after which hypercorn, as it comes, closes a connection."""
+
+MOST_LOOKUP_RATIO = 1.5
+MOST_PROXIED_RATIO = 5.0
+MOST_LATENCY_RATIO = 8.0
+MOST_MEMORY_RATIO = 1.6
+
+BALANCE = b"GET /deposits/balance/7 HTTP/1.1\r\nHost: e\r\nWagtailpoint-Workspace: surakkha\r\n\r\n"
+LOOKUP = b"GET /v1/lookup?workspace=surakkha&address=10.16.0.9 HTTP/1.1\r\nHost: e\r\n\r\n"
+SLOW = (
+    b"POST /releases HTTP/1.1\r\nHost: e\r\nWagtailpoint-Workspace: surakkha\r\n"
+    b"Content-Length: 2\r\n\r\n{}"
+)
+
+
+class Exchanges(NamedTuple):
+    """A run of requests, one after the other.
+
+    Attributes:
+        cpu_us: Processor time of the server for each, in microseconds.
+        p50_ms: Median latency in milliseconds.
+        p99_ms: 99th percentile.
+    """
+
+    cpu_us: float
+    p50_ms: float
+    p99_ms: float
+
+
+class Memory(NamedTuple):
+    """Resident memory in megabytes, idle and with so many requests open."""
+
+    idle_mb: float
+    busy_mb: float
+    open_requests: int
+
+
+_FIGURES: dict[str, dict[str, float]] = {}
+
+
+def figures() -> Mapping[str, Mapping[str, float]]:
+    """What the last run measured."""
+    return _FIGURES
+
+
+def run(short: bool) -> list[str]:
+    """Measure one entry process."""
+    count = 2_000 if short else 20_000
+    with ExitStack() as stack:
+        running = stack.enter_context(_deployment())
+        running.apply_objects()
+        entry = running.entries[0]
+        plain_place = (entry.settings.address, PLAIN_PORT)
+        plain = stack.enter_context(_plain_server(*plain_place))
+        backends = running.backends["deposit-desk"]
+        server = backends.servers[0]
+        idle_us = _idle_cpu_us(entry.pid, seconds=1.0 if short else 5.0)
+        rows = {
+            "hypercorn alone": _exchange(plain.pid, plain_place, BALANCE, count),
+            "backend server directly": _exchange(
+                backends.pid, (server.address, server.port), BALANCE, count
+            ),
+            "lookup": _exchange(entry.pid, entry.place, LOOKUP, count, idle_us),
+            "proxied": _exchange(entry.pid, entry.place, BALANCE, count, idle_us),
+        }
+        memory = _memory(running)
+    table = _table(rows, memory, idle_us)
+    _check(rows, memory, table)
+    return table
+
+
+def _deployment() -> RunningDeployment:
+    return RunningDeployment(
+        name="surakkha",
+        entries=1,
+        backend_options=("--service-ms", "0.001"),
+        limits={"queued_requests": OPEN_REQUESTS, "open_requests": 2 * OPEN_REQUESTS},
+        timings={"caller_idle_s": 60.0},
+    )
+
+
+def _plain_server(address: str, port: int) -> ModuleProcess:
+    return ModuleProcess(
+        module="bench.plain_server",
+        arguments=["--address", address, "--port", str(port)],
+        address=address,
+        port=port,
+    )
+
+
+def _exchange(
+    pid: int, place: tuple[str, int], request: bytes, count: int, idle_us: float = 0.0
+) -> Exchanges:
+    """Send a request again and again, one after the other.
+
+    Args:
+        pid: The server whose processor time is measured.
+        place: Where it listens.
+        request: The request.
+        count: How often.
+        idle_us: What the server spends in a second without requests, in microseconds.
+    """
+    histogram = HdrHistogram(1, 60_000_000, 3)
+    began, cpu = time.perf_counter(), _cpu_us(pid)
+    for _ in range(count // REQUESTS_A_CONNECTION):
+        with socket.create_connection(place) as connection:
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            for _ in range(REQUESTS_A_CONNECTION):
+                sent = time.perf_counter()
+                _ask(connection, request)
+                histogram.record_value(max(1, int((time.perf_counter() - sent) * 1e6)))
+    took_s = time.perf_counter() - began
+    cpu_us = (_cpu_us(pid) - cpu - idle_us * took_s) / count
+    p50, p99 = (histogram.get_value_at_percentile(part) / 1000 for part in (50, 99))
+    return Exchanges(cpu_us, p50, p99)
+
+
+def _ask(connection: socket.socket, request: bytes) -> None:
+    connection.sendall(request)
+    data = b""
+    while b"\r\n\r\n" not in data:
+        received = connection.recv(65536)
+        assert received, f"the connection was closed behind {data!r}"
+        data += received
+    head, _, body = data.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200"), data
+    length = re.search(rb"content-length: (\d+)", head, re.IGNORECASE)
+    assert length is not None, head
+    left = int(length[1]) - len(body)
+    while left > 0:
+        left -= len(connection.recv(left))
+
+
+def _cpu_us(pid: int) -> float:
+    """Processor time of a process in microseconds, by the scheduler's own account."""
+    schedstat = (Path(f"/proc/{pid}/task") / str(task) / "schedstat" for task in _tasks(pid))
+    return sum(int(path.read_text().split()[0]) for path in schedstat) / 1000
+
+
+def _tasks(pid: int) -> list[str]:
+    return os.listdir(f"/proc/{pid}/task")
+
+
+def _idle_cpu_us(pid: int, *, seconds: float) -> float:
+    before = _cpu_us(pid)
+    time.sleep(seconds)
+    return (_cpu_us(pid) - before) / seconds
+
+
+def _resident_mb(pid: int) -> float:
+    found = re.search(r"VmRSS:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
+    assert found is not None
+    return int(found[1]) / 1024
+
+
+def _memory(running: RunningDeployment) -> Memory:
+    """Resident memory before and while many requests are open."""
+    entry = running.entries[0]
+    running.backends["deposit-desk"].set_mode(slow=1e8)
+    idle_mb = _resident_mb(entry.pid)
+    with ExitStack() as stack:
+        for _ in range(OPEN_REQUESTS):
+            connection = stack.enter_context(socket.create_connection(entry.place))
+            connection.sendall(SLOW)
+        open_requests = 0
+        give_up = time.monotonic() + 10
+        while open_requests < OPEN_REQUESTS and time.monotonic() < give_up:
+            open_requests = entry.page("status")["requests"]["open"]
+        return Memory(idle_mb, _resident_mb(entry.pid), open_requests)
+
+
+def _table(rows: Mapping[str, Exchanges], memory: Memory, idle_us: float) -> list[str]:
+    _FIGURES["processor time, us"] = {name: row.cpu_us for name, row in rows.items()}
+    _FIGURES["p50, ms"] = {name: row.p50_ms for name, row in rows.items()}
+    _FIGURES["p99, ms"] = {name: row.p99_ms for name, row in rows.items()}
+    _FIGURES["memory, MB"] = {"idle": memory.idle_mb, "busy": memory.busy_mb}
+    _FIGURES["idle"] = {"processor time, us/s": idle_us}
+    lines = [f"{'one request after the other':<26}{'cpu us':>8}{'p50 ms':>8}{'p99 ms':>8}"]
+    lines += [
+        f"{name:<26}{row.cpu_us:>8.0f}{row.p50_ms:>8.2f}{row.p99_ms:>8.2f}"
+        for name, row in rows.items()
+    ]
+    each_kb = (memory.busy_mb - memory.idle_mb) * 1024 / max(1, memory.open_requests)
+    lines.append(
+        f"memory {memory.idle_mb:.1f} MB idle, {memory.busy_mb:.1f} MB with "
+        f"{memory.open_requests} open requests ({each_kb:.0f} KB each)"
+    )
+    lines.append(f"processor time without requests: {idle_us / 10_000:.2f} % of a core")
+    return lines
+
+
+def _check(rows: Mapping[str, Exchanges], memory: Memory, table: list[str]) -> None:
+    plain, direct = rows["hypercorn alone"], rows["backend server directly"]
+    lookup, proxied = rows["lookup"], rows["proxied"]
+    ratios = {
+        "a lookup's processor time to hypercorn's": (
+            lookup.cpu_us / plain.cpu_us,
+            MOST_LOOKUP_RATIO,
+        ),
+        "a proxied request's processor time to hypercorn's": (
+            proxied.cpu_us / plain.cpu_us,
+            MOST_PROXIED_RATIO,
+        ),
+        "median latency through the entry to that of the backend server": (
+            proxied.p50_ms / direct.p50_ms,
+            MOST_LATENCY_RATIO,
+        ),
+        "memory with open requests to that without": (
+            memory.busy_mb / memory.idle_mb,
+            MOST_MEMORY_RATIO,
+        ),
+    }
+    shown = "\n".join(table)
+    for name, (ratio, most) in ratios.items():
+        table.append(f"{name}: {ratio:.2f} (at most {most})")
+        assert ratio <= most, f"{name} is {ratio:.2f}, at most {most}\n{shown}"
+    assert memory.open_requests >= OPEN_REQUESTS, f"open: {memory.open_requests}\n{shown}"
--- a/tests/cover/test_health.py
+++ b/tests/cover/test_health.py
@@ -136,6 +136,19 @@
         self.board.observe_report(self.group[3].address, report_of(warm=False))
         self.assertEqual(self.board.usable(self.group), self.group[1:])
 
+    def test_fault_counts_at_once_when_all_were_healthy_a_moment_ago(self) -> None:
+        """What was worked out for one request is not used against newer evidence.
+
+        Symptom: requests go to a backend server for up to a second after it was ejected. Sequence:
+        all are healthy; one refuses connections; the next request asks. Cause: the answer "all are
+        healthy" was kept for the sake of speed.
+        """
+        self.assertEqual(self.board.usable(self.group), self.group)
+        self.observe(Outcome.CONNECT_FAILED, 2)
+        self.assertEqual(self.board.usable(self.group), self.group[1:])
+        self.board.observe_report(self.group[1].address, report_of(draining=True))
+        self.assertEqual(self.board.usable(self.group), self.group[2:])
+
 
 class OutcomeTest(unittest.TestCase):
     def test_of_failures(self) -> None:
