Answer lookups in the task that reads the connection

Cause: a lookup is made from memory in 0.1 ms, but hypercorn starts a task, a queue and an ASGI exchange of five messages for it, and its idle timer starts another task for each request.

Change: a GET of a quick page is answered by the connection's own task, and head and body leave in one write. All limits of the connection hold as before.

--- a/src/wagtailpoint/adapters/http_connection.py
+++ b/src/wagtailpoint/adapters/http_connection.py
@@ -13,7 +13,12 @@
 from hypercorn.typing import AppWrapper, ConnectionState, LifespanState
 from hypercorn.utils import parse_socket_addr
 
-from wagtailpoint.adapters.http_protocol import CallerProtocol, ServerConfig, slow_head
+from wagtailpoint.adapters.http_protocol import (
+    CallerProtocol,
+    QuickHandler,
+    ServerConfig,
+    slow_head,
+)
 
 LINGER_S = 2.0
 LINGER_BYTES = 16 * 1024 * 1024
@@ -54,6 +59,7 @@
         context: WorkerContext,
         limits: CallerLimits,
         resting: Resting,
+        quick: QuickHandler | None = None,
     ) -> None:
         """Make a connection that was just accepted.
 
@@ -64,6 +70,7 @@
             context: Hypercorn's state of the whole server.
             limits: How long the caller may do nothing.
             resting: Where it enters itself while it has no open request.
+            quick: Answers some requests at once.
         """
         self._stream = stream
         self._app = app
@@ -71,6 +78,7 @@
         self._context = context
         self._limits = limits
         self._resting = resting
+        self._quick = quick
         self._reading = trio.CancelScope()
         self._request: trio.CancelScope | None = None
         self._gone = False
@@ -121,7 +129,7 @@
 
     def _make_protocol(self, group: TaskGroup) -> CallerProtocol:
         sock = self._stream.socket
-        return CallerProtocol(
+        protocol = CallerProtocol(
             self._app,
             self._config,
             self._context,
@@ -132,6 +140,8 @@
             parse_socket_addr(sock.family, sock.getsockname()),
             self._send,
         )
+        protocol.quick = self._quick
+        return protocol
 
     async def _read(self) -> None:
         while True:
@@ -177,6 +187,7 @@
     def _rest(self) -> None:
         now = trio.current_time()
         self._head_began = False
+        self._resting.pop(self, None)
         self._resting[self] = now
         self._reading.deadline = now + self._limits.idle_s
 
--- a/src/wagtailpoint/adapters/http_protocol.py
+++ b/src/wagtailpoint/adapters/http_protocol.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 towards callers: hypercorn's protocol, in which every error is answered as a refusal."""
 
+from collections.abc import Callable
 from http import HTTPStatus
 from time import time
+from typing import NamedTuple
 from wsgiref.handlers import format_date_time
 
 import h11
@@ -14,8 +16,11 @@
 from hypercorn.typing import H11SendableEvent
 
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.ports.backend import Headers
 from wagtailpoint.verdict import Verdict
 
+BODY_HEADERS = frozenset((b"content-length", b"transfer-encoding"))
+
 MISTAKE_RETRY_AFTER_S = 60.0
 SLOW_RETRY_AFTER_S = 1.0
 
@@ -29,6 +34,24 @@
     return Refusal(status, code, reason, Verdict.MAY_HAVE_RUN, retry_s)
 
 
+class QuickReply(NamedTuple):
+    """A reply that is made at once, from memory.
+
+    Attributes:
+        status: HTTP status.
+        headers: All headers.
+        body: The whole body.
+    """
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+QuickHandler = Callable[[bytes, Headers], QuickReply | None]
+"""Answers a GET by its target and headers, or leaves it to the application."""
+
+
 class CallerProtocol(H11Protocol):
     """One caller's connection as HTTP/1.1.
 
@@ -39,6 +62,7 @@
     """
 
     _held = b""
+    quick: QuickHandler | None = None
 
     @property
     def head_is_unfinished(self) -> bool:
@@ -111,7 +135,11 @@
                     await self.refuse(refusal)
                     return
                 await self.send(Updated(idle=False))
-                await self._create_stream(event)
+                quick = self._quick_reply(event)
+                if quick is None:
+                    await self._create_stream(event)
+                else:
+                    await self._send_quick(quick)
             elif event is h11.PAUSED:
                 # A pipelined request waits in the parser until the reply before it has ended.
                 await self.can_read.clear()
@@ -146,6 +174,27 @@
         )
         await self.stream.handle(event)
 
+    def _quick_reply(self, request: h11.Request) -> QuickReply | None:
+        if self.quick is None or request.method != b"GET":
+            return None
+        headers = list(request.headers)
+        if any(name in BODY_HEADERS for name, _ in headers):
+            return None
+        return self.quick(request.target, headers)
+
+    async def _send_quick(self, reply: QuickReply) -> None:
+        """Reply within the task that reads, without an application's task and queue."""
+        connection = self.connection
+        connection.next_event()  # The end of the request, which has no body.
+        headers = [*reply.headers, *self.config.response_headers("h11")]
+        response = h11.Response(status_code=reply.status, headers=headers)
+        await self._write(
+            (connection.send(response) or b"")
+            + (connection.send(h11.Data(data=reply.body)) or b"")
+            + (connection.send(h11.EndOfMessage()) or b"")
+        )
+        await self._maybe_recycle()
+
     async def _send_h11_event(self, event: H11SendableEvent) -> None:
         try:
             data = self.connection.send(event) or b""
--- a/src/wagtailpoint/adapters/http_server.py
+++ b/src/wagtailpoint/adapters/http_server.py
@@ -13,7 +13,7 @@
 from wagtailpoint import headers as names
 from wagtailpoint.adapters.http_body import RequestBody
 from wagtailpoint.adapters.http_connection import CallerConnection, CallerLimits, Resting, linger
-from wagtailpoint.adapters.http_protocol import ServerConfig, refuse_unread
+from wagtailpoint.adapters.http_protocol import QuickHandler, ServerConfig, refuse_unread
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
 from wagtailpoint.entry.request import CallerRequest, header, without
 from wagtailpoint.observe.log import log_event
@@ -127,10 +127,26 @@
 class HttpServer:
     """Listens for callers and operators."""
 
-    def __init__(self, *, options: ServerOptions, clock: Clock, handler: RequestHandler) -> None:
+    def __init__(
+        self,
+        *,
+        options: ServerOptions,
+        clock: Clock,
+        handler: RequestHandler,
+        quick: QuickHandler | None = None,
+    ) -> None:
+        """Make a server that does not listen yet.
+
+        Args:
+            options: How it listens.
+            clock: The instance's clock.
+            handler: Serves a request, in a task of its own.
+            quick: Answers a request at once, or leaves it to ``handler``.
+        """
         self._options = options
         self._clock = clock
         self._handler = handler
+        self._quick = quick
         self._config = _hypercorn_config(options)
         self._context = WorkerContext(None)
         self._connections = 0
@@ -187,6 +203,7 @@
                 context=self._context,
                 limits=self._options.limits,
                 resting=self._resting,
+                quick=self._quick,
             ).run()
         except Exception as error:  # noqa: BLE001 - one connection's fault must not end the others
             log_event("internal-error", level="ERROR", where="connection", error=repr(error))
--- a/src/wagtailpoint/daemon/api.py
+++ b/src/wagtailpoint/daemon/api.py
@@ -1,18 +1,24 @@
 """The instance's own pages: lookup for callers; status, metrics and time line for operators."""
 
+import math
 from collections.abc import Awaitable, Callable, Mapping
 from http import HTTPStatus
 from typing import Any, NamedTuple
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 import msgspec
 
+from wagtailpoint import headers as names
+from wagtailpoint.adapters.http_protocol import QuickReply
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
 from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, refuse
 from wagtailpoint.entry.request import CallerRequest, ReplySink
+from wagtailpoint.ports.backend import Headers
 from wagtailpoint.verdict import Verdict
 
 PREFIX = "/v1/"
+JSON = b"application/json"
+READING_METHODS = ("GET", "HEAD")
 
 Query = Mapping[str, str]
 
@@ -22,16 +28,28 @@
 
     Attributes:
         status: HTTP status.
-        value: Is sent as JSON.
+        value: Is sent as JSON; bytes are sent as they are.
         retry_after_s: When to come back after a refusal, in seconds.
+        content_type: Its media type.
     """
 
     status: int
     value: Any
     retry_after_s: float | None = None
+    content_type: bytes = JSON
+
+
+class _Encoded(NamedTuple):
+    """A page as it is sent."""
+
+    status: int
+    headers: Headers
+    verdict: Verdict
+    body: bytes
 
 
 PageHandler = Callable[[Query], Awaitable[Page]]
+QuickPage = Callable[[Query], Page]
 
 
 def refusal_page(refusal: Refusal) -> Page:
@@ -49,35 +67,59 @@
 class OwnPages:
     """Serves everything under ``/v1/``."""
 
-    def __init__(self, *, pages: Mapping[str, PageHandler]) -> None:
+    def __init__(
+        self, *, pages: Mapping[str, PageHandler], quick: Mapping[str, QuickPage] | None = None
+    ) -> None:
         """Make the pages.
 
         Args:
-            pages: By name, for example ``lookup``.
+            pages: By name, for example ``status``.
+            quick: Those that are answered at once, by name.
         """
         self._pages = pages
+        self._quick = {f"{PREFIX}{name}".encode(): page for name, page in (quick or {}).items()}
+
+    def answer(self, target: bytes, headers: Headers) -> QuickReply | None:
+        """Answer a GET at once, if its page is among the quick ones."""
+        path, _, query = target.partition(b"?")
+        page = self._quick.get(path)
+        if page is None:
+            return None
+        value = _encode(page(_parse_query(query.decode("latin-1"))))
+        sent = [*value.headers, (names.VERDICT, value.verdict.value.encode())]
+        sent += [pair for pair in headers if pair[0] == names.REQUEST_ID][:1]
+        return QuickReply(value.status, sent, value.body)
 
     async def serve(self, request: CallerRequest, sink: ReplySink) -> None:
         """Answer one request."""
-        parts = urlsplit(request.target)
-        handler = self._pages.get(parts.path.removeprefix(PREFIX))
-        if handler is None or request.method != "GET":
-            names = ", ".join(f"GET {PREFIX}{name}" for name in sorted(self._pages))
-            page = bad_query(f"given {request.method} {parts.path[:80]}, expected one of {names}")
-        else:
-            query = {name: values[-1] for name, values in parse_qs(parts.query).items()}
-            page = await handler(query)
-        await _send_page(page, sink)
-
-
-async def _send_page(page: Page, sink: ReplySink) -> None:
-    body = msgspec.json.encode(page.value)
+        path, _, query = request.target.partition("?")
+        name = path.removeprefix(PREFIX)
+        handler = self._pages.get(name)
+        quick = self._quick.get(path.encode())
+        if request.method not in READING_METHODS or (handler is None and quick is None):
+            known = sorted([*self._pages, *(key.decode()[len(PREFIX) :] for key in self._quick)])
+            expected = ", ".join(f"GET {PREFIX}{each}" for each in known)
+            page = bad_query(f"given {request.method} {path[:80]}, expected one of {expected}")
+        elif handler is not None:
+            page = await handler(_parse_query(query))
+        elif quick is not None:
+            page = quick(_parse_query(query))
+        encoded = _encode(page)
+        await sink.begin(status=encoded.status, headers=encoded.headers, verdict=encoded.verdict)
+        await sink.send(encoded.body)
+
+
+def _parse_query(text: str) -> Query:
+    return {name: values[-1] for name, values in parse_qs(text).items()}
+
+
+def _encode(page: Page) -> _Encoded:
+    body = page.value if isinstance(page.value, bytes) else msgspec.json.encode(page.value)
     headers = [
-        (b"content-type", b"application/json"),
+        (b"content-type", page.content_type),
         (b"content-length", str(len(body)).encode()),
     ]
     if page.retry_after_s is not None:
-        headers.append((b"retry-after", str(max(1, round(page.retry_after_s))).encode()))
+        headers.append((names.RETRY_AFTER, str(math.ceil(page.retry_after_s)).encode()))
     verdict = Verdict.RAN if page.status < HTTPStatus.BAD_REQUEST else Verdict.NOT_RUN
-    await sink.begin(status=page.status, headers=headers, verdict=verdict)
-    await sink.send(body)
+    return _Encoded(page.status, headers, verdict, body)
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -181,6 +181,7 @@
             ),
             clock=self._clock,
             handler=self._handle,
+            quick=self._pages.answer,
         )
         self._timeline.record("started")
         for task in (
@@ -358,7 +359,7 @@
             metrics=self._metrics,
             timeline=self._timeline,
         )
-        return OwnPages(pages=pages.handlers)
+        return OwnPages(pages=pages.handlers, quick=pages.quick)
 
 
 async def run_instance(settings: Settings) -> None:
--- a/src/wagtailpoint/daemon/pages.py
+++ b/src/wagtailpoint/daemon/pages.py
@@ -7,7 +7,7 @@
 from result import Err
 
 from wagtailpoint.admission.slots import SlotPool
-from wagtailpoint.daemon.api import Page, PageHandler, Query, bad_query, refusal_page
+from wagtailpoint.daemon.api import Page, PageHandler, Query, QuickPage, bad_query, refusal_page
 from wagtailpoint.daemon.config_state import ConfigState
 from wagtailpoint.daemon.draining import drain_status
 from wagtailpoint.daemon.lookups import Lookups
@@ -56,13 +56,17 @@
     def handlers(self) -> Mapping[str, PageHandler]:
         """The pages by name."""
         return {
-            "lookup": self.lookup,
             "status": self.status,
             "metrics": self.metrics,
             "timeline": self.timeline,
         }
 
-    async def lookup(self, query: Query) -> Page:
+    @property
+    def quick(self) -> Mapping[str, QuickPage]:
+        """The pages that are answered at once, by name."""
+        return {"lookup": self.lookup}
+
+    def lookup(self, query: Query) -> Page:
         """Which entries a caller shall use."""
         workspace, address = query.get("workspace"), query.get("address")
         if not workspace or not address:
