Percentiles by verdict and reason, Prometheus text, events of requests

Metrics: latency by workspace, class, verdict and refusal code, and by backend server; at most 400 histograms, what comes new after that is put together; GET /v1/metrics?format=text for Prometheus.

Time line: each keyed request and each that was refused, retried, given up, broken or abandoned, with the caller's request id and key. Requests have a ring of their own: a flood of refusals would push a change of configuration out.

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -1,7 +1,6 @@
 """One instance: all its parts, wired together, and its tasks."""
 
 from random import Random
-from typing import NamedTuple
 
 import trio
 
@@ -22,6 +21,7 @@
 from wagtailpoint.daemon.instance_list import InstanceList
 from wagtailpoint.daemon.lookups import Lookups
 from wagtailpoint.daemon.moving import Moving, even_cap_part
+from wagtailpoint.daemon.observing import RequestObserver
 from wagtailpoint.daemon.pages import InstancePages
 from wagtailpoint.daemon.probing import BackendProber
 from wagtailpoint.daemon.servers import ConfiguredServers
@@ -30,7 +30,7 @@
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.entry.plan import Plan
 from wagtailpoint.entry.request import CallerRequest
-from wagtailpoint.entry.service import Completed, EntryService
+from wagtailpoint.entry.service import EntryService
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.idempotency.binding import new_incarnation
 from wagtailpoint.idempotency.bound_entry import BoundEntries
@@ -44,14 +44,14 @@
 from wagtailpoint.moves.writer import MOVES_LEASE
 from wagtailpoint.observe.hlc import HybridClock
 from wagtailpoint.observe.log import log_event
-from wagtailpoint.observe.metrics import LatencyKey, Metrics
+from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.observe.timeline import Timeline
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.retries.budget import RetryBudget
 from wagtailpoint.settings import Settings
-from wagtailpoint.verdict import Verdict
 
 TIMELINE_EVENTS = 10_000
+REQUEST_EVENTS = 10_000
 MOST_KEYS = 200_000
 MOST_KEPT_ANSWER_BYTES = 64 * 1024
 RETRIES_ALWAYS_ALLOWED_PER_S = 1.0
@@ -63,13 +63,6 @@
 """Connections for each open request that the limits allow: most callers' connections are idle."""
 
 
-class Observation(NamedTuple):
-    """What records what happens."""
-
-    metrics: Metrics
-    timeline: Timeline
-
-
 class Instance:
     """One instance of wagtailpoint."""
 
@@ -83,6 +76,7 @@
         name = f"{settings.address}:{settings.port}"
         self._metrics = Metrics()
         self._timeline = Timeline(clock=hybrid, instance=name, most_events=TIMELINE_EVENTS)
+        self._requests = Timeline(clock=hybrid, instance=name, most_events=REQUEST_EVENTS)
         self._platform = HttpPlatform(
             addresses=[(each.address, each.port) for each in settings.platform],
             timeout_s=timings.platform_timeout_s,
@@ -202,27 +196,7 @@
         if request.path.startswith(PREFIX):
             await self._pages.serve(request, reply)
             return
-        completed = await self._entry.handle(request, reply)
-        self._observe(request, completed)
-
-    def _observe(self, request: CallerRequest, completed: Completed) -> None:
-        latency_s = self._clock.monotonic() - request.arrived
-        plan = completed.plan
-        workspace = plan.workspace.name if plan is not None else ""
-        request_class = plan.policy.name if plan is not None else ""
-        key = LatencyKey("request", workspace, request_class, "")
-        self._metrics.record_latency(key, latency_s)
-        self._metrics.count(f"verdict.{completed.verdict.value}")
-        if completed.code != "ok":
-            self._metrics.count(f"refusal.{completed.code}")
-        if completed.code != "ok" or completed.verdict is not Verdict.RAN:
-            self._timeline.record(
-                "request-refused",
-                workspace=workspace,
-                target=request.target[:200],
-                code=completed.code,
-                verdict=completed.verdict.value,
-            )
+        await self._entry.handle(request, reply)
 
     def _snapshot_from_platform(self, snapshot: Snapshot) -> None:
         self._config.offer(snapshot, source="platform")
@@ -306,6 +280,9 @@
             moves=self._moves,
             failure_domain=self._settings.failure_domain,
         )
+        observer = RequestObserver(
+            metrics=self._metrics, timeline=self._requests, clock=self._clock
+        )
         return EntryService(
             config=lambda: self._config.effective,
             forwarder=Forwarder(
@@ -314,6 +291,7 @@
                 slots=self._slots,
                 servers=servers,
                 budget=self._budget,
+                observer=observer,
             ),
             keys=self._keys,
             claims=self._claims,
@@ -322,6 +300,7 @@
             ),
             nursery=self._nursery,
             gate=self._gate,
+            observer=observer,
             most_body_bytes=self._settings.limits.request_body_bytes,
         )
 
@@ -357,7 +336,7 @@
             health=self._health,
             moves=self._moves,
             metrics=self._metrics,
-            timeline=self._timeline,
+            timelines=(self._timeline, self._requests),
         )
         return OwnPages(pages=pages.handlers, quick=pages.quick)
 
--- a/src/wagtailpoint/daemon/pages.py
+++ b/src/wagtailpoint/daemon/pages.py
@@ -1,6 +1,6 @@
 """What the instance's own pages say, gathered from its parts."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from http import HTTPStatus
 from typing import Any
 
@@ -11,6 +11,7 @@
 from wagtailpoint.daemon.config_state import ConfigState
 from wagtailpoint.daemon.draining import drain_status
 from wagtailpoint.daemon.lookups import Lookups
+from wagtailpoint.daemon.metrics_page import metrics_json, metrics_text
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.idempotency.keys import KeyStore
@@ -18,8 +19,9 @@
 from wagtailpoint.moves.board import MoveBoard, MoveStatus
 from wagtailpoint.observe.hlc import ZERO, parse_stamp
 from wagtailpoint.observe.metrics import Metrics
-from wagtailpoint.observe.timeline import Timeline, TimelineEvent
-from wagtailpoint.ports.peers import Peers, Traffic
+from wagtailpoint.observe.prometheus import CONTENT_TYPE
+from wagtailpoint.observe.timeline import Timeline, TimelineEvent, merge_timelines
+from wagtailpoint.ports.peers import Peers
 
 
 class InstancePages:
@@ -38,7 +40,7 @@
         health: HealthBoard,
         moves: MoveBoard,
         metrics: Metrics,
-        timeline: Timeline,
+        timelines: Sequence[Timeline],
     ) -> None:
         self._config = config
         self._membership = membership
@@ -50,7 +52,7 @@
         self._health = health
         self._moves = moves
         self._metrics = metrics
-        self._timeline = timeline
+        self._timelines = timelines
 
     @property
     def handlers(self) -> Mapping[str, PageHandler]:
@@ -100,21 +102,15 @@
         }
         return Page(HTTPStatus.OK, value)
 
-    async def metrics(self, _query: Query) -> Page:
+    async def metrics(self, query: Query) -> Page:
         """Counts and latency percentiles since the start."""
-        counts = self._peers.counts
-        value = {
-            "counts": dict(self._metrics.counts),
-            "latencies": [
-                {**key._asdict(), **summary} for key, summary in self._metrics.latencies()
-            ],
-            "peers": {
-                "sent": _traffic_fields(counts.sent),
-                "received": _traffic_fields(counts.received),
-                "dropped": dict(counts.dropped),
-            },
-        }
-        return Page(HTTPStatus.OK, value)
+        wanted = query.get("format", "json")
+        parts = (self._metrics, self._peers.counts, self._gauges())
+        if wanted == "json":
+            return Page(HTTPStatus.OK, metrics_json(*parts))
+        if wanted == "text":
+            return Page(HTTPStatus.OK, metrics_text(*parts), content_type=CONTENT_TYPE)
+        return bad_query(f"given format={wanted[:20]!r}, expected json or text")
 
     async def timeline(self, query: Query) -> Page:
         """The newest events of this instance."""
@@ -122,7 +118,7 @@
             since = parse_stamp(query["since"]) if "since" in query else ZERO
         except ValueError as error:
             return bad_query(f"since: {error}")
-        events = self._timeline.since(since)
+        events = merge_timelines(timeline.since(since) for timeline in self._timelines)
         return Page(HTTPStatus.OK, {"events": [_event_fields(event) for event in events]})
 
     def _drains(self) -> list[dict[str, Any]]:
@@ -131,6 +127,15 @@
             return []
         return [drain._asdict() for drain in drain_status(config, self._slots.held_of)]
 
+    def _gauges(self) -> dict[str, float]:
+        return {
+            "config_version": self._config.version,
+            "open_requests": self._gate.open_requests,
+            "queued_requests": self._slots.queued,
+            "slots_held": self._slots.in_flight,
+            "keys_remembered": self._keys.size,
+        }
+
     def _backend_servers(self) -> list[dict[str, Any]]:
         config = self._config.effective
         if config is None:
@@ -160,10 +165,6 @@
     return move._asdict() | {"evidence": move.evidence._asdict()}
 
 
-def _traffic_fields(traffic: Mapping[str, Traffic]) -> dict[str, Any]:
-    return {kind: counted._asdict() for kind, counted in traffic.items()}
-
-
 def _event_fields(event: TimelineEvent) -> dict[str, Any]:
     return {
         **event.fields,
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -11,6 +11,7 @@
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
 from wagtailpoint.admission.slots import ServerChoice, Slot, SlotDemand, SlotPool
 from wagtailpoint.config.model import BackendServer
+from wagtailpoint.entry.observer import EntryObserver
 from wagtailpoint.entry.plan import Plan
 from wagtailpoint.entry.request import CallerRequest, without
 from wagtailpoint.ports.backend import (
@@ -75,12 +76,14 @@
         slots: SlotPool,
         servers: ServerSource,
         budget: Callable[[Plan], RetryBudget],
+        observer: EntryObserver,
     ) -> None:
         self._clock = clock
         self._backends = backends
         self._slots = slots
         self._servers = servers
         self._budget = budget
+        self._observer = observer
 
     def remaining(self, plan: Plan) -> float:
         """Seconds left until the request's deadline, never negative."""
@@ -136,7 +139,9 @@
                 budget=budget,
             )
             # A streamed body has been read in part by the first attempt: it can't be sent again.
-            if not decision.allowed or stream is not None:
+            again = decision.allowed and stream is None
+            self._observer.failed(request, slot.server.address, failure, again=again)
+            if not again:
                 return Err(_failed(failure, tried))
 
     async def _exchange(
--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -12,6 +12,7 @@
 from wagtailpoint.config.model import EffectiveConfig
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
+from wagtailpoint.entry.observer import Completed, EntryObserver
 from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, Plan, plan_request, refuse
 from wagtailpoint.entry.request import (
     BodyTooLarge,
@@ -65,22 +66,6 @@
     rest: AsyncIterator[bytes] | None
 
 
-class Completed(NamedTuple):
-    """What became of a request, for logs and metrics.
-
-    Attributes:
-        plan: Where it went; None if it was refused before that was known.
-        status: HTTP status of the reply.
-        verdict: What the caller was told.
-        code: The refusal's code, ``ok`` for an answer.
-    """
-
-    plan: Plan | None
-    status: int
-    verdict: Verdict
-    code: str
-
-
 class EntryService:
     """Takes requests from callers."""
 
@@ -94,6 +79,7 @@
         bound_entries: BoundEntries,
         nursery: trio.Nursery,
         gate: RequestGate,
+        observer: EntryObserver,
         most_body_bytes: int,
     ) -> None:
         """Make the service.
@@ -107,6 +93,7 @@
             nursery: Runs keyed attempts, which outlive the connection of their first caller: a
                 repeat finds the attempt in flight or its answer, not a cancelled one.
             gate: Counts the open requests and refuses new ones when the instance stops.
+            observer: Is told what becomes of each request.
             most_body_bytes: The longest request body.
         """
         self._config = config
@@ -116,16 +103,25 @@
         self._bound_entries = bound_entries
         self._nursery = nursery
         self._gate = gate
+        self._observer = observer
         self._most_body_bytes = most_body_bytes
 
-    async def handle(self, request: CallerRequest, sink: ReplySink) -> Completed:
+    async def handle(self, request: CallerRequest, sink: ReplySink) -> None:
         """Reply to a request.
 
         Raises:
             BodyBroken: The response broke off after the reply had begun; cut the connection.
         """
         with self._gate.counted():
-            return await self._handle(request, sink)
+            try:
+                completed = await self._handle(request, sink)
+            except BodyBroken as error:
+                self._observer.broken(request, str(error))
+                raise
+            except trio.Cancelled:
+                self._observer.abandoned(request)
+                raise
+        self._observer.completed(request, completed)
 
     async def _handle(self, request: CallerRequest, sink: ReplySink) -> Completed:
         planned = self._plan(request)
@@ -266,6 +262,7 @@
             log_event("internal-error", level="ERROR", where="keyed attempt", error=repr(error))
         finally:
             self._keys.finish(key, outcome)
+            self._observer.attempt_ended(request, outcome)
 
     async def _run_keyed(
         self,
--- a/src/wagtailpoint/observe/metrics.py
+++ b/src/wagtailpoint/observe/metrics.py
@@ -9,37 +9,73 @@
 LOWEST_US = 1
 HIGHEST_US = 3_600_000_000
 DIGITS = 2
+COUNTER_BYTES = 4
 PERCENTILES = (50.0, 90.0, 99.0, 99.9)
 
+MOST_HISTOGRAMS = 400
+"""A histogram takes about 14 KB. Beyond so many of them, what comes new is put together under
+``OTHER``: an instance with thousands of workspaces would otherwise fill its memory with metrics."""
+
+OTHER = "other"
+
 
 class LatencyKey(NamedTuple):
-    """What a latency is measured by.
+    """What a latency is measured by; a part that does not apply is empty.
 
     Attributes:
         measure: ``request`` until the end of the reply, ``backend`` until the response's headers.
-        workspace: The workspace, empty for ``backend``.
-        request_class: The class, empty for ``backend``.
-        backend_server: The backend server, empty for ``request``.
+        workspace: The workspace.
+        request_class: The class.
+        backend_server: The backend server.
+        verdict: What the caller was told.
+        code: The refusal's code, ``ok`` for an answer.
     """
 
     measure: str
-    workspace: str
-    request_class: str
-    backend_server: str
+    workspace: str = ""
+    request_class: str = ""
+    backend_server: str = ""
+    verdict: str = ""
+    code: str = ""
 
 
 class LatencySummary(TypedDict):
-    """Percentiles in milliseconds, named as in ``p99.9``."""
+    """Latencies of one key; the percentiles are named as in ``p99.9``."""
 
     count: int
+    sum_ms: float
     percentiles_ms: Mapping[str, float]
 
 
+class _Latencies:
+    """The latencies of one key."""
+
+    def __init__(self) -> None:
+        self.histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS, word_size=COUNTER_BYTES)
+        self.sum_us = 0
+
+    def record(self, latency_s: float) -> None:
+        latency_us = min(HIGHEST_US, max(LOWEST_US, int(latency_s * 1e6)))
+        self.histogram.record_value(latency_us)
+        self.sum_us += latency_us
+
+    def summary(self) -> LatencySummary:
+        percentiles = {
+            f"p{percentile:g}": self.histogram.get_value_at_percentile(percentile) / 1000
+            for percentile in PERCENTILES
+        }
+        return LatencySummary(
+            count=self.histogram.get_total_count(),
+            sum_ms=self.sum_us / 1000,
+            percentiles_ms=percentiles,
+        )
+
+
 class Metrics:
     """Counts and latencies since the start of the process."""
 
     def __init__(self) -> None:
-        self._latencies: dict[LatencyKey, HdrHistogram] = {}
+        self._latencies: dict[LatencyKey, _Latencies] = {}
         self._counts: Counter[str] = Counter()
 
     @property
@@ -53,22 +89,16 @@
 
     def record_latency(self, key: LatencyKey, latency_s: float) -> None:
         """Record one latency, in seconds."""
-        histogram = self._latencies.get(key)
-        if histogram is None:
-            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, DIGITS)
-            self._latencies[key] = histogram
-        histogram.record_value(max(LOWEST_US, int(latency_s * 1e6)))
+        latencies = self._latencies.get(key)
+        if latencies is None:
+            latencies = self._first_of(key)
+        latencies.record(latency_s)
 
     def latencies(self) -> list[tuple[LatencyKey, LatencySummary]]:
         """Every latency that was measured, with its percentiles."""
-        return [(key, _summary(histogram)) for key, histogram in self._latencies.items()]
+        return [(key, latencies.summary()) for key, latencies in self._latencies.items()]
 
-
-def _summary(histogram: HdrHistogram) -> LatencySummary:
-    return {
-        "count": histogram.get_total_count(),
-        "percentiles_ms": {
-            f"p{percentile:g}": histogram.get_value_at_percentile(percentile) / 1000
-            for percentile in PERCENTILES
-        },
-    }
+    def _first_of(self, key: LatencyKey) -> _Latencies:
+        if len(self._latencies) >= MOST_HISTOGRAMS:
+            key = LatencyKey(key.measure, *[OTHER if part else "" for part in key[1:]])
+        return self._latencies.setdefault(key, _Latencies())
--- /dev/null
+++ b/tests/cover/test_observing.py
@@ -0,0 +1,95 @@
+"""Metrics, their text format, and what is said of requests on the time line."""
+
+import unittest
+from http import HTTPStatus
+
+from tests.common.fake_clock import FakeClock
+from wagtailpoint.daemon.api import OwnPages, Page
+from wagtailpoint.daemon.metrics_page import metrics_text
+from wagtailpoint.daemon.observing import RequestObserver
+from wagtailpoint.entry.observer import Completed
+from wagtailpoint.entry.request import CallerRequest
+from wagtailpoint.observe.hlc import ZERO, HybridClock
+from wagtailpoint.observe.metrics import MOST_HISTOGRAMS, OTHER, LatencyKey, Metrics
+from wagtailpoint.observe.timeline import Timeline
+from wagtailpoint.ports.backend import BackendAddress, BackendFailure
+from wagtailpoint.ports.peers import PeerCounts, Traffic
+from wagtailpoint.verdict import Verdict
+
+HEADERS = [(b"wagtailpoint-request-id", b"r1"), (b"wagtailpoint-workspace", b"surakkha")]
+
+
+class MetricsTest(unittest.TestCase):
+    def test_histograms_are_bounded(self) -> None:
+        metrics = Metrics()
+        for number in range(MOST_HISTOGRAMS + 50):
+            metrics.record_latency(LatencyKey("request", f"w{number}"), 0.01)
+        self.assertLessEqual(len(metrics.latencies()), MOST_HISTOGRAMS + 1)
+        other = dict(metrics.latencies())[LatencyKey("request", OTHER)]
+        self.assertEqual(other["count"], 50)
+
+    def test_latency_beyond_the_histogram_is_counted(self) -> None:
+        metrics = Metrics()
+        metrics.record_latency(LatencyKey("request"), 1e6)
+        self.assertEqual(metrics.latencies()[0][1]["count"], 1)
+
+    def test_text_format(self) -> None:
+        metrics = Metrics()
+        metrics.count("verdict.ran", 3)
+        metrics.record_latency(LatencyKey("request", 'a"b', "browse", verdict="ran"), 0.5)
+        peers = PeerCounts({"heartbeat": Traffic(2, 80)}, {}, {"link-full": 1})
+        lines = metrics_text(metrics, peers, {"open_requests": 4}).decode().splitlines()
+        labels = r'workspace="a\"b",class="browse",verdict="ran"'
+        for line in (
+            "# TYPE wagtailpoint_request_seconds summary",
+            f"wagtailpoint_request_seconds_count{{{labels}}} 1",
+            f"wagtailpoint_request_seconds_sum{{{labels}}} 0.5",
+            "wagtailpoint_open_requests 4",
+            'wagtailpoint_events_total{event="verdict.ran"} 3',
+            'wagtailpoint_peer_bytes_total{direction="sent",kind="heartbeat"} 80',
+        ):
+            self.assertIn(line, lines)
+
+
+class RequestObserverTest(unittest.TestCase):
+    def setUp(self) -> None:
+        clock = FakeClock()
+        self.metrics = Metrics()
+        hybrid = HybridClock(wall=clock.wall)
+        self.timeline = Timeline(clock=hybrid, instance="e", most_events=10)
+        self.observer = RequestObserver(metrics=self.metrics, timeline=self.timeline, clock=clock)
+
+    def request(self, *more: tuple[bytes, bytes]) -> CallerRequest:
+        return CallerRequest("GET", "/p", "/p", [*HEADERS, *more], None, None, 0.0)
+
+    def events(self) -> list[tuple[str, object]]:
+        return [(each.event, each.fields["request_id"]) for each in self.timeline.since(ZERO)]
+
+    def test_plain_answers_are_counted_without_an_event(self) -> None:
+        self.observer.completed(self.request(), Completed(None, 200, Verdict.RAN, "ok"))
+        self.assertEqual(self.events(), [])
+        self.assertEqual(self.metrics.counts["verdict.ran"], 1)
+
+    def test_keyed_refused_retried_and_broken_requests_have_an_event(self) -> None:
+        plain, keyed = self.request(), self.request((b"idempotency-key", b"k"))
+        self.observer.completed(keyed, Completed(None, 200, Verdict.RAN, "ok"))
+        self.observer.completed(plain, Completed(None, 503, Verdict.NOT_RUN, "no-slot"))
+        failure = BackendFailure(Verdict.MAY_HAVE_RUN, "reset")
+        self.observer.failed(plain, BackendAddress("127.1.1.1", 1), failure, again=True)
+        self.observer.broken(plain, "short")
+        names = ["request-answered", "request-refused", "request-retried", "request-broken"]
+        self.assertEqual(self.events(), [(name, "r1") for name in names])
+
+
+class OwnPagesTest(unittest.TestCase):
+    def test_quick_page_repeats_the_request_id(self) -> None:
+        def page(query):
+            return Page(HTTPStatus.OK, dict(query))
+
+        pages = OwnPages(pages={}, quick={"echo": page})
+        reply = pages.answer(b"/v1/echo?a=1&a=2", HEADERS)
+        assert reply is not None
+        self.assertEqual(reply.body, b'{"a":"2"}')
+        self.assertIn(HEADERS[0], reply.headers)
+        self.assertIn((b"wagtailpoint-verdict", b"ran"), reply.headers)
+        self.assertIsNone(pages.answer(b"/v1/other", []))
--- a/tests/integration/test_entry_interface.py
+++ b/tests/integration/test_entry_interface.py
@@ -337,6 +337,36 @@
         self.wait_until(lambda: self.open_requests() == 0, "it is closed")
 
 
+class ObservedRequestTest(EntryTestCase):
+    def events(self, request_id: str) -> list[dict[str, object]]:
+        events = self.entry.page("timeline")["events"]
+        return [event for event in events if event.get("request_id") == request_id]
+
+    def test_retried_request_can_be_followed(self) -> None:
+        desk = self.running.backends["deposit-desk"]
+        desk.set_mode(reset_after=1.0)
+        self.addCleanup(desk.set_mode)
+        answer = self.ask(BALANCE + "Wagtailpoint-Request-Id: follow-1\r\n\r\n")
+        self.check_refused(answer, 502, verdict="may-have-run")
+        names = [event["event"] for event in self.events("follow-1")]
+        self.assertEqual(names[0], "request-retried")
+        self.assertEqual(names[-2:], ["request-given-up", "request-refused"])
+
+    def test_keyed_request_can_be_followed(self) -> None:
+        ids = "Wagtailpoint-Request-Id: follow-2\r\nIdempotency-Key: key-2\r\n"
+        answer = self.ask(RELEASE + ids + "Content-Length: 2\r\n\r\n{}")
+        self.assertEqual(answer.verdict, "ran")
+        events = {event["event"]: event["key"] for event in self.events("follow-2")}
+        self.assertEqual(events, {"attempt-ended": "key-2", "request-answered": "key-2"})
+
+    def test_metrics_as_text(self) -> None:
+        self.check_still_serves()
+        answer = self.ask("GET /v1/metrics?format=text HTTP/1.1\r\nHost: e\r\n\r\n")
+        self.assertEqual(answer.headers["content-type"], "text/plain; version=0.0.4; charset=utf-8")
+        labels = 'workspace="surakkha",class="balance",verdict="ran",code="ok"'
+        self.assertIn(f"wagtailpoint_request_seconds_count{{{labels}}} ", answer.body.decode())
+
+
 class LargeBodyTest(EntryTestCase):
     SIZE = 200 * MEGABYTE
     MOST_GROWTH = 24 * MEGABYTE
