Refuse what has no time left, end a leaving instance's connections, pages that yield

- A request whose deadline has passed when it gets its slot is refused, not-run.
It was given a millisecond, and its outcome was unknown.
- Replies of an instance that no longer takes requests say Connection: close, so that no caller sends its next request just when the connection is closed.
- A backend server's Date header is kept; a second one was added.
- /v1/metrics took 1.5 ms of processor time for each histogram, in one piece: a third of a second for 200 of them, in which no caller was served.
Now one pass over each (0.5 ms), and the others' turn after each. /v1/timeline took 94 ms for 10,000 events in one piece; now the others' turn after each 200.

Tried and dropped: writing to the socket at once, without trio's way around its loop.

--- a/src/wagtailpoint/adapters/http_connection.py
+++ b/src/wagtailpoint/adapters/http_connection.py
@@ -2,7 +2,7 @@
 
 import socket
 import struct
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from typing import NamedTuple
 
@@ -60,6 +60,7 @@
         limits: CallerLimits,
         resting: Resting,
         quick: QuickHandler | None = None,
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         """Make a connection that was just accepted.
 
@@ -71,6 +72,7 @@
             limits: How long the caller may do nothing.
             resting: Where it enters itself while it has no open request.
             quick: Answers some requests at once.
+            is_leaving: Whether callers shall not use the connection again.
         """
         self._stream = stream
         self._app = app
@@ -79,6 +81,7 @@
         self._limits = limits
         self._resting = resting
         self._quick = quick
+        self._is_leaving = is_leaving
         self._reading = trio.CancelScope()
         self._request: trio.CancelScope | None = None
         self._gone = False
@@ -144,6 +147,7 @@
             self._send,
         )
         protocol.quick = self._quick
+        protocol.is_leaving = self._is_leaving
         return protocol
 
     async def _read(self) -> None:
--- a/src/wagtailpoint/adapters/http_protocol.py
+++ b/src/wagtailpoint/adapters/http_protocol.py
@@ -63,6 +63,7 @@
 
     _held = b""
     quick: QuickHandler | None = None
+    is_leaving: Callable[[], bool] = staticmethod(lambda: False)
 
     @property
     def head_is_unfinished(self) -> bool:
@@ -116,11 +117,23 @@
 
     async def stream_send(self, event: Event) -> None:
         """Pass on what the application sends."""
-        if isinstance(event, Response) and self.connection.their_state is h11.SEND_BODY:
-            # The rest of the body is not going to be read; the next request would stand behind it.
-            closing = [*event.headers, (b"connection", b"close")]
-            event = Response(STREAM_ID, headers=closing, status_code=event.status_code)
-        await super().stream_send(event)
+        if isinstance(event, Response):
+            headers = self._complete(event.headers)
+            response = h11.Response(status_code=event.status_code, headers=headers)
+            await self._send_h11_event(response)
+        else:
+            await super().stream_send(event)
+
+    def _complete(self, headers: Headers) -> list[tuple[bytes, bytes]]:
+        complete = list(headers)
+        if all(name != b"date" for name, _ in headers):
+            complete += self.config.response_headers("h11")
+        # The rest of a body that is not read would stand before the next request; and an instance
+        # that leaves closes its connections soon, perhaps just when the next request is sent.
+        ends = self.connection.their_state is h11.SEND_BODY or self.is_leaving()
+        if ends or self.keep_alive_requests >= self.config.keep_alive_max_requests:
+            complete.append((b"connection", b"close"))
+        return complete
 
     async def _handle_events(self) -> None:
         while True:
@@ -186,8 +199,7 @@
         """Reply within the task that reads, without an application's task and queue."""
         connection = self.connection
         connection.next_event()  # The end of the request, which has no body.
-        headers = [*reply.headers, *self.config.response_headers("h11")]
-        response = h11.Response(status_code=reply.status, headers=headers)
+        response = h11.Response(status_code=reply.status, headers=self._complete(reply.headers))
         await self._write(
             (connection.send(response) or b"")
             + (connection.send(h11.Data(data=reply.body)) or b"")
--- a/src/wagtailpoint/adapters/http_server.py
+++ b/src/wagtailpoint/adapters/http_server.py
@@ -134,6 +134,7 @@
         clock: Clock,
         handler: RequestHandler,
         quick: QuickHandler | None = None,
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         """Make a server that does not listen yet.
 
@@ -142,11 +143,14 @@
             clock: The instance's clock.
             handler: Serves a request, in a task of its own.
             quick: Answers a request at once, or leaves it to ``handler``.
+            is_leaving: Whether the instance stops: callers are then told with each reply not to
+                use the connection again.
         """
         self._options = options
         self._clock = clock
         self._handler = handler
         self._quick = quick
+        self._is_leaving = is_leaving
         self._config = _hypercorn_config(options)
         self._context = WorkerContext(None)
         self._connections = 0
@@ -204,6 +208,7 @@
                 limits=self._options.limits,
                 resting=self._resting,
                 quick=self._quick,
+                is_leaving=self._is_leaving,
             ).run()
         except Exception as error:  # noqa: BLE001 - one connection's fault must not end the others
             log_event("internal-error", level="ERROR", where="connection", error=repr(error))
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -176,6 +176,7 @@
             clock=self._clock,
             handler=self._handle,
             quick=self._pages.answer,
+            is_leaving=lambda: self._gate.closed,
         )
         self._timeline.record("started")
         for task in (
--- a/src/wagtailpoint/daemon/metrics_page.py
+++ b/src/wagtailpoint/daemon/metrics_page.py
@@ -1,22 +1,47 @@
 """The page of metrics: JSON for programs of ours, text for Prometheus."""
 
 from collections.abc import Mapping, Sequence
-from typing import Any
+from typing import Any, NamedTuple
+
+import trio
 
 from wagtailpoint.observe.metrics import LatencyKey, LatencySummary, Metrics
 from wagtailpoint.observe.prometheus import Family, Sample, format_text
 from wagtailpoint.ports.peers import PeerCounts, Traffic
 
-Gauges = Mapping[str, float]
-"""Values of this moment by name, for example ``open_requests``."""
+
+class Measured(NamedTuple):
+    """Everything that is measured.
+
+    Attributes:
+        counts: By name.
+        latencies: With their percentiles.
+        peers: What went over the links.
+        gauges: Values of this moment by name, for example ``open_requests``.
+    """
+
+    counts: Mapping[str, int]
+    latencies: Sequence[tuple[LatencyKey, LatencySummary]]
+    peers: PeerCounts
+    gauges: Mapping[str, float]
+
+
+async def measure(metrics: Metrics, peers: PeerCounts, gauges: Mapping[str, float]) -> Measured:
+    """Gather everything, without keeping the callers waiting for the percentiles of all."""
+    latencies = []
+    for each in metrics.latencies():
+        latencies.append(each)
+        await trio.lowlevel.checkpoint()
+    return Measured(dict(metrics.counts), latencies, peers, gauges)
 
 
-def metrics_json(metrics: Metrics, peers: PeerCounts, gauges: Gauges) -> dict[str, Any]:
+def metrics_json(measured: Measured) -> dict[str, Any]:
     """Everything that is measured, as a JSON value."""
+    peers = measured.peers
     return {
-        "gauges": dict(gauges),
-        "counts": dict(metrics.counts),
-        "latencies": [{**key._asdict(), **summary} for key, summary in metrics.latencies()],
+        "gauges": dict(measured.gauges),
+        "counts": dict(measured.counts),
+        "latencies": [{**key._asdict(), **summary} for key, summary in measured.latencies],
         "peers": {
             "sent": _traffic_fields(peers.sent),
             "received": _traffic_fields(peers.received),
@@ -25,16 +50,16 @@
     }
 
 
-def metrics_text(metrics: Metrics, peers: PeerCounts, gauges: Gauges) -> bytes:
+def metrics_text(measured: Measured) -> bytes:
     """Everything that is measured, for Prometheus."""
     families = [
         Family(f"wagtailpoint_{name}", "gauge", "Now.", [Sample({}, value)])
-        for name, value in gauges.items()
+        for name, value in measured.gauges.items()
     ]
-    counts = [Sample({"event": name}, number) for name, number in metrics.counts.items()]
+    counts = [Sample({"event": name}, number) for name, number in measured.counts.items()]
     families.append(Family("wagtailpoint_events_total", "counter", "Events by name.", counts))
-    families += _latency_families(metrics.latencies())
-    families += _peer_families(peers)
+    families += _latency_families(measured.latencies)
+    families += _peer_families(measured.peers)
     return format_text(families)
 
 
--- a/src/wagtailpoint/daemon/pages.py
+++ b/src/wagtailpoint/daemon/pages.py
@@ -4,6 +4,8 @@
 from http import HTTPStatus
 from typing import Any
 
+import msgspec
+import trio
 from result import Err
 
 from wagtailpoint.admission.slots import SlotPool
@@ -11,7 +13,7 @@
 from wagtailpoint.daemon.config_state import ConfigState
 from wagtailpoint.daemon.draining import drain_status
 from wagtailpoint.daemon.lookups import Lookups
-from wagtailpoint.daemon.metrics_page import metrics_json, metrics_text
+from wagtailpoint.daemon.metrics_page import measure, metrics_json, metrics_text
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.idempotency.keys import KeyStore
@@ -23,6 +25,8 @@
 from wagtailpoint.observe.timeline import Timeline, TimelineEvent, merge_timelines
 from wagtailpoint.ports.peers import Peers
 
+EVENTS_AT_ONCE = 200
+
 
 class InstancePages:
     """The handlers of all pages under ``/v1/``."""
@@ -105,12 +109,12 @@
     async def metrics(self, query: Query) -> Page:
         """Counts and latency percentiles since the start."""
         wanted = query.get("format", "json")
-        parts = (self._metrics, self._peers.counts, self._gauges())
+        if wanted not in ("json", "text"):
+            return bad_query(f"given format={wanted[:20]!r}, expected json or text")
+        measured = await measure(self._metrics, self._peers.counts, self._gauges())
         if wanted == "json":
-            return Page(HTTPStatus.OK, metrics_json(*parts))
-        if wanted == "text":
-            return Page(HTTPStatus.OK, metrics_text(*parts), content_type=CONTENT_TYPE)
-        return bad_query(f"given format={wanted[:20]!r}, expected json or text")
+            return Page(HTTPStatus.OK, metrics_json(measured))
+        return Page(HTTPStatus.OK, metrics_text(measured), content_type=CONTENT_TYPE)
 
     async def timeline(self, query: Query) -> Page:
         """The newest events of this instance."""
@@ -119,7 +123,13 @@
         except ValueError as error:
             return bad_query(f"since: {error}")
         events = merge_timelines(timeline.since(since) for timeline in self._timelines)
-        return Page(HTTPStatus.OK, {"events": [_event_fields(event) for event in events]})
+        pieces = []
+        for start in range(0, len(events), EVENTS_AT_ONCE):
+            some = events[start : start + EVENTS_AT_ONCE]
+            pieces.append(msgspec.json.encode([_event_fields(event) for event in some])[1:-1])
+            # Thousands of events at once would keep the callers waiting for a tenth of a second.
+            await trio.lowlevel.checkpoint()
+        return Page(HTTPStatus.OK, b'{"events":[' + b",".join(pieces) + b"]}")
 
     def _drains(self) -> list[dict[str, Any]]:
         config = self._config.effective
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -123,7 +123,11 @@
                 return Err(_after_attempts(admitted.err_value, tried))
             slot = admitted.ok_value
             try:
-                sent = _as_sent(plan, request, body, stream, self.remaining(plan))
+                remaining_s = self.remaining(plan)
+                if remaining_s < LEAST_EXCHANGE_S:
+                    # Sent now, it would only be cut off, with an outcome that nobody knows.
+                    return Err(_after_attempts(_deadline_passed(), tried))
+                sent = _as_sent(plan, request, body, stream, remaining_s)
                 failure = await self._exchange(slot, sent, sink)
             finally:
                 self._slots.release(slot)
@@ -187,7 +191,7 @@
         headers=without(request.headers, NOT_FORWARDED),
         # None and not an empty body: a GET would else be sent as chunked.
         body=_once(body) if body else stream,
-        deadline_s=max(remaining_s, LEAST_EXCHANGE_S),
+        deadline_s=remaining_s,
         idempotent=plan.route.idempotent,
         echoes_request_id=plan.service.echoes_request_id,
     )
@@ -197,6 +201,16 @@
     yield body
 
 
+def _deadline_passed() -> Refusal:
+    return Refusal(
+        HTTPStatus.GATEWAY_TIMEOUT,
+        RefusalCode.DEADLINE_PASSED,
+        "the deadline passed before the request was sent to a backend server",
+        Verdict.NOT_RUN,
+        FAILED_RETRY_AFTER_S,
+    )
+
+
 def _after_attempts(refusal: Refusal, tried: Sequence[Attempt]) -> Refusal:
     """A refusal after failed attempts can't claim more than the attempts allow."""
     if all(attempt.failure.verdict is Verdict.NOT_RUN for attempt in tried):
--- a/src/wagtailpoint/observe/metrics.py
+++ b/src/wagtailpoint/observe/metrics.py
@@ -1,7 +1,7 @@
 """Metrics of one instance: counts, and latency percentiles by hdrhistogram."""
 
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from typing import NamedTuple, TypedDict
 
 from hdrh.histogram import HdrHistogram
@@ -10,7 +10,7 @@
 HIGHEST_US = 3_600_000_000
 DIGITS = 2
 COUNTER_BYTES = 4
-PERCENTILES = (50.0, 90.0, 99.0, 99.9)
+PERCENTILES = [50.0, 90.0, 99.0, 99.9]
 
 MOST_HISTOGRAMS = 400
 """A histogram takes about 14 KB. Beyond so many of them, what comes new is put together under
@@ -60,14 +60,12 @@
         self.sum_us += latency_us
 
     def summary(self) -> LatencySummary:
-        percentiles = {
-            f"p{percentile:g}": self.histogram.get_value_at_percentile(percentile) / 1000
-            for percentile in PERCENTILES
-        }
+        # All of them in one pass over the histogram.
+        values = self.histogram.get_percentile_to_value_dict(PERCENTILES)
         return LatencySummary(
             count=self.histogram.get_total_count(),
             sum_ms=self.sum_us / 1000,
-            percentiles_ms=percentiles,
+            percentiles_ms={f"p{each:g}": value / 1000 for each, value in values.items()},
         )
 
 
@@ -94,9 +92,10 @@
             latencies = self._first_of(key)
         latencies.record(latency_s)
 
-    def latencies(self) -> list[tuple[LatencyKey, LatencySummary]]:
-        """Every latency that was measured, with its percentiles."""
-        return [(key, latencies.summary()) for key, latencies in self._latencies.items()]
+    def latencies(self) -> Iterator[tuple[LatencyKey, LatencySummary]]:
+        """Every latency that was measured, with its percentiles; each takes about 0.5 ms."""
+        for key, latencies in list(self._latencies.items()):
+            yield key, latencies.summary()
 
     def _first_of(self, key: LatencyKey) -> _Latencies:
         if len(self._latencies) >= MOST_HISTOGRAMS:
--- a/tests/cover/test_docs.py
+++ b/tests/cover/test_docs.py
@@ -8,10 +8,12 @@
 
 import click
 
+from wagtailpoint.admission.refusal import RefusalBody, RefusalCode
 from wagtailpoint.cli.exit_codes import ExitCode
 from wagtailpoint.cli.main import cli
 from wagtailpoint.config.compile import compile_config
 from wagtailpoint.config.objects import KINDS
+from wagtailpoint.lookup.answer import LookupAnswer
 from wagtailpoint.settings import Limits, Settings, Timings, check_settings
 
 DOCS = Path(__file__).parents[2] / "docs"
@@ -59,3 +61,14 @@
         text = (DOCS / "operators.md").read_text()
         for code in ExitCode:
             self.assertIn(f"\n| {int(code)} | ", text)
+
+
+class CallersPageTest(unittest.TestCase):
+    def test_every_refusal_code(self) -> None:
+        text = (DOCS / "callers.md").read_text()
+        for code in RefusalCode:
+            self.assertRegex(text, rf"\n\|[^|]*`{code.value}`")
+
+    def test_example_is_valid(self) -> None:
+        for block in json_blocks("callers.md"):
+            self.assertIn(set(block), [set(LookupAnswer.__annotations__), set(RefusalBody._fields)])
