Split the entry's service and its tests

entry/service.py had grown over 400 lines: refusals and replies have their own modules. The integration tests share tests/common/entry_case.py; new among them are those of the deadline that is passed on.

--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -10,17 +10,18 @@
 from wagtailpoint import headers as names
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
 from wagtailpoint.config.model import EffectiveConfig
+from wagtailpoint.entry import refusals
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.entry.observer import Completed, EntryObserver
 from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, Plan, plan_request, refuse
+from wagtailpoint.entry.replies import send_answer, send_outcome, send_refusal
 from wagtailpoint.entry.request import (
     BodyTooLarge,
     BodyTooSlow,
     CallerRequest,
     ReplySink,
     header,
-    without,
 )
 from wagtailpoint.idempotency.binding import Binding, parse_binding
 from wagtailpoint.idempotency.bound_entry import BoundEntries
@@ -35,7 +36,7 @@
     Run,
     fingerprint,
 )
-from wagtailpoint.idempotency.outcome import Answered, MayHaveRun, NotRun, Outcome, repeat_of
+from wagtailpoint.idempotency.outcome import Answered, MayHaveRun, NotRun, Outcome
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.backend import BackendResponse, BodyBroken
 from wagtailpoint.verdict import Verdict
@@ -47,9 +48,6 @@
 MOST_KEYED_ANSWER_BYTES = 8 * 1024 * 1024
 """The whole answer to a keyed request is held while it runs, for the copies that join it."""
 
-NO_CONFIG_RETRY_AFTER_S = 1.0
-CLAIM_RETRY_AFTER_S = 2.0
-
 
 Planned = Result[Plan, Refusal]
 
@@ -131,7 +129,7 @@
             workspace = header(request.headers, names.WORKSPACE) or ""
             return await self._handle_keyed(request, RequestKey(workspace, key), sink, planned)
         if isinstance(planned, Err):
-            return await _send_refusal(sink, planned.err_value, None)
+            return await send_refusal(sink, planned.err_value, None)
         return await self._handle_plain(planned.ok_value, request, sink)
 
     def _plan(self, request: CallerRequest) -> Planned:
@@ -140,15 +138,15 @@
             return Err(refusal)
         config = self._config()
         if config is None:
-            return Err(_not_ready())
+            return Err(refusals.not_ready())
         if request.content_length is not None and request.content_length > self._most_body_bytes:
-            return Err(_too_large(self._most_body_bytes))
+            return Err(refusals.too_large(self._most_body_bytes))
         return plan_request(config, request)
 
     async def _handle_plain(self, plan: Plan, request: CallerRequest, sink: ReplySink) -> Completed:
         read = await self._read_body(plan.deadline, request, READ_AHEAD_BYTES)
         if isinstance(read, Err):
-            return await _send_refusal(sink, read.err_value, plan)
+            return await send_refusal(sink, read.err_value, plan)
         body, rest = read.ok_value
         status = 0
 
@@ -170,9 +168,9 @@
         except (BodyTooLarge, BodyTooSlow) as error:
             # A part of the body has gone to the backend server already.
             refusal = self._bad_body(error)._replace(verdict=Verdict.MAY_HAVE_RUN)
-            return await _send_refusal(sink, refusal, plan)
+            return await send_refusal(sink, refusal, plan)
         if isinstance(outcome, Err):
-            return await _send_refusal(sink, outcome.err_value, plan)
+            return await send_refusal(sink, outcome.err_value, plan)
         return Completed(plan, status, Verdict.RAN, "ok")
 
     async def _handle_keyed(
@@ -180,7 +178,7 @@
     ) -> Completed:
         parsed = _binding(request)
         if isinstance(parsed, Err):
-            return await _send_refusal(sink, parsed.err_value, planned.ok())
+            return await send_refusal(sink, parsed.err_value, planned.ok())
         binding = parsed.ok_value
         if isinstance(planned, Err):
             return await self._refuse_keyed(key, binding, planned.err_value, sink, None)
@@ -200,7 +198,7 @@
             remaining_s = self._forwarder.remaining(plan)
             outcome = await self._bound_entries.settle(key, binding, wait_s=remaining_s)
             if outcome is not None:
-                return await _send_outcome(sink, outcome, plan)
+                return await send_outcome(sink, outcome, plan)
         return await self._reply_keyed(begun, plan, sink)
 
     async def _reply_keyed(self, begun: Begin, plan: Plan, sink: ReplySink) -> Completed:
@@ -209,11 +207,11 @@
                 outcome: Outcome = MayHaveRun("still in flight at the deadline")
                 with trio.move_on_after(self._forwarder.remaining(plan)):
                     outcome = await attempt.wait()
-                return await _send_outcome(sink, outcome, plan)
+                return await send_outcome(sink, outcome, plan)
             case Replay(answer):
-                return await _send_answer(sink, answer, plan)
+                return await send_answer(sink, answer, plan)
             case Reject(refusal):
-                return await _send_refusal(sink, refusal, plan)
+                return await send_refusal(sink, refusal, plan)
             case Run():
                 raise AssertionError("a key that was just begun is in flight")
 
@@ -232,16 +230,16 @@
         refusal, has sent the request elsewhere.
         """
         if binding is None:
-            return await _send_refusal(sink, refusal, plan)
+            return await send_refusal(sink, refusal, plan)
         outcome = self._keys.forbid(key, binding)
         match outcome:
             case NotRun():
-                return await _send_refusal(sink, refusal, plan)
+                return await send_refusal(sink, refusal, plan)
             case None:
                 uncertain = refusal._replace(verdict=Verdict.MAY_HAVE_RUN)
-                return await _send_refusal(sink, uncertain, plan)
+                return await send_refusal(sink, uncertain, plan)
             case _:
-                return await _send_outcome(sink, outcome, plan)
+                return await send_outcome(sink, outcome, plan)
 
     async def _attempt(
         self,
@@ -290,7 +288,7 @@
 
     async def _claim(self, key: RequestKey, plan: Plan) -> Outcome | None:
         """Claim a key that came without a binding; None if this process may run it."""
-        claimed: Claimed | NotClaimed = NotClaimed(_claim_timed_out(), None)
+        claimed: Claimed | NotClaimed = NotClaimed(refusals.claim_timed_out(), None)
         with trio.move_on_after(self._forwarder.remaining(plan)):
             claimed = await self._claims.claim(key)
         if isinstance(claimed, Claimed):
@@ -319,13 +317,13 @@
             except (BodyTooLarge, BodyTooSlow) as error:
                 return Err(self._bad_body(error))
         if scope.cancelled_caught:
-            return Err(_body_too_late())
+            return Err(refusals.body_too_late())
         return Ok(ReadBody(bytes(parts), None))
 
     def _bad_body(self, error: BodyTooLarge | BodyTooSlow) -> Refusal:
         if isinstance(error, BodyTooLarge):
-            return _too_large(self._most_body_bytes)
-        return _body_too_slow()
+            return refusals.too_large(self._most_body_bytes)
+        return refusals.body_too_slow()
 
 
 async def _joined(first: bytes, rest: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
@@ -360,74 +358,3 @@
     if refusal.verdict is Verdict.NOT_RUN:
         return NotRun(refusal)
     return MayHaveRun(refusal.reason)
-
-
-async def _send_outcome(sink: ReplySink, outcome: Outcome, plan: Plan | None) -> Completed:
-    if isinstance(outcome, NotRun):
-        # The first to be told, and those that joined it, get the refusal itself.
-        return await _send_refusal(sink, outcome.refusal, plan)
-    repeat = repeat_of(outcome)
-    if isinstance(repeat, Refusal):
-        return await _send_refusal(sink, repeat, plan)
-    return await _send_answer(sink, repeat, plan)
-
-
-async def _send_answer(sink: ReplySink, answer: Answered, plan: Plan | None) -> Completed:
-    await sink.begin(status=answer.status, headers=answer.headers, verdict=Verdict.RAN)
-    await sink.send(answer.body or b"")
-    return Completed(plan, answer.status, Verdict.RAN, "ok")
-
-
-async def _send_refusal(sink: ReplySink, refusal: Refusal, plan: Plan | None) -> Completed:
-    body = refusal.body()
-    length = (b"content-length", str(len(body)).encode())
-    headers = [*without(refusal.headers(), (names.VERDICT,)), length]
-    await sink.begin(status=refusal.status, headers=headers, verdict=refusal.verdict)
-    await sink.send(body)
-    return Completed(plan, refusal.status, refusal.verdict, refusal.code.value)
-
-
-def _not_ready() -> Refusal:
-    return refuse(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        RefusalCode.NOT_READY,
-        "this instance has no configuration yet; use another entry",
-        NO_CONFIG_RETRY_AFTER_S,
-    )
-
-
-def _too_large(most_bytes: int) -> Refusal:
-    return refuse(
-        HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
-        RefusalCode.BODY_TOO_LARGE,
-        f"given a body over {most_bytes} bytes, the most that this entry takes",
-        MISTAKE_RETRY_AFTER_S,
-    )
-
-
-def _claim_timed_out() -> Refusal:
-    return refuse(
-        HTTPStatus.SERVICE_UNAVAILABLE,
-        RefusalCode.PLATFORM_UNAVAILABLE,
-        "the key has no binding, and the platform did not answer its claim within the deadline; "
-        "send the binding of a lookup's entry with the key",
-        CLAIM_RETRY_AFTER_S,
-    )
-
-
-def _body_too_late() -> Refusal:
-    return refuse(
-        HTTPStatus.REQUEST_TIMEOUT,
-        RefusalCode.DEADLINE_PASSED,
-        "the request's body did not arrive within the deadline",
-        NO_CONFIG_RETRY_AFTER_S,
-    )
-
-
-def _body_too_slow() -> Refusal:
-    return refuse(
-        HTTPStatus.REQUEST_TIMEOUT,
-        RefusalCode.BODY_TOO_SLOW,
-        "the request's body arrives too slowly",
-        NO_CONFIG_RETRY_AFTER_S,
-    )
--- a/tests/integration/test_entry_interface.py
+++ b/tests/integration/test_entry_interface.py
@@ -1,150 +1,15 @@
 """The interface to callers over real sockets: malformed, oversized and slow requests."""
 
-import json
-import re
-import socket
-import time
-import unittest
-from collections.abc import Iterator
-from contextlib import contextmanager
-from pathlib import Path
-from typing import NamedTuple
-
-from tests.common.deployment_process import EntryProcess, RunningDeployment
-from tests.common.processes import LIMIT_S
-
-MEGABYTE = 1024 * 1024
-BODY_LIMIT = 256 * MEGABYTE
-RECEIVE_BYTES = 256 * 1024
-BALANCE = "GET /deposits/balance/7 HTTP/1.1\r\nHost: e\r\nWagtailpoint-Workspace: surakkha\r\n"
-RELEASE = "POST /releases HTTP/1.1\r\nHost: e\r\nWagtailpoint-Workspace: surakkha\r\n"
-
-
-MOST_GROWTH = 24 * MEGABYTE
-
-
-def peak_memory(pid: int) -> int:
-    """The most memory that a process ever had resident, in bytes."""
-    found = re.search(r"VmHWM:\s+(\d+) kB", Path(f"/proc/{pid}/status").read_text())
-    assert found is not None
-    return int(found[1]) * 1024
-
-
-class Raw(NamedTuple):
-    """A response as bytes on a socket."""
-
-    status: int
-    headers: dict[str, str]
-    body: bytes
-
-    @property
-    def verdict(self) -> str:
-        return self.headers.get("wagtailpoint-verdict", "")
-
-    @property
-    def code(self) -> str:
-        return str(json.loads(self.body)["code"])
-
-
-class RawConnection:
-    """A caller's connection of which the test decides every byte."""
-
-    def __init__(self, place: tuple[str, int], *, receive_buffer: int | None = None) -> None:
-        self.socket = socket.socket()
-        self.socket.settimeout(LIMIT_S)
-        if receive_buffer is not None:
-            self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer)
-        self.socket.connect(place)
-        self._file = self.socket.makefile("rb")
-
-    def send(self, text: str | bytes) -> None:
-        self.socket.sendall(text.encode() if isinstance(text, str) else text)
-
-    def read(self, *, has_body: bool = True) -> Raw:
-        """Read one final response; those before it (100) are left out."""
-        while True:
-            status = int(self._file.readline().split()[1])
-            lines = iter(lambda: self._file.readline().decode().rstrip("\r\n"), "")
-            pairs = (line.split(":", 1) for line in lines)
-            headers = {name.lower(): value.strip() for name, value in pairs}
-            if status >= 200:
-                break
-        length = int(headers.get("content-length", 0)) if has_body else 0
-        return Raw(status, headers, self._file.read(length))
-
-    def read_line(self) -> bytes:
-        return self._file.readline()
-
-    def ends(self) -> bool:
-        """Wait for the end of the connection; False if the entry sent something instead."""
-        try:
-            return self._file.read(1) == b""
-        except ConnectionResetError:
-            return True
-
-    def close(self) -> None:
-        self._file.close()
-        self.socket.close()
-
-
-class EntryTestCase(unittest.TestCase):
-    """One entry instance of a running deployment."""
-
-    running: RunningDeployment
-    entry: EntryProcess
-    limits = {"request_body_bytes": BODY_LIMIT, "header_bytes": 16 * 1024}
-    timings = {"caller_idle_s": 20.0, "caller_stall_s": 2.0}
-
-    @classmethod
-    def setUpClass(cls) -> None:
-        cls.running = RunningDeployment(
-            name="surakkha",
-            entries=1,
-            limits=cls.limits,
-            timings=cls.timings,
-            backend_options=("--service-ms", "1"),
-        )
-        cls.running.__enter__()
-        cls.addClassCleanup(cls.running.__exit__, None, None, None)
-        cls.running.apply_objects()
-        cls.entry = cls.running.entries[0]
-
-    @contextmanager
-    def connected(self, *, receive_buffer: int | None = None) -> Iterator[RawConnection]:
-        connection = RawConnection(self.entry.place, receive_buffer=receive_buffer)
-        try:
-            yield connection
-        finally:
-            connection.close()
-
-    def ask(self, text: str | bytes, *, has_body: bool = True) -> Raw:
-        with self.connected() as connection:
-            connection.send(text)
-            return connection.read(has_body=has_body)
-
-    def check_still_serves(self) -> None:
-        answer = self.ask(BALANCE + "\r\n")
-        self.assertEqual((answer.status, answer.verdict), (200, "ran"))
-
-    def check_refused(self, answer: Raw, status: int, verdict: str = "not-run") -> None:
-        self.assertEqual((answer.status, answer.verdict), (status, verdict))
-        self.assertGreaterEqual(int(answer.headers["retry-after"]), 1)
-        value = json.loads(answer.body)
-        self.assertEqual(sorted(value), ["code", "reason", "verdict"])
-        self.assertEqual(value["verdict"], verdict)
-
-    def check_unread(self, answer: Raw, status: int) -> None:
-        """A request whose headers were not read may be a copy of one that ran."""
-        self.check_refused(answer, status, verdict="may-have-run")
-
-    def wait_until(self, holds, what: str) -> None:
-        give_up = time.monotonic() + LIMIT_S
-        while not holds():
-            self.assertLess(time.monotonic(), give_up, what)
-            time.sleep(0.05)
-
-    def open_requests(self) -> int:
-        return int(self.entry.page("status")["requests"]["open"])
+from tests.common.entry_case import (
+    BALANCE,
+    MEGABYTE,
+    MOST_GROWTH,
+    RELEASE,
+    EntryTestCase,
+    Raw,
+    RawConnection,
+    peak_memory,
+)
 
 
 class MalformedRequestTest(EntryTestCase):
@@ -216,6 +81,33 @@
         self.assertEqual(answered, ids)
 
 
+class DeadlineTest(EntryTestCase):
+    def ask_with(self, deadline_ms: int, path: str) -> Raw:
+        target = BALANCE.replace("balance/7", path)
+        return self.ask(f"{target}Wagtailpoint-Deadline-Ms: {deadline_ms}\r\n\r\n")
+
+    def passed_on_s(self, path: str) -> list[float]:
+        records = self.running.backends["deposit-desk"].records().values()
+        arrivals = [arrival for record in records for arrival in record["arrivals"]]
+        return [each["deadline_s"] for each in arrivals if each["path"].endswith(path)]
+
+    def test_deadline_is_passed_on_reduced_and_capped_by_the_route(self) -> None:
+        self.assertEqual(self.ask_with(700, "short").verdict, "ran")
+        self.assertEqual(self.ask_with(60_000, "long").verdict, "ran")
+        (short,), (long,) = self.passed_on_s("short"), self.passed_on_s("long")
+        self.assertTrue(0 < short < 0.7, short)
+        self.assertTrue(0 < long < 1.0, long)
+
+    def test_deadline_that_is_over_is_refused_before_it_is_sent(self) -> None:
+        """A request without time left is not sent.
+
+        Symptom: `may-have-run` for a request that could never be answered in time, and a slot
+        spent on it. Cause: a millisecond was given to an exchange whose time was over.
+        """
+        self.check_refused(self.ask_with(0, "over"), 504)
+        self.assertEqual(self.passed_on_s("over"), [])
+
+
 class RequestBodyTest(EntryTestCase):
     limits = {"request_body_bytes": MEGABYTE}
 
@@ -350,60 +242,3 @@
         self.wait_until(lambda: self.open_requests() == 0, "it is closed")
         # What it did not read was not read from the backend server either.
         self.assertLess(peak_memory(self.entry.pid) - before, MOST_GROWTH)
-
-
-class ObservedRequestTest(EntryTestCase):
-    def events(self, request_id: str) -> list[dict[str, object]]:
-        events = self.entry.page("timeline")["events"]
-        return [event for event in events if event.get("request_id") == request_id]
-
-    def test_retried_request_can_be_followed(self) -> None:
-        desk = self.running.backends["deposit-desk"]
-        desk.set_mode(reset_after=1.0)
-        self.addCleanup(desk.set_mode)
-        answer = self.ask(BALANCE + "Wagtailpoint-Request-Id: follow-1\r\n\r\n")
-        self.check_refused(answer, 502, verdict="may-have-run")
-        names = [event["event"] for event in self.events("follow-1")]
-        self.assertEqual(names[0], "request-retried")
-        self.assertEqual(names[-2:], ["request-given-up", "request-refused"])
-
-    def test_keyed_request_can_be_followed(self) -> None:
-        ids = "Wagtailpoint-Request-Id: follow-2\r\nIdempotency-Key: key-2\r\n"
-        answer = self.ask(RELEASE + ids + "Content-Length: 2\r\n\r\n{}")
-        self.assertEqual(answer.verdict, "ran")
-        events = {event["event"]: event["key"] for event in self.events("follow-2")}
-        self.assertEqual(events, {"attempt-ended": "key-2", "request-answered": "key-2"})
-
-    def test_metrics_as_text(self) -> None:
-        self.check_still_serves()
-        answer = self.ask("GET /v1/metrics?format=text HTTP/1.1\r\nHost: e\r\n\r\n")
-        self.assertEqual(answer.headers["content-type"], "text/plain; version=0.0.4; charset=utf-8")
-        labels = 'workspace="surakkha",class="balance",verdict="ran",code="ok"'
-        self.assertIn(f"wagtailpoint_request_seconds_count{{{labels}}} ", answer.body.decode())
-
-
-class LargeBodyTest(EntryTestCase):
-    SIZE = 200 * MEGABYTE
-
-    def test_long_download_takes_little_memory(self) -> None:
-        before = peak_memory(self.entry.pid)
-        path = f"/statements/bulk/{self.SIZE}"
-        with self.connected() as connection:
-            connection.send(BALANCE.replace("/deposits/balance/7", path) + "\r\n")
-            received = 0
-            while received < self.SIZE:
-                data = connection.socket.recv(RECEIVE_BYTES)
-                self.assertTrue(data, "the download was cut")
-                received += len(data)
-        self.assertLess(peak_memory(self.entry.pid) - before, MOST_GROWTH)
-
-    def test_long_upload_takes_little_memory(self) -> None:
-        before = peak_memory(self.entry.pid)
-        piece = b"x" * MEGABYTE
-        with self.connected() as connection:
-            connection.send(RELEASE + f"Content-Length: {self.SIZE}\r\n\r\n")
-            for _ in range(self.SIZE // MEGABYTE):
-                connection.send(piece)
-            answer = connection.read()
-        self.assertIn((answer.status, answer.verdict), [(200, "ran"), (504, "may-have-run")])
-        self.assertLess(peak_memory(self.entry.pid) - before, MOST_GROWTH)
--- /dev/null
+++ b/tests/integration/test_entry_observed.py
@@ -0,0 +1,68 @@
+"""What an entry says of its requests, and how much memory large bodies take."""
+
+from tests.common.entry_case import (
+    BALANCE,
+    MEGABYTE,
+    MOST_GROWTH,
+    RECEIVE_BYTES,
+    RELEASE,
+    EntryTestCase,
+    peak_memory,
+)
+
+
+class ObservedRequestTest(EntryTestCase):
+    def events(self, request_id: str) -> list[dict[str, object]]:
+        events = self.entry.page("timeline")["events"]
+        return [event for event in events if event.get("request_id") == request_id]
+
+    def test_retried_request_can_be_followed(self) -> None:
+        desk = self.running.backends["deposit-desk"]
+        desk.set_mode(reset_after=1.0)
+        self.addCleanup(desk.set_mode)
+        answer = self.ask(BALANCE + "Wagtailpoint-Request-Id: follow-1\r\n\r\n")
+        self.check_refused(answer, 502, verdict="may-have-run")
+        names = [event["event"] for event in self.events("follow-1")]
+        self.assertEqual(names[0], "request-retried")
+        self.assertEqual(names[-2:], ["request-given-up", "request-refused"])
+
+    def test_keyed_request_can_be_followed(self) -> None:
+        ids = "Wagtailpoint-Request-Id: follow-2\r\nIdempotency-Key: key-2\r\n"
+        answer = self.ask(RELEASE + ids + "Content-Length: 2\r\n\r\n{}")
+        self.assertEqual(answer.verdict, "ran")
+        events = {event["event"]: event["key"] for event in self.events("follow-2")}
+        self.assertEqual(events, {"attempt-ended": "key-2", "request-answered": "key-2"})
+
+    def test_metrics_as_text(self) -> None:
+        self.check_still_serves()
+        answer = self.ask("GET /v1/metrics?format=text HTTP/1.1\r\nHost: e\r\n\r\n")
+        self.assertEqual(answer.headers["content-type"], "text/plain; version=0.0.4; charset=utf-8")
+        labels = 'workspace="surakkha",class="balance",verdict="ran",code="ok"'
+        self.assertIn(f"wagtailpoint_request_seconds_count{{{labels}}} ", answer.body.decode())
+
+
+class LargeBodyTest(EntryTestCase):
+    SIZE = 200 * MEGABYTE
+
+    def test_long_download_takes_little_memory(self) -> None:
+        before = peak_memory(self.entry.pid)
+        path = f"/statements/bulk/{self.SIZE}"
+        with self.connected() as connection:
+            connection.send(BALANCE.replace("/deposits/balance/7", path) + "\r\n")
+            received = 0
+            while received < self.SIZE:
+                data = connection.socket.recv(RECEIVE_BYTES)
+                self.assertTrue(data, "the download was cut")
+                received += len(data)
+        self.assertLess(peak_memory(self.entry.pid) - before, MOST_GROWTH)
+
+    def test_long_upload_takes_little_memory(self) -> None:
+        before = peak_memory(self.entry.pid)
+        piece = b"x" * MEGABYTE
+        with self.connected() as connection:
+            connection.send(RELEASE + f"Content-Length: {self.SIZE}\r\n\r\n")
+            for _ in range(self.SIZE // MEGABYTE):
+                connection.send(piece)
+            answer = connection.read()
+        self.assertIn((answer.status, answer.verdict), [(200, "ran"), (504, "may-have-run")])
+        self.assertLess(peak_memory(self.entry.pid) - before, MOST_GROWTH)
