--- a/src/wagtailpoint/observe/log.py
+++ b/src/wagtailpoint/observe/log.py
@@ -25,7 +25,11 @@
 def _format(record: Any) -> str:
     pairs = " ".join(f"{name}={_quoted(value)}" for name, value in record["extra"].items())
     record["extra"]["_line"] = pairs
-    return "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} event={message} {extra[_line]}\n"
+    # Some modules write their pairs into the message, the event's among them.
+    event = "" if record["message"].startswith("event=") else "event="
+    return (
+        "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} " + event + "{message} {extra[_line]}\n"
+    )
 
 
 def configure_log(*, level: str, **common: Any) -> None:
--- a/tests/cover/test_observing.py
+++ b/tests/cover/test_observing.py
@@ -101,6 +101,14 @@
         line = self.line(target="/a?b", reason='a "b" c\\')
         self.assertIn('level=INFO event=test instance=e target=/a?b reason="a \\"b\\" c', line)
 
+    def test_event_that_is_given_in_the_message_is_named_once(self) -> None:
+        with redirect_stderr(StringIO()) as written:
+            configure_log(level="INFO", instance="e")
+            logger.info("event=seat-taken seat={}", "a-1")
+            logger.remove()
+            logger.configure(extra={})
+        self.assertIn("level=INFO event=seat-taken seat=a-1 instance=e", written.getvalue())
+
     def test_value_can_not_forge_a_line(self) -> None:
         """Symptom: the log shows an event that never was. Cause: a line break in a header."""
         line = self.line(reason="a\r\nlevel=ERROR event=forged\x1b\u2028")
