--- a/src/wagtailpoint/daemon/moving.py
+++ b/src/wagtailpoint/daemon/moving.py
@@ -7,9 +7,9 @@
 import trio
 
 from wagtailpoint.config.model import EffectiveConfig, Move
+from wagtailpoint.daemon.even_part import even_part
 from wagtailpoint.daemon.servers import is_drained
 from wagtailpoint.health.board import HealthBoard
-from wagtailpoint.limits.seat import seat_names
 from wagtailpoint.membership import Membership
 from wagtailpoint.moves.board import MoveBoard
 from wagtailpoint.moves.news import MoveNewsroom
@@ -23,13 +23,8 @@
 
 
 def even_cap_part(config: EffectiveConfig | None) -> float:
-    """The part of every cap that one instance may spend: one of as many parts as there are seats.
-
-    It holds as long as no more instances than seats run, the leaving ones counted.
-    """
-    if config is None:
-        return 0.0
-    return 1 / len(seat_names(config.regions))
+    """The part of every cap that one instance may spend, as of every other limit."""
+    return even_part(config)
 
 
 class Moving:
--- a/src/wagtailpoint/daemon/servers.py
+++ b/src/wagtailpoint/daemon/servers.py
@@ -42,6 +42,20 @@
         self._groups_of: EffectiveConfig | None = None
         self._turns = itertools.count()
 
+    def pool(self, plan: Plan) -> str:
+        """The service and the groups that a request may go to, as it arrives.
+
+        One that a move sends to its receiving side must not wait behind those that stay: the old
+        group is often moved from because it is full.
+        """
+        return f"{plan.service.name}/{'+'.join(self.groups_of(plan, self.route(plan)))}"
+
+    def groups_of(self, plan: Plan, route: MoveRoute | None) -> Sequence[str]:
+        """The groups that a request may go to now, each when those before are full."""
+        if route is None:
+            return (self.group_of(plan),)
+        return tuple(filter(None, (route.to_group(), route.from_group)))
+
     def group_of(self, plan: Plan) -> str:
         """The group that serves a request when no move concerns it; empty if there is none."""
         config = self._config()
@@ -135,8 +149,8 @@
         it isn't refused because of a move.
         """
         self._route = self._servers.route(self._plan)
-        to_group = self._route.to_group() if self._route is not None else None
-        self._tiers = self._servers.tiers(self._plan, self._groups(to_group))
+        groups = self._servers.groups_of(self._plan, self._route)
+        self._tiers = self._servers.tiers(self._plan, groups)
         return tuple(self._tiers)
 
     def tier_of(self, server: BackendServer) -> int:
@@ -148,11 +162,6 @@
         if self._route is not None:
             self._route.taken(server.address)
 
-    def _groups(self, to_group: str | None) -> Sequence[str]:
-        if self._route is None:
-            return (self._servers.group_of(self._plan),)
-        return tuple(filter(None, (to_group, self._route.from_group)))
-
 
 def is_drained(server: BackendServer, drains: Iterable[Drain]) -> bool:
     """Whether any drain covers the backend server."""
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -47,6 +47,10 @@
 class ServerSource(Protocol):
     """Which backend servers take new work of a request, and what became of it there."""
 
+    def pool(self, plan: Plan) -> str:
+        """Names the candidates: requests with the same ones wait in one line."""
+        ...
+
     def choice(self, plan: Plan) -> ServerChoice:
         """The choice among the backend servers that may take it."""
         ...
@@ -165,7 +169,7 @@
 
     def _demand(self, plan: Plan, tried: Sequence[Attempt]) -> SlotDemand:
         return SlotDemand(
-            pool=f"{plan.service.name}/{plan.workspace.groups.get(plan.service.name)}",
+            pool=self._servers.pool(plan),
             servers=self._servers.choice(plan),
             policy=plan.policy,
             deadline=plan.deadline,
--- a/src/wagtailpoint/moves/pacing.py
+++ b/src/wagtailpoint/moves/pacing.py
@@ -40,14 +40,17 @@
 
     def __init__(self, *, clock: Clock) -> None:
         self._clock = clock
-        self._next_due = clock.monotonic()
+        # A process restarted within the second has the part that its predecessor may have spent.
+        self._starts_at = clock.monotonic() + WINDOW_S
+        self._next_due = self._starts_at
 
     def room(self, most: int) -> bool:
         """Whether one more may pass now, of ``most`` in a second."""
-        if most < 1:
+        now = self._clock.monotonic()
+        if most < 1 or now < self._starts_at:
             return False
         burst, spacing_s = _shape(most)
-        return self._clock.monotonic() >= self._next_due - (burst - 1) * spacing_s
+        return now >= self._next_due - (burst - 1) * spacing_s
 
     def spend(self, most: int) -> None:
         """Note that one passes now; in the same step as ``room``, with no await in between."""
