--- a/src/wagtailpoint/limits/permits.py
+++ b/src/wagtailpoint/limits/permits.py
@@ -86,6 +86,11 @@
         """Permits on which something runs."""
         return len(self._used)
 
+    @property
+    def in_use(self) -> frozenset[Permit]:
+        """The permits on which something runs."""
+        return frozenset(self._used)
+
     @property
     def finished(self) -> int:
         """How often a permit was given back since the start."""
