--- a/bench/run.py
+++ b/bench/run.py
@@ -15,7 +15,17 @@
 from types import ModuleType
 from typing import NamedTuple
 
-MODULES = ("lookup", "keys", "membership", "slots", "entry", "capacity", "backend_connections")
+MODULES = (
+    "lookup",
+    "keys",
+    "membership",
+    "slots",
+    "locality",
+    "moves",
+    "entry",
+    "capacity",
+    "backend_connections",
+)
 RESULTS = Path(__file__).parent / "results"
 
 Figures = Mapping[str, Mapping[str, float]]
