--- /dev/null
+++ b/bench/admission_driver.py
@@ -0,0 +1,269 @@
+"""A small driver in virtual time around the real admission, and plain rules to compare it with.
+
+Callers arrive at random, hold a slot for a random time and go. It is no simulator of the system:
+there is one instance, its backend servers, and nothing else.
+"""
+
+import heapq
+import itertools
+from collections import Counter
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Final, NamedTuple, Protocol
+
+import trio
+from hdrh.histogram import HdrHistogram
+from result import Err, Ok, Result
+from tests.common.fake_clock import TrioClock
+from trio.testing import MockClock
+
+from wagtailpoint.admission.refusal import Refusal
+from wagtailpoint.admission.refusals import refuse_slot
+from wagtailpoint.admission.slots import Slot, SlotDemand, SlotPool
+from wagtailpoint.config.model import BackendServer, ClassPolicy
+from wagtailpoint.ports.backend import BackendAddress
+
+SERVERS: Final = 8
+SLOTS: Final = 3
+ALL_SLOTS: Final = SERVERS * SLOTS
+MEAN_S: Final = 0.020
+CAPACITY_RPS: Final = ALL_SLOTS / MEAN_S
+MOST_QUEUED: Final = 500
+REPEAT_AFTER_S: Final = 0.005
+
+TONIGHT = ClassPolicy("tonight", 0, 1.0)
+BROWSE = ClassPolicy("browse", 1, 0.75)
+BROCHURE = ClassPolicy("brochure", 2, 0.4)
+CLASSES = (TONIGHT, BROWSE, BROCHURE)
+
+
+class Stream(NamedTuple):
+    """Requests of one kind.
+
+    Attributes:
+        policy: Their class.
+        rps: Requests a second, after some seconds since the start.
+        hold_s: How long they hold a slot, on average.
+        timeout_s: How long a caller waits.
+        workspaces: Each arrival is one request of each of these, with the same service time, in
+            changing order; so that they can be compared without the noise of chance.
+        long: They are downloads.
+        repeats: How often a refused caller repeats at once.
+    """
+
+    policy: ClassPolicy
+    rps: Callable[[float], float]
+    hold_s: float = MEAN_S
+    timeout_s: float = 0.5
+    workspaces: Sequence[str] = ("own",)
+    long: bool = False
+    repeats: int = 0
+
+
+class Admission(Protocol):
+    """What admits requests: ours, or a rule to compare it with."""
+
+    async def acquire(self, demand: SlotDemand) -> Result[Slot, Refusal]:
+        """Take a slot, or be refused."""
+        ...
+
+    def release(self, slot: Slot) -> None:
+        """Give it back."""
+        ...
+
+
+class AllServers:
+    """A choice among all backend servers, which are all alike."""
+
+    def __init__(self) -> None:
+        self._servers = [
+            BackendServer(BackendAddress("127.0.0.1", port), "", SLOTS) for port in range(SERVERS)
+        ]
+
+    def candidates(self) -> Sequence[BackendServer]:
+        """All of them."""
+        return self._servers
+
+    def tier_of(self, server: BackendServer) -> int:
+        """One tier."""
+        return 0
+
+    def taken(self, server: BackendServer) -> None:
+        """Nothing to note."""
+
+
+class PlainQueue:
+    """A queue that is bounded by a number and holds requests up to their deadline.
+
+    Ordered by class it is our first version; else it is first come, first served.
+    """
+
+    def __init__(self, *, by_class: bool) -> None:
+        self._by_class = by_class
+        self._free = ALL_SLOTS
+        self._numbers = itertools.count()
+        self._queue: list[tuple[int, int, trio.Event]] = []
+        self._gone: set[int] = set()
+
+    async def acquire(self, demand: SlotDemand) -> Result[Slot, Refusal]:
+        """Take a slot, waiting until the deadline."""
+        slot = Slot(demand.pool, demand.servers.candidates()[0], demand.policy)
+        if self._free:
+            self._free -= 1
+            return Ok(slot)
+        if len(self._queue) - len(self._gone) >= MOST_QUEUED:
+            return Err(refuse_slot(demand.pool, demand.policy.name, "full", 1.0))
+        ready, number = trio.Event(), next(self._numbers)
+        rank = demand.policy.priority if self._by_class else 0
+        heapq.heappush(self._queue, (rank, number, ready))
+        with trio.move_on_at(demand.deadline):
+            await ready.wait()
+        if ready.is_set():
+            return Ok(slot)
+        self._gone.add(number)
+        return Err(refuse_slot(demand.pool, demand.policy.name, "deadline", 1.0))
+
+    def release(self, slot: Slot) -> None:
+        """Wake the next."""
+        self._free += 1
+        while self._queue:
+            _, number, ready = heapq.heappop(self._queue)
+            if number not in self._gone:
+                self._free -= 1
+                ready.set()
+                return
+            self._gone.remove(number)
+
+
+PLAIN_AND_OURS: Final = ("fcfs", "ours")
+"""With one class our first version is first come, first served, too."""
+
+RULES: Final[dict[str, Callable[[], Admission]]] = {
+    "fcfs": lambda: PlainQueue(by_class=False),
+    "first": lambda: PlainQueue(by_class=True),
+    "ours": lambda: SlotPool(clock=TrioClock(), most_queued=MOST_QUEUED, random=Random(3)),
+}
+
+
+class Measured:
+    """What was measured of one class or workspace.
+
+    Attributes:
+        latency: Of answers in time, in microseconds.
+        refused: Requests refused for good, the caller's repeats included.
+        late_refusals: Refusals that came after more than half of the caller's time.
+        timed_out: Requests that had a slot and were not done at their deadline.
+        held_s: Slot seconds that led to answers in time.
+    """
+
+    def __init__(self) -> None:
+        self.latency = HdrHistogram(1, 60_000_000, 3)
+        self.refused = self.late_refusals = self.timed_out = 0
+        self.held_s = 0.0
+
+    @property
+    def answered(self) -> int:
+        """Answers in time."""
+        return int(self.latency.get_total_count())
+
+    def at_ms(self, percentile: float) -> float:
+        """A percentile of the latency of answers, in milliseconds."""
+        return float(self.latency.get_value_at_percentile(percentile)) / 1000
+
+
+class Run:
+    """One rule under some streams."""
+
+    def __init__(self, *, rule: str, streams: Sequence[Stream], until_s: float, seed: int = 5):
+        """Run it, in virtual time.
+
+        Args:
+            rule: One of ``RULES``.
+            streams: What arrives.
+            until_s: For so long; then what is there is finished.
+            seed: Of arrivals and service times.
+        """
+        self.by_class: dict[str, Measured] = {each.name: Measured() for each in CLASSES}
+        self.by_workspace = {name: Measured() for each in streams for name in each.workspaces}
+        self.most_held: Counter[str] = Counter()
+        self.until_s = until_s
+        self._random = Random(seed)
+        self._servers = AllServers()
+        self._held: Counter[str] = Counter()
+        self._rule = rule
+        self._ends = 0.0
+        trio.run(self._run, streams, clock=MockClock(autojump_threshold=0.0))
+
+    @property
+    def used(self) -> float:
+        """The part of all slot time that led to answers in time, until the last arrival."""
+        useful = sum(measured.held_s for measured in self.by_class.values())
+        return useful / (ALL_SLOTS * self.until_s)
+
+    async def _run(self, streams: Sequence[Stream]) -> None:
+        self._admission = RULES[self._rule]()
+        self._ends = trio.current_time() + self.until_s
+        async with trio.open_nursery() as nursery:
+            for stream in streams:
+                nursery.start_soon(self._arrivals, stream, Random(self._random.random()))
+
+    async def _arrivals(self, stream: Stream, random: Random) -> None:
+        began = trio.current_time()
+        order = list(stream.workspaces)
+        async with trio.open_nursery() as nursery:
+            while (now_s := trio.current_time() - began) < self.until_s:
+                hold_s = random.expovariate(1 / stream.hold_s)
+                for workspace in order:
+                    nursery.start_soon(self._request, stream, workspace, hold_s)
+                    await trio.lowlevel.checkpoint()
+                order.reverse()
+                await trio.sleep(random.expovariate(stream.rps(now_s)) * len(order))
+
+    async def _request(self, stream: Stream, workspace: str, hold_s: float) -> None:
+        found = (
+            self.by_class[stream.policy.name],
+            self.by_workspace[workspace],
+        )
+        for repeat in range(1 + stream.repeats):
+            if repeat:
+                await trio.sleep(REPEAT_AFTER_S)
+            if await self._attempt(stream, workspace, hold_s, found):
+                return
+        for measured in found:
+            measured.refused += 1
+
+    async def _attempt(
+        self, stream: Stream, workspace: str, hold_s: float, found: Sequence[Measured]
+    ) -> bool:
+        """Send it once; True if it got a slot."""
+        began = trio.current_time()
+        deadline = began + stream.timeout_s
+        demand = SlotDemand("desk", self._servers, stream.policy, deadline)
+        admitted = await self._admission.acquire(
+            demand._replace(workspace=workspace, classes=CLASSES, long=stream.long)
+        )
+        if isinstance(admitted, Err):
+            late = trio.current_time() - began > stream.timeout_s / 2
+            for measured in found:
+                measured.late_refusals += late
+            return False
+        left_s = deadline - trio.current_time()
+        in_time = stream.long or hold_s <= left_s
+        await self._hold(stream, hold_s if in_time else left_s)
+        self._admission.release(admitted.ok_value)
+        latency_us = max(1, int(1e6 * (trio.current_time() - began)))
+        taken_at = trio.current_time() - hold_s
+        useful_s = max(0.0, min(self._ends, trio.current_time()) - taken_at)
+        for measured in found:
+            if in_time:
+                measured.latency.record_value(latency_us)
+                measured.held_s += useful_s
+            measured.timed_out += not in_time
+        return True
+
+    async def _hold(self, stream: Stream, hold_s: float) -> None:
+        name = stream.policy.name
+        self._held[name] += 1
+        self.most_held[name] = max(self.most_held[name], self._held[name])
+        await trio.sleep(hold_s)
+        self._held[name] -= 1
--- a/src/wagtailpoint/admission/ceilings.py
+++ b/src/wagtailpoint/admission/ceilings.py
@@ -21,10 +21,10 @@
     """The classes whose ceilings a request of ``policy`` counts against: its own and those above.
 
     A brochure below its own ceiling may still use up the room that holds and browsing together
-    must leave to tonight-searches.
+    must leave to tonight-searches. A ceiling of all slots binds nothing.
     """
-    found = [each for each in classes if each.priority <= policy.priority]
-    return tuple(found) if policy in found else (*found, policy)
+    found = {each for each in classes if each.priority <= policy.priority} | {policy}
+    return tuple(each for each in found if each.ceiling < 1)
 
 
 class HeldSlots:
--- a/src/wagtailpoint/admission/slots.py
+++ b/src/wagtailpoint/admission/slots.py
@@ -152,7 +152,7 @@
 
     def _take(self, demand: SlotDemand, pool: _Pool) -> Slot | None:
         choice = demand.servers
-        server = self._take_server(demand, choice.candidates(), pool)
+        server = self._take_server(demand, choice.candidates())
         if server is None:
             return None
         choice.taken(server)
@@ -164,9 +164,9 @@
         return Slot(demand.pool, server, demand.policy, demand.workspace, self._clock.monotonic())
 
     def _take_server(
-        self, demand: SlotDemand, candidates: Sequence[BackendServer], pool: _Pool
+        self, demand: SlotDemand, candidates: Sequence[BackendServer]
     ) -> BackendServer | None:
-        open_tiers = self._open_tiers(demand, candidates, pool)
+        open_tiers = self._open_tiers(demand, candidates)
 
         def rank(server: BackendServer) -> tuple[int, int]:
             return _avoid_rank(server, demand.avoid), demand.servers.tier_of(server)
@@ -178,9 +178,7 @@
                 return server
         return None
 
-    def _open_tiers(
-        self, demand: SlotDemand, candidates: Sequence[BackendServer], pool: _Pool
-    ) -> set[int]:
+    def _open_tiers(self, demand: SlotDemand, candidates: Sequence[BackendServer]) -> set[int]:
         """The tiers in which the class is below its ceilings.
 
         Ceilings hold in each tier: brochures that filled all near slots, being below their ceiling
@@ -189,10 +187,10 @@
         tiers: dict[int, list[BackendServer]] = {}
         for server in candidates:
             tiers.setdefault(demand.servers.tier_of(server), []).append(server)
-        slots = {tier: sum(map(self._grants.slots_of, servers)) for tier, servers in tiers.items()}
-        # One at least: an instance that has no slot yet would refuse all, and so never ask for any.
-        pool.waits.slots = max(1, sum(slots.values()))
         binding = binding_policies(demand.policy, demand.classes)
+        if not binding:
+            return set(tiers)
+        slots = {tier: sum(map(self._grants.slots_of, servers)) for tier, servers in tiers.items()}
         found = {
             tier
             for tier, servers in tiers.items()
@@ -202,7 +200,7 @@
             # With so few slots the ceiling is less than one; a class that is never served at all
             # is worse than one slot too many.
             held = self._held.by_priority(candidates)
-            if is_below_ceilings(binding, held, pool.waits.slots, least=1):
+            if is_below_ceilings(binding, held, sum(slots.values()), least=1):
                 return set(tiers)
         return found
 
@@ -229,8 +227,11 @@
 
     def _refuse_newcomer(self, demand: SlotDemand, pool: _Pool) -> Refusal | None:
         """Refuse a request that has to wait, or else make room for it in the queue."""
-        if not demand.servers.candidates():
+        candidates = demand.servers.candidates()
+        if not candidates:
             return refuse_server(demand.pool, self._return_times.next_s())
+        # One at least: an instance that has no slot yet would refuse all, and so never ask for any.
+        pool.waits.slots = max(1, sum(map(self._grants.slots_of, candidates)))
         if self._wait_s(demand, pool, None) > self._patience_s(demand, pool):
             return self._no_slot(demand, TOO_LATE)
         while len(pool.line):
