Keep a standing queue short, and time for the answer itself

Change: a newcomer's wait leaves two mean hold times for the answer; in a queue that has stood for half of the longest possible wait a newcomer waits a quarter of it.

--- a/src/wagtailpoint/admission/slots.py
+++ b/src/wagtailpoint/admission/slots.py
@@ -32,6 +32,15 @@
 
 __all__ = ["ServerChoice", "Slot", "SlotDemand", "SlotGrants", "SlotPool"]
 
+BURST_PART: Final = 0.5
+"""A queue that has stood for so much of the longest possible wait is no burst but an overload."""
+
+STANDING_PART: Final = 0.25
+"""So much of the longest possible wait a newcomer waits in such a queue."""
+
+ANSWER_HOLDS: Final = 2.0
+"""So many mean hold times are left for the answer itself: of exponential times, 86 % end within."""
+
 TOO_LATE: Final = "it could not be answered within its deadline"
 PUSHED_OUT: Final = "more urgent requests came"
 QUEUE_FULL: Final = "the queue is full"
@@ -41,7 +50,7 @@
     """What is kept of one pool."""
 
     def __init__(self, *, clock: Clock) -> None:
-        self.line = WaitingLine()
+        self.line = WaitingLine(clock=clock)
         self.waits = Waits(clock=clock)
 
 
@@ -232,7 +241,7 @@
             return refuse_server(demand.pool, self._return_times.next_s())
         # One at least: an instance that has no slot yet would refuse all, and so never ask for any.
         pool.waits.slots = max(1, sum(map(self._grants.slots_of, candidates)))
-        if self._wait_s(demand, pool, None) > self._patience_s(demand, pool):
+        if self._wait_s(demand, pool, None) > self._newcomer_patience_s(demand, pool):
             return self._no_slot(demand, TOO_LATE)
         while len(pool.line):
             last = pool.line.least_urgent()
@@ -263,7 +272,22 @@
     def _patience_s(self, demand: SlotDemand, pool: _Pool) -> float:
         """How long a request can wait and still be answered in time."""
         left_s = demand.deadline - self._clock.monotonic()
-        return left_s if demand.long else left_s - pool.waits.hold_s(demand.policy.priority)
+        if demand.long:
+            return left_s
+        return left_s - ANSWER_HOLDS * pool.waits.hold_s(demand.policy.priority)
+
+    def _newcomer_patience_s(self, demand: SlotDemand, pool: _Pool) -> float:
+        """How long a newcomer may have to wait.
+
+        In a burst, as long as it can. In a queue that has stood for long, every place is taken by
+        somebody else if not by this one: as many are answered from a short queue as from a long
+        one, but sooner, and none of them at the edge of its deadline, where half are too late and
+        have held a slot for nothing.
+        """
+        patience_s = self._patience_s(demand, pool)
+        standing_s = pool.line.standing_s(demand.policy.priority)
+        is_burst = standing_s < BURST_PART * patience_s
+        return patience_s if is_burst else STANDING_PART * patience_s
 
     def _is_too_late(self, demand: SlotDemand, pool: _Pool) -> bool:
         return self._patience_s(demand, pool) < 0
--- a/src/wagtailpoint/admission/waiting.py
+++ b/src/wagtailpoint/admission/waiting.py
@@ -8,6 +8,7 @@
 from wagtailpoint.admission.demand import Slot, SlotDemand
 from wagtailpoint.admission.fair_queue import FairQueue
 from wagtailpoint.admission.refusal import Refusal
+from wagtailpoint.ports.clock import Clock
 
 
 class Waiter:
@@ -24,7 +25,9 @@
 class WaitingLine:
     """The waiting requests of one pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, clock: Clock) -> None:
+        self._clock = clock
+        self._since: dict[int, float] = {}
         self._queues: dict[int, FairQueue[Waiter]] = {}
         self._numbers = count()
         self._size = 0
@@ -35,7 +38,10 @@
     def add(self, demand: SlotDemand) -> Waiter:
         """Add a request."""
         waiter = Waiter(demand=demand, number=next(self._numbers))
-        self.queue(demand.policy.priority).push(demand.workspace, waiter.number, waiter)
+        queue = self.queue(demand.policy.priority)
+        if not len(queue):
+            self._since[demand.policy.priority] = self._clock.monotonic()
+        queue.push(demand.workspace, waiter.number, waiter)
         self._size += 1
         return waiter
 
@@ -52,6 +58,12 @@
             queue = self._queues[priority] = FairQueue()
         return queue
 
+    def standing_s(self, priority: int) -> float:
+        """For how many seconds requests of a class have been waiting without a break."""
+        if not len(self.queue(priority)):
+            return 0.0
+        return self._clock.monotonic() - self._since[priority]
+
     def most_urgent(self) -> Waiter:
         """The request to be served next; there must be one."""
         return self._queues[min(self._waiting_priorities())].first()
