A class that holds no slot gets one before others below a ceiling go on

Change: of the room below a ceiling, a waiting class that holds no slot gets one. Nobody goes before a class without a ceiling.

Test seen failing with the order strict.

--- a/src/wagtailpoint/admission/slots.py
+++ b/src/wagtailpoint/admission/slots.py
@@ -221,11 +221,14 @@
         """
         served = 0
         while served < most and len(pool.line):
-            waiter = pool.line.most_urgent()
+            waiter = pool.line.next_served(pool.waits.held)
             if self._is_too_late(waiter.demand, pool):
                 self._turn_away(waiter, pool, TOO_LATE)
                 continue
             slot = self._take(waiter.demand, pool)
+            if slot is None and waiter is not pool.line.most_urgent():
+                waiter = pool.line.most_urgent()
+                slot = self._take(waiter.demand, pool)
             if slot is None:
                 break
             waiter.slot = slot
--- a/src/wagtailpoint/admission/waiting.py
+++ b/src/wagtailpoint/admission/waiting.py
@@ -1,6 +1,6 @@
 """The requests of one pool that wait for a slot: strict order of classes, fair within each."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from itertools import count
 
 import trio
@@ -68,6 +68,24 @@
         """The request to be served next; there must be one."""
         return self._queues[min(self._waiting_priorities())].first()
 
+    def next_served(self, held: Callable[[int], int]) -> Waiter:
+        """The most urgent request, or one of a class that would else never be served.
+
+        Where a class stays below a ceiling, room is left above it anyway. Of the room below, a
+        less urgent class that holds no slot at all gets one before the class goes on: else a
+        download would never begin while browsing presses for hours. Before a class without a
+        ceiling nobody goes.
+
+        Args:
+            held: Slots that a class holds now, by its priority.
+        """
+        first = self.most_urgent()
+        if first.demand.policy.ceiling < 1:
+            for priority in self._waiting_priorities():
+                if priority > first.demand.policy.priority and not held(priority):
+                    return self._queues[priority].first()
+        return first
+
     def least_urgent(self) -> Waiter:
         """The request to be refused first; there must be one."""
         return self._queues[max(self._waiting_priorities())].last()
--- a/src/wagtailpoint/admission/waits.py
+++ b/src/wagtailpoint/admission/waits.py
@@ -81,26 +81,46 @@
             binding: The ceilings that bind it.
             ahead: How many waiting requests are served before it, by priority.
         """
-        room = self._room(policy, binding)
+        own, binding = policy.priority, tuple(binding)
+        sharing = {limit.priority for limit in binding if limit.priority < own}
+        usual = self._time(own, ahead, self._room(policy, binding))
+        if not sharing:
+            return usual
+        # The least share of one slot is taken from these, so that what they hold doesn't count.
+        strict = {priority: count for priority, count in ahead.items() if priority not in sharing}
+        left = self.slots - sum(
+            held for priority, held in self._above(own).items() if priority not in sharing
+        )
+        return min(usual, self._time(own, strict, min(1.0, left)))
+
+    def held(self, priority: int) -> int:
+        """Slots that a class holds now."""
+        return self._of(priority).held
+
+    def _time(self, own: int, ahead: Mapping[int, int], room: float) -> float:
         if room < LEAST_ROOM:
             return inf
         work = sum(count * self.hold_s(priority) for priority, count in ahead.items())
-        return (work + self.hold_s(policy.priority)) / room
+        return (work + self.hold_s(own)) / room
 
     def _room(self, policy: ClassPolicy, binding: Iterable[ClassPolicy]) -> float:
         """Slots that the more urgent classes leave to this one, on average."""
-        now = self._clock.monotonic()
-        above = {
-            priority: times.average(now)
-            for priority, times in self._classes.items()
-            if priority < policy.priority
-        }
+        above = self._above(policy.priority)
         room = self.slots - sum(above.values())
         for limit in binding:
             taken = sum(held for priority, held in above.items() if priority >= limit.priority)
             room = min(room, max(1.0, limit.ceiling * self.slots) - taken)
         return room
 
+    def _above(self, own: int) -> Mapping[int, float]:
+        """Slots that each more urgent class holds on average."""
+        now = self._clock.monotonic()
+        return {
+            priority: times.average(now)
+            for priority, times in self._classes.items()
+            if priority < own
+        }
+
     def _of(self, priority: int) -> _ClassTimes:
         times = self._classes.get(priority)
         if times is None:
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -175,6 +175,36 @@
 
         self.use(check)
 
+    def test_download_begins_while_browsing_presses(self) -> None:
+        """Browsing keeps its queue full for hours; an agent waits for the download of a file.
+
+        Symptom: every attempt to begin the download is refused until the day is over. Sequence:
+        each slot that browsing gives back goes to browsing again. Cause: strict order of classes.
+        """
+
+        async def check() -> None:
+            slots = await self.take(BROWSE, 8)
+            await self.ask("browse", BROWSE)
+            await self.ask("brochure", BROCHURE)
+            await self.ask("second brochure", BROCHURE)
+            for number in (0, 1):
+                self.pool.release(slots[number])
+                await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(self.names(), ["brochure", "browse"])
+
+        self.use(check)
+
+    def test_download_never_goes_before_the_most_urgent_class(self) -> None:
+        async def check() -> None:
+            slots = await self.take(TONIGHT, 10)
+            await self.ask("brochure", BROCHURE)
+            await self.ask("tonight", TONIGHT)
+            self.pool.release(slots[0])
+            await trio.testing.wait_all_tasks_blocked()
+            self.assertEqual(self.names(), ["tonight"])
+
+        self.use(check)
+
     def test_flood_of_one_workspace_does_not_starve_another(self) -> None:
         """The own workspace sends 50 checks at once, an inherited one then sends a single one.
 
