Keep client blocks once; make the number of remembered keys a setting

Cause: the lookup table kept a tuple of all blocks beside the list that the configuration holds, to find what differs at a change. 200,000 keys of half a kilobyte were allowed whatever the memory of the machine. Change: the table keeps the list itself, and two lists are compared by their objects, which the reader hands out again when they did not change. limits.keys, 60,000 by default.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,309 @@
+"""What one instance needs at the later size: memory by client blocks, messages by members.
+
+Two slopes. Real processes: resident memory, start-up, and the longest wait of a lookup while the
+client blocks change, by the number of client blocks. On links in memory and a mock clock: messages,
+bytes and processor time of membership and of one configuration change, by the number of instances.
+"""
+
+import math
+import sys
+import time
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any, NamedTuple
+
+import httpcore
+import msgspec
+import trio
+
+from bench.lookup import BLOCKS_AN_OBJECT, client_blocks
+from tests.common.member_group import MemberGroup, run_group
+from tests.common.platform_process import PlatformProcess, fresh_address
+from tests.common.processes import ModuleProcess
+from wagtailpoint.adapters.clock import SystemClock
+from wagtailpoint.adapters.platform_http import HttpPlatform
+from wagtailpoint.config.manifest import ChangeInfo, Snapshot
+from wagtailpoint.config.store import ConfigStore
+
+LIMIT_S = 120.0
+BLOCKS_SHORT = (0, 22_000, 44_000)
+BLOCKS_FULL = (0, 44_000, 110_000, 440_000)
+REGIONS_SHORT, REGIONS_FULL = 4, 51
+MEMBERS_SHORT = (9, 36)
+MEMBERS_FULL = (9, 30, 60, 120, 245, 490)
+IDLE_S = 8.0
+MOST_GROWTH_OF_IDLE = 1.5
+MOST_WAIT_AGAINST_CHANGE = 0.5
+HEADER_BYTES = 8 + 52 + 52
+"""Length and IP and TCP headers of a small message, and of the acknowledgement it may get."""
+_MB = 1024.0
+
+
+class Memory(NamedTuple):
+    """One instance at one number of client blocks, in kilobytes and seconds."""
+
+    blocks: int
+    rss_kb: int
+    peak_kb: int
+    change_s: float
+    longest_wait_s: float
+    start_s: float
+    start_rss_kb: int
+
+
+class Group(NamedTuple):
+    """One instance of a group, on average."""
+
+    instances: int
+    messages_s: float
+    bytes_s: float
+    processor_ms_s: float
+    change_messages: float
+    change_bytes: float
+    change_processor_ms: float
+    change_has_s: float
+    change_told_s: float
+
+
+def _objects(count: int, *, regions: int) -> Mapping[str, Any]:
+    names = [f"site-{number}" for number in range(regions)]
+    objects: dict[str, Any] = {
+        f"region/{name}": {
+            "failure_domains": [f"{name}-a"],
+            "latency_ms": {other: 20.0 for other in names if other != name},
+        }
+        for name in names
+    }
+    blocks = client_blocks(count)
+    for begin in range(0, count, BLOCKS_AN_OBJECT):
+        number = begin // BLOCKS_AN_OBJECT
+        networks = [block.network for block in blocks[begin : begin + BLOCKS_AN_OBJECT]]
+        objects[f"blocks/part-{number}"] = {
+            "region": names[number % regions],
+            "networks": networks,
+        }
+    return objects
+
+
+def _status_kb(pid: int, field: str) -> int:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith(field + ":"))
+
+
+class _Instance:
+    """One entry instance and its platform."""
+
+    def __init__(self, platform: PlatformProcess, directory: Path) -> None:
+        self._address = fresh_address()
+        settings = directory / "settings.json"
+        settings.write_bytes(
+            msgspec.json.encode(
+                {
+                    "address": self._address,
+                    "port": 8080,
+                    "peer_port": 8081,
+                    "region": "site-0",
+                    "failure_domain": "site-0-a",
+                    "platform": [
+                        {"address": platform.listens_on[0], "port": platform.listens_on[1]}
+                    ],
+                    "log_level": "WARNING",
+                }
+            )
+        )
+        self.process = ModuleProcess(
+            module="wagtailpoint.daemon.main",
+            arguments=["--settings", str(settings)],
+            address=self._address,
+            port=8080,
+        )
+
+    def version(self, pool: httpcore.ConnectionPool) -> int:
+        answer = pool.request("GET", f"http://{self._address}:8080/v1/status")
+        return int(msgspec.json.decode(answer.content)["config_version"])
+
+    def until(self, version: int, *, since: float) -> tuple[float, float]:
+        """Wait until a version is in force; how long that took, and the longest answer's wait."""
+        longest = 0.0
+        with httpcore.ConnectionPool() as pool:
+            while True:
+                began = time.monotonic()
+                reached = self.version(pool)
+                longest = max(longest, time.monotonic() - began)
+                if reached >= version:
+                    return time.monotonic() - since, longest
+                if time.monotonic() - since > LIMIT_S:
+                    raise RuntimeError(f"version {version} not in force\n{self.process.log}")
+                time.sleep(0.002)
+
+
+def _apply(platform: PlatformProcess, objects: Mapping[str, Any], version: int) -> None:
+    async def apply() -> None:
+        async with HttpPlatform(addresses=[platform.listens_on], timeout_s=10.0) as api:
+            store = ConfigStore(platform=api, clock_wall=SystemClock().wall)
+            deletes: list[str] = []
+            (
+                await store.apply(
+                    puts=objects,
+                    deletes=deletes,
+                    base_version=version - 1,
+                    author="bench",
+                    message="blocks",
+                )
+            ).unwrap()
+
+    trio.run(apply)
+
+
+@contextmanager
+def _deployment() -> Iterator[tuple[PlatformProcess, _Instance]]:
+    with TemporaryDirectory() as directory, PlatformProcess() as platform:
+        instance = _Instance(platform, Path(directory))
+        with instance.process:
+            yield platform, instance
+
+
+def measure_memory(sizes: tuple[int, ...], *, regions: int) -> list[Memory]:
+    """Grow the client blocks of one instance; start a fresh one at each size as well."""
+    rows = []
+    with _deployment() as (platform, instance):
+        for version, count in enumerate(sizes, start=1):
+            objects = _objects(count, regions=regions)
+            since = time.monotonic()
+            _apply(platform, objects, version)
+            change_s, longest_s = instance.until(version, since=since)
+            time.sleep(0.5)
+            rss_kb, peak_kb = (_status_kb(instance.process.pid, it) for it in ("VmRSS", "VmHWM"))
+            with TemporaryDirectory() as directory:
+                fresh = _Instance(platform, Path(directory))
+                began = time.monotonic()
+                with fresh.process:
+                    start_s, _ = fresh.until(version, since=began)
+                    time.sleep(0.5)
+                    start_rss_kb = _status_kb(fresh.process.pid, "VmRSS")
+            rows.append(Memory(count, rss_kb, peak_kb, change_s, longest_s, start_s, start_rss_kb))
+    return rows
+
+
+def _snapshot(version: int) -> Snapshot:
+    objects = {
+        f"workspace/{index}": {"template": "stays", "version": version if index < 3 else 0}
+        for index in range(200)
+    }
+    return Snapshot(ChangeInfo(version, f"c{version}", "bench", 0.0, ""), objects)
+
+
+def _all_know(group: MemberGroup, version: int) -> bool:
+    return all(
+        member.config_version == version
+        for instance in group.instances.values()
+        for member in instance.membership.members()
+    )
+
+
+def measure_group(count: int) -> Group:
+    """Run a group in memory: join, idle, one change."""
+    found: list[Group] = []
+
+    async def story(group: MemberGroup) -> None:
+        for number in range(1, count + 1):
+            group.start(f"127.0.{number // 250}.{number % 250 + 1}")
+        await group.until(lambda: group.all_see_all("live"), within_s=120)
+        first = next(iter(group.instances.values()))
+        first.offer(_snapshot(1))
+        await group.until(lambda: _all_know(group, 1), within_s=120)
+        await trio.sleep(5)
+
+        def traffic() -> tuple[int, int, float]:
+            sent = [
+                kind
+                for each in group.instances.values()
+                for kind in each.peers.counts.sent.values()
+            ]
+            return sum(it[0] for it in sent), sum(it[1] for it in sent), time.process_time()
+
+        before = traffic()
+        await trio.sleep(IDLE_S)
+        idle = traffic()
+        first.offer(_snapshot(2))
+        changed_at = trio.current_time()
+        has_s = await group.until(
+            lambda: all(each.versions[-1] == 2 for each in group.instances.values())
+        )
+        await group.until(lambda: _all_know(group, 2), within_s=120)
+        told_s = trio.current_time() - changed_at
+        await trio.sleep(max(0.0, IDLE_S - told_s))
+        after = traffic()
+        seconds = trio.current_time() - changed_at
+        rates = [(idle[i] - before[i]) / IDLE_S / count for i in range(3)]
+        extra = [(after[i] - idle[i]) / count - rates[i] * seconds for i in range(3)]
+        found.append(
+            Group(
+                count,
+                rates[0],
+                rates[1],
+                rates[2] * 1000,
+                extra[0],
+                extra[1],
+                extra[2] * 1000,
+                has_s,
+                told_s,
+            )
+        )
+
+    run_group(story)
+    return found[0]
+
+
+def _memory_lines(rows: list[Memory]) -> list[str]:
+    lines = [
+        "   blocks  RSS MB  peak MB  change s  longest wait s  fresh: in force s  RSS MB",
+    ]
+    for row in rows:
+        lines.append(
+            f"{row.blocks:9d} {row.rss_kb / _MB:7.1f} {row.peak_kb / _MB:8.1f} {row.change_s:9.2f}"
+            f" {row.longest_wait_s:15.3f} {row.start_s:18.2f} {row.start_rss_kb / _MB:7.1f}"
+        )
+    return lines
+
+
+def _group_lines(rows: list[Group]) -> list[str]:
+    lines = [
+        "          |   idle, each, sent a second     |       one change, each, sent       | s until",
+        "instances messages   bytes on wire* cpu ms   messages    bytes on wire* cpu ms    has  told",
+    ]
+    for row in rows:
+        wire = row.bytes_s + row.messages_s * HEADER_BYTES
+        change_wire = row.change_bytes + row.change_messages * HEADER_BYTES
+        lines.append(
+            f"{row.instances:9d} {row.messages_s:8.2f} {row.bytes_s:7.0f} {wire:8.0f}"
+            f" {row.processor_ms_s:6.2f} {row.change_messages:10.1f} {row.change_bytes:8.0f}"
+            f" {change_wire:8.0f} {row.change_processor_ms:6.1f}"
+            f" {row.change_has_s:6.2f} {row.change_told_s:5.2f}"
+        )
+    lines.append(f"* estimated: {HEADER_BYTES} bytes of headers and acknowledgement a message")
+    return lines
+
+
+def run(short: bool) -> list[str]:
+    """Measure both slopes.
+
+    Raises:
+        AssertionError: A bound given as a ratio within this run is broken.
+    """
+    sizes, regions = (BLOCKS_SHORT, REGIONS_SHORT) if short else (BLOCKS_FULL, REGIONS_FULL)
+    memory = measure_memory(sizes, regions=regions)
+    groups = [measure_group(count) for count in (MEMBERS_SHORT if short else MEMBERS_FULL)]
+    lines = _memory_lines(memory) + _group_lines(groups)
+    slope = (memory[-1].start_rss_kb - memory[0].start_rss_kb) * _MB / memory[-1].blocks
+    lines.append(f"resident bytes a client block: {slope:.0f}")
+    growth = groups[-1].bytes_s / groups[0].bytes_s
+    lines.append(f"growth of idle bytes/s: {growth:.2f}, at most {MOST_GROWTH_OF_IDLE}")
+    assert growth <= MOST_GROWTH_OF_IDLE, lines[-1]
+    return lines
+
+
+if __name__ == "__main__":
+    print("\n".join(run(short="short" in sys.argv)))
--- a/bench/lookup.py
+++ b/bench/lookup.py
@@ -10,6 +10,7 @@
 
 from result import Ok
 
+from wagtailpoint.config.blocks import BlockList, RegionBlocks
 from wagtailpoint.config.model import ClientBlock, EffectiveConfig, Region, Workspace
 from wagtailpoint.lookup.answer import EntryView
 from wagtailpoint.lookup.blocks import ClientBlocks
@@ -24,6 +25,7 @@
 BLOCKS_TODAY = 1_000
 CLIENTS = 2_000
 CHANGED = 10
+BLOCKS_AN_OBJECT = 8_700
 MOST_BYTES_AGAINST_DICT = 0.3
 MOST_CHANGE_AGAINST_BUILD = 0.5
 MOST_COST_AGAINST_SMALL_TABLE = 4.0
@@ -34,7 +36,7 @@
 _last: _Figures = {}
 
 
-def _blocks(count: int) -> list[ClientBlock]:
+def client_blocks(count: int) -> list[ClientBlock]:
     """Blocks as they come: nine tenths IPv4 of /16 to /26, nested now and then, the rest IPv6."""
     chance = random.Random(SEED)
     made: dict[str, ClientBlock] = {}
@@ -54,6 +56,16 @@
     return list(made.values())
 
 
+def as_objects(blocks: list[ClientBlock]) -> list[RegionBlocks]:
+    """The blocks as they come in the configuration: in objects of one region each."""
+    parts = []
+    for region in REGIONS:
+        networks = tuple(block.network for block in blocks if block.region == region)
+        for begin in range(0, len(networks), BLOCKS_AN_OBJECT):
+            parts.append(RegionBlocks(region, networks[begin : begin + BLOCKS_AN_OBJECT]))
+    return parts
+
+
 def _clients(chance: random.Random) -> list[str]:
     return [
         ".".join(str(part) for part in chance.getrandbits(32).to_bytes(4, "big"))
@@ -147,16 +159,18 @@
         assert isinstance(table.answer(workspace="w", address=client), Ok)
 
 
-def _change(table: ClientBlocks, blocks: list[ClientBlock]) -> ClientBlocks:
-    other = [block._replace(region=REGIONS[0]) for block in blocks[:CHANGED]]
-    return table.changed_to([*other, *blocks[CHANGED:]])
+def _change(table: ClientBlocks, parts: list[RegionBlocks]) -> ClientBlocks:
+    moved, rest = parts[-1].networks[:CHANGED], parts[-1].networks[CHANGED:]
+    changed = [RegionBlocks(REGIONS[0], moved), RegionBlocks(parts[-1].region, rest)]
+    return table.changed_to(BlockList(parts=[*parts[:-1], *changed]))
 
 
 def _measure(count: int) -> dict[str, float]:
-    blocks = _blocks(count)
+    blocks = client_blocks(count)
     config = _config(blocks)
     clients = _clients(random.Random(SEED + 1))
-    built = ClientBlocks(blocks=blocks)
+    parts = as_objects(blocks)
+    built = ClientBlocks(blocks=BlockList(parts=parts))
     table = LookupTable(config=config, own_failure_domain="domain-0", blocks=built)
     plain = _DictOfPrefixes(blocks=blocks)
     assert [plain.find(c) for c in clients] == [built.find(c) for c in clients], "tables differ"
@@ -173,7 +187,7 @@
         "answer_us": _best_s(partial(_answer_all, table, clients)) / CLIENTS * _US,
         "view_ms": _best_s(partial(table.update, entries)) * _MS,
         "build_ms": build_s * _MS,
-        "change_ms": _best_s(partial(_change, built, blocks)) * _MS,
+        "change_ms": _best_s(partial(_change, built, parts)) * _MS,
     }
 
 
--- a/src/wagtailpoint/config/blocks.py
+++ b/src/wagtailpoint/config/blocks.py
@@ -38,6 +38,11 @@
             for network in part.networks:
                 yield ClientBlock(network, part.region)
 
+    def without(self, other: "BlockList") -> "BlockList":
+        """Return the parts that are not, as the very same objects, parts of another list."""
+        theirs = {id(part) for part in other._parts}
+        return BlockList(parts=[part for part in self._parts if id(part) not in theirs])
+
     def __eq__(self, other: object) -> bool:
         if self is other:
             return True
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -52,7 +52,6 @@
 
 TIMELINE_EVENTS = 10_000
 REQUEST_EVENTS = 10_000
-MOST_KEYS = 200_000
 MOST_KEPT_ANSWER_BYTES = 64 * 1024
 RETRIES_ALWAYS_ALLOWED_PER_S = 1.0
 WATCHERS_PER_FAILURE_DOMAIN = 1
@@ -126,7 +125,7 @@
             incarnation=incarnation,
             clock=self._clock,
             epoch_s=timings.epoch_s,
-            most_keys=MOST_KEYS,
+            most_keys=settings.limits.keys,
             most_answer_bytes=MOST_KEPT_ANSWER_BYTES,
         )
         self._claims = Claims(
--- a/src/wagtailpoint/lookup/blocks.py
+++ b/src/wagtailpoint/lookup/blocks.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Sequence
 
+from wagtailpoint.config.blocks import BlockList
 from wagtailpoint.config.model import ClientBlock
 from wagtailpoint.lookup.prefixes import (
     IPV4_BITS,
@@ -62,7 +63,8 @@
         Raises:
             InvalidInput: A network is not in the form ``ADDRESS/LENGTH``.
         """
-        self._blocks = tuple(blocks)
+        # A `BlockList` stays one: a tuple of 440,000 `ClientBlock`s would take 30 MB.
+        self._blocks = _unchanging(blocks)
         self._names: list[str] = [""]
         self._numbers: dict[str, int] = {}
         by_bits: dict[int, dict[int, int]] = {IPV4_BITS: {}, IPV6_BITS: {}}
@@ -98,18 +100,15 @@
         Raises:
             InvalidInput: As in the constructor.
         """
-        new = tuple(blocks)
-        if new == self._blocks:
+        blocks = _unchanging(blocks)
+        if blocks == self._blocks:
             return self
-        begin, end = _common_ends(self._blocks, new)
-        old_middle = self._blocks[begin : len(self._blocks) - end]
-        new_middle = new[begin : len(new) - end]
-        added = set(new_middle).difference(old_middle)
-        removed = set(old_middle).difference(new_middle)
+        old, new = _unlike(self._blocks, blocks)
+        added, removed = new - old, old - new
         if len(added) + len(removed) > _MOST_SPLICED:
-            return ClientBlocks(blocks=new)
+            return ClientBlocks(blocks=blocks)
         copy = ClientBlocks(blocks=())
-        copy._blocks = new
+        copy._blocks = blocks
         copy._names = self._names[:]
         copy._numbers = self._numbers.copy()
         changes = copy._changes(removed, added)
@@ -137,9 +136,14 @@
         return number
 
 
-def _common_ends(one: Sequence[ClientBlock], two: Sequence[ClientBlock]) -> tuple[int, int]:
-    """Return how many blocks two lists have in common at their beginnings and at their ends."""
-    most = min(len(one), len(two))
-    begin = next((n for n in range(most) if one[n] != two[n]), most)
-    end = next((n for n in range(most - begin) if one[-1 - n] != two[-1 - n]), most - begin)
-    return begin, end
+def _unchanging(blocks: Sequence[ClientBlock]) -> Sequence[ClientBlock]:
+    return blocks if isinstance(blocks, BlockList) else tuple(blocks)
+
+
+def _unlike(
+    one: Sequence[ClientBlock], two: Sequence[ClientBlock]
+) -> tuple[set[ClientBlock], set[ClientBlock]]:
+    """Return the blocks of two lists, if possible without parts that both have."""
+    if isinstance(one, BlockList) and isinstance(two, BlockList):
+        return set(one.without(two)), set(two.without(one))
+    return set(one), set(two)
--- a/src/wagtailpoint/settings.py
+++ b/src/wagtailpoint/settings.py
@@ -38,12 +38,14 @@
         queued_requests: Requests that wait for a slot.
         request_body_bytes: Bytes of one request's body.
         header_bytes: Bytes of one request's headers.
+        keys: Idempotency keys that are remembered; no new ones are taken when that many are.
     """
 
     open_requests: int = 2000
     queued_requests: int = 500
     request_body_bytes: int = 8 * _MEGABYTE
     header_bytes: int = 32 * 1024
+    keys: int = 60_000
 
 
 class Timings(NamedTuple):
@@ -173,6 +175,7 @@
         "queued_requests": "requests",
         "request_body_bytes": "bytes",
         "header_bytes": "bytes",
+        "keys": "idempotency keys",
     }
     defaults = Limits()._asdict()
     values = {
