Keep client blocks packed; build their table in little memory

Change: long lists of strings are kept as JSON bytes (the hash of the value is the same); duplicates are looked for by hashes; ranges are flattened into arrays; more than 50,000 blocks in changed objects are not compared. The build still blocks the event loop for seconds.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -5,7 +5,6 @@
 bytes and processor time of membership and of one configuration change, by the number of instances.
 """
 
-import math
 import sys
 import time
 from collections.abc import Iterator, Mapping
@@ -17,11 +16,11 @@
 import httpcore
 import msgspec
 import trio
-
-from bench.lookup import BLOCKS_AN_OBJECT, client_blocks
 from tests.common.member_group import MemberGroup, run_group
 from tests.common.platform_process import PlatformProcess, fresh_address
 from tests.common.processes import ModuleProcess
+
+from bench.lookup import BLOCKS_AN_OBJECT, client_blocks
 from wagtailpoint.adapters.clock import SystemClock
 from wagtailpoint.adapters.platform_http import HttpPlatform
 from wagtailpoint.config.manifest import ChangeInfo, Snapshot
@@ -271,8 +270,8 @@
 
 def _group_lines(rows: list[Group]) -> list[str]:
     lines = [
-        "          |   idle, each, sent a second     |       one change, each, sent       | s until",
-        "instances messages   bytes on wire* cpu ms   messages    bytes on wire* cpu ms    has  told",
+        "          |   idle, each, sent a second     |       one change, each, sent       | s till",
+        "instances messages   bytes on wire* cpu ms   messages    bytes on wire* cpu ms   has told",
     ]
     for row in rows:
         wire = row.bytes_s + row.messages_s * HEADER_BYTES
--- a/src/wagtailpoint/config/blocks.py
+++ b/src/wagtailpoint/config/blocks.py
@@ -1,16 +1,18 @@
 """The client blocks of a configuration, of which there may be hundreds of thousands.
 
 They change rarely and are most of the configuration. So a reader remembers the objects that it
-read before, and the blocks stay in the lists of strings that the objects hold anyway.
+read before, and keeps the networks packed.
 """
 
 import socket
-from collections.abc import Iterator, Mapping, Sequence
-from itertools import accumulate
+from array import array
+from collections.abc import Iterable, Iterator, Mapping, Sequence
+from itertools import accumulate, chain, pairwise
 from typing import Any, NamedTuple, overload
 
 from wagtailpoint.checking import ObjectReader, show
 from wagtailpoint.config.model import ClientBlock
+from wagtailpoint.config.packed import PackedTexts, unpack
 from wagtailpoint.errors import Mistake
 
 _MOST_LENGTH_DIGITS = 3
@@ -20,7 +22,7 @@
     """One ``blocks`` object."""
 
     region: str
-    networks: tuple[str, ...]
+    networks: Sequence[str]
 
 
 class BlockList(Sequence[ClientBlock]):
@@ -76,6 +78,7 @@
     def __init__(self) -> None:
         self._values: dict[str, Any] = {}
         self._parts: dict[str, RegionBlocks] = {}
+        self._hashes: dict[str, array[int]] = {}
         self._blocks = BlockList(parts=())
 
     @property
@@ -94,7 +97,9 @@
             return self._blocks
         found: list[Mistake] = []
         parts = {name: self._read_one(name, value, found) for name, value in values.items()}
-        _check_duplicates(parts, found)
+        self._hashes = {name: self._hashes_of(name, part) for name, part in parts.items()}
+        if not _are_distinct(self._hashes.values()):
+            _check_duplicates(parts, found)
         self._parts = parts
         if found:
             mistakes += found
@@ -112,7 +117,7 @@
     def _read_one(self, name: str, value: Any, mistakes: list[Mistake]) -> RegionBlocks:
         if name in self._values and self._values[name] is value:
             return self._parts[name]
-        reader = ObjectReader(value=value, path=_path(name), mistakes=mistakes)
+        reader = ObjectReader(value=unpack(value), path=_path(name), mistakes=mistakes)
         region = reader.text("region")
         networks = reader.texts("networks", expected="networks")
         for index, network in enumerate(networks):
@@ -120,7 +125,12 @@
                 expected = 'a network ADDRESS/LENGTH such as "10.1.0.0/16", no bits set after it'
                 reader.mistake(f"networks[{index}]", network, expected)
         reader.finish()
-        return RegionBlocks(region, networks)
+        return RegionBlocks(region, PackedTexts(networks))
+
+    def _hashes_of(self, name: str, part: RegionBlocks) -> "array[int]":
+        if self._parts.get(name) is part:
+            return self._hashes[name]
+        return array("q", map(hash, part.networks))
 
 
 def is_network(text: str) -> bool:
@@ -140,6 +150,12 @@
     return f"blocks/{name}: "
 
 
+def _are_distinct(hashes: Iterable["array[int]"]) -> bool:
+    """Whether no two strings can be the same; without a set of all of them, which takes 50 MB."""
+    in_order = sorted(chain.from_iterable(hashes))
+    return not any(one == other for one, other in pairwise(in_order))
+
+
 def _check_duplicates(parts: Mapping[str, RegionBlocks], mistakes: list[Mistake]) -> None:
     seen: set[str] = set()
     for name, part in parts.items():
--- /dev/null
+++ b/src/wagtailpoint/config/packed.py
@@ -0,0 +1,73 @@
+"""Long lists of strings kept as JSON: hundreds of thousands of Python strings take too much memory.
+
+A packed value has a ``msgspec.Raw`` where the list was. It encodes to the same JSON, so hashes and
+deltas are the same, and whoever reads it unpacks it first.
+"""
+
+from collections.abc import Iterator, Sequence
+from typing import Any, overload
+
+import msgspec
+
+_LEAST_PACKED = 64
+_decoder = msgspec.json.Decoder(list[str])
+
+
+class PackedTexts(Sequence[str]):
+    """Strings that exist only while they are looked at."""
+
+    def __init__(self, texts: Sequence[str]) -> None:
+        self._raw = msgspec.Raw(msgspec.json.encode(list(texts)))
+        self._count = len(texts)
+
+    @property
+    def raw(self) -> msgspec.Raw:
+        """The JSON list."""
+        return self._raw
+
+    def __len__(self) -> int:
+        return self._count
+
+    def __iter__(self) -> Iterator[str]:
+        return iter(_decoder.decode(self._raw))
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, PackedTexts) and self._raw == other._raw
+
+    __hash__ = None  # type: ignore[assignment]
+
+    @overload
+    def __getitem__(self, index: int) -> str: ...
+
+    @overload
+    def __getitem__(self, index: slice) -> Sequence[str]: ...
+
+    def __getitem__(self, index: int | slice) -> str | Sequence[str]:
+        return _decoder.decode(self._raw)[index]
+
+
+def pack(value: Any) -> Any:
+    """Return an object's value with its long lists of strings packed."""
+    if not isinstance(value, dict):
+        return value
+    return {name: _packed(item) for name, item in value.items()}
+
+
+def unpack(value: Any) -> Any:
+    """Return a value as it was before ``pack``."""
+    if not isinstance(value, dict):
+        return value
+    return {
+        name: msgspec.json.decode(item) if isinstance(item, msgspec.Raw) else item
+        for name, item in value.items()
+    }
+
+
+def _packed(item: Any) -> Any:
+    if (
+        isinstance(item, list)
+        and len(item) >= _LEAST_PACKED
+        and all(isinstance(text, str) for text in item)
+    ):
+        return msgspec.Raw(msgspec.json.encode(item))
+    return item
--- a/src/wagtailpoint/config/reader.py
+++ b/src/wagtailpoint/config/reader.py
@@ -1,6 +1,6 @@
 """Reading the configuration's objects: the head, the chain of manifests and the contents."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, TypeVar
 
 import msgspec
@@ -45,10 +45,18 @@
 
 
 class ConfigReader:
-    """Reads heads, manifests and contents; keeps nothing."""
+    """Reads heads, manifests and contents; keeps nothing.
 
-    def __init__(self, *, platform: Platform) -> None:
+    Args:
+        platform: Is read.
+        keep: Is given the value of each content as it is read, and returns what to keep of it.
+    """
+
+    def __init__(
+        self, *, platform: Platform, keep: Callable[[Any], Any] = lambda value: value
+    ) -> None:
         self._platform = platform
+        self._keep = keep
 
     async def current(self) -> Result[Current, PlatformUnavailable]:
         """Read the head and its manifest."""
@@ -111,7 +119,7 @@
                 if isinstance(outcome, Err):
                     failures.append(outcome.err_value)
                     return
-                contents[name] = outcome.ok_value
+                contents[name] = self._keep(outcome.ok_value)
 
         async with trio.open_nursery() as nursery:
             for _ in range(_MOST_FETCHES_AT_ONCE):
--- a/src/wagtailpoint/config/store.py
+++ b/src/wagtailpoint/config/store.py
@@ -99,6 +99,7 @@
         settle_s: How long a write with a lost answer is looked for, in seconds.
         check: Called with what is about to be accepted, merged with what others changed meanwhile;
             raises ``InvalidInput`` to refuse it.
+        keep: What is kept of each value that is read, see ``packed.pack``.
     """
 
     def __init__(
@@ -108,9 +109,10 @@
         clock_wall: Callable[[], float],
         settle_s: float = 10.0,
         check: Callable[[Snapshot], None] = lambda _: None,
+        keep: Callable[[Any], Any] = lambda value: value,
     ) -> None:
         self._platform = platform
-        self._reader = ConfigReader(platform=platform)
+        self._reader = ConfigReader(platform=platform, keep=keep)
         self._clock_wall = clock_wall
         self._settle_s = settle_s
         self._check = check
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -13,6 +13,7 @@
 from wagtailpoint.admission.slots import SlotPool
 from wagtailpoint.config.manifest import Snapshot
 from wagtailpoint.config.model import EffectiveConfig
+from wagtailpoint.config.packed import pack
 from wagtailpoint.config.store import ConfigStore
 from wagtailpoint.config.watcher import ConfigWatcher
 from wagtailpoint.daemon.api import PREFIX, OwnPages
@@ -101,7 +102,7 @@
         self._spread = ConfigSpread(peers=self._peers, membership=self._membership, random=Random())
         self._spread.on_snapshot(self._snapshot_from_peer)
         self._watcher = ConfigWatcher(
-            store=ConfigStore(platform=self._platform, clock_wall=self._clock.wall),
+            store=ConfigStore(platform=self._platform, clock_wall=self._clock.wall, keep=pack),
             platform=self._platform,
             on_snapshot=self._snapshot_from_platform,
             wait_s=timings.watch_wait_s,
--- a/src/wagtailpoint/lookup/blocks.py
+++ b/src/wagtailpoint/lookup/blocks.py
@@ -21,6 +21,7 @@
 from wagtailpoint.lookup.ranges import Ranges
 
 _MOST_SPLICED = 2_000
+_MOST_COMPARED = 50_000
 _Changes = dict[int, dict[int, int | None]]
 
 
@@ -71,10 +72,12 @@
         for block in self._blocks:
             prefix = parse_network(block.network)
             by_bits[prefix.bits][prefix.key] = self._number(block.region)
-        self._families = {
-            bits: _Family(bits=bits, prefixes=Prefixes(bits=bits, regions=regions))
-            for bits, regions in by_bits.items()
-        }
+        self._families = {}
+        for bits in (IPV4_BITS, IPV6_BITS):
+            # Each dict is dropped as soon as its prefixes are in arrays: at hundreds of thousands
+            # of blocks the steps of building would together take more memory than all the rest.
+            prefixes = Prefixes(bits=bits, regions=by_bits.pop(bits))
+            self._families[bits] = _Family(bits=bits, prefixes=prefixes)
 
     def __len__(self) -> int:
         """Ranges after flattening."""
@@ -104,7 +107,9 @@
         if blocks == self._blocks:
             return self
         old, new = _unlike(self._blocks, blocks)
-        added, removed = new - old, old - new
+        if len(old) + len(new) > _MOST_COMPARED:
+            return ClientBlocks(blocks=blocks)
+        added, removed = set(new).difference(old), set(old).difference(new)
         if len(added) + len(removed) > _MOST_SPLICED:
             return ClientBlocks(blocks=blocks)
         copy = ClientBlocks(blocks=())
@@ -142,8 +147,8 @@
 
 def _unlike(
     one: Sequence[ClientBlock], two: Sequence[ClientBlock]
-) -> tuple[set[ClientBlock], set[ClientBlock]]:
+) -> tuple[Sequence[ClientBlock], Sequence[ClientBlock]]:
     """Return the blocks of two lists, if possible without parts that both have."""
     if isinstance(one, BlockList) and isinstance(two, BlockList):
-        return set(one.without(two)), set(two.without(one))
-    return set(one), set(two)
+        return one.without(two), two.without(one)
+    return one, two
--- a/src/wagtailpoint/lookup/prefixes.py
+++ b/src/wagtailpoint/lookup/prefixes.py
@@ -12,6 +12,7 @@
 IPV6_BITS = 128
 NO_REGION = 0
 _LENGTH_BITS = 8
+_MACHINE_BITS = 64
 _LENGTH_MASK = (1 << _LENGTH_BITS) - 1
 
 
@@ -104,7 +105,7 @@
 
 def flatten(
     prefixes: Iterable[Placed], *, first: int, last: int, base: int
-) -> tuple[list[int], list[int]]:
+) -> tuple["array[int] | list[int]", "array[int]"]:
     """Turn nested prefixes into disjoint ranges; the longest prefix wins.
 
     Args:
@@ -116,7 +117,8 @@
     Returns:
         The starts of the ranges and their regions.
     """
-    starts, regions = [first], [base]
+    starts = array("Q", [first]) if last >> _MACHINE_BITS == 0 else [first]
+    regions = array("H", [base])
     open_prefixes: list[Placed] = []
 
     def begin(start: int, region: int) -> None:
--- a/src/wagtailpoint/membership/config_delta.py
+++ b/src/wagtailpoint/membership/config_delta.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from wagtailpoint.config.manifest import ChangeInfo, Snapshot, changed_keys, hash_of
+from wagtailpoint.config.packed import pack
 
 MOST_DELTAS_KEPT = 256
 MOST_DELTA_BYTES = 64 << 20
@@ -34,7 +35,12 @@
     changed: frozenset[str]
 
 
-_decoder = msgspec.json.Decoder(Delta)
+class _WireDelta(NamedTuple):
+    puts: dict[str, msgspec.Raw]
+    deletes: tuple[str, ...]
+
+
+_decoder = msgspec.json.Decoder(_WireDelta)
 
 
 def with_hashes(snapshot: Snapshot) -> Snapshot:
@@ -76,9 +82,9 @@
     for key in delta.deletes:
         objects.pop(key, None)
         hashes.pop(key, None)
-    for key, value in delta.puts.items():
-        objects[key] = value
-        hashes[key] = hash_of(value)
+    for key, raw in delta.puts.items():
+        objects[key] = pack(msgspec.json.decode(raw))
+        hashes[key] = hash_of(objects[key])
     if digest_of(hashes) != digest:
         raise BrokenDelta(f"version {change.version} is not whole after its delta was applied")
     return Snapshot(change=change, objects=objects, content_hashes=hashes)
--- /dev/null
+++ b/tests/cover/test_packed.py
@@ -0,0 +1,30 @@
+"""Values with long lists of strings, packed."""
+
+import unittest
+
+from wagtailpoint.config.blocks import BlockReader
+from wagtailpoint.config.manifest import hash_of
+from wagtailpoint.config.packed import PackedTexts, pack, unpack
+
+NETWORKS = [f"10.{number}.0.0/16" for number in range(200)]
+VALUE = {"region": "kolkata", "networks": NETWORKS}
+
+
+class PackedTest(unittest.TestCase):
+    def test_hash_is_the_same(self) -> None:
+        self.assertIsNot(pack(VALUE)["networks"], NETWORKS)
+        self.assertEqual(hash_of(pack(VALUE)), hash_of(VALUE))
+        self.assertEqual(unpack(pack(VALUE)), VALUE)
+
+    def test_what_is_not_a_long_list_of_strings_stays(self) -> None:
+        for value in ("x", None, ["a"] * 100, {"a": list(range(100))}, {"a": ["b"]}):
+            self.assertEqual(pack(value), value)
+            self.assertEqual(unpack(value), value)
+
+    def test_packed_objects_are_read_like_others(self) -> None:
+        texts = PackedTexts(NETWORKS)
+        self.assertEqual((list(texts), len(texts), texts[3]), (NETWORKS, 200, NETWORKS[3]))
+        self.assertEqual(texts, PackedTexts(list(NETWORKS)))
+        self.assertEqual(
+            BlockReader().read({"a": pack(VALUE)}, []), BlockReader().read({"a": VALUE}, [])
+        )
