Compile and build in a thread, so that requests go on meanwhile

Cause: an instance that started, or whose client blocks changed, read and checked all blocks and built their table on the event loop: at 440,000 blocks no lookup and no heartbeat was answered for 5 s, long enough to be suspected. Change: ConfigState has a task that compiles and prepares in a thread, one version at a time, the newest offered, and swaps on the event loop. Ruled out: building in slices on the event loop, which would need a generator through the compiler, the reader and the table. Conclusion: requests and heartbeats go on.

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -98,7 +98,12 @@
             hints=self._instance_list.addresses,
             settings=MembershipSettings(heartbeat_interval_s=timings.heartbeat_interval_s),
         )
-        self._config = ConfigState(timeline=self._timeline)
+        self._lookups = Lookups(
+            membership=self._membership,
+            failure_domain=settings.failure_domain,
+            ttl_s=timings.lookup_ttl_s,
+        )
+        self._config = ConfigState(timeline=self._timeline, prepare=self._lookups.prepare)
         self._spread = ConfigSpread(peers=self._peers, membership=self._membership, random=Random())
         self._spread.on_snapshot(self._snapshot_from_peer)
         self._watcher = ConfigWatcher(
@@ -136,11 +141,6 @@
             address=name,
             keep_s=CLAIM_EPOCHS * timings.epoch_s,
         )
-        self._lookups = Lookups(
-            membership=self._membership,
-            failure_domain=settings.failure_domain,
-            ttl_s=timings.lookup_ttl_s,
-        )
         self._moves = MoveBoard(
             clock=self._clock,
             timeline=self._timeline,
@@ -183,6 +183,7 @@
             self._peers.run,
             self._membership.run,
             self._instance_list.run,
+            self._config.run,
             self._spread.run,
             self._watcher.run,
             self._prober.run,
--- a/src/wagtailpoint/daemon/lookups.py
+++ b/src/wagtailpoint/daemon/lookups.py
@@ -8,6 +8,7 @@
 from wagtailpoint.config.model import EffectiveConfig
 from wagtailpoint.entry.plan import refuse
 from wagtailpoint.lookup.answer import EntryView, LookupAnswer
+from wagtailpoint.lookup.blocks import ClientBlocks
 from wagtailpoint.lookup.table import LookupTable
 from wagtailpoint.membership import Member, Membership
 
@@ -22,18 +23,23 @@
         self._failure_domain = failure_domain
         self._ttl_s = ttl_s
         self._table: LookupTable | None = None
+        self._blocks = ClientBlocks(blocks=())
         membership.on_change(self._update_entries)
 
+    def prepare(self, config: EffectiveConfig) -> None:
+        """Build the table of the client blocks that ``apply`` will need; takes seconds for many.
+
+        May run in a thread: the table in use is left as it is.
+        """
+        self._blocks = self._blocks.changed_to(config.client_blocks)
+
     def apply(self, config: EffectiveConfig) -> None:
-        """Follow another configuration."""
-        # Building the table of hundreds of thousands of blocks would hold up requests for seconds.
-        built = self._table.blocks if self._table is not None else None
-        blocks = built.changed_to(config.client_blocks) if built is not None else None
+        """Follow the configuration that was prepared last."""
         self._table = LookupTable(
             config=config,
             own_failure_domain=self._failure_domain,
             ttl_s=self._ttl_s,
-            blocks=blocks,
+            blocks=self._blocks,
         )
         self._update_entries()
 
--- a/src/wagtailpoint/lookup/table.py
+++ b/src/wagtailpoint/lookup/table.py
@@ -60,7 +60,7 @@
             seed: The same on all instances, so that a caller is told the same entries by each.
         """
         self._config = config
-        self._blocks = blocks or ClientBlocks(blocks=config.client_blocks)
+        self._blocks = ClientBlocks(blocks=config.client_blocks) if blocks is None else blocks
         self._ttl_s = ttl_s
         self._seed = seed
         self._own_region = _region_of(config, own_failure_domain)
