--- a/src/wagtailpoint/settings.py
+++ b/src/wagtailpoint/settings.py
@@ -45,7 +45,7 @@
     queued_requests: int = 500
     request_body_bytes: int = 8 * _MEGABYTE
     header_bytes: int = 32 * 1024
-    keys: int = 60_000
+    keys: int = 40_000
 
 
 class Timings(NamedTuple):
