Probe backend servers more rarely the more instances there are

Cause: every instance asks every backend server twice a second: 490 instances would ask each one 980 times a second. No change below 75 instances.

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -56,6 +56,8 @@
 MOST_KEPT_ANSWER_BYTES = 64 * 1024
 RETRIES_ALWAYS_ALLOWED_PER_S = 1.0
 WATCHERS_PER_FAILURE_DOMAIN = 1
+PROBES_PER_BACKEND_SERVER_S = 150.0
+"""Of all instances together: each more would cost the backend server and the instances."""
 FACTS_INTERVAL_S = 0.25
 CLAIMS_CLEANING_S = 10.0
 CLAIM_EPOCHS = 3
@@ -117,7 +119,7 @@
         self._prober = BackendProber(
             backends=self._backends,
             health=self._health,
-            interval_s=lambda: timings.probe_interval_s,
+            interval_s=self._probe_interval_s,
             timeout_s=timings.connect_timeout_s,
             random=Random(),
         )
@@ -251,6 +253,10 @@
             self._watcher.watching = any(each.address == own.address for each in watchers)
             await trio.sleep(FACTS_INTERVAL_S)
 
+    def _probe_interval_s(self) -> float:
+        instances = len(self._membership.members())
+        return max(self._settings.timings.probe_interval_s, instances / PROBES_PER_BACKEND_SERVER_S)
+
     def _load(self) -> float:
         if not self._keys.accepts_new_keys:
             return 1.0
