--- a/tests/cover/test_config_state.py
+++ b/tests/cover/test_config_state.py
@@ -23,8 +23,11 @@
 
 
 async def until(condition: Callable[[], bool]) -> None:
-    while not condition():
+    for _ in range(30_000):
+        if condition():
+            return
         await trio.sleep(0.001)
+    raise AssertionError("not so after 30 s")
 
 
 class ConfigStateTest(unittest.TestCase):
