Second copies of slow urgent requests, out of half of the retry budget

Cause: the 99th percentile of balance checks is that of the slowest or stalled backend servers, while any other would have answered.

Change: an idempotent request of the most urgent class that took longer than 95 % of those before it is sent once more to another failure domain, if nothing waits, a slot is free and half of the retry budget is left; the first response is passed on, the other exchange cut off.

Also: the bench of classes was lost from the list of modules.

--- /dev/null
+++ b/bench/hedging.py
@@ -0,0 +1,239 @@
+"""Second copies of slow balance checks, with and without, in virtual time.
+
+The real forwarding, admission and retry budget, 24 backend servers with 3 slots in two failure
+domains, exponential service time of 20 ms on average. Same seed, same figures.
+"""
+
+from collections.abc import AsyncIterator, Mapping, Sequence
+from contextlib import asynccontextmanager
+from functools import partial
+from random import Random
+from typing import Any, Final, NamedTuple
+
+import trio
+from hdrh.histogram import HdrHistogram
+from result import Ok, Result
+from tests.common.fake_clock import TrioClock
+from tests.common.small_config import small_config, small_plan
+from trio.testing import MockClock
+
+from wagtailpoint.admission.slots import ServerChoice, SlotPool
+from wagtailpoint.config.model import BackendServer
+from wagtailpoint.entry.forwarding import Forwarder
+from wagtailpoint.entry.plan import Plan
+from wagtailpoint.entry.request import CallerRequest
+from wagtailpoint.ports.backend import (
+    BackendAddress,
+    BackendFailure,
+    BackendRequest,
+    BackendResponse,
+)
+from wagtailpoint.retries.budget import RetryBudget
+
+SERVERS: Final = 24
+SLOTS: Final = 3
+MEAN_S: Final = 0.020
+SLOW_FACTOR: Final = 5
+STALL_S: Final = 0.3
+RETRY_RATIO: Final = 0.1
+
+MOST_P99_RATIO: Final = 0.9
+MOST_COPIES: Final = 0.06
+LEAST_ANSWERED_RATIO: Final = 0.99
+
+
+class Case(NamedTuple):
+    """What is wrong with the backend servers.
+
+    Attributes:
+        name: For the table.
+        slow: So many of them are slow by ``SLOW_FACTOR``.
+        stalls: This part of the exchanges takes ``STALL_S`` longer.
+        same_time: A request takes the same time everywhere: the worst for a second copy.
+    """
+
+    name: str
+    slow: int = 0
+    stalls: float = 0.0
+    same_time: bool = False
+
+
+CASES: Final = (
+    Case("all alike"),
+    Case("2 slow", slow=2),
+    Case("1 % stall", stalls=0.01),
+    Case("same time", same_time=True),
+)
+
+
+class _Choice:
+    """All backend servers, without any ranking."""
+
+    def __init__(self) -> None:
+        self._servers = [
+            BackendServer(BackendAddress("127.0.0.1", port), f"near-{'ab'[port % 2]}", SLOTS)
+            for port in range(SERVERS)
+        ]
+
+    def candidates(self) -> Sequence[BackendServer]:
+        return self._servers
+
+    def tier_of(self, server: BackendServer) -> int:
+        return 0
+
+    def taken(self, server: BackendServer) -> None:
+        pass
+
+
+class _Servers:
+    """Implements ``ServerSource``."""
+
+    def __init__(self) -> None:
+        self._choice = _Choice()
+
+    def pool(self, plan: Plan) -> str:
+        return "desk/main"
+
+    def choice(self, plan: Plan) -> ServerChoice:
+        return self._choice
+
+    def note(
+        self, server: BackendServer, answered: BackendResponse | BackendFailure, latency_s: float
+    ) -> None:
+        pass
+
+
+class _Backends:
+    """Answers after a random time."""
+
+    def __init__(self, *, case: Case) -> None:
+        self.exchanges = 0
+        self._case = case
+        self._random = Random(9)
+
+    @asynccontextmanager
+    async def exchange(
+        self, server: BackendAddress, request: BackendRequest
+    ) -> AsyncIterator[Result[BackendResponse, BackendFailure]]:
+        self.exchanges += 1
+        if self._case.same_time:
+            time_s = Random(request.target).expovariate(1 / MEAN_S)
+        else:
+            time_s = self._random.expovariate(1 / MEAN_S)
+        time_s *= SLOW_FACTOR if server.port < self._case.slow else 1
+        time_s += STALL_S if self._random.random() < self._case.stalls else 0.0
+        await trio.sleep(time_s)
+        yield Ok(BackendResponse(200, (), _nothing()))
+
+
+async def _nothing() -> AsyncIterator[bytes]:
+    yield b""
+
+
+class _Observer:
+    """Implements ``EntryObserver``, of which forwarding uses one method."""
+
+    def failed(self, *_what: Any, **_more: Any) -> None:
+        pass
+
+
+class Run:
+    """One case at one load, with second copies or without."""
+
+    def __init__(self, *, case: Case, load: float, copies: bool, until_s: float) -> None:
+        self.histogram = HdrHistogram(1, 60_000_000, 3)
+        self.arrived = 0
+        self._load = load
+        self._copies = copies
+        self._until_s = until_s
+        self._backends = _Backends(case=case)
+        trio.run(self._run, clock=MockClock(autojump_threshold=0.0))
+
+    @property
+    def answered(self) -> int:
+        """Requests that were answered."""
+        return int(self.histogram.get_total_count())
+
+    @property
+    def copies(self) -> float:
+        """Second copies as a part of the answers; exact when nothing fails or is refused."""
+        return self._backends.exchanges / self.answered - 1
+
+    def at_ms(self, percentile: float) -> float:
+        """A percentile of the latency, in milliseconds."""
+        return float(self.histogram.get_value_at_percentile(percentile)) / 1000
+
+    async def _run(self) -> None:
+        clock, random = TrioClock(), Random(4)
+        ratio = RETRY_RATIO if self._copies else 0.0
+        budget = RetryBudget(clock=clock, ratio=ratio, minimum_per_s=float(self._copies))
+        forwarder = Forwarder(
+            clock=clock,
+            backends=self._backends,  # type: ignore[arg-type]
+            slots=SlotPool(clock=clock, most_queued=500, random=Random(2)),
+            servers=_Servers(),
+            budget=lambda _plan: budget,
+            observer=_Observer(),  # type: ignore[arg-type]
+        )
+        ends = trio.current_time() + self._until_s
+        rps = self._load * SERVERS * SLOTS / MEAN_S
+        config = small_config()
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < ends:
+                self.arrived += 1
+                plan = small_plan(config, deadline=trio.current_time() + 1.0)
+                nursery.start_soon(self._request, forwarder, plan, f"/{self.arrived}")
+                await trio.sleep(random.expovariate(rps))
+
+    async def _request(self, forwarder: Forwarder, plan: Plan, target: str) -> None:
+        began = trio.current_time()
+        request = CallerRequest("GET", target, target, (), None, None, began)
+        forward = partial(forwarder.forward, plan, request, body=b"", stream=None)
+        if isinstance(await forward(sink=_ignore), Ok):
+            self.histogram.record_value(max(1, int(1e6 * (trio.current_time() - began))))
+
+
+async def _ignore(response: BackendResponse) -> None:
+    pass
+
+
+_figures: dict[str, dict[str, float]] = {}
+
+
+def figures() -> Mapping[str, Mapping[str, float]]:
+    """What the last run measured, for the plot."""
+    return _figures
+
+
+def run(short: bool) -> list[str]:
+    """Run all cases."""
+    _figures.clear()
+    lines = ["case       load  p50/p99/p99.9 ms without      with second copies    copies"]
+    broken = []
+    until_s = 0.8 if short else 4.0
+    for case in CASES if not short else CASES[1:3]:
+        for load in (0.5,) if short else (0.5, 0.85):
+            without = Run(case=case, load=load, copies=False, until_s=until_s)
+            copied = Run(case=case, load=load, copies=True, until_s=until_s)
+            ratio = copied.at_ms(99) / without.at_ms(99)
+            _figures.setdefault("p99 with / without copies", {})[f"{case.name} {load}"] = ratio
+            lines.append(
+                f"{case.name:10} {load:4}  {_row(without)}  {_row(copied)}  {copied.copies:.3f}"
+            )
+            if not case.same_time and ratio > MOST_P99_RATIO:
+                broken.append(f"{case.name} at {load}: p99 {ratio:.2f} x that without copies")
+            if copied.copies > MOST_COPIES:
+                broken.append(f"{case.name} at {load}: {copied.copies:.3f} second copies")
+    answered = [
+        Run(case=CASES[1], load=2.0, copies=copies, until_s=until_s).answered
+        for copies in (False, True)
+    ]
+    lines.append(f"2 slow at 2.0: answered without {answered[0]}, with second copies {answered[1]}")
+    if answered[1] < LEAST_ANSWERED_RATIO * answered[0]:
+        broken.append("second copies lower the goodput under overload")
+    assert not broken, "; ".join(broken) + "\n" + "\n".join(lines)
+    return lines
+
+
+def _row(measured: Run) -> str:
+    return " ".join(f"{measured.at_ms(percentile):6.1f}" for percentile in (50, 99, 99.9))
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,6 +20,8 @@
     "keys",
     "membership",
     "slots",
+    "classes",
+    "hedging",
     "locality",
     "moves",
     "entry",
--- a/src/wagtailpoint/admission/slots.py
+++ b/src/wagtailpoint/admission/slots.py
@@ -114,6 +114,15 @@
         refusal = self._refuse_newcomer(demand, pool)
         return Err(refusal) if refusal is not None else await self._wait(demand, pool)
 
+    def has_idle(self, pool: str) -> bool:
+        """Whether nothing waits in a pool, so that its slots may go to what is not needed."""
+        return not len(self._pool(pool).line)
+
+    def take_idle(self, demand: SlotDemand) -> Slot | None:
+        """Take a slot that is free now; None if there is none, or another request waits for it."""
+        pool = self._pool(demand.pool)
+        return None if len(pool.line) else self._take(demand, pool)
+
     def release(self, slot: Slot) -> None:
         """Give a slot back, and hand it to the most urgent request that waits."""
         self._held.remove(slot.server, slot.policy.priority)
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -2,6 +2,7 @@
 
 import secrets
 from collections.abc import AsyncIterator, Callable, Sequence
+from functools import partial
 from http import HTTPStatus
 from typing import NamedTuple, Protocol
 
@@ -11,6 +12,7 @@
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
 from wagtailpoint.admission.slots import ServerChoice, Slot, SlotDemand, SlotPool
 from wagtailpoint.config.model import BackendServer
+from wagtailpoint.entry.hedging import BUDGET_KEPT, Copy, HedgeDelays, Race, may_hedge
 from wagtailpoint.entry.observer import EntryObserver
 from wagtailpoint.entry.plan import Plan
 from wagtailpoint.entry.request import CallerRequest, without
@@ -87,6 +89,7 @@
         self._slots = slots
         self._servers = servers
         self._budget = budget
+        self._delays = HedgeDelays()
         self._observer = observer
 
     def remaining(self, plan: Plan) -> float:
@@ -122,22 +125,25 @@
         budget.note_fresh()
         tried: list[Attempt] = []
         while True:
-            admitted = await self._slots.acquire(self._demand(plan, tried))
+            admitted = await self._slots.acquire(
+                self._demand(plan, [each.server for each in tried])
+            )
             if isinstance(admitted, Err):
                 return Err(_after_attempts(admitted.err_value, tried))
             slot = admitted.ok_value
-            try:
-                remaining_s = self.remaining(plan)
-                if remaining_s < LEAST_EXCHANGE_S:
-                    # Sent now, it would only be cut off, with an outcome that nobody knows.
-                    return Err(_after_attempts(_deadline_passed(), tried))
-                sent = _as_sent(plan, request, body, stream, remaining_s)
-                failure = await self._exchange(slot, sent, sink)
-            finally:
+            if self.remaining(plan) < LEAST_EXCHANGE_S:
+                # Sent now, it would only be cut off, with an outcome that nobody knows.
                 self._slots.release(slot)
-            if failure is None:
+                return Err(_after_attempts(_deadline_passed(), tried))
+            send = partial(self._send, plan, request, body, stream)
+            if tried or stream is not None or not self._is_hedged(plan, slot):
+                attempts = await self._send_one(send, slot, sink)
+            else:
+                attempts = await self._send_hedged(send, slot, sink, plan)
+            if not attempts:
                 return Ok(None)
-            tried.append(Attempt(slot.server, failure))
+            tried += attempts
+            failure = attempts[-1].failure
             decision = may_retry(
                 idempotent=plan.route.idempotent,
                 verdict=failure.verdict,
@@ -148,10 +154,59 @@
             )
             # A streamed body has been read in part by the first attempt: it can't be sent again.
             again = decision.allowed and stream is None
-            self._observer.failed(request, slot.server.address, failure, again=again)
+            for attempt in attempts:
+                self._observer.failed(request, attempt.server.address, attempt.failure, again=again)
             if not again:
                 return Err(_failed(failure, tried))
 
+    async def _send_one(self, send: Copy, slot: Slot, sink: ResponseSink) -> list[Attempt]:
+        """Send it once; return the attempt if it failed."""
+        failure = await send(slot, sink)
+        return [] if failure is None else [Attempt(slot.server, failure)]
+
+    async def _send_hedged(
+        self, send: Copy, slot: Slot, sink: ResponseSink, plan: Plan
+    ) -> list[Attempt]:
+        """Send a second copy when the first is slow; return the attempts if all failed."""
+        race = Race(
+            copy=send,
+            sink=sink,
+            second=lambda: self._second_slot(plan, slot),
+            delay_s=self._delays.delay_s(slot.pool),
+        )
+        await race.run(slot)
+        self._delays.note(slot.pool, slow=race.slow)
+        if race.answered:
+            return []
+        return [Attempt(failed.server, failure) for failed, failure in race.failures]
+
+    def _is_hedged(self, plan: Plan, slot: Slot) -> bool:
+        # Under overload no second copy would be sent; preparing for one costs processor time.
+        return may_hedge(plan) and self._slots.has_idle(slot.pool)
+
+    def _second_slot(self, plan: Plan, first: Slot) -> Slot | None:
+        """A slot for a second copy; only an idle one, and out of the retry budget."""
+        if not self._slots.has_idle(first.pool) or self.remaining(plan) < LEAST_EXCHANGE_S:
+            return None
+        if not self._budget(plan).take(keep=BUDGET_KEPT):
+            return None
+        return self._slots.take_idle(self._demand(plan, [first.server]))
+
+    async def _send(
+        self,
+        plan: Plan,
+        request: CallerRequest,
+        body: bytes | None,
+        stream: AsyncIterator[bytes] | None,
+        slot: Slot,
+        sink: ResponseSink,
+    ) -> BackendFailure | None:
+        try:
+            sent = _as_sent(plan, request, body, stream, self.remaining(plan))
+            return await self._exchange(slot, sent, sink)
+        finally:
+            self._slots.release(slot)
+
     async def _exchange(
         self, slot: Slot, request: BackendRequest, sink: ResponseSink
     ) -> BackendFailure | None:
@@ -167,13 +222,13 @@
                     self._servers.note(slot.server, failure, latency_s)
                     return failure
 
-    def _demand(self, plan: Plan, tried: Sequence[Attempt]) -> SlotDemand:
+    def _demand(self, plan: Plan, avoid: Sequence[BackendServer]) -> SlotDemand:
         return SlotDemand(
             pool=self._servers.pool(plan),
             servers=self._servers.choice(plan),
             policy=plan.policy,
             deadline=plan.deadline,
-            avoid=[attempt.server for attempt in tried],
+            avoid=avoid,
             workspace=plan.workspace.name,
             max_rps=plan.workspace.max_rps,
             classes=plan.service.classes.values(),
--- a/src/wagtailpoint/retries/budget.py
+++ b/src/wagtailpoint/retries/budget.py
@@ -40,23 +40,29 @@
     def left(self) -> float:
         """Retries allowed now."""
         self._expire()
-        fresh = sum(part.fresh for part in self._slices)
-        retries = sum(part.retries for part in self._slices)
-        return self._minimum + self._ratio * fresh - retries
+        return self._whole - sum(part.retries for part in self._slices)
 
     def note_fresh(self) -> None:
         """Count a fresh request."""
         newest = self._newest()
         self._slices[-1] = newest._replace(fresh=newest.fresh + 1)
 
-    def take(self) -> bool:
-        """Take one retry out of the budget; False if none is left."""
-        if self.left < 1:
+    def take(self, *, keep: float = 0.0) -> bool:
+        """Take one retry out of the budget; False if none is left.
+
+        Args:
+            keep: The part (0 to 1) of the whole budget that must be left after it.
+        """
+        if self.left - 1 < keep * self._whole:
             return False
         newest = self._newest()
         self._slices[-1] = newest._replace(retries=newest.retries + 1)
         return True
 
+    @property
+    def _whole(self) -> float:
+        return self._minimum + self._ratio * sum(part.fresh for part in self._slices)
+
     def _newest(self) -> _Slice:
         self._expire()
         now = self._clock.monotonic()
--- a/tests/cover/test_retries.py
+++ b/tests/cover/test_retries.py
@@ -21,6 +21,15 @@
             taken += budget.take() + budget.take()
         self.assertEqual(taken, 100)
 
+    def test_second_copies_leave_half_of_the_budget_to_retries(self) -> None:
+        """One fails while all are slow: its requests find the budget spent on second copies."""
+        clock = FakeClock()
+        budget = RetryBudget(clock=clock, ratio=0.1, minimum_per_s=0.0)
+        for _ in range(1000):
+            budget.note_fresh()
+        self.assertEqual(sum(budget.take(keep=0.5) for _ in range(100)), 50)
+        self.assertEqual(sum(budget.take() for _ in range(100)), 50)
+
     def test_fresh_requests_count_for_ten_seconds(self) -> None:
         clock = FakeClock()
         budget = RetryBudget(clock=clock, ratio=1.0, minimum_per_s=0.0)
