See a stall before anything ends

Cause: hold times were learnt from slots given back only.

Change: half of the mean age of what is in flight counts if it is longer than the mean hold time.

Test seen failing without the change.

--- a/src/wagtailpoint/admission/waits.py
+++ b/src/wagtailpoint/admission/waits.py
@@ -22,27 +22,47 @@
     """What is known of one class: how long it holds a slot, and how many it holds on average."""
 
     def __init__(self, *, now: float) -> None:
-        self.hold_s: float | None = None
+        self._mean_hold_s: float | None = None
         self.held = 0
+        self._taken_sum = 0.0
         self._average = 0.0
         self._since = now
 
-    def change(self, now: float, by: int) -> None:
-        """Note slots taken or given back."""
-        self._average, self._since = self.average(now), now
-        self.held += by
+    def note_taken(self, now: float) -> None:
+        """A slot was taken."""
+        self._change(now, 1)
+        self._taken_sum += now
+
+    def note_released(self, now: float, hold_s: float) -> None:
+        """A slot was given back after ``hold_s`` seconds."""
+        self._change(now, -1)
+        self._taken_sum = self._taken_sum - (now - hold_s) if self.held else 0.0
+        self._learn(hold_s)
+
+    def expected_hold_s(self, now: float) -> float | None:
+        """How long a slot is held, in seconds; None if nothing is known yet."""
+        if not self.held:
+            return self._mean_hold_s
+        # Those in flight are held for their mean age so far. Of exponential times that is the mean
+        # time itself, so half of it says nothing new, unless the backend servers stall: then no
+        # slot is given back, and the mean of those that were would never learn of it.
+        age_s = now - self._taken_sum / self.held
+        return age_s if self._mean_hold_s is None else max(self._mean_hold_s, age_s / 2)
 
     def average(self, now: float) -> float:
         """Slots held, averaged over the last time."""
         part = exp((self._since - now) / HELD_MEMORY_S)
         return self._average * part + self.held * (1 - part)
 
-    def note_hold(self, hold_s: float) -> None:
-        """Learn from one slot that was given back."""
-        if self.hold_s is None:
-            self.hold_s = hold_s
+    def _change(self, now: float, by: int) -> None:
+        self._average, self._since = self.average(now), now
+        self.held += by
+
+    def _learn(self, hold_s: float) -> None:
+        if self._mean_hold_s is None:
+            self._mean_hold_s = hold_s
         else:
-            self.hold_s += WEIGHT * (hold_s - self.hold_s)
+            self._mean_hold_s += WEIGHT * (hold_s - self._mean_hold_s)
 
 
 class Waits:
@@ -55,21 +75,20 @@
 
     def note_taken(self, priority: int) -> None:
         """A slot was taken by a class."""
-        self._of(priority).change(self._clock.monotonic(), 1)
+        self._of(priority).note_taken(self._clock.monotonic())
 
     def note_released(self, priority: int, hold_s: float) -> None:
         """A slot was given back after ``hold_s`` seconds."""
-        times = self._of(priority)
-        times.change(self._clock.monotonic(), -1)
-        times.note_hold(hold_s)
+        self._of(priority).note_released(self._clock.monotonic(), hold_s)
 
     def hold_s(self, priority: int) -> float:
         """How long a class holds a slot, in seconds, on average."""
-        own = self._of(priority).hold_s
+        now = self._clock.monotonic()
+        own = self._of(priority).expected_hold_s(now)
         if own is not None:
             return own
-        known = [each.hold_s for each in self._classes.values() if each.hold_s is not None]
-        return max(known, default=FIRST_GUESS_S)
+        known = [each.expected_hold_s(now) for each in self._classes.values()]
+        return max((hold_s for hold_s in known if hold_s is not None), default=FIRST_GUESS_S)
 
     def estimate(
         self, policy: ClassPolicy, binding: Iterable[ClassPolicy], ahead: Mapping[int, int]
--- a/tests/cover/test_admission.py
+++ b/tests/cover/test_admission.py
@@ -274,6 +274,22 @@
 
         self.use(check)
 
+    def test_stalled_backend_servers_are_seen_before_anything_ends(self) -> None:
+        """All backend servers stall: what they hold does not end, and callers go on arriving.
+
+        Symptom: each caller waits to its deadline. Sequence: the last slots were given back in
+        0.1 s; since then none was, for three seconds. Cause: the estimate learns from ends only.
+        """
+
+        async def check() -> None:
+            await self.learn(TONIGHT)
+            await self.take(TONIGHT, 10)
+            await trio.sleep(3.0)
+            await self.ask("after the stall", TONIGHT, timeout_s=1.0)
+            self.assertEqual(self.names(), ["after the stall"])
+
+        self.use(check)
+
     def test_standing_queue_is_kept_short(self) -> None:
         """More arrives than can be answered, for longer than any caller waits.
 
