--- a/src/wagtailpoint/config/blocks.py
+++ b/src/wagtailpoint/config/blocks.py
@@ -40,6 +40,11 @@
             for network in part.networks:
                 yield ClientBlock(network, part.region)
 
+    @property
+    def parts(self) -> Sequence[RegionBlocks]:
+        """The objects that the blocks stand in."""
+        return self._parts
+
     def without(self, other: "BlockList") -> "BlockList":
         """Return the parts that are not, as the very same objects, parts of another list."""
         theirs = {id(part) for part in other._parts}
--- a/src/wagtailpoint/lookup/blocks.py
+++ b/src/wagtailpoint/lookup/blocks.py
@@ -4,7 +4,7 @@
 in sorted arrays; a change flattens only the blocks that it touches.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from wagtailpoint.config.blocks import BlockList
 from wagtailpoint.config.model import ClientBlock
@@ -14,6 +14,7 @@
     NO_REGION,
     Prefixes,
     flatten,
+    network_key,
     parse_address,
     parse_network,
     prefix_of,
@@ -32,7 +33,9 @@
         self._bits = bits
         self._prefixes = prefixes
         if ranges is None:
-            starts, regions = flatten(prefixes, first=0, last=(1 << bits) - 1, base=NO_REGION)
+            starts, regions = flatten(
+                prefixes, bits=bits, first=0, last=(1 << bits) - 1, base=NO_REGION
+            )
             ranges = Ranges(bits=bits, starts=starts, regions=regions)
         self._ranges = ranges
 
@@ -47,6 +50,7 @@
             prefix = prefix_of(self._bits, key)
             starts, regions = flatten(
                 prefixes.within(prefix),
+                bits=self._bits,
                 first=prefix.first,
                 last=prefix.last,
                 base=prefixes.cover(prefix),
@@ -69,9 +73,10 @@
         self._names: list[str] = [""]
         self._numbers: dict[str, int] = {}
         by_bits: dict[int, dict[int, int]] = {IPV4_BITS: {}, IPV6_BITS: {}}
-        for block in self._blocks:
-            prefix = parse_network(block.network)
-            by_bits[prefix.bits][prefix.key] = self._number(block.region)
+        for region, networks in _by_region(self._blocks):
+            number = self._number(region)
+            for bits, key in map(network_key, networks):
+                by_bits[bits][key] = number
         self._families = {}
         for bits in (IPV4_BITS, IPV6_BITS):
             # Each dict is dropped as soon as its prefixes are in arrays: at hundreds of thousands
@@ -145,6 +150,12 @@
     return blocks if isinstance(blocks, BlockList) else tuple(blocks)
 
 
+def _by_region(blocks: Sequence[ClientBlock]) -> Iterable[tuple[str, Sequence[str]]]:
+    if isinstance(blocks, BlockList):
+        return blocks.parts
+    return ((block.region, (block.network,)) for block in blocks)
+
+
 def _unlike(
     one: Sequence[ClientBlock], two: Sequence[ClientBlock]
 ) -> tuple[Sequence[ClientBlock], Sequence[ClientBlock]]:
--- a/src/wagtailpoint/lookup/prefixes.py
+++ b/src/wagtailpoint/lookup/prefixes.py
@@ -12,7 +12,6 @@
 IPV6_BITS = 128
 NO_REGION = 0
 _LENGTH_BITS = 8
-_MACHINE_BITS = 64
 _LENGTH_MASK = (1 << _LENGTH_BITS) - 1
 
 
@@ -34,11 +33,8 @@
         return self.first << _LENGTH_BITS | self.length
 
 
-class Placed(NamedTuple):
-    """A prefix with its region."""
-
-    prefix: Prefix
-    region: int
+Placed = tuple[int, int]
+"""The key of a prefix, and the number of its region."""
 
 
 class Prefixes:
@@ -94,8 +90,7 @@
             self._regions.insert(place, region)
 
     def _slice(self, begin: int, end: int) -> Iterator[Placed]:
-        for place in range(begin, end):
-            yield Placed(prefix_of(self._bits, self._keys[place]), self._regions[place])
+        return zip(self._keys[begin:end], self._regions[begin:end], strict=True)
 
 
 def prefix_of(bits: int, key: int) -> Prefix:
@@ -104,12 +99,13 @@
 
 
 def flatten(
-    prefixes: Iterable[Placed], *, first: int, last: int, base: int
+    placed: Iterable[Placed], *, bits: int, first: int, last: int, base: int
 ) -> tuple["array[int] | list[int]", "array[int]"]:
     """Turn nested prefixes into disjoint ranges; the longest prefix wins.
 
     Args:
-        prefixes: In order. They nest or are disjoint, so a stack of the open ones is enough.
+        placed: In order. They nest or are disjoint, so a stack of the open ones is enough.
+        bits: Of an address.
         first: Where the first range begins.
         last: Where the last one ends.
         base: The region outside of all of them.
@@ -117,9 +113,11 @@
     Returns:
         The starts of the ranges and their regions.
     """
-    starts = array("Q", [first]) if last >> _MACHINE_BITS == 0 else [first]
+    # Plain numbers and no objects for each prefix: there are hundreds of thousands.
+    starts: array[int] | list[int] = array("Q", [first]) if bits == IPV4_BITS else [first]
     regions = array("H", [base])
-    open_prefixes: list[Placed] = []
+    open_lasts, open_regions = [last], [base]
+    spans = [(1 << (bits - length)) - 1 for length in range(bits + 1)]
 
     def begin(start: int, region: int) -> None:
         if starts[-1] == start:
@@ -128,17 +126,20 @@
             starts.append(start)
             regions.append(region)
 
-    def close_before(next_first: int) -> None:
-        while open_prefixes and open_prefixes[-1].prefix.last < next_first:
-            end = open_prefixes.pop().prefix.last + 1
-            if end <= last:
-                begin(end, open_prefixes[-1].region if open_prefixes else base)
-
-    for placed in prefixes:
-        close_before(placed.prefix.first)
-        begin(placed.prefix.first, placed.region)
-        open_prefixes.append(placed)
-    close_before(last + 1)
+    for key, region in placed:
+        start = key >> _LENGTH_BITS
+        while open_lasts[-1] < start:
+            end = open_lasts.pop() + 1
+            open_regions.pop()
+            begin(end, open_regions[-1])
+        begin(start, region)
+        open_lasts.append(start + spans[key & _LENGTH_MASK])
+        open_regions.append(region)
+    while len(open_lasts) > 1:
+        end = open_lasts.pop() + 1
+        open_regions.pop()
+        if end <= last:
+            begin(end, open_regions[-1])
     return starts, regions
 
 
@@ -157,9 +158,12 @@
     return len(packed) * 8, int.from_bytes(packed, "big")
 
 
-def parse_network(text: str) -> Prefix:
+def network_key(text: str) -> tuple[int, int]:
     """Read ``ADDRESS/LENGTH``; bits after the length are dropped.
 
+    Returns:
+        The family's bits, and the key of the prefix.
+
     Raises:
         InvalidInput: It has another form.
     """
@@ -170,4 +174,9 @@
         raise InvalidInput([Mistake("network", repr(text[:80]), expected)])
     length = int(length_text)
     shift = bits - length
-    return Prefix(bits, number >> shift << shift, length)
+    return bits, number >> shift << shift << _LENGTH_BITS | length
+
+
+def parse_network(text: str) -> Prefix:
+    """Like ``network_key``, as a prefix."""
+    return prefix_of(*network_key(text))
