Tell mere reports on four times instead of six

Cause: most of a change's cost is that every instance reports its version to every other one, six times over. Change: changes of anything but the state (version, epoch, load) are told on four times; comparing views fills the gaps. Leaves and suspicions keep six. Test: a report right after a leave must not cut the leave short; seen failing without the larger of both counts.

--- a/src/wagtailpoint/membership/service.py
+++ b/src/wagtailpoint/membership/service.py
@@ -50,7 +50,12 @@
         self._settings = settings or MembershipSettings()
         self._monotonic = clock.monotonic
         self._load_told_at: float | None = None
-        self._table = MemberTable(own=own, clock=clock, gossip_copies=self._settings.gossip_copies)
+        self._table = MemberTable(
+            own=own,
+            clock=clock,
+            gossip_copies=self._settings.gossip_copies,
+            report_copies=self._settings.report_copies,
+        )
         self._teller = NewsTeller(
             table=self._table, peers=peers, random=random, settings=self._settings
         )
--- a/src/wagtailpoint/membership/settings.py
+++ b/src/wagtailpoint/membership/settings.py
@@ -16,6 +16,9 @@
         push_delay_s: News waits this long for more before it is told on.
         push_fanout: How many members are told at once.
         gossip_copies: How often one instance tells a piece of news on, at most.
+        report_copies: The same, of a change that is not of the state: the version enforced, the
+            epoch, the load. All instances report each change of the configuration, so these are
+            most of what is told; a leave or a suspicion must be told faster.
         quiet_s: Views that differ are compared after no news came for so long.
         sync_interval_s: They are compared after so long in any case.
         retry_interval_s: In each such period one of the dead, the seeds and the platform's list
@@ -31,6 +34,7 @@
     push_delay_s: float = 0.1
     push_fanout: int = 3
     gossip_copies: int = 6
+    report_copies: int = 4
     quiet_s: float = 0.5
     sync_interval_s: float = 3.0
     retry_interval_s: float = 3.0
--- a/src/wagtailpoint/membership/table.py
+++ b/src/wagtailpoint/membership/table.py
@@ -28,12 +28,16 @@
         own: The fact of this instance.
         clock: Measures how long a suspicion stands.
         gossip_copies: How often this instance tells a piece of news on, at most.
+        report_copies: The same, of a change of anything but the state.
     """
 
-    def __init__(self, *, own: Fact, clock: Clock, gossip_copies: int) -> None:
+    def __init__(
+        self, *, own: Fact, clock: Clock, gossip_copies: int, report_copies: int | None = None
+    ) -> None:
         self._own = own
         self._monotonic = clock.monotonic
         self._gossip_copies = gossip_copies
+        self._report_copies = gossip_copies if report_copies is None else report_copies
         self._facts: dict[str, Fact] = {own.address: own}
         self._suspect_since: dict[str, float] = {}
         self._dead_since: dict[str, float] = {}
@@ -209,9 +213,19 @@
             self._dead_since[fact.address] = self._monotonic()
         else:
             self._toggle(fact)
-        self._copies_left[fact.address] = self._gossip_copies
+        # A leave that is still being told must not be told more rarely for a load after it.
+        left = self._copies_left.get(fact.address, 0)
+        self._copies_left[fact.address] = max(left, self._copies_of(fact, known))
         self._members = None
 
+    def _copies_of(self, fact: Fact, known: Fact | None) -> int:
+        same = known is not None and (known.incarnation, known.state, known.suspect) == (
+            fact.incarnation,
+            fact.state,
+            fact.suspect,
+        )
+        return self._report_copies if same else self._gossip_copies
+
     def _remove(self, address: str) -> None:
         del self._facts[address]
         self._dead_since.pop(address, None)
--- /dev/null
+++ b/tests/cover/test_member_table.py
@@ -0,0 +1,40 @@
+"""How often the view of one instance tells a change on."""
+
+import unittest
+
+from tests.common.fake_clock import FakeClock
+from wagtailpoint.membership.change import News
+from wagtailpoint.membership.member import Fact
+from wagtailpoint.membership.table import MemberTable
+
+OWN = Fact("127.0.0.1", 8080, 8081, "kolkata", "salt-lake", incarnation=1, sequence=1)
+OTHER = OWN._replace(address="127.0.0.2", incarnation=2)
+COPIES, REPORT_COPIES = 5, 2
+
+
+class CopiesTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = MemberTable(
+            own=OWN, clock=FakeClock(), gossip_copies=COPIES, report_copies=REPORT_COPIES
+        )
+        self.table.apply(OTHER)
+        self.assertEqual(self.count_copies(), COPIES)
+
+    def count_copies(self) -> int:
+        copies = 0
+        while self.table.take_news(10) != News((), ()):
+            copies += 1
+        return copies
+
+    def test_reports_are_told_more_rarely_than_states(self) -> None:
+        self.table.apply(OTHER._replace(sequence=2, config_version=9))
+        self.assertEqual(self.count_copies(), REPORT_COPIES)
+        self.table.apply(OTHER._replace(sequence=3, config_version=9, state="leaving"))
+        self.assertEqual(self.count_copies(), COPIES)
+
+    def test_a_report_does_not_cut_a_leave_short(self) -> None:
+        """A leaving instance is still named by some lookups, for a load that it told after it."""
+        leaving = OTHER._replace(sequence=2, state="leaving")
+        self.table.apply(leaving)
+        self.table.apply(leaving._replace(sequence=3, load=0.5))
+        self.assertEqual(self.count_copies(), COPIES)
