--- a/bench/run.py
+++ b/bench/run.py
@@ -19,6 +19,7 @@
     "lookup",
     "keys",
     "membership",
+    "config_spread",
     "slots",
     "classes",
     "hedging",
--- a/tests/common/backend_standin.py
+++ b/tests/common/backend_standin.py
@@ -187,6 +187,7 @@
         self._headers = dict(scope["headers"])
         self._request_id = self._headers.get(b"wagtailpoint-request-id", b"").decode()
         self._key = self._headers.get(b"idempotency-key", b"").decode() or None
+        self._crossed = worker.hit("cross")
 
     async def run(self) -> None:
         path = self._scope["path"]
@@ -281,7 +282,7 @@
             await self._answer_json(
                 status,
                 {
-                    "path": self._scope["path"],
+                    "path": "/of-another" if self._crossed else self._scope["path"],
                     "request_id": self._request_id,
                     "service": worker.service,
                     "executions": ran,
@@ -298,7 +299,7 @@
     def _echoed(self) -> list[tuple[bytes, bytes]]:
         if not self._request_id or self._worker.hit("no_id"):
             return []
-        if self._worker.hit("cross"):
+        if self._crossed:
             self._worker.counts["cross"] += 1
             return [(b"wagtailpoint-request-id", b"other-" + self._request_id.encode())]
         return [(b"wagtailpoint-request-id", self._request_id.encode())]
--- a/tests/common/deployment_case.py
+++ b/tests/common/deployment_case.py
@@ -42,6 +42,7 @@
         cls.running.__enter__()
         cls.addClassCleanup(cls.running.__exit__, None, None, None)
         cls.running.apply_objects()
+        cls.running.wait_members()
 
     def setUp(self) -> None:
         self.raw = RawCaller()
--- a/tests/common/deployment_process.py
+++ b/tests/common/deployment_process.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 import tempfile
+import time
 from collections.abc import Mapping, Sequence
 from contextlib import ExitStack
 from pathlib import Path
@@ -24,6 +25,10 @@
 from wagtailpoint.ports.backend import BackendAddress
 from wagtailpoint.settings import Settings, check_settings
 
+POLL_S = 0.05
+FIRST_MORE = 201
+"""The last number of the first address that no file of an example uses."""
+
 
 class EntryProcess(ModuleProcess):
     """One entry instance; its settings stay where a replacement finds them."""
@@ -84,6 +89,11 @@
         return {server: self.control(server, "GET", "record") for server in self.servers}
 
 
+def count_live(entry: EntryProcess) -> int:
+    """How many live instances an instance knows, itself among them."""
+    return sum(member["state"] == "live" for member in entry.page("status")["members"])
+
+
 class RunningDeployment:
     """An example deployment that runs; use as a context manager.
 
@@ -174,6 +184,15 @@
         answer = httpcore.request(method, url, content=msgspec.json.encode(value))
         return msgspec.json.decode(answer.content)
 
+    def wait_members(self) -> None:
+        """Wait until every instance knows all others to be live."""
+        give_up_s = time.monotonic() + LIMIT_S
+        for entry in self.entries:
+            while count_live(entry) < len(self.entries):
+                if time.monotonic() > give_up_s:
+                    raise RuntimeError(f"{entry.place} sees {count_live(entry)} live instances")
+                time.sleep(POLL_S)
+
     def caller(self, workspace: str, *, address: str | None = None) -> Caller:
         """A caller that knows all entry instances; by default from the region of the first one."""
         client = address or self.entries[0].settings.address
@@ -204,7 +223,16 @@
             by_domain.setdefault(value["failure_domain"], []).append(name)
         rounds = max(len(names) for names in by_domain.values())
         order = [names[i] for i in range(rounds) for names in by_domain.values() if i < len(names)]
-        return {name: self._deployment.settings_files[name] for name in order[:count]}
+        files = {name: self._deployment.settings_files[name] for name in order[:count]}
+        for number in range(count - len(order)):
+            files[f"more-{number}"] = self._one_more(order[number % len(order)], number)
+        return files
+
+    def _one_more(self, like: str, number: int) -> Any:
+        """The settings of an instance beyond those of the example, beside one of them."""
+        value = self._deployment.settings_files[like]
+        address = f"{self._deployment.prefix}.{FIRST_MORE + number}"
+        return {**value, "address": address}
 
     def _entry(self, name: str, value: Any, changes: Mapping[str, Any]) -> EntryProcess:
         changed = {**value}
--- /dev/null
+++ b/tests/integration/test_leaving.py
@@ -0,0 +1,218 @@
+"""Who leaves: backend servers get no new work, entries vanish and cut nothing."""
+
+import time
+from collections import Counter
+from collections.abc import Callable
+from functools import partial
+from itertools import cycle
+
+import trio
+
+from tests.common.backend_standin import bulk_bytes
+from tests.common.deployment_case import DeploymentCase
+from tests.common.deployment_process import EntryProcess
+from tests.common.raw_caller import Heard
+from tests.common.verdict_check import count_executions
+from wagtailpoint.caller import Caller
+from wagtailpoint.errors import WagtailpointError
+from wagtailpoint.verdict import Verdict
+
+PERIOD_S = 1 / 60
+LEAVE_WITHIN_S = 3.0
+WATCHED_S = 3.0
+BULK_BYTES = 600_000
+BULK_MS = 2500
+CLIENTS = ("10.16.0.9", "10.24.0.9", "10.32.0.9", "10.17.3.4", "10.33.5.6", "10.16.8.8")
+in_thread = trio.to_thread.run_sync
+
+
+class LeavingServersTest(DeploymentCase):
+    AT_MOST_ONCE = False
+
+    def tearDown(self) -> None:
+        self.set_backends()
+        self.running.set_platform(down=False)
+
+    def test_backend_server_that_refuses_new_work(self) -> None:
+        """Symptom: a server that shuts down goes on getting requests, which it sheds.
+
+        Sequence: the platform is out; one backend server answers that it drains. Cause: nobody
+        declared a drain, so the entries must take the server's own word.
+        """
+        self.check_leaves("refuses", {"draining": True})
+
+    def test_backend_server_whose_report_alone_says_so(self) -> None:
+        """Symptom: a server that wants to leave is kept busy, because it is too polite to refuse.
+
+        Sequence: the platform is out; one backend server reports that it drains, and still serves
+        what it is sent. Cause: no request of an entry's own ever fails there.
+        """
+        self.check_leaves("reports", {"report": {"draining": True}})
+
+    def check_leaves(self, name: str, mode: dict[str, object]) -> None:
+        backends = self.running.backends["deposit-desk"]
+
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.send_for, name, LEAVE_WITHIN_S + WATCHED_S + 1.0)
+                await trio.sleep(0.5)
+                await in_thread(partial(self.running.set_platform, down=True))
+                records = await in_thread(backends.records)
+                busiest = max(records, key=lambda server: len(records[server]["arrivals"]))
+                await in_thread(backends.control, busiest, "POST", "mode", mode)
+                ordered = time.monotonic()
+            arrivals = (await in_thread(backends.records))[busiest]["arrivals"]
+            self.assertGreater(len([a for a in arrivals if a["time"] < ordered]), 0)
+            late = [a for a in arrivals if a["time"] > ordered + LEAVE_WITHIN_S]
+            self.assertEqual(late, [])
+
+        self.run_trio(test)
+
+    async def send_for(self, name: str, duration_s: float) -> None:
+        """Balance checks at all entries."""
+        until = trio.current_time() + duration_s
+        places = cycle(entry.place for entry in self.running.entries)
+        number = 0
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < until:
+                number += 1
+                path = f"/deposits/balance/{name}-{number}"
+                nursery.start_soon(partial(self.raw.send, next(places), path, method="GET"))
+                await trio.sleep(PERIOD_S)
+
+
+class LeavingEntryTest(DeploymentCase):
+    def test_entry_vanishes_from_lookups_and_still_serves_those_who_know_it(self) -> None:
+        """Symptom: at each planned stop some callers are refused.
+
+        Sequence: an entry is told to stop; lookups no longer name it, but callers have answers in
+        their caches until those expire. Cause: an entry that refuses at once refuses them.
+        """
+
+        async def test() -> None:
+            leaving, *others = self.running.entries
+            served: list[Heard] = []
+            entries = await in_thread(self.looked_up, others[0])
+            self.assertIn(leaving.settings.address, entries)
+            leaving.terminate()
+            told = trio.current_time()
+            await in_thread(
+                self.wait_until,
+                lambda: leaving.settings.address not in self.looked_up(others[0]),
+            )
+            self.assertNotIn(leaving.settings.address, await in_thread(self.looked_up, leaving))
+            gone = trio.current_time()
+            self.assertLess(gone - told, LEAVE_WITHIN_S)
+            while trio.current_time() < gone + leaving.settings.timings.lookup_ttl_s:
+                path = f"/releases/cached-{len(served)}"
+                served.append(await self.raw.send(leaving.place, path))
+            self.assertEqual({heard.verdict for heard in served}, {Verdict.RAN})
+            self.assertEqual(await in_thread(leaving.wait), 0)
+
+        self.run_trio(test)
+
+    def looked_up(self, entry: EntryProcess) -> list[str]:
+        """The addresses that an entry names to callers."""
+        page = entry.page(f"lookup?workspace=surakkha&address={CLIENTS[0]}")
+        return [each["address"] for each in page["entries"]]
+
+
+class RollingReplacementTest(DeploymentCase):
+    ENTRIES = 9
+    TIMINGS = {"lookup_ttl_s": 0.3}
+
+    def test_all_entries_replaced_one_after_the_other_under_load(self) -> None:
+        """Symptom: the weekly replacement of the instances cuts downloads and loses releases.
+
+        Sequence: each of the nine entries is told to stop, waited for, and started again, while
+        callers check balances, release deposits and download. Cause: callers and downloads that
+        know an instance outlive its place in the lookups.
+        """
+
+        async def test() -> None:
+            done: Counter[str] = Counter()
+            bad: list[str] = []
+            stop = trio.Event()
+            async with trio.open_nursery() as nursery:
+                for number, address in enumerate(CLIENTS):
+                    load = partial(self.load, number, address, done, bad, stop)
+                    nursery.start_soon(load)
+                for address in CLIENTS[:3]:
+                    nursery.start_soon(self.downloads, address, done, bad, stop)
+                exits = [await in_thread(self.stop_and_replace, e) for e in self.running.entries]
+                stop.set()
+            self.assertEqual(exits, [0] * self.ENTRIES)
+            self.assertEqual(bad, [])
+            self.assertGreater(done["download"], 9)
+            # One that was cut and repeated has been executed twice.
+            executions = count_executions(self.records())
+            repeated = [path for path, ran in executions.items() if ran > 1 and "bulk" not in path]
+            self.assertEqual(repeated, [])
+            cuts = [
+                e.log.count("reply-cut") + e.log.count("stop-cuts") for e in self.running.entries
+            ]
+            self.assertEqual(sum(cuts), 0)
+
+        self.run_trio(test)
+
+    def stop_and_replace(self, entry: EntryProcess) -> int:
+        code = entry.stop()
+        self.replace(entry)
+        return code
+
+    async def load(
+        self, number: int, address: str, done: Counter[str], bad: list[str], stop: trio.Event
+    ) -> None:
+        """One caller's requests, 10 a second, each third one keyed."""
+        async with self.running.caller("surakkha", address=address) as caller:
+            turn = 0
+            while not stop.is_set():
+                turn += 1
+                name = f"roll-{number}-{turn}"
+                if turn % 3:
+                    send = partial(caller.request, "GET", f"/deposits/balance/{name}")
+                else:
+                    send = partial(
+                        caller.request,
+                        "POST",
+                        f"/releases/{name}",
+                        body=b"{}",
+                        idempotency_key=name,
+                    )
+                await self.note(name, partial(send, deadline_s=5.0), done, bad)
+                await trio.sleep(len(CLIENTS) * PERIOD_S)
+
+    async def note(
+        self, name: str, send: Callable[..., object], done: Counter[str], bad: list[str]
+    ) -> None:
+        try:
+            answer = await send()  # type: ignore[misc]
+        except WagtailpointError as error:
+            bad.append(f"{name}: {error}")
+            return
+        if (answer.status, answer.verdict) != (200, Verdict.RAN):
+            bad.append(f"{name}: {answer.status} {answer.verdict} {answer.body!r}")
+        done["request"] += 1
+
+    async def downloads(
+        self, address: str, done: Counter[str], bad: list[str], stop: trio.Event
+    ) -> None:
+        """One slow download after the other."""
+        path = f"/certificates/bulk/{BULK_BYTES}?ms={BULK_MS}"
+        async with self.running.caller("surakkha", address=address) as caller:
+            while not stop.is_set():
+                await self.download(caller, path, done, bad)
+
+    async def download(self, caller: Caller, path: str, done: Counter[str], bad: list[str]) -> None:
+        try:
+            async with caller.stream("GET", path, deadline_s=10.0) as download:
+                began_at = download.entry
+                body = b"".join([chunk async for chunk in download.chunks()])
+        except WagtailpointError as error:
+            bad.append(f"download: {error}")
+            return
+        if body != bulk_bytes(0, BULK_BYTES):
+            bad.append(f"download of {len(body)} bytes, not {BULK_BYTES}")
+        if download.entry != began_at:
+            bad.append(f"download begun at {began_at} went on at {download.entry}")
+        done["download"] += 1
--- a/tests/integration/test_whole_answers.py
+++ b/tests/integration/test_whole_answers.py
@@ -151,9 +151,12 @@
 
         async def test() -> None:
             await in_thread(partial(self.set_backends, die_in_body=1.0, no_validator=True))
+            path = f"/certificates/bulk/{BULK_BYTES + 1}"
             async with self.running.caller("surakkha", address=CLIENT) as caller:
                 with self.assertRaises(RequestUnanswered):
-                    await self.download(caller, f"/certificates/bulk/{BULK_BYTES}")
+                    await self.download(caller, path)
+            arrived = [a for record in self.records() for a in record["arrivals"]]
+            self.assertEqual(len([a for a in arrived if a["path"] == path]), 1)
 
         self.run_trio(test)
 
