--- a/src/wagtailpoint/caller/caller.py
+++ b/src/wagtailpoint/caller/caller.py
@@ -10,11 +10,13 @@
 import trio
 
 from wagtailpoint import headers as names
+from wagtailpoint.admission.refusal import RefusalCode
 from wagtailpoint.caller.answer import (
     Answer,
     make_answer,
     read_retry_after_s,
     read_verdict,
+    refusal_code,
     with_verdict,
 )
 from wagtailpoint.caller.download import Download
@@ -219,17 +221,33 @@
             entry = bound.entry
             if entry is None:
                 entry = bound.bind(await self._entries.choose(tried, until=until))
+            asked = await self._whom_to_ask(entry, tried, until)
             bound.note_copy()
             result = await self._exchanges.exchange(
-                entry.address, _with_key(outgoing, key, entry.binding), until=until
+                asked.address,
+                _with_key(outgoing, key, entry.binding),
+                until=_attempt_until(until, len(tried)) if entry.binding else until,
             )
-            tried.append(entry)
-            result = bound.settle(entry, result)
-            self._note_entry(entry, result)
+            tried.append(asked)
+            result = bound.settle(entry, result, elsewhere=asked.address != entry.address)
+            self._note_entry(asked, result)
             if not _worth_repeating(result):
-                return result, entry
+                return result, asked
             if not await self._may_send_copy(result, bound, tried, until):
-                return result, entry
+                return result, asked
+
+    async def _whom_to_ask(
+        self, bound_to: KnownEntry, tried: list[KnownEntry], until: float
+    ) -> KnownEntry:
+        """Return the bound entry, or another one when the last copy there was not answered.
+
+        The link to the bound entry may be cut for this caller only. Another entry never runs the
+        key, but asks the bound one how it ended; after that it is the bound entry's turn again.
+        """
+        if not bound_to.binding or not tried or tried[-1].address != bound_to.address:
+            return bound_to
+        other = await self._entries.choose([bound_to], until=until)
+        return bound_to if other.address == bound_to.address else other
 
     async def _may_send_copy(
         self, result: Reply | Broken, bound: BoundKey, tried: list[KnownEntry], until: float
@@ -312,10 +330,16 @@
         return True
     verdict = read_verdict(result.headers)
     if result.status == HTTPStatus.CONFLICT:
-        return verdict is Verdict.NOT_RUN
+        return verdict is Verdict.NOT_RUN or _knows_nothing(result)
     return result.status in _COME_BACK_STATUSES and verdict is not Verdict.RAN
 
 
+def _knows_nothing(result: OpenReply | Reply) -> bool:
+    """Whether another entry than the bound one could not learn how the key ended."""
+    body = result.body if isinstance(result, Reply) else b""
+    return refusal_code(result.status, body) == RefusalCode.OTHER_INCARNATION.value
+
+
 def _give_up(result: OpenReply | Reply | Broken) -> OpenReply | Reply:
     if isinstance(result, Broken):
         raise RequestUnanswered(verdict=_verdict(result), reason=result.reason)
--- a/src/wagtailpoint/caller/keys.py
+++ b/src/wagtailpoint/caller/keys.py
@@ -64,12 +64,15 @@
         """Count a copy before it is sent: a cancelled task must leave it counted."""
         self._copies += 1
 
-    def settle(self, entry: KnownEntry, result: Reply | Broken) -> Reply | Broken:
+    def settle(
+        self, entry: KnownEntry, result: Reply | Broken, *, elsewhere: bool = False
+    ) -> Reply | Broken:
         """Draw the consequences of one copy's result.
 
         Args:
             entry: Where the copy was bound, the very object that ``bind`` returned.
             result: What came of it.
+            elsewhere: It was sent to another entry, to ask the bound one.
 
         Returns:
             The result, its verdict corrected by what only the caller knows: how many copies left.
@@ -83,7 +86,12 @@
             # A late answer to an attempt that is over says nothing of the one that followed.
             return with_verdict(result, Verdict.MAY_HAVE_RUN)
         only_copy = self._copies == 1
-        if only_copy and refusal_code(result.status, result.body) in _THIS_COPY_REFUSED:
+        refused = refusal_code(result.status, result.body)
+        if elsewhere and refused != RefusalCode.KEY_REFUSED.value and verdict is Verdict.NOT_RUN:
+            # Whatever else it refuses, another entry speaks for the copy that it got; this code
+            # says that it asked the bound entry, which has forbidden the key.
+            verdict = Verdict.MAY_HAVE_RUN
+        elif only_copy and refused in _THIS_COPY_REFUSED:
             verdict = Verdict.NOT_RUN
         elif verdict is Verdict.NOT_RUN and not entry.binding and not only_copy:
             # Without a binding a refusal speaks for its own copy only.
--- a/tests/common/deployment_process.py
+++ b/tests/common/deployment_process.py
@@ -23,6 +23,7 @@
 from tests.common.processes import LIMIT_S, ROOT, ModuleProcess, started_together
 from wagtailpoint.caller import Caller
 from wagtailpoint.ports.backend import BackendAddress
+from wagtailpoint.ports.platform import ListedInstance
 from wagtailpoint.settings import Settings, check_settings
 
 POLL_S = 0.05
@@ -178,6 +179,11 @@
         """The platform's calls so far; see ``PlatformProcess.counts``."""
         return self._control_platform("GET", "counts", None)
 
+    def set_instances(self, places: Sequence[tuple[str, str]]) -> None:
+        """Set the platform's list of live instances: address and failure domain of each."""
+        listed = [ListedInstance(address, domain, "live")._asdict() for address, domain in places]
+        self._control_platform("PUT", "instances", listed)
+
     def _control_platform(self, method: str, path: str, value: Any) -> Any:
         platform = self.entries[0].settings.platform[0]
         url = f"http://{platform.address}:{platform.port}/standin/{path}"
--- a/tests/integration/test_at_most_once.py
+++ b/tests/integration/test_at_most_once.py
@@ -7,9 +7,12 @@
 import trio
 
 from tests.common.deployment_case import DeploymentCase
+from tests.common.deployment_process import EntryProcess
 from tests.common.fault_proxy import Address, FaultProxy
 from tests.common.platform_process import fresh_address
 from tests.common.raw_caller import Heard, Place, read_binding
+from wagtailpoint.caller import Caller
+from wagtailpoint.errors import RequestUnanswered
 from wagtailpoint.verdict import Verdict
 
 KEYS = 12
@@ -291,3 +294,78 @@
             self.assertEqual(count(again), {"may-have-run": KEYS})
 
         self.run_trio(test)
+
+
+class CallerLibraryTest(KeyedFaults):
+    """The same faults behind the caller library, which repeats by itself."""
+
+    async def release_all(self, prefix: str) -> dict[str, Verdict]:
+        """Release many deposits at the same time; some callers' answers may be lost for good."""
+        verdicts: dict[str, Verdict] = {}
+
+        async def release(caller: Caller, key: str) -> None:
+            try:
+                answer = await caller.request(
+                    "POST", f"/releases/{key}", body=b"{}", idempotency_key=key, deadline_s=6.0
+                )
+                verdicts[key] = answer.verdict
+            except RequestUnanswered as unanswered:
+                verdicts[key] = unanswered.verdict
+
+        async with (
+            self.running.caller("surakkha", address="10.16.0.9") as caller,
+            trio.open_nursery() as nursery,
+        ):
+            for number in range(KEYS):
+                nursery.start_soon(release, caller, f"{prefix}-{number}")
+        heard = [Heard(f"/releases/{key}", 0, verdict) for key, verdict in verdicts.items()]
+        self.raw.heard += heard
+        return verdicts
+
+    async def busy_entry(self) -> EntryProcess:
+        """The entry that the requests in flight go through."""
+        while True:
+            for number, entry in enumerate(self.running.entries):
+                page = await in_thread(entry.page, "status")
+                if page["requests"]["slots_held"] >= KEYS // 2:
+                    return self.running.entries[number]
+            await trio.sleep(0.01)
+
+    def test_entry_paused_for_a_moment(self) -> None:
+        """Symptom: after each short pause of an entry, clerks look up releases by hand.
+
+        Sequence: an entry with releases in flight is frozen for 1.5 s and goes on. Cause: a caller
+        that gives up too early, and asks nobody once more.
+        """
+
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.check_all_ran, "paused")
+                entry = await self.busy_entry()
+                entry.freeze()
+                await trio.sleep(1.5)
+                entry.thaw()
+
+        self.run_trio(test)
+
+    async def check_all_ran(self, prefix: str) -> None:
+        verdicts = await self.release_all(prefix)
+        self.assertEqual(set(verdicts.values()), {Verdict.RAN})
+
+    def test_entry_killed(self) -> None:
+        """Symptom: releases that never left are told ``may-have-run`` when an entry dies.
+
+        Sequence: an entry is killed with releases in flight; other releases follow while lookups
+        still name it. Cause: only what was on its way in that moment is unknown.
+        """
+
+        async def test() -> None:
+            entry = self.running.entries[0]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.release_all, "dying")
+                entry = await self.busy_entry()
+                await in_thread(entry.kill)
+            await self.check_all_ran("after")
+            await in_thread(self.replace, entry)
+
+        self.run_trio(test)
--- a/tests/integration/test_config_failures.py
+++ b/tests/integration/test_config_failures.py
@@ -3,15 +3,21 @@
 import json
 from collections.abc import Iterator, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import contextmanager
+from contextlib import ExitStack, contextmanager
 from functools import partial
+from pathlib import Path
+from tempfile import TemporaryDirectory
 from threading import Event, Thread
 
 import httpcore
 
 from tests.common.deployment_case import DeploymentCase
 from tests.common.deployment_process import EntryProcess
+from tests.common.proxy_process import ProxyProcess
+from tests.common.raw_caller import read_binding
 from wagtailpoint.cli.exit_codes import ExitCode
+from wagtailpoint.settings import check_settings
+from wagtailpoint.verdict import Verdict
 
 POLL_S = 0.05
 SECONDS_S = 10.0
@@ -176,3 +182,53 @@
         self.running.set_platform(down=True)
         frozen.thaw()
         self.wait_in_force(version)
+
+
+class CutOffInstanceTest(ConfigCase):
+    def test_cut_off_from_platform_and_peers(self) -> None:
+        """Symptom: an operator trusts that a change is in force; one instance never heard of it.
+
+        Sequence: an instance loses the platform and knows no peers; a change is accepted; the cut
+        is mended. Cause: nothing can reach it. It goes on with what it has, its callers being worse
+        off without it, and whoever waits for the change is told its address.
+        """
+        with ExitStack() as stack:
+            lone, proxy = self.start_lone(stack)
+            self.running.set_instances([(lone.settings.address, lone.settings.failure_domain)])
+            before = self.version()
+            self.wait_until(lambda: lone.page("status")["config_version"] == before)
+            proxy.order({"fault": "cut"})
+            code, text = self.adjust(2601, "--wait", "--wait-timeout", "3")
+            self.assertEqual(code, ExitCode.WAIT_TIMED_OUT, text)
+            self.assertIn(lone.settings.address, text)
+            self.wait_in_force(before + 1)
+            self.assertEqual(lone.page("status")["config_version"], before)
+            self.run_trio(partial(self.check_serves, lone))
+            proxy.order({"fault": "pass"})
+            self.wait_until(lambda: lone.page("status")["config_version"] == before + 1)
+            self.running.set_instances([])
+
+    async def check_serves(self, lone: EntryProcess) -> None:
+        bound = await self.raw.release(lone.place, "lone-bound", await read_binding(lone.place))
+        self.assertEqual(bound.verdict, Verdict.RAN)
+        unbound = await self.raw.release(lone.place, "lone-unbound", None)
+        self.assertEqual((unbound.status, unbound.verdict), (503, Verdict.NOT_RUN))
+
+    def start_lone(self, stack: ExitStack) -> tuple[EntryProcess, ProxyProcess]:
+        """An instance that knows no peers, and the proxy before its platform."""
+        like = self.running.entries[0].settings
+        directory = Path(stack.enter_context(TemporaryDirectory()))
+        proxy = ProxyProcess(target=(like.platform[0].address, like.platform[0].port))
+        stack.enter_context(proxy)
+        value = {
+            "address": f"{like.address.rpartition('.')[0]}.60",
+            "port": like.port,
+            "peer_port": like.peer_port + 1,
+            "region": like.region,
+            "failure_domain": like.failure_domain,
+            "platform": [{"address": proxy.listens_on[0], "port": proxy.listens_on[1]}],
+        }
+        file = directory / "lone.json"
+        file.write_text(json.dumps(value))
+        lone = EntryProcess(settings=check_settings(value).unwrap(), settings_file=file)
+        return stack.enter_context(lone), proxy
