--- a/tests/common/backend_standin.py
+++ b/tests/common/backend_standin.py
@@ -43,6 +43,8 @@
     cross: float  # answer with another request's id
     no_id: float  # answer without the request's id
     bare_503: float  # run, then answer 503 without any word on it
+    glue: float  # send a second, unasked answer right behind the answer
+    no_validator: bool  # answer downloads without an ETag
     deaf: bool  # ignore deadlines
     draining: bool
     report: dict[str, object]  # fields of the load report that lie
@@ -354,6 +356,10 @@
                 await _CONNECTION.get().stream.aclose()
                 return
             await trio.sleep(pause_s)
+        if worker.hit("glue"):
+            worker.counts["glued"] += 1
+            extra = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra"
+            await _CONNECTION.get().stream.send_all(extra)
         await self._send({"type": "http.response.body", "body": b"", "more_body": False})
 
 
--- a/tests/integration/test_whole_answers.py
+++ b/tests/integration/test_whole_answers.py
@@ -57,6 +57,8 @@
                 await self.get(place, f"/deposits/balance/glued-{number}")
             whole = [heard for heard in self.raw.heard if heard.status == 200]
             self.assertGreater(len(whole), REQUESTS // 2)
+            glued = sum(record["counts"].get("glued", 0) for record in self.records())
+            self.assertGreater(glued, 0)
 
         self.run_trio(test)
 
