--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -49,6 +49,8 @@
 LATER_INSTANCES = 490
 IDLE_S = 8.0
 CUT_S = 30.0
+REPORTS_S = 4.0
+"""As many epochs begin at 490 instances, one each in 120 s."""
 CUT_MEMBERS_SHORT, CUT_MEMBERS_FULL = 24, 120
 MOST_GROWTH_OF_IDLE = 1.5
 MOST_WAIT_AGAINST_CHANGE = 0.5
@@ -376,6 +378,33 @@
     return lines[0]
 
 
+def measure_reports(count: int) -> str:
+    """What one report of one instance (its epoch, its load) costs each member."""
+    lines: list[str] = []
+
+    async def story(group: MemberGroup) -> None:
+        await group.start_all(count)
+        await trio.sleep(CUT_S)
+        before = _sent(group)
+        await trio.sleep(IDLE_S)
+        idle = _sent(group)
+        instances = list(group.instances.values())
+        for number in range(int(IDLE_S * REPORTS_S)):
+            instances[number % count].membership.publish(epoch=2 + number // count)
+            await trio.sleep(1 / REPORTS_S)
+        after = _sent(group)
+        cost = (after.bytes - 2 * idle.bytes + before.bytes) / count
+        messages = (after.messages - 2 * idle.messages + before.messages) / count
+        reports = int(IDLE_S * REPORTS_S)
+        lines.append(
+            f"a report (epoch, load) of one of {count}, {REPORTS_S:.0f} a second:"
+            f" {cost / reports:.0f} bytes in {messages / reports:.2f} messages sent by each"
+        )
+
+    run_group(story)
+    return lines[0]
+
+
 def _memory_lines(rows: list[Memory]) -> list[str]:
     lines = [
         "   blocks  RSS MB  peak MB  change s  longest wait s  fresh: in force s  RSS MB",
@@ -416,6 +445,7 @@
     memory = measure_memory(sizes, regions=regions)
     lines = measure_instance(2.0 if short else 60.0, 300 if short else 5_000)
     lines += [measure_replacement(sizes[-1]), measure_seats(LATER_INSTANCES)]
+    lines.append(measure_reports(CUT_MEMBERS_SHORT if short else CUT_MEMBERS_FULL))
     lines.append(measure_cut(CUT_MEMBERS_SHORT if short else CUT_MEMBERS_FULL))
     groups = [measure_group(count) for count in (MEMBERS_SHORT if short else MEMBERS_FULL)]
     lines += _memory_lines(memory) + _group_lines(groups)
