Wire suspect_after_s; say when the configuration does not know an instance's place

Cause: the settings documented suspect_after_s, which nothing read; an instance whose failure domain is missing in the configuration is told to nobody and looked merely idle. Ruled out: refusing to start, because the configuration may be corrected while it runs.

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -98,7 +98,10 @@
             random=Random(),
             seeds=[PeerAddress(each.address, each.peer_port) for each in settings.peers],
             hints=self._instance_list.addresses,
-            settings=MembershipSettings(heartbeat_interval_s=timings.heartbeat_interval_s),
+            settings=MembershipSettings(
+                heartbeat_interval_s=timings.heartbeat_interval_s,
+                suspicion_periods=timings.suspect_after_s / timings.heartbeat_interval_s,
+            ),
         )
         self._lookups = Lookups(
             membership=self._membership,
--- a/src/wagtailpoint/daemon/lookups.py
+++ b/src/wagtailpoint/daemon/lookups.py
@@ -11,6 +11,7 @@
 from wagtailpoint.lookup.blocks import ClientBlocks
 from wagtailpoint.lookup.table import LookupTable
 from wagtailpoint.membership import Member, Membership
+from wagtailpoint.observe.log import log_event
 
 NOT_READY_RETRY_AFTER_S = 1.0
 
@@ -35,6 +36,7 @@
 
     def apply(self, config: EffectiveConfig) -> None:
         """Follow the configuration that was prepared last."""
+        self._warn_if_unplaced(config)
         self._table = LookupTable(
             config=config,
             own_failure_domain=self._failure_domain,
@@ -49,6 +51,20 @@
             return Err(_not_ready())
         return self._table.answer(workspace=workspace, address=address)
 
+    def _warn_if_unplaced(self, config: EffectiveConfig) -> None:
+        """Log when the configuration does not know where this instance runs.
+
+        Nobody would be told to use it then, and it would look healthy and idle.
+        """
+        known = {name for region in config.regions.values() for name in region.failure_domains}
+        if self._failure_domain not in known:
+            log_event(
+                "failure-domain-not-configured",
+                level="WARNING",
+                failure_domain=self._failure_domain,
+                configured=",".join(sorted(known)),
+            )
+
     def _update_entries(self) -> None:
         if self._table is not None:
             self._table.update([_view(member) for member in self._membership.members()])
--- a/src/wagtailpoint/settings.py
+++ b/src/wagtailpoint/settings.py
@@ -54,7 +54,8 @@
     Attributes:
         lookup_ttl_s: How long a caller may use a lookup's answer.
         heartbeat_interval_s: Between two heartbeats to a peer.
-        suspect_after_s: A peer that was not heard of for so long counts as dead.
+        suspect_after_s: How long a peer that gave no answer has to speak up before it counts as
+            dead; longer where there are more than ten instances, as news takes longer there.
         epoch_s: How long bindings are given out under one epoch; keys of idempotency are
             remembered for at least one and at most two epochs.
         seat_lease_s: The lease of a seat, that is, of the shares of limits.
@@ -72,8 +73,8 @@
     """
 
     lookup_ttl_s: float = 2.0
-    heartbeat_interval_s: float = 0.5
-    suspect_after_s: float = 2.0
+    heartbeat_interval_s: float = 1.0
+    suspect_after_s: float = 3.0
     epoch_s: float = 120.0
     seat_lease_s: float = 10.0
     share_round_s: float = 0.1
@@ -201,7 +202,7 @@
     if settings.port == settings.peer_port:
         reader.mistake("peer_port", settings.peer_port, "another port than port")
     if timings.suspect_after_s <= timings.heartbeat_interval_s:
-        # A peer would count as dead between two heartbeats that both arrived.
+        # A peer would count as dead before anybody had asked it a second time.
         reader.mistake(
             "timings.suspect_after_s",
             timings.suspect_after_s,
