Seats and permits in the daemon: slots and rates are spent by shares that add up

Cause: every entry counted only its own requests, so several together put up to 7 requests on a backend server with 3 slots (test_shared_slots with the own count in place of the permits). Change: each instance keeps seats and moves permits by demand; admission takes its slots from them; workspace limits and caps of moves are spent by the seats' share; a stopping instance gives its seats back; status shows seats and permits. A dead holder's seats no longer keep the living from taking them: with equal numbers each waited for the dead one to take more (seen: 60 s in vain). Ruled out: an even part by the number of seats, which is lost while fewer instances run. Measured: test_shared_slots, 60 callers on 3 entries, most at a time on one backend server 7 before and 3 after; the seats of a killed entry are all held by the others within its 60 s limit (the two tests took 20 s together with a lease of 3 s).

--- a/src/wagtailpoint/admission/slots.py
+++ b/src/wagtailpoint/admission/slots.py
@@ -50,6 +50,7 @@
     """What is kept of one pool."""
 
     def __init__(self, *, clock: Clock) -> None:
+        self.arrived = 0
         self.line = WaitingLine(clock=clock)
         self.waits = Waits(clock=clock)
 
@@ -97,9 +98,18 @@
         """Slots of one backend server that this instance holds."""
         return self._held.of(server)
 
+    def queued_for(self, group: str) -> int:
+        """Requests that wait for a slot of a group, named as in ``SERVICE/GROUP``."""
+        return sum(len(pool.line) for pool in self._pools_of(group))
+
+    def arrived_for(self, group: str) -> int:
+        """Requests that have asked for a slot of a group since the start."""
+        return sum(pool.arrived for pool in self._pools_of(group))
+
     async def acquire(self, demand: SlotDemand) -> Result[Slot, Refusal]:
         """Take a slot, waiting within the deadline; the caller must release it."""
         pool = self._pool(demand.pool)
+        pool.arrived += 1
         if not demand.avoid:
             wait_s = self._rates.take(demand.workspace, demand.max_rps)
             if wait_s is not None:
@@ -313,6 +323,15 @@
         retry_after_s = self._return_times.next_s()
         return refuse_slot(demand.pool, demand.policy.name, why, retry_after_s)
 
+    def _pools_of(self, group: str) -> list[_Pool]:
+        """The pools whose requests may go to a group; those of a move name both of its groups."""
+        service, _, wanted = group.partition("/")
+        return [
+            pool
+            for name, pool in self._pools.items()
+            if name.startswith(f"{service}/") and wanted in name.partition("/")[2].split("+")
+        ]
+
     def _pool(self, name: str) -> _Pool:
         pool = self._pools.get(name)
         if pool is None:
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -18,14 +18,14 @@
 from wagtailpoint.config.watcher import ConfigWatcher
 from wagtailpoint.daemon.api import PREFIX, OwnPages
 from wagtailpoint.daemon.config_state import ConfigState
-from wagtailpoint.daemon.even_part import even_part
 from wagtailpoint.daemon.instance_list import InstanceList
 from wagtailpoint.daemon.lookups import Lookups
-from wagtailpoint.daemon.moving import Moving, even_cap_part
 from wagtailpoint.daemon.observing import RequestObserver
+from wagtailpoint.daemon.moving import Moving
 from wagtailpoint.daemon.pages import InstancePages
 from wagtailpoint.daemon.probing import BackendProber
 from wagtailpoint.daemon.servers import ConfiguredServers
+from wagtailpoint.daemon.sharing import SharedLimits
 from wagtailpoint.daemon.stopping import GracefulStop
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
@@ -126,11 +126,21 @@
             timeout_s=timings.connect_timeout_s,
             random=Random(),
         )
+        self._shared = SharedLimits(
+            settings=settings,
+            clock=self._clock,
+            platform=self._platform,
+            peers=self._peers,
+            membership=self._membership,
+            health=self._health,
+        )
         self._slots = SlotPool(
             clock=self._clock,
             most_queued=settings.limits.queued_requests,
-            limit_part=lambda: even_part(self._config.effective),
+            grants=self._shared,
+            limit_part=self._shared.keeper.spendable_share,
         )
+        self._shared.serve_from(self._slots)
         self._gate = RequestGate(most_open=settings.limits.open_requests)
         self._keys = KeyStore(
             incarnation=incarnation,
@@ -149,7 +159,7 @@
         self._moves = MoveBoard(
             clock=self._clock,
             timeline=self._timeline,
-            cap_fraction=lambda: even_cap_part(self._config.effective),
+            cap_fraction=self._shared.keeper.spendable_share,
         )
         self._moving = self._make_moving()
         self._budgets: dict[str, RetryBudget] = {}
@@ -162,6 +172,7 @@
             lookup_ttl_s=timings.lookup_ttl_s,
             drain_timeout_s=timings.drain_timeout_s,
         )
+        self._stop.at_end(self._shared.keeper.stop)
         self._config.follow(self._apply)
 
     async def run(self) -> None:
@@ -193,6 +204,7 @@
             self._watcher.run,
             self._prober.run,
             self._moving.run,
+            self._shared.run,
             self._publish_facts,
             self._clean_claims,
         ):
@@ -217,6 +229,7 @@
         self._lookups.apply(config)
         self._prober.apply(config)
         self._moving.apply(config)
+        self._shared.apply(config)
         state = self._membership.own.state
         self._membership.publish(
             state="live" if state == "starting" else state, config_version=config.version
@@ -343,6 +356,7 @@
             lookups=self._lookups,
             gate=self._gate,
             slots=self._slots,
+            shared=self._shared,
             keys=self._keys,
             health=self._health,
             moves=self._moves,
--- a/src/wagtailpoint/daemon/pages.py
+++ b/src/wagtailpoint/daemon/pages.py
@@ -14,6 +14,7 @@
 from wagtailpoint.daemon.draining import drain_status
 from wagtailpoint.daemon.lookups import Lookups
 from wagtailpoint.daemon.metrics_page import measure, metrics_json, metrics_text
+from wagtailpoint.daemon.sharing import SharedLimits
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.idempotency.keys import KeyStore
@@ -40,6 +41,7 @@
         lookups: Lookups,
         gate: RequestGate,
         slots: SlotPool,
+        shared: SharedLimits,
         keys: KeyStore,
         health: HealthBoard,
         moves: MoveBoard,
@@ -52,6 +54,7 @@
         self._lookups = lookups
         self._gate = gate
         self._slots = slots
+        self._shared = shared
         self._keys = keys
         self._health = health
         self._moves = moves
@@ -102,6 +105,8 @@
             },
             "moves": [_move_fields(move) for move in self._moves.status()],
             "drains": self._drains(),
+            "seats": self._shared.seats(),
+            "permits": self._shared.permits(),
             "backend_servers": self._backend_servers(),
         }
         return Page(HTTPStatus.OK, value)
--- a/src/wagtailpoint/daemon/stopping.py
+++ b/src/wagtailpoint/daemon/stopping.py
@@ -1,7 +1,7 @@
 """The graceful shutdown of an instance."""
 
 import signal
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 
@@ -10,6 +10,7 @@
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.timeline import Timeline
 
+DUTY_TIMEOUT_S = 5.0
 SPREAD_S = 1.5
 """How long the word that an instance leaves takes to reach all lookups, beside the lookups' TTL."""
 
@@ -36,9 +37,9 @@
         self._timeline = timeline
         self._lookup_ttl_s = lookup_ttl_s
         self._drain_timeout_s = drain_timeout_s
-        self._last_duties: list[Callable[[], None]] = []
+        self._last_duties: list[Callable[[], Awaitable[None]]] = []
 
-    def at_end(self, duty: Callable[[], None]) -> None:
+    def at_end(self, duty: Callable[[], Awaitable[None]]) -> None:
         """Call ``duty`` when no request is open any more."""
         self._last_duties.append(duty)
 
@@ -62,6 +63,8 @@
         if scope.cancelled_caught:
             log_event("stop-cuts", level="ERROR", open_requests=self._gate.open_requests)
         for duty in self._last_duties:
-            duty()
+            # The platform may be out; what could not be given back ends with its lease.
+            with trio.move_on_after(DUTY_TIMEOUT_S):
+                await duty()
         self._membership.farewell()
         log_event("stopped")
--- a/src/wagtailpoint/limits/keeper.py
+++ b/src/wagtailpoint/limits/keeper.py
@@ -79,7 +79,7 @@
         self._seats: dict[str, Seat] = {}
         self._known: dict[str, SeatState] = {}
         self._stopping = False
-        self._stop_asked = trio.Event()
+        self._woken = trio.Event()
         self._stopped = trio.Event()
 
     @property
@@ -113,7 +113,8 @@
                     await trio.sleep(self._lease_s / STEPS_WHILE_STOPPING)
                 else:
                     with trio.move_on_after(self._lease_s / STEPS_PER_LEASE):
-                        await self._stop_asked.wait()
+                        await self._woken.wait()
+                    self._woken = trio.Event()
 
     async def stop(self) -> None:
         """Give up all seats; returns when the platform has it. Cancel ``run`` only then."""
@@ -125,7 +126,11 @@
         self._stopping = True
         for seat in self._seats.values():
             seat.give_up()
-        self._stop_asked.set()
+        self._woken.set()
+
+    def look_now(self) -> None:
+        """Take the next step at once, because the names of the seats may have changed."""
+        self._woken.set()
 
     async def step(self) -> None:
         """Read all seats, renew the own ones, and take or ask for more if that is due."""
@@ -221,7 +226,10 @@
         return evidence is not None
 
     async def _take_some(self, states: Mapping[str, SeatState]) -> None:
-        holders = (state.holder for state in states.values())
+        # A dead holder's seats count for nobody: the living, having as many as it left, would each
+        # wait for it to take more.
+        alive = (name for name in states if self._sightings.unchanged_s(name) < self._lease_s)
+        holders = (states[name].holder for name in alive)
         held = Counter(holder for holder in holders if holder not in (None, self._own))
         for state in self._others(states):
             await self._try_to_take(state, held)
--- a/src/wagtailpoint/limits/permits.py
+++ b/src/wagtailpoint/limits/permits.py
@@ -190,6 +190,11 @@
         """How many permits this instance has now, those in use among them."""
         return len(self._candidates()) + len(self._used)
 
+    def held_of(self, server: BackendAddress) -> int:
+        """How many permits of one backend server this instance has now, used ones included."""
+        free = sum(permit.server == server for permit in self._candidates())
+        return free + sum(permit.server == server for permit in self._used)
+
     def collect(self, asker: str, *, most: int) -> Collection:
         """Set permits aside for an asker, now and as they become free, until ``lend``."""
         collection = Collection(asker=asker, wanted=max(0, most))
--- a/src/wagtailpoint/settings.py
+++ b/src/wagtailpoint/settings.py
@@ -60,6 +60,7 @@
             remembered for at least one and at most two epochs.
         seat_lease_s: The lease of a seat, that is, of the shares of limits.
         share_round_s: Between two rounds of moving permits by demand.
+        share_loan_s: How long permits are lent to another instance; the same on all instances.
         probe_interval_s: Between two questions for a backend server's load report.
         connect_timeout_s: For a connection to a backend server or a peer.
         platform_timeout_s: For one call of the platform, a watch's own waiting not counted.
@@ -78,6 +79,7 @@
     epoch_s: float = 120.0
     seat_lease_s: float = 10.0
     share_round_s: float = 0.1
+    share_loan_s: float = 10.0
     probe_interval_s: float = 0.5
     connect_timeout_s: float = 1.0
     platform_timeout_s: float = 2.0
