--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -20,8 +20,8 @@
 from wagtailpoint.daemon.config_state import ConfigState
 from wagtailpoint.daemon.instance_list import InstanceList
 from wagtailpoint.daemon.lookups import Lookups
-from wagtailpoint.daemon.observing import RequestObserver
 from wagtailpoint.daemon.moving import Moving
+from wagtailpoint.daemon.observing import RequestObserver
 from wagtailpoint.daemon.pages import InstancePages
 from wagtailpoint.daemon.probing import BackendProber
 from wagtailpoint.daemon.servers import ConfiguredServers
