--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -18,6 +18,7 @@
 from wagtailpoint.config.watcher import ConfigWatcher
 from wagtailpoint.daemon.api import PREFIX, OwnPages
 from wagtailpoint.daemon.config_state import ConfigState
+from wagtailpoint.daemon.even_part import even_part
 from wagtailpoint.daemon.instance_list import InstanceList
 from wagtailpoint.daemon.lookups import Lookups
 from wagtailpoint.daemon.moving import Moving
@@ -138,7 +139,9 @@
             clock=self._clock,
             most_queued=settings.limits.queued_requests,
             grants=self._shared,
-            limit_part=self._shared.keeper.spendable_share,
+            # Not the seats' share: it is nothing while an instance has no seat, as after a restart,
+            # and unlike permits nobody lends it any, so all its requests would be refused.
+            limit_part=lambda: even_part(self._config.effective),
         )
         self._shared.serve_from(self._slots)
         self._gate = RequestGate(most_open=settings.limits.open_requests)
