Permits are a choice of the settings, off by default

Change: share_slots in the settings; without it the daemon keeps no seats, slots go by the own count and caps of moves by even parts. test_shared_slots runs with it. Ruled out: on by default now.

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -138,7 +138,7 @@
         self._slots = SlotPool(
             clock=self._clock,
             most_queued=settings.limits.queued_requests,
-            grants=self._shared,
+            grants=self._shared if settings.share_slots else None,
             # Not the seats' share: it is nothing while an instance has no seat, as after a restart,
             # and unlike permits nobody lends it any, so all its requests would be refused.
             limit_part=lambda: even_part(self._config.effective),
@@ -162,7 +162,7 @@
         self._moves = MoveBoard(
             clock=self._clock,
             timeline=self._timeline,
-            cap_fraction=self._shared.keeper.spendable_share,
+            cap_fraction=self._cap_fraction,
         )
         self._moving = self._make_moving()
         self._budgets: dict[str, RetryBudget] = {}
@@ -175,7 +175,8 @@
             lookup_ttl_s=timings.lookup_ttl_s,
             drain_timeout_s=timings.drain_timeout_s,
         )
-        self._stop.at_end(self._shared.keeper.stop)
+        if settings.share_slots:
+            self._stop.at_end(self._shared.keeper.stop)
         self._config.follow(self._apply)
 
     async def run(self) -> None:
@@ -207,11 +208,12 @@
             self._watcher.run,
             self._prober.run,
             self._moving.run,
-            self._shared.run,
             self._publish_facts,
             self._clean_claims,
         ):
             self._nursery.start_soon(task)
+        if self._settings.share_slots:
+            self._nursery.start_soon(self._shared.run)
         await server.run(stop=self._stop.wait)
 
     async def _handle(self, request: CallerRequest, reply: AsgiReply) -> None:
@@ -238,6 +240,12 @@
             state="live" if state == "starting" else state, config_version=config.version
         )
 
+    def _cap_fraction(self) -> float:
+        """The part of every move's cap that this instance may spend."""
+        if self._settings.share_slots:
+            return self._shared.keeper.spendable_share()
+        return even_part(self._config.effective)
+
     def _locate(self, incarnation: str) -> PeerAddress | None:
         """Where an incarnation is heard, if it is believed to be alive."""
         number = int(incarnation, 16)
--- a/src/wagtailpoint/daemon/moving.py
+++ b/src/wagtailpoint/daemon/moving.py
@@ -7,7 +7,6 @@
 import trio
 
 from wagtailpoint.config.model import EffectiveConfig, Move
-from wagtailpoint.daemon.even_part import even_part
 from wagtailpoint.daemon.servers import is_drained
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.membership import Membership
@@ -22,11 +21,6 @@
 CLEANING_S: Final = 10.0
 
 
-def even_cap_part(config: EffectiveConfig | None) -> float:
-    """The part of every cap that one instance may spend, as of every other limit."""
-    return even_part(config)
-
-
 class Moving:
     """Runs everything about moves."""
 
--- a/src/wagtailpoint/settings.py
+++ b/src/wagtailpoint/settings.py
@@ -103,6 +103,8 @@
         peers: Some other instances to begin with; the others are learnt from them.
         limits: The most that it takes on.
         timings: Periods and timeouts.
+        share_slots: Whether slots of backend servers are spent by permits, so that all instances
+            together never use more than there are; else each instance goes by its own count.
         log_level: The least level that is logged.
     """
 
@@ -115,6 +117,7 @@
     peers: tuple[PeerAddress, ...] = ()
     limits: Limits = Limits()
     timings: Timings = Timings()
+    share_slots: bool = False
     log_level: str = "INFO"
 
 
@@ -146,6 +149,7 @@
         peers=_read_peers(reader),
         limits=_read_limits(reader.child("limits", default={})),
         timings=_read_timings(reader.child("timings", default={})),
+        share_slots=reader.flag("share_slots", default=False),
         log_level=reader.text("log_level", choices=LOG_LEVELS, default="INFO"),
     )
     reader.finish()
--- a/tests/common/deployment_case.py
+++ b/tests/common/deployment_case.py
@@ -21,12 +21,14 @@
     Attributes:
         ENTRIES: How many entry instances run.
         TIMINGS: Replaces timings of the settings.
+        SETTINGS: Replaces other settings.
         BACKEND_OPTIONS: Command line of the backend stand-ins.
         AT_MOST_ONCE: False where requests are idempotent, so that the entries may repeat them.
     """
 
     ENTRIES: int = 3
     TIMINGS: Mapping[str, float] = {}
+    SETTINGS: Mapping[str, Any] = {}
     BACKEND_OPTIONS: Sequence[str] = ()
     AT_MOST_ONCE: bool = True
     running: ClassVar[RunningDeployment]
@@ -37,6 +39,7 @@
             name="surakkha",
             entries=cls.ENTRIES,
             timings={"lookup_ttl_s": 0.5, **cls.TIMINGS},
+            settings=cls.SETTINGS,
             backend_options=cls.BACKEND_OPTIONS,
         )
         cls.running.__enter__()
--- a/tests/common/deployment_process.py
+++ b/tests/common/deployment_process.py
@@ -107,6 +107,7 @@
         name: One of ``examples.deployment.DEPLOYMENTS``.
         entries: How many of its entry instances run.
         timings: Replaces timings of the settings.
+        settings: Replaces other settings, for example ``share_slots``.
         limits: Replaces limits of the settings.
         backend_options: Command line of the backend stand-ins.
         platform_options: Command line of the platform stand-in.
@@ -119,6 +120,7 @@
         entries: int = 3,
         timings: Mapping[str, float] | None = None,
         limits: Mapping[str, int] | None = None,
+        settings: Mapping[str, Any] | None = None,
         backend_options: Sequence[str] = (),
         platform_options: Sequence[str] = (),
     ) -> None:
@@ -128,6 +130,7 @@
         self._directory = Path(self._stack.enter_context(tempfile.TemporaryDirectory()))
         files = self._spread(entries)
         changes = {"timings": timings or {}, "limits": limits or {}}
+        files = {name: {**value, **(settings or {})} for name, value in files.items()}
         self.entries = [self._entry(file, value, changes) for file, value in files.items()]
         platform = self.entries[0].settings.platform[0]
         self.platform = ModuleProcess(
--- a/tests/integration/test_shared_slots.py
+++ b/tests/integration/test_shared_slots.py
@@ -15,6 +15,7 @@
 class SharedSlotsTest(DeploymentCase):
     AT_MOST_ONCE = False
     BACKEND_OPTIONS = ("--service-ms", "40")
+    SETTINGS = {"share_slots": True}
     TIMINGS = {"seat_lease_s": 3.0, "share_loan_s": 3.0}
 
     def test_no_backend_server_gets_more_than_its_slots(self) -> None:
