--- a/tests/common/backend_standin.py
+++ b/tests/common/backend_standin.py
@@ -84,6 +84,7 @@
         self.by_key: Counter[str] = Counter()  # by Idempotency-Key
         self.counts: Counter[str] = Counter()
         self.most_busy = 0
+        self.most_present = 0
         self._slots = slots
         self._service_s = service_ms / 1000
         self._queue_limit = queue_limit
@@ -123,6 +124,7 @@
             "by_key": dict(self.by_key),
             "counts": dict(self.counts),
             "most_busy": self.most_busy,
+            "most_present": self.most_present,
         }
 
     async def app(self, scope: Any, receive: Any, send: Any) -> None:
@@ -145,6 +147,7 @@
     async def take_slot(self, deadline_s: float) -> bool:
         """Wait in the queue; False if the deadline passed there."""
         self._queued += 1
+        self.most_present = max(self.most_present, self._busy + self._queued)
         try:
             with trio.move_on_after(deadline_s):
                 await self._slot.acquire()
