All log lines go through log_event

Cause: seven modules wrote their event and its pairs into loguru's message. Values with spaces or quotes (an instance's address, a reason) then stood unquoted, against what the operators' page says, and the instance came behind the event's own pairs.

Change: they call log_event. Names, fields and levels are those of docs/operators.md. The line of log_event now belongs to the caller's module (depth=1): tests silence lines by module, and all would have come from observe.log. peer-handler-failed gains error=: it gave the exception to loguru, whose line format here leaves exceptions out, so operators never saw it; but its traceback, which another sink would have had, is no longer given.

Ruled out: taking the 'event=' branch out of the line format; a test holds it, and lines written without log_event stay readable.

Conclusion: one form for every line; nothing in src but observe.log imports loguru.

--- a/src/wagtailpoint/adapters/peer_dispatch.py
+++ b/src/wagtailpoint/adapters/peer_dispatch.py
@@ -4,11 +4,11 @@
 from typing import Any
 
 import trio
-from loguru import logger
 from result import Err, Ok, Result
 
 from wagtailpoint.adapters.peer_codec import Meter, decode, encode
 from wagtailpoint.observe.hlc import HybridClock
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import (
     MOST_MESSAGE_BYTES,
     Handler,
@@ -148,10 +148,12 @@
             answer = handler(received)
         except Exception as error:
             self._meter.dropped("handler-failed")
-            logger.opt(exception=error).error(
-                "event=peer-handler-failed kind={} sender={}",
-                kind_of(type(received.message)),
-                received.sender,
+            log_event(
+                "peer-handler-failed",
+                level="ERROR",
+                kind=kind_of(type(received.message)),
+                sender=received.sender,
+                error=repr(error),
             )
             return
         if answer is not None:
--- a/src/wagtailpoint/config/watcher.py
+++ b/src/wagtailpoint/config/watcher.py
@@ -9,12 +9,12 @@
 from collections.abc import Callable
 
 import trio
-from loguru import logger
 from result import Err
 
 from wagtailpoint.config.manifest import HEAD_KIND, HEAD_NAME, Snapshot
 from wagtailpoint.config.store import ConfigStore
 from wagtailpoint.errors import PlatformUnavailable
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.platform import Platform, StoredObject
 
 WATCH_WAIT_S = 25.0
@@ -153,5 +153,7 @@
         if isinstance(failure, PlatformUnavailable) and failure.retry_after_s is not None:
             pause_s += failure.retry_after_s
         self._backoff_s = min(self._backoff_s * 2, MOST_BACKOFF_S)
-        logger.warning("event=config-watch-failed pause_s={:.2f} reason={!r}", pause_s, failure)
+        log_event(
+            "config-watch-failed", level="WARNING", pause_s=f"{pause_s:.2f}", reason=repr(failure)
+        )
         await trio.sleep(pause_s)
--- a/src/wagtailpoint/limits/keeper.py
+++ b/src/wagtailpoint/limits/keeper.py
@@ -6,7 +6,6 @@
 from zlib import crc32
 
 import trio
-from loguru import logger
 from result import Err, Ok
 
 from wagtailpoint.limits.conditional import put_settled
@@ -14,6 +13,7 @@
 from wagtailpoint.limits.lease import Holder, SentWrites, Sightings
 from wagtailpoint.limits.pulse import Pulse
 from wagtailpoint.limits.seat import SEAT_KIND, Seat, SeatState, is_seat_of, read_seat
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
 
@@ -167,7 +167,7 @@
         if state.holder == self._own:
             if seat is None:
                 seat = self._seats[state.name] = self._make_seat(state, before)
-                logger.info("event=seat-taken seat={} doubt={}", state.name, seat.in_doubt)
+                log_event("seat-taken", seat=state.name, doubt=seat.in_doubt)
             elif seat.in_doubt and state.former is None:
                 seat.await_loans(self._loan_s, doubt_part=False)
             seat.confirm(state, self._writes.sent_at(state.write))
@@ -176,7 +176,7 @@
                 seat.give_up()
         elif seat is not None:
             if not seat.given_up:
-                logger.warning("event=seat-lost seat={} holder={}", state.name, state.holder)
+                log_event("seat-lost", level="WARNING", seat=state.name, holder=state.holder)
             seat.give_up()
             seat.confirm(state, None)
             if self._own != state.former and self._drained(state.name):
@@ -222,7 +222,7 @@
             return holder != self._own
         evidence = await self._check.evidence(holder)
         if evidence is not None:
-            logger.info("event=holder-gone holder={} evidence={}", holder, evidence.value)
+            log_event("holder-gone", holder=holder, evidence=evidence.value)
         return evidence is not None
 
     async def _take_some(self, states: Mapping[str, SeatState]) -> None:
--- a/src/wagtailpoint/membership/config_spread.py
+++ b/src/wagtailpoint/membership/config_spread.py
@@ -11,7 +11,6 @@
 from typing import NamedTuple
 
 import trio
-from loguru import logger
 from result import Ok
 
 from wagtailpoint.config.manifest import ChangeInfo, Snapshot
@@ -25,6 +24,7 @@
 )
 from wagtailpoint.membership.config_messages import ConfigAsk, ConfigHave, ConfigPart
 from wagtailpoint.membership.service import Membership
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received
 
 PART_BYTES = 256 << 10
@@ -130,7 +130,7 @@
         if self._current is not None:
             self._history.add(self._current, snapshot)
         self._current = snapshot
-        logger.info("event=config-received version={}", snapshot.change.version)
+        log_event("config-received", version=snapshot.change.version)
         self._tell()
 
     def _tell(self) -> None:
@@ -174,7 +174,7 @@
             snapshot = await self._fetch_from(source, self._current)
         except BrokenDelta as error:
             # The other one's idea of what this one has is wrong; everything is always right.
-            logger.warning("event=config-delta-broken source={} reason={!r}", source, str(error))
+            log_event("config-delta-broken", level="WARNING", source=source, reason=error)
             snapshot = await self._fetch_from(source, None)
         if snapshot is None:
             return False
--- a/src/wagtailpoint/membership/probing.py
+++ b/src/wagtailpoint/membership/probing.py
@@ -4,7 +4,6 @@
 from random import Random
 
 import trio
-from loguru import logger
 from result import Ok
 
 from wagtailpoint.membership.comparing import ViewComparer
@@ -13,6 +12,7 @@
 from wagtailpoint.membership.news import NewsTeller
 from wagtailpoint.membership.settings import MembershipSettings
 from wagtailpoint.membership.table import MemberTable
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received
 
 
@@ -120,9 +120,7 @@
         scale = max(1.0, log10(len(self._table.members)))
         suspicion_s = self._settings.suspicion_periods * self._settings.heartbeat_interval_s * scale
         for fact in self._table.conclude_deaths(suspicion_s=suspicion_s):
-            logger.info(
-                "event=member-dead address={} incarnation={}", fact.address, fact.incarnation
-            )
+            log_event("member-dead", address=fact.address, incarnation=fact.incarnation)
             self._teller.note_change()
 
     def _take_in(self, message: Ping | Ack, *, sender: PeerAddress) -> None:
--- a/src/wagtailpoint/moves/news.py
+++ b/src/wagtailpoint/moves/news.py
@@ -5,12 +5,12 @@
 from typing import Final
 
 import trio
-from loguru import logger
 from result import Err, Ok
 
 from wagtailpoint.moves.board import MoveBoard
 from wagtailpoint.moves.messages import MoveNews, MoveReport
 from wagtailpoint.moves.progress import PROGRESS_KIND, read_progress
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received
 from wagtailpoint.ports.platform import Platform, StoredObject
 
@@ -111,7 +111,9 @@
             if isinstance(progress, Ok):
                 learnt |= self._board.learn(progress.ok_value)
             else:
-                logger.error("event=move-progress-unreadable mistake={!r}", progress.err_value)
+                log_event(
+                    "move-progress-unreadable", level="ERROR", mistake=repr(progress.err_value)
+                )
         if learnt:
             self.tell(FANOUT)
 
--- a/src/wagtailpoint/moves/writer.py
+++ b/src/wagtailpoint/moves/writer.py
@@ -5,13 +5,13 @@
 from typing import Any, Final, Protocol
 
 import trio
-from loguru import logger
 from result import Err, Ok, Result
 
 from wagtailpoint.config.model import Move
 from wagtailpoint.moves.board import MoveBoard
 from wagtailpoint.moves.decision import Known, Receiving, next_progress
 from wagtailpoint.moves.progress import PROGRESS_KIND, MoveProgress, read_progress
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import Conflict, Platform, StoredObject
@@ -122,7 +122,7 @@
         self._asked_at = now
         held_before = self._lease.held()
         if await self._lease.step() and not held_before:
-            logger.info("event=moves-writer own={}", self._own)
+            log_event("moves-writer", own=self._own)
 
     async def _stand_back(self) -> None:
         if self._has_read or self._lease.held():
@@ -168,16 +168,14 @@
             case Err(Conflict(StoredObject() as current)):
                 self._learn(current)
             case Err(error):
-                logger.warning(
-                    "event=move-not-written move={} reason={!r}", proposed.move, str(error)
-                )
+                log_event("move-not-written", level="WARNING", move=proposed.move, reason=error)
 
     def _learn(self, stored: StoredObject) -> None:
         progress = read_progress(stored)
         if isinstance(progress, Ok):
             self._board.learn(progress.ok_value)
         else:
-            logger.error("event=move-progress-unreadable mistake={!r}", progress.err_value)
+            log_event("move-progress-unreadable", level="ERROR", mistake=repr(progress.err_value))
 
 
 class ProgressCleaner:
--- a/src/wagtailpoint/observe/log.py
+++ b/src/wagtailpoint/observe/log.py
@@ -25,7 +25,7 @@
 def _format(record: Any) -> str:
     pairs = " ".join(f"{name}={_quoted(value)}" for name, value in record["extra"].items())
     record["extra"]["_line"] = pairs
-    # Some modules write their pairs into the message, the event's among them.
+    # A line that was written without `log_event` may have its event in the message.
     event = "" if record["message"].startswith("event=") else "event="
     return (
         "time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level} " + event + "{message} {extra[_line]}\n"
@@ -52,4 +52,5 @@
         level: The level.
         **fields: What is particular to this event.
     """
-    logger.bind(**fields).log(level, event)
+    # `depth`: the line belongs to the caller's module, by which loguru can silence lines.
+    logger.opt(depth=1).bind(**fields).log(level, event)
