Bench of capacity and the backend stand-in: split by subject

Change: bench.capacity keeps the sizes and bounds; capacity_instance measures one instance in real processes, capacity_group a group in memory. tests/common/backend_worker.py has the slots, faults and record of a stand-in; backend_standin.py its HTTP side.

Ruled out: splitting the stand-in by answers; they share the exchange's headers and faults.

--- a/bench/backend_connections.py
+++ b/bench/backend_connections.py
@@ -12,7 +12,8 @@
 import httpcore
 import trio
 from result import Err
-from tests.common.backend_standin import Mode, Worker, serve_worker
+from tests.common.backend_standin import serve_worker
+from tests.common.backend_worker import Mode, Worker
 from tests.common.fault_proxy import Address, FaultProxy
 from tests.common.processes import ModuleProcess
 from tests.common.sockets import loopback_address
--- /dev/null
+++ b/bench/capacity_instance.py
@@ -0,0 +1,253 @@
+"""What one instance needs: memory by client blocks, processor time idle and for a lookup.
+
+Real processes. Their resident memory, start-up, and the longest wait of a lookup while the client
+blocks change; in this process, the size of what instances and the platform give each other.
+"""
+
+import os
+import time
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
+from http import HTTPStatus
+from pathlib import Path
+from tempfile import TemporaryDirectory
+from typing import Any, NamedTuple
+
+import httpcore
+import msgspec
+import trio
+from tests.common.deployment_process import EntryProcess, RunningDeployment
+from tests.common.platform_process import PlatformProcess, fresh_address
+from tests.common.processes import ModuleProcess
+
+from bench.lookup import BLOCKS_AN_OBJECT, client_blocks
+from wagtailpoint.adapters.clock import SystemClock
+from wagtailpoint.adapters.platform_http import HttpPlatform
+from wagtailpoint.config.manifest import ChangeInfo, Snapshot
+from wagtailpoint.config.packed import pack
+from wagtailpoint.config.store import ConfigStore
+from wagtailpoint.limits.keeper import STEPS_PER_LEASE
+from wagtailpoint.limits.lease import Holder
+from wagtailpoint.limits.seat import SEAT_KIND, SeatState
+from wagtailpoint.membership.config_delta import (
+    apply_delta,
+    digest_of,
+    encode_delta,
+    with_hashes,
+)
+
+LIMIT_S = 60.0
+_MB = 1024.0
+"""Kilobytes of a megabyte."""
+
+
+class Memory(NamedTuple):
+    """One instance at one number of client blocks, in kilobytes and seconds."""
+
+    blocks: int
+    rss_kb: int
+    peak_kb: int
+    change_s: float
+    longest_wait_s: float
+    start_s: float
+    start_rss_kb: int
+
+
+def _objects(count: int, *, regions: int) -> Mapping[str, Any]:
+    names = [f"site-{number}" for number in range(regions)]
+    objects: dict[str, Any] = {
+        f"region/{name}": {
+            "failure_domains": [f"{name}-a"],
+            "latency_ms": {other: 20.0 for other in names if other != name},
+        }
+        for name in names
+    }
+    blocks = client_blocks(count)
+    for begin in range(0, count, BLOCKS_AN_OBJECT):
+        number = begin // BLOCKS_AN_OBJECT
+        networks = [block.network for block in blocks[begin : begin + BLOCKS_AN_OBJECT]]
+        objects[f"blocks/part-{number}"] = {
+            "region": names[number % regions],
+            "networks": networks,
+        }
+    return objects
+
+
+def _status_kb(pid: int, field: str) -> int:
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    return next(int(line.split()[1]) for line in lines if line.startswith(field + ":"))
+
+
+class _Instance:
+    """One entry instance and its platform."""
+
+    def __init__(self, platform: PlatformProcess, directory: Path) -> None:
+        self.address = fresh_address()
+        settings = directory / "settings.json"
+        settings.write_bytes(
+            msgspec.json.encode(
+                {
+                    "address": self.address,
+                    "port": 8080,
+                    "peer_port": 8081,
+                    "region": "site-0",
+                    "failure_domain": "site-0-a",
+                    "platform": [
+                        {"address": platform.listens_on[0], "port": platform.listens_on[1]}
+                    ],
+                    "log_level": "WARNING",
+                }
+            )
+        )
+        self.process = ModuleProcess(
+            module="wagtailpoint.daemon.main",
+            arguments=["--settings", str(settings)],
+            address=self.address,
+            port=8080,
+        )
+
+    def version(self, pool: httpcore.ConnectionPool) -> int:
+        answer = pool.request("GET", f"http://{self.address}:8080/v1/status")
+        return int(msgspec.json.decode(answer.content)["config_version"])
+
+    def until(self, version: int, *, since: float) -> tuple[float, float]:
+        """Wait until a version is in force; how long that took, and the longest answer's wait."""
+        longest = 0.0
+        with httpcore.ConnectionPool() as pool:
+            while True:
+                began = time.monotonic()
+                reached = self.version(pool)
+                longest = max(longest, time.monotonic() - began)
+                if reached >= version:
+                    return time.monotonic() - since, longest
+                if time.monotonic() - since > LIMIT_S:
+                    raise RuntimeError(f"version {version} not in force\n{self.process.log}")
+                time.sleep(0.002)
+
+
+def _apply(platform: PlatformProcess, objects: Mapping[str, Any], version: int) -> None:
+    async def apply() -> None:
+        async with HttpPlatform(addresses=[platform.listens_on], timeout_s=10.0) as api:
+            store = ConfigStore(platform=api, clock_wall=SystemClock().wall)
+            deletes: list[str] = []
+            (
+                await store.apply(
+                    puts=objects,
+                    deletes=deletes,
+                    base_version=version - 1,
+                    author="bench",
+                    message="blocks",
+                )
+            ).unwrap()
+
+    trio.run(apply)
+
+
+@contextmanager
+def _deployment() -> Iterator[tuple[PlatformProcess, _Instance]]:
+    with TemporaryDirectory() as directory, PlatformProcess() as platform:
+        instance = _Instance(platform, Path(directory))
+        with instance.process:
+            yield platform, instance
+
+
+def measure_memory(sizes: tuple[int, ...], *, regions: int) -> list[Memory]:
+    """Grow the client blocks of one instance; start a fresh one at each size as well."""
+    rows = []
+    with _deployment() as (platform, instance):
+        for version, count in enumerate(sizes, start=1):
+            objects = _objects(count, regions=regions)
+            since = time.monotonic()
+            _apply(platform, objects, version)
+            change_s, longest_s = instance.until(version, since=since)
+            time.sleep(0.5)
+            rss_kb, peak_kb = (_status_kb(instance.process.pid, it) for it in ("VmRSS", "VmHWM"))
+            with TemporaryDirectory() as directory:
+                fresh = _Instance(platform, Path(directory))
+                began = time.monotonic()
+                with fresh.process:
+                    start_s, _ = fresh.until(version, since=began)
+                    time.sleep(0.5)
+                    start_rss_kb = _status_kb(fresh.process.pid, "VmRSS")
+            rows.append(Memory(count, rss_kb, peak_kb, change_s, longest_s, start_s, start_rss_kb))
+    return rows
+
+
+def _processor_s(pid: int) -> float:
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(") ")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def measure_instance(window_s: float, lookups: int) -> list[str]:
+    """One idle instance: processor time and platform calls; then its lookups."""
+    with RunningDeployment(name="surakkha", entries=1) as running:
+        running.apply_objects()
+        entry = running.entries[0]
+        time.sleep(1.0)
+        calls, used_s = _calls(running), _processor_s(entry.pid)
+        time.sleep(window_s)
+        share = (_processor_s(entry.pid) - used_s) / window_s
+        calls = _calls(running) - calls
+        lookup_ms = _lookup_ms(entry, lookups)
+    text = ", ".join(f"{name} {count}" for name, count in calls.items())
+    return [
+        f"one idle instance alone, {window_s:.0f} s: {share:.2%} of a core; platform calls: {text}",
+        f"processor time of a lookup over HTTP: {lookup_ms:.2f} ms ({lookups} on one connection)",
+    ]
+
+
+def _calls(running: RunningDeployment) -> Counter[str]:
+    calls = running.platform_counts()["calls"]
+    return Counter(
+        {f"{method} {kind}": count for kind in calls for method, count in calls[kind].items()}
+    )
+
+
+def _lookup_ms(entry: EntryProcess, count: int) -> float:
+    """Processor milliseconds of the instance for each lookup over one kept connection."""
+    address, port = entry.place
+    url = f"http://{address}:{port}/v1/lookup?workspace=surakkha&address=10.16.0.9"
+    with httpcore.ConnectionPool() as pool:
+        assert pool.request("GET", url).status == HTTPStatus.OK
+        before = _processor_s(entry.pid)
+        for _ in range(count):
+            pool.request("GET", url)
+        return (_processor_s(entry.pid) - before) / count * 1000
+
+
+def measure_replacement(count: int, *, regions: int) -> str:
+    """What a replacement's full configuration costs: the peer that gives it, and itself."""
+    objects = {key: pack(value) for key, value in _objects(count, regions=regions).items()}
+    snapshot = with_hashes(Snapshot(ChangeInfo(1, "c1", "bench", 0.0, ""), objects))
+    began = time.perf_counter()
+    data = encode_delta(snapshot, frozenset(objects))
+    encoded = time.perf_counter()
+    digest = digest_of(snapshot.content_hashes)
+    apply_delta(None, data, change=snapshot.change, digest=digest)
+    applied = time.perf_counter()
+    return (
+        f"full configuration of {count} blocks: {len(data)} bytes, encoded in"
+        f" {(encoded - began) * 1000:.0f} ms, decoded in {(applied - encoded) * 1000:.0f} ms"
+    )
+
+
+def measure_seats(count: int) -> str:
+    """Bytes of the listing of all seats, which every keeper reads at each step."""
+    holder = Holder("127.20.101.101", 8081, 1 << 59)
+    state = SeatState("salt-lake-11", 1 << 20, holder, None, False, "1152921504606846976-100000")
+    wire = {"kind": SEAT_KIND, "name": state.name, "version": state.version}
+    size = len(msgspec.json.encode([{**wire, "value": state.to_value()}] * count))
+    return f"listing of {count} seats: {size} bytes, {STEPS_PER_LEASE} times a lease"
+
+
+def memory_lines(rows: list[Memory]) -> list[str]:
+    lines = [
+        "   blocks  RSS MB  peak MB  change s  longest wait s  fresh: in force s  RSS MB",
+    ]
+    for row in rows:
+        lines.append(
+            f"{row.blocks:9d} {row.rss_kb / _MB:7.1f} {row.peak_kb / _MB:8.1f} {row.change_s:9.2f}"
+            f" {row.longest_wait_s:15.3f} {row.start_s:18.2f} {row.start_rss_kb / _MB:7.1f}"
+        )
+    return lines
--- a/tests/common/deployment_process.py
+++ b/tests/common/deployment_process.py
@@ -19,7 +19,7 @@
 import msgspec
 from examples.deployment import load_deployment
 
-from tests.common.backend_standin import Mode
+from tests.common.backend_worker import Mode
 from tests.common.platform_process import fresh_address
 from tests.common.processes import LIMIT_S, ROOT, ModuleProcess, started_together
 from wagtailpoint.caller import Caller
@@ -82,11 +82,11 @@
         return msgspec.json.decode(answer.content)
 
     def set_mode(self, **modes: Any) -> None:
-        """Order the same faults of all; see ``backend_standin.Mode``."""
+        """Order the same faults of all; see ``backend_worker.Mode``."""
         unknown = modes.keys() - Mode.__annotations__.keys()
         if unknown:
             # The test of a fault that does not exist would pass.
-            raise ValueError(f"given the modes {unknown}, expected those of backend_standin.Mode")
+            raise ValueError(f"given the modes {unknown}, expected those of backend_worker.Mode")
         for server in self.servers:
             self.control(server, "POST", "mode", modes)
 
--- a/tests/cover/test_backend_http.py
+++ b/tests/cover/test_backend_http.py
@@ -9,7 +9,8 @@
 import trio
 from result import Err, Ok
 
-from tests.common.backend_standin import Mode, Worker, bulk_bytes, serve_worker
+from tests.common.backend_standin import bulk_bytes, serve_worker
+from tests.common.backend_worker import Mode, Worker
 from tests.common.fault_proxy import Address, FaultProxy
 from tests.common.sockets import loopback_address
 from wagtailpoint import Verdict
@@ -25,8 +26,7 @@
 )
 
 PORT = 9100
-PROXY_PORT = 9001
-OTHER_PORT = 9002
+PROXY_PORT, OTHER_PORT = 9001, 9002
 
 
 def request_of(request_id: str, **fields: Any) -> BackendRequest:
--- a/tests/nocover/test_verdicts_under_faults.py
+++ b/tests/nocover/test_verdicts_under_faults.py
@@ -8,7 +8,8 @@
 import trio
 from result import Err
 
-from tests.common.backend_standin import Mode, Worker, serve_worker
+from tests.common.backend_standin import serve_worker
+from tests.common.backend_worker import Mode, Worker
 from tests.common.fault_proxy import Address, FaultProxy
 from tests.common.sockets import loopback_address
 from wagtailpoint import Verdict
