One constructor for refusals of requests that did not run

Change: refuse() stands in admission.refusal and is used wherever the verdict is not-run; the pause is REPEAT_AFTER_S. Statuses, codes, texts and pauses are the same.

Ruled out: one for may-have-run as well: there the verdict is what the reader must see.

Conclusion: a not-run refusal is made in one place.

--- a/src/wagtailpoint/admission/refusal.py
+++ b/src/wagtailpoint/admission/refusal.py
@@ -83,3 +83,8 @@
             (headers.VERDICT, self.verdict.value.encode()),
             (headers.RETRY_AFTER, retry_after),
         ]
+
+
+def refuse(status: HTTPStatus, code: RefusalCode, reason: str, retry_after_s: float) -> Refusal:
+    """A refusal of a request that certainly did not run."""
+    return Refusal(status, code, reason, Verdict.NOT_RUN, retry_after_s)
--- a/src/wagtailpoint/daemon/api.py
+++ b/src/wagtailpoint/daemon/api.py
@@ -10,8 +10,8 @@
 
 from wagtailpoint import headers as names
 from wagtailpoint.adapters.http_protocol import QuickReply
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
-from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, refuse
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
+from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S
 from wagtailpoint.entry.request import CallerRequest, ReplySink
 from wagtailpoint.ports.backend import Headers
 from wagtailpoint.verdict import Verdict
--- a/src/wagtailpoint/daemon/lookups.py
+++ b/src/wagtailpoint/daemon/lookups.py
@@ -4,9 +4,8 @@
 
 from result import Err, Result
 
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.config.model import EffectiveConfig
-from wagtailpoint.entry.plan import refuse
 from wagtailpoint.lookup.answer import EntryView, LookupAnswer
 from wagtailpoint.lookup.blocks import ClientBlocks
 from wagtailpoint.lookup.table import LookupTable
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from wagtailpoint import headers as names
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.admission.slots import ServerChoice, Slot, SlotDemand, SlotPool
 from wagtailpoint.config.model import BackendServer
 from wagtailpoint.entry.hedging import BUDGET_KEPT, Copy, HedgeDelays, Race, may_hedge
@@ -261,11 +261,10 @@
 
 
 def _deadline_passed() -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.GATEWAY_TIMEOUT,
         RefusalCode.DEADLINE_PASSED,
         "the deadline passed before the request was sent to a backend server",
-        Verdict.NOT_RUN,
         FAILED_RETRY_AFTER_S,
     )
 
--- a/src/wagtailpoint/entry/gate.py
+++ b/src/wagtailpoint/entry/gate.py
@@ -6,8 +6,7 @@
 
 import trio
 
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
-from wagtailpoint.entry.plan import refuse
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 
 LEAVING_RETRY_AFTER_S = 1.0
 FULL_RETRY_AFTER_S = 1.0
--- a/src/wagtailpoint/entry/plan.py
+++ b/src/wagtailpoint/entry/plan.py
@@ -6,11 +6,10 @@
 from result import Err, Ok, Result
 
 from wagtailpoint import headers as names
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.config.model import ClassPolicy, EffectiveConfig, Route, Service, Workspace
 from wagtailpoint.entry.request import CallerRequest, header
 from wagtailpoint.entry.routing import find_route
-from wagtailpoint.verdict import Verdict
 
 MOST_DEADLINE_DIGITS = 12
 
@@ -39,11 +38,6 @@
     affinity: str = ""
 
 
-def refuse(status: HTTPStatus, code: RefusalCode, reason: str, retry_after_s: float) -> Refusal:
-    """A refusal of a request that certainly did not run."""
-    return Refusal(status, code, reason, Verdict.NOT_RUN, retry_after_s)
-
-
 def plan_request(config: EffectiveConfig, request: CallerRequest) -> Result[Plan, Refusal]:
     """Find the workspace, the route and the deadline of a request."""
     name = header(request.headers, names.WORKSPACE)
--- a/src/wagtailpoint/entry/refusals.py
+++ b/src/wagtailpoint/entry/refusals.py
@@ -2,8 +2,8 @@
 
 from http import HTTPStatus
 
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
-from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, refuse
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
+from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S
 
 NO_CONFIG_RETRY_AFTER_S = 1.0
 SLOW_RETRY_AFTER_S = 1.0
--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -8,13 +8,13 @@
 from result import Err, Ok, Result
 
 from wagtailpoint import headers as names
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.config.model import EffectiveConfig
 from wagtailpoint.entry import refusals
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.entry.observer import Completed, EntryObserver
-from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, Plan, plan_request, refuse
+from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, Plan, plan_request
 from wagtailpoint.entry.replies import send_answer, send_outcome, send_refusal
 from wagtailpoint.entry.request import (
     BodyTooLarge,
--- a/src/wagtailpoint/idempotency/bound_entry.py
+++ b/src/wagtailpoint/idempotency/bound_entry.py
@@ -12,12 +12,11 @@
 import trio
 from result import Ok
 
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.idempotency.binding import Binding
 from wagtailpoint.idempotency.keys import KeyStore, RequestKey
 from wagtailpoint.idempotency.outcome import Answered, MayHaveRun, NotRun, Outcome
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
-from wagtailpoint.verdict import Verdict
 
 REPLY_TIMEOUT_S = 0.5
 """An instance that lives replies at once, also when the key is still in flight there."""
@@ -215,11 +214,10 @@
 
 
 def _forbidden() -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.CONFLICT,
         RefusalCode.KEY_REFUSED,
         "the key is bound to another entry, which has not run it and now never will; "
         "look up again and send it with a new binding",
-        Verdict.NOT_RUN,
         FORBIDDEN_RETRY_AFTER_S,
     )
--- a/src/wagtailpoint/idempotency/claims.py
+++ b/src/wagtailpoint/idempotency/claims.py
@@ -12,9 +12,10 @@
 
 from result import Err, Ok
 
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
 from wagtailpoint.idempotency.keys import RequestKey
+from wagtailpoint.idempotency.outcome import REPEAT_AFTER_S
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
 from wagtailpoint.verdict import Verdict
@@ -186,23 +187,21 @@
 
 
 def _platform_out() -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.SERVICE_UNAVAILABLE,
         RefusalCode.PLATFORM_UNAVAILABLE,
         "a key without a binding has to be claimed in the platform, which does not answer; "
         "send the binding of a lookup's entry with the key, or come back later",
-        Verdict.NOT_RUN,
         COME_BACK_S,
     )
 
 
 def _too_many(most: int) -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.SERVICE_UNAVAILABLE,
         RefusalCode.KEY_MEMORY_FULL,
         f"this entry holds {most} claims of keys without a binding and takes no more; "
         "send the binding of a lookup's entry with the key, or use another entry",
-        Verdict.NOT_RUN,
         COME_BACK_S,
     )
 
@@ -214,7 +213,7 @@
         "the key was run here, and its outcome is no longer remembered; read the outcome from "
         "the service",
         Verdict.MAY_HAVE_RUN,
-        1.0,
+        REPEAT_AFTER_S,
     )
 
 
@@ -224,5 +223,5 @@
         RefusalCode.KEY_CLAIMED_ELSEWHERE,
         f"the key is claimed by {holder['address']}, which alone may run it; repeat it there",
         Verdict.MAY_HAVE_RUN,
-        1.0,
+        REPEAT_AFTER_S,
     )
--- a/src/wagtailpoint/idempotency/keys.py
+++ b/src/wagtailpoint/idempotency/keys.py
@@ -12,9 +12,9 @@
 
 import trio
 
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.idempotency.binding import Binding
-from wagtailpoint.idempotency.outcome import Answered, NotRun, Outcome, repeat_of
+from wagtailpoint.idempotency.outcome import REPEAT_AFTER_S, Answered, NotRun, Outcome, repeat_of
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.verdict import Verdict
 
@@ -339,7 +339,7 @@
         f"{key.workspace}; use a new key for each request",
         # The new request did not run, but the key's verdict is what the caller acts upon.
         Verdict.MAY_HAVE_RUN,
-        1.0,
+        REPEAT_AFTER_S,
     )
 
 
@@ -349,7 +349,7 @@
         RefusalCode.OTHER_INCARNATION,
         f"the key is bound to {binding.incarnation}, this entry is {own}; it never runs here",
         Verdict.MAY_HAVE_RUN,
-        1.0,
+        REPEAT_AFTER_S,
     )
 
 
@@ -360,7 +360,7 @@
         f"the binding is of epoch {binding.epoch}, epochs from {epoch - 1} on are accepted; "
         "look up again before the first attempt of a request",
         Verdict.MAY_HAVE_RUN,
-        1.0,
+        REPEAT_AFTER_S,
     )
 
 
@@ -372,25 +372,23 @@
         "as the lookup gave it",
         # Not `not-run`: a late copy would find the epoch begun.
         Verdict.MAY_HAVE_RUN,
-        1.0,
+        REPEAT_AFTER_S,
     )
 
 
 def _memory_full(most_keys: int, retry_after_s: float) -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.SERVICE_UNAVAILABLE,
         RefusalCode.KEY_MEMORY_FULL,
         f"this entry remembers {most_keys} keys and can take no more; use another entry",
-        Verdict.NOT_RUN,
         retry_after_s,
     )
 
 
 def _forbidden(retry_after_s: float) -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.CONFLICT,
         RefusalCode.KEY_REFUSED,
         "another entry asked for this key and had it refused here",
-        Verdict.NOT_RUN,
         retry_after_s,
     )
--- a/src/wagtailpoint/lookup/table.py
+++ b/src/wagtailpoint/lookup/table.py
@@ -11,13 +11,12 @@
 
 from result import Err, Ok, Result
 
-from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.config.model import EffectiveConfig
 from wagtailpoint.errors import InvalidInput
 from wagtailpoint.idempotency.binding import Binding
 from wagtailpoint.lookup.answer import EntryView, LookupAnswer, LookupEntry
 from wagtailpoint.lookup.blocks import ClientBlocks
-from wagtailpoint.verdict import Verdict
 
 TTL_S = 2.0
 MOST_ENTRIES = 6
@@ -174,30 +173,27 @@
 
 
 def _unknown_workspace(workspace: str) -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.NOT_FOUND,
         RefusalCode.UNKNOWN_WORKSPACE,
         f"the workspace {workspace[:80]!r} is not configured",
-        Verdict.NOT_RUN,
         _COME_BACK_S,
     )
 
 
 def _bad_address(invalid: InvalidInput) -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.BAD_REQUEST,
         RefusalCode.BAD_REQUEST,
         str(invalid),
-        Verdict.NOT_RUN,
         _COME_BACK_S,
     )
 
 
 def _not_ready() -> Refusal:
-    return Refusal(
+    return refuse(
         HTTPStatus.SERVICE_UNAVAILABLE,
         RefusalCode.NOT_READY,
         "this instance does not know any live entry yet; ask another one",
-        Verdict.NOT_RUN,
         _COME_BACK_S,
     )
