Remove a constant and a property that nothing reads

Cause: verdict.VERDICT_HEADER was overtaken by headers.VERDICT; ConfigWatcher.newest has no reader in src, tests, bench or examples (looked up by name).

Change: both are gone. Left: SeatKeeper.lendable_share and limits.shares, made for shares of rates, which the daemon does not spend yet; refusal codes that are documented but not given.

Ruled out: removing the codes and the region's unused fields; they are part of interfaces.

Conclusion: less to read, nothing else.

--- a/src/wagtailpoint/config/watcher.py
+++ b/src/wagtailpoint/config/watcher.py
@@ -71,11 +71,6 @@
             self._watch_from = None
             self._round.cancel()
 
-    @property
-    def newest(self) -> Snapshot | None:
-        """The newest snapshot delivered or learned; None before the first."""
-        return self._newest
-
     def learn(self, snapshot: Snapshot) -> bool:
         """Take over a snapshot that a peer had, and deliver it if it is newer than all before.
 
--- a/src/wagtailpoint/verdict.py
+++ b/src/wagtailpoint/verdict.py
@@ -2,8 +2,6 @@
 
 from enum import Enum
 
-VERDICT_HEADER = "wagtailpoint-verdict"
-
 
 class Verdict(Enum):
     """Whether a request may have run.
