--- a/src/wagtailpoint/admission/__init__.py
+++ b/src/wagtailpoint/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Admission of requests: classes, queues and refusals."""
+"""Admission of requests: classes, slots, queues, rates of workspaces, and refusals."""
--- a/src/wagtailpoint/config/__init__.py
+++ b/src/wagtailpoint/config/__init__.py
@@ -1,1 +1,1 @@
-"""The configuration: objects, checks, templates and the compiled form."""
+"""The configuration: objects, checks, templates, the compiled form, its store and its watch."""
--- a/src/wagtailpoint/config/model.py
+++ b/src/wagtailpoint/config/model.py
@@ -18,9 +18,11 @@
         failure_domains: The names of its failure domains.
         latency_ms: One-way latency to each other region, in milliseconds.
         capacity_rps: The most requests a second that the system may decide to send into this
-            region; None if not limited.
-        failure_domain_latency_ms: One-way latency between its failure domains, in milliseconds.
-        client_latency_ms: One-way latency from its clients to its instances, in milliseconds.
+            region; None if not limited. Checked and kept, but not enforced yet.
+        failure_domain_latency_ms: One-way latency between its failure domains, in milliseconds; no
+            decision uses it yet.
+        client_latency_ms: One-way latency from its clients to its instances, in milliseconds; no
+            decision uses it yet.
         seats_per_failure_domain: How many seats each of its failure domains has; every limit is
             split evenly over all seats of all regions.
     """
--- a/src/wagtailpoint/idempotency/__init__.py
+++ b/src/wagtailpoint/idempotency/__init__.py
@@ -1,1 +1,1 @@
-"""At most once: keys of non-idempotent requests and their outcomes."""
+"""At most once: keys of non-idempotent requests, their bindings, claims and outcomes."""
--- a/src/wagtailpoint/limits/__init__.py
+++ b/src/wagtailpoint/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Limits that several instances spend together: seats, shares and slot permits."""
+"""Limits that several instances spend together: leases, seats, shares, slot permits."""
--- a/src/wagtailpoint/limits/shares.py
+++ b/src/wagtailpoint/limits/shares.py
@@ -3,6 +3,8 @@
 The total is split by seats, and moved by loans that end, as permits are: the giver subtracts before
 the taker adds. Within any stretch of time all instances together spend no more than the total for
 that time and one burst, whoever is frozen, cut off or dead.
+
+The daemon does not use it yet: workspace limits are split evenly, see ``admission.rates``.
 """
 
 from collections.abc import Callable
--- a/src/wagtailpoint/observe/__init__.py
+++ b/src/wagtailpoint/observe/__init__.py
@@ -1,1 +1,1 @@
-"""What operators see: the time line of events over all processes, and its clock."""
+"""What operators see: log lines, metrics, and the time line of all processes with its clock."""
