Wait for what an entry says of a request after its reply

Ruled out: counting before the end of the reply, which would leave out its time. Change: the tests poll for the same conditions, up to the limit of the other entry tests.

--- a/tests/integration/test_entry_observed.py
+++ b/tests/integration/test_entry_observed.py
@@ -12,6 +12,15 @@
 
 
 class ObservedRequestTest(EntryTestCase):
+    """What an entry says of a request is true a moment after its reply, not before.
+
+    A request is counted when its reply has ended, and its caller may ask for the pages before that
+    is done: the tests wait for what must come.
+    """
+
+    def names(self, request_id: str) -> list[object]:
+        return [event["event"] for event in self.events(request_id)]
+
     def events(self, request_id: str) -> list[dict[str, object]]:
         events = self.entry.page("timeline")["events"]
         return [event for event in events if event.get("request_id") == request_id]
@@ -22,7 +31,8 @@
         self.addCleanup(desk.set_mode)
         answer = self.ask(BALANCE + "Wagtailpoint-Request-Id: follow-1\r\n\r\n")
         self.check_refused(answer, 502, verdict="may-have-run")
-        names = [event["event"] for event in self.events("follow-1")]
+        self.wait_until(lambda: "request-refused" in self.names("follow-1"), "the refusal")
+        names = self.names("follow-1")
         self.assertEqual(names[0], "request-retried")
         self.assertEqual(names[-2:], ["request-given-up", "request-refused"])
 
@@ -30,15 +40,20 @@
         ids = "Wagtailpoint-Request-Id: follow-2\r\nIdempotency-Key: key-2\r\n"
         answer = self.ask(RELEASE + ids + "Content-Length: 2\r\n\r\n{}")
         self.assertEqual(answer.verdict, "ran")
+        self.wait_until(lambda: len(self.events("follow-2")) > 1, "both events")
         events = {event["event"]: event["key"] for event in self.events("follow-2")}
         self.assertEqual(events, {"attempt-ended": "key-2", "request-answered": "key-2"})
 
     def test_metrics_as_text(self) -> None:
         self.check_still_serves()
+        labels = 'workspace="surakkha",class="balance",verdict="ran",code="ok"'
+        wanted = f"wagtailpoint_request_seconds_count{{{labels}}} "
+        self.wait_until(lambda: wanted in self.metrics_text(), "the count of the request")
+
+    def metrics_text(self) -> str:
         answer = self.ask("GET /v1/metrics?format=text HTTP/1.1\r\nHost: e\r\n\r\n")
         self.assertEqual(answer.headers["content-type"], "text/plain; version=0.0.4; charset=utf-8")
-        labels = 'workspace="surakkha",class="balance",verdict="ran",code="ok"'
-        self.assertIn(f"wagtailpoint_request_seconds_count{{{labels}}} ", answer.body.decode())
+        return answer.body.decode()
 
 
 class LargeBodyTest(EntryTestCase):
