Count a whole reply as answered when its caller closes at once

Cause: a caller that closes its connection with the last byte cancels the request's task; the reply was whole, but it was counted as abandoned, and the connection to the backend server was closed. Ruled out: shielding the last send, which could wait for a caller that reads no more. Change: from the last byte on, by Content-Length or the end of the body, nothing cancels the rest.

--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -153,22 +153,31 @@
             return await send_refusal(sink, read.err_value, plan)
         body, rest = read.ok_value
         status = 0
+        # A caller may close its connection as soon as it has the last byte. That cancels this task,
+        # and a whole reply was then counted as abandoned, so nothing cancels what is left to do.
+        whole_reply = trio.CancelScope()
 
         async def pass_on(response: BackendResponse) -> None:
             nonlocal status
             status = response.status
+            left = int(header(response.headers, b"content-length") or -1)
             await sink.begin(status=status, headers=response.headers, verdict=Verdict.RAN)
             async for chunk in response.body:
                 await sink.send(chunk)
+                left -= len(chunk)
+                if left == 0:
+                    whole_reply.shield = True
+            whole_reply.shield = True
 
         try:
-            outcome = await self._forwarder.forward(
-                plan,
-                request,
-                body=body if rest is None else None,
-                stream=None if rest is None else _joined(body, rest),
-                sink=pass_on,
-            )
+            with whole_reply:
+                outcome = await self._forwarder.forward(
+                    plan,
+                    request,
+                    body=body if rest is None else None,
+                    stream=None if rest is None else _joined(body, rest),
+                    sink=pass_on,
+                )
         except (BodyTooLarge, BodyTooSlow) as error:
             # A part of the body has gone to the backend server already.
             refusal = self._bad_body(error)._replace(verdict=Verdict.MAY_HAVE_RUN)
