Send silent requests beside, not instead; believe what peers that reach the store tell

Ruled out: slow watches. Change: the first send is waited for beside the second; a peer says whether it reaches the store, and is then believed.

--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -41,11 +41,23 @@
     objects: Mapping[str, StoredObject]
 
 
+class PeerState(NamedTuple):
+    """What a peer says of a kind.
+
+    Attributes:
+        reached: The peer itself reaches the store.
+        newer: Its state, if that is newer than the one asked about.
+    """
+
+    reached: bool
+    newer: KindState | None
+
+
 class PeerStates(Protocol):
     """What other instances know of a kind."""
 
-    async def newer(self, kind: str, than: int) -> KindState | None:
-        """Ask a peer for a newer state; None if it has none or does not answer."""
+    async def ask(self, kind: str, newer_than: int) -> PeerState | None:
+        """Ask a peer; None if it does not answer."""
         ...
 
 
@@ -55,6 +67,9 @@
     An object whose removal is learned during an outage of the store, or just after it, is kept for
     ``RETURN_GRACE_S``: entries lapse while nobody can renew them, although what they stand for
     lives. Acting on that at once would take every backend server out of use at the same moment.
+
+    An outage that only this instance sees lets nothing lapse: what a peer tells that reaches the
+    store is believed at once, and so is what is learned after the return.
     """
 
     def __init__(
@@ -88,6 +103,7 @@
         self._doubtful: dict[str, float] = {}
         self._lost_at: float | None = None
         self._lost = trio.Event()
+        self._store_away_since = 0.0
         self._trust_removals_at = 0.0
 
     @property
@@ -142,7 +158,8 @@
             return listing.err_value
         self._note_reached()
         found = listing.ok_value
-        self._replace(KindState(found.version, {each.name: each for each in found.objects}))
+        state = KindState(found.version, {each.name: each for each in found.objects})
+        self._replace(state, believe_removals=self._believes_removals())
         return None
 
     async def _watch(self) -> WatchTooOld | PlatformUnavailable | None:
@@ -156,9 +173,10 @@
         if self._version > asked_from:
             # A peer told something newer meanwhile; these events may be older than that.
             return None
+        believed = self._believes_removals()
         for event in batch.ok_value.events:
             if event.action == "delete":
-                self._remove(event.stored.name)
+                self._remove(event.stored.name, believed=believed)
             else:
                 self._put(event.stored)
         self._version = max(self._version, batch.ok_value.version)
@@ -166,10 +184,13 @@
             self._on_change()
         return None
 
-    def _replace(self, state: KindState) -> None:
+    def _believes_removals(self) -> bool:
+        return not self._lapses or trio.current_time() >= self._trust_removals_at
+
+    def _replace(self, state: KindState, *, believe_removals: bool) -> None:
         for name in list(self._objects):
             if name not in state.objects:
-                self._remove(name)
+                self._remove(name, believed=believe_removals)
         for stored in state.objects.values():
             self._put(stored)
         self._version = max(self._version, state.version)
@@ -179,12 +200,11 @@
         self._doubtful.pop(stored.name, None)
         self._objects[stored.name] = stored
 
-    def _remove(self, name: str) -> None:
+    def _remove(self, name: str, *, believed: bool) -> None:
         if name not in self._objects:
             return
-        now = trio.current_time()
-        if self._lapses and (self._lost_at is not None or now < self._trust_removals_at):
-            self._doubtful.setdefault(name, now)
+        if not believed:
+            self._doubtful.setdefault(name, trio.current_time())
             log_event("removal-doubted", kind=self._kind, name=name)
             return
         del self._objects[name]
@@ -208,29 +228,47 @@
     def _note_lost(self, error: Exception) -> None:
         if self._lost_at is None:
             self._lost_at = trio.current_time()
+            self._store_away_since = self._lost_at
             self._lost.set()
             log_event("store-lost", level="WARNING", kind=self._kind, error=error)
 
     def _note_reached(self) -> None:
         if self._lost_at is None:
             return
-        lost_for_s = self.lost_for_s
-        if lost_for_s > LONG_OUTAGE_S:
-            self._trust_removals_at = trio.current_time() + RETURN_GRACE_S
+        now = trio.current_time()
+        away_s = now - self._store_away_since
+        if away_s > LONG_OUTAGE_S:
+            self._trust_removals_at = now + RETURN_GRACE_S
+        log_event(
+            "store-regained",
+            kind=self._kind,
+            lost_for_s=round(self.lost_for_s, 3),
+            away_for_s=round(away_s, 3),
+        )
         self._lost_at = None
         self._lost = trio.Event()
-        log_event("store-regained", kind=self._kind, lost_for_s=round(lost_for_s, 3))
 
     async def _ask_peers(self) -> None:
         while True:
             await self._lost.wait()
-            newer = await self._peers.newer(self._kind, self._version)
-            if newer is not None and newer.version > self._version:
-                log_event(
-                    "state-from-peer",
-                    kind=self._kind,
-                    version=newer.version,
-                    before=self._version,
-                )
-                self._replace(newer)
+            asked_at = trio.current_time()
+            told = await self._peers.ask(self._kind, self._version)
+            if told is not None and self._lost_at is not None:
+                self._take_in(told, asked_at)
             await trio.sleep(PEER_INTERVAL_S * self._random.uniform(0.7, 1.3))
+
+    def _take_in(self, told: PeerState, asked_at: float) -> None:
+        if told.reached:
+            self._store_away_since = asked_at
+        newer = told.newer
+        if newer is None or newer.version <= self._version:
+            return
+        log_event(
+            "state-from-peer",
+            kind=self._kind,
+            version=newer.version,
+            before=self._version,
+            peer_reaches_store=told.reached,
+        )
+        # The peer keeps what it doubts itself, so what is missing there is gone.
+        self._replace(newer, believe_removals=True)
--- a/src/wagtailpoint/discovery/peer_states.py
+++ b/src/wagtailpoint/discovery/peer_states.py
@@ -6,7 +6,7 @@
 
 from result import Ok
 
-from wagtailpoint.discovery.follower import KindFollower, KindState
+from wagtailpoint.discovery.follower import KindFollower, KindState, PeerState
 from wagtailpoint.membership import Membership
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
 from wagtailpoint.ports.platform import StoredObject
@@ -26,10 +26,12 @@
     """The state, or version 0 if there is none that is newer.
 
     Attributes:
+        reached: Whether the answering instance reaches the store.
         version: The store's version.
         objects: Name, version and value of each object.
     """
 
+    reached: bool
     version: int
     objects: Sequence[tuple[str, int, Any]]
 
@@ -37,8 +39,6 @@
 register_message("state-question", StateQuestion)
 register_message("state-answer", StateAnswer)
 
-NOTHING_NEWER = StateAnswer(0, ())
-
 
 class PeerStateExchange:
     """Asks peers, and answers them; implements ``discovery.follower.PeerStates``."""
@@ -70,24 +70,24 @@
         """Answer questions from these followers, by kind."""
         self._followers = followers
 
-    async def newer(self, kind: str, than: int) -> KindState | None:
-        """Ask a peer for a newer state; None if it has none or does not answer."""
+    async def ask(self, kind: str, newer_than: int) -> PeerState | None:
+        """Ask a peer; None if it does not answer."""
         to = self._someone()
         if to is None:
             return None
         answered = await self._peers.request(
-            to, StateQuestion(kind, than), timeout_s=REPLY_TIMEOUT_S
+            to, StateQuestion(kind, newer_than), timeout_s=REPLY_TIMEOUT_S
         )
         if not isinstance(answered, Ok) or not isinstance(answered.ok_value, StateAnswer):
             return None
         answer = answered.ok_value
-        if answer.version <= than:
-            return None
+        if answer.version <= newer_than:
+            return PeerState(answer.reached, None)
         objects = {
             name: StoredObject(kind, name, version, value)
             for name, version, value in answer.objects
         }
-        return KindState(answer.version, objects)
+        return PeerState(answer.reached, KindState(answer.version, objects))
 
     def _someone(self) -> PeerAddress | None:
         own = self._peers.address
@@ -102,10 +102,11 @@
     def _answer(self, received: Received) -> StateAnswer:
         question: StateQuestion = received.message
         follower = self._followers.get(question.kind)
-        if follower is None or follower.state.version <= question.newer_than:
-            return NOTHING_NEWER
+        if follower is None:
+            return StateAnswer(False, 0, ())
+        reached = follower.lost_for_s == 0.0
         state = follower.state
-        return StateAnswer(
-            state.version,
-            [(each.name, each.version, each.value) for each in state.objects.values()],
-        )
+        if state.version <= question.newer_than:
+            return StateAnswer(reached, 0, ())
+        objects = [(each.name, each.version, each.value) for each in state.objects.values()]
+        return StateAnswer(reached, state.version, objects)
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -39,9 +39,10 @@
 LEAST_EXCHANGE_S = 0.01
 """With less time left nothing is sent: it would only be cut off with an unknown outcome."""
 
-SILENT_PART = 0.5
-"""An idempotent request waits so much of its remaining time for a backend server that has not
-answered anything since it was sent; then another one gets it while there is time."""
+SILENT_PART = 0.4
+"""After so much of its remaining time an idempotent request is sent to another backend server too,
+if the first has answered nothing at all since: it may be dead. The first is still waited for, as
+its silence proves nothing."""
 
 LEAST_SILENT_S = 0.15
 
@@ -68,27 +69,38 @@
     verdict: Verdict
 
 
-class _Attempt(NamedTuple):
-    """One send to a backend server that gave no final answer."""
+class _Failure(NamedTuple):
+    """A send to a backend server that gave no answer to pass on."""
 
-    choice: Choice
+    server_id: str
     verdict: Verdict
     reason: str
 
 
 class _Job:
-    """A request on its way, with what was tried."""
+    """A request on its way, with what was tried.
+
+    Attributes:
+        tried: Backend servers that it was given to, by id.
+        sends: Of these, how many may have seen it.
+        failures: The sends that gave no answer to pass on.
+        failed_reply: The last failure of a backend server's own, should there be nothing better.
+        last: The last choice, for the log.
+    """
 
     def __init__(
-        self, *, request: IncomingRequest, route: HostRoute, service: str, deadline: float
+        self, *, request: IncomingRequest, table: RouteTable, route: HostRoute, service: str
     ) -> None:
         self.request = request
+        self.table = table
         self.route = route
         self.service = service
-        self.deadline = deadline
+        self.deadline = 0.0
         self.body = ReadBody(b"", None)
-        self.attempts: list[_Attempt] = []
-        self.failure: BackendReply | None = None
+        self.tried: list[str] = []
+        self.sends = 0
+        self.failures: list[_Failure] = []
+        self.failed_reply: BackendReply | None = None
         self.last: Choice | None = None
 
     @property
@@ -98,15 +110,35 @@
 
     @property
     def verdict(self) -> Verdict:
-        """Whether any of the attempts may have run."""
-        if all(each.verdict is Verdict.NOT_RUN for each in self.attempts):
+        """Whether any of the sends may have run."""
+        if all(each.verdict is Verdict.NOT_RUN for each in self.failures):
             return Verdict.NOT_RUN
         return Verdict.MAY_HAVE_RUN
 
-    @property
-    def sent(self) -> int:
-        """Attempts that may have reached a backend server."""
-        return sum(each.reason not in _UNREACHED for each in self.attempts)
+    def fail(self, server_id: str, verdict: Verdict, reason: str) -> None:
+        """A send is over without an answer to pass on."""
+        self.failures.append(_Failure(server_id, verdict, reason))
+
+
+class _Race:
+    """The sends of one request that are under way; the first usable answer is passed on."""
+
+    def __init__(self) -> None:
+        self.outcome: Outcome | None = None
+        self.error: Exception | None = None
+        self.claimed_by: str | None = None
+        self.scopes: dict[str, trio.CancelScope] = {}
+        self.settled = trio.Event()
+
+    def claim(self, server_id: str) -> bool:
+        """Whether this answer is the first; then the other sends end."""
+        if self.claimed_by is not None:
+            return False
+        self.claimed_by = server_id
+        for other, scope in self.scopes.items():
+            if other != server_id:
+                scope.cancel()
+        return True
 
 
 _UNREACHED = frozenset(
@@ -200,69 +232,133 @@
         if length is not None and length > table.bounds.body_bytes:
             await caller.reply(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, (), b"body too long\n")
             return
-        job = _Job(
-            request=request,
-            route=route,
-            service=self._split.choose(route),
-            deadline=request.arrived + self._timeout_s(request, route),
-        )
+        service = self._split.choose(route)
+        job = _Job(request=request, table=table, route=route, service=service)
+        job.deadline = request.arrived + self._timeout_s(request, route)
         try:
-            outcome = await self._serve(job, table, caller)
+            outcome = await self._serve(job, caller)
         except trio.Cancelled:
             self._metrics.count("request.abandoned")
             self._log(request, job, Outcome(0, "caller-gone", job.verdict))
             raise
         self._log(request, job, outcome)
 
-    async def _serve(self, job: _Job, table: RouteTable, caller: CallerConnection) -> Outcome:
+    async def _serve(self, job: _Job, caller: CallerConnection) -> Outcome:
         self._budget.note_request(job.service)
-        if job.request.method not in ("GET", "HEAD") or _has_body(job.request.headers):
+        if _has_body(job.request.headers):
             job.body = await caller.read_body(READ_AHEAD_BYTES)
         while True:
-            chosen = self._choose(job, table)
+            chosen = self._choose(job)
             if isinstance(chosen, NoRoom):
                 return await self._give_up(job, caller, chosen.reason)
             if job.left_s < LEAST_EXCHANGE_S:
                 return await self._give_up(job, caller, "deadline")
-            outcome = await self._attempt(job, table, chosen, caller)
+            outcome = await self._send(job, chosen, caller)
             if outcome is not None:
                 return outcome
             if not self._may_go_on(job):
                 return await self._give_up(job, caller, "failed")
 
-    def _choose(self, job: _Job, table: RouteTable) -> Choice | NoRoom:
-        chosen = self._placement.choose(self._demand(job, table))
+    def _choose(self, job: _Job) -> Choice | NoRoom:
+        chosen = self._placement.choose(self._demand(job))
         if isinstance(chosen, Choice):
             job.last = chosen
         return chosen
 
-    def _demand(self, job: _Job, table: RouteTable) -> Demand:
+    def _demand(self, job: _Job) -> Demand:
         key = first(job.request.headers, self._names.affinity) if job.route.sticky else None
         return Demand(
             route=job.route,
             service=job.service,
-            policy=table.services.get(job.service),
+            policy=job.table.services.get(job.service),
             key=f"{job.route.prefix}{_text(key)}" if key else job.request.target,
-            tried=[each.choice.entry.server_id for each in job.attempts],
+            tried=job.tried,
             left_s=job.left_s,
         )
 
     def _may_go_on(self, job: _Job) -> bool:
-        """Whether another backend server may be tried after the last attempt."""
+        """Whether another backend server may be tried after the last send."""
         if job.left_s < LEAST_EXCHANGE_S or job.body.rest is not None:
             return False
         if job.verdict is not Verdict.NOT_RUN and not job.route.idempotent:
             return False
-        if job.sent == 0:
-            return len(job.attempts) < MOST_UNREACHED
-        return job.sent < job.route.most_attempts and self._budget.take(job.service)
+        if job.sends == 0:
+            return len(job.tried) < MOST_UNREACHED
+        return job.sends < job.route.most_attempts and self._budget.take(job.service)
+
+    def _may_repeat(self, job: _Job) -> bool:
+        """Whether another backend server could be tried beside or after those under way."""
+        return (
+            job.route.idempotent
+            and job.sends < job.route.most_attempts
+            and job.body.rest is None
+            and self._budget.left(job.service) >= 1.0
+        )
+
+    async def _send(self, job: _Job, choice: Choice, caller: CallerConnection) -> Outcome | None:
+        """Send it, and once more beside if the backend server is silent; None if all failed."""
+        race = _Race()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._contend, race, job, choice, caller)
+            sent_at = trio.current_time()
+            if job.route.idempotent:
+                with trio.move_on_after(self._patience_s(job)):
+                    await race.settled.wait()
+                second = self._second(race, job, choice, sent_at)
+                if second is not None:
+                    nursery.start_soon(self._contend, race, job, second, caller)
+        if race.error is not None:
+            raise race.error
+        return race.outcome
+
+    def _second(self, race: _Race, job: _Job, choice: Choice, sent_at: float) -> Choice | None:
+        """Another backend server, if the first is silent and there is budget and room."""
+        silent = self._placement.load_of(choice.entry.server_id).heard_at < sent_at
+        if race.settled.is_set() or race.claimed_by or not silent or not self._may_repeat(job):
+            return None
+        second = self._choose(job)
+        if isinstance(second, NoRoom):
+            return None
+        self._budget.take(job.service)
+        log_event(
+            "sent-beside",
+            id=_text(first(job.request.headers, self._names.request_id)),
+            silent=choice.entry.server_id,
+            beside=second.entry.server_id,
+            after_ms=round(1000 * (trio.current_time() - sent_at)),
+        )
+        return second
+
+    async def _contend(
+        self, race: _Race, job: _Job, choice: Choice, caller: CallerConnection
+    ) -> None:
+        server_id = choice.entry.server_id
+        try:
+            with trio.CancelScope() as scope:
+                race.scopes[server_id] = scope
+                outcome = await self._attempt(race, job, choice, caller)
+                if outcome is not None:
+                    race.outcome = outcome
+        except Exception as error:  # noqa: BLE001 - a nursery would wrap it; raised by its owner
+            race.error = error
+            for each in race.scopes.values():
+                each.cancel()
+        del race.scopes[server_id]
+        if not race.scopes:
+            race.settled.set()
+
+    def _patience_s(self, job: _Job) -> float:
+        """How long to wait for a backend server that may be dead."""
+        return max(LEAST_SILENT_S, SILENT_PART * job.left_s, job.route.objective_s)
 
     async def _attempt(
-        self, job: _Job, table: RouteTable, choice: Choice, caller: CallerConnection
+        self, race: _Race, job: _Job, choice: Choice, caller: CallerConnection
     ) -> Outcome | None:
-        """Send it once; None if there is no answer that could be passed on."""
+        """Send it once and pass the answer on; None if there is none to pass on."""
         entry = choice.entry
-        demand = self._demand(job, table)
+        demand = self._demand(job)
+        job.tried.append(entry.server_id)
+        job.sends += 1
         self._placement.began(demand, entry)
         connection: BackendConnection | None = None
         began = trio.current_time()
@@ -272,63 +368,58 @@
                 raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_FAILED, "leaving")
             reply = await self._exchange(job, choice, connection)
             self._note(demand, choice, reply, trio.current_time() - began)
-            if reply.not_run:
-                moved = reply.status == HTTPStatus.MISDIRECTED_REQUEST
-                reason = "misdirected" if moved else "shed"
-                job.attempts.append(_Attempt(choice, Verdict.NOT_RUN, reason))
-                return None
-            if reply.status >= 500 and job.route.idempotent and self._may_repeat(job):
-                job.attempts.append(_Attempt(choice, Verdict.RAN, f"status-{reply.status}"))
-                job.failure = reply if reply.rest is None else None
+            if not self._is_final(job, entry.server_id, reply) or not race.claim(entry.server_id):
                 return None
-            return await self._pass_on(job, reply, caller)
+            return await self._pass_on(reply, caller)
         except ExchangeFailed as error:
-            rest_s = self._note_failed(choice, error)
-            job.attempts.append(_Attempt(choice, error.verdict, error.reason))
-            log_event(
-                "attempt-failed",
-                id=_text(first(job.request.headers, self._names.request_id)),
-                server=entry.server_id,
-                reason=error,
-                verdict=error.verdict.value,
-                rests_s=rest_s,
-            )
+            self._note_failed(job, choice, error)
             return None
         finally:
             self._placement.ended(entry)
             if connection is not None:
                 await self._pool.release(entry.server_id, connection)
 
-    def _note_failed(self, choice: Choice, error: ExchangeFailed) -> float:
-        """Take note of a failed exchange; return for how long the backend server rests."""
-        if error.reason in _UNREACHED or error.silent:
-            return self._placement.note_unreachable(choice.entry)
-        self._placement.note_broken(choice.entry)
-        return 0.0
-
-    def _may_repeat(self, job: _Job) -> bool:
-        return (
-            job.sent + 1 < job.route.most_attempts
-            and job.body.rest is None
-            and self._budget.left(job.service) >= 1.0
-        )
+    def _is_final(self, job: _Job, server_id: str, reply: BackendReply) -> bool:
+        """Whether an answer is passed on, and not replaced by another backend server's."""
+        if reply.not_run:
+            moved = reply.status == HTTPStatus.MISDIRECTED_REQUEST
+            job.fail(server_id, Verdict.NOT_RUN, "misdirected" if moved else "shed")
+            return False
+        failed = reply.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if failed and reply.rest is None and self._may_repeat(job):
+            job.fail(server_id, Verdict.RAN, f"status-{reply.status}")
+            job.failed_reply = reply
+            return False
+        return True
 
     async def _exchange(
         self, job: _Job, choice: Choice, connection: BackendConnection
     ) -> BackendReply:
-        patience_s = self._patience_s(job)
         sent_at = trio.current_time()
         with trio.move_on_at(job.deadline):
-            with trio.move_on_after(patience_s):
-                return await connection.exchange(self._outgoing(job, choice.entry.server_id))
+            return await connection.exchange(self._outgoing(job, choice.entry.server_id))
         silent = self._placement.load_of(choice.entry.server_id).heard_at < sent_at
         raise ExchangeFailed(Verdict.MAY_HAVE_RUN, FailureReason.TIMEOUT, silent=silent)
 
-    def _patience_s(self, job: _Job) -> float:
-        """How long to wait for a backend server that may be dead."""
-        if not job.route.idempotent or not self._may_repeat(job):
-            return job.left_s
-        return max(LEAST_SILENT_S, SILENT_PART * job.left_s, 1.2 * job.route.objective_s)
+    def _note_failed(self, job: _Job, choice: Choice, error: ExchangeFailed) -> None:
+        entry = choice.entry
+        rest_s = 0.0
+        if error.reason in _UNREACHED:
+            job.sends -= 1
+        if error.reason in _UNREACHED or error.silent:
+            rest_s = self._placement.note_unreachable(entry)
+        elif error.reason is not FailureReason.TIMEOUT:
+            self._placement.note_broken(entry)
+        job.fail(entry.server_id, error.verdict, error.reason)
+        log_event(
+            "attempt-failed",
+            id=_text(first(job.request.headers, self._names.request_id)),
+            server=entry.server_id,
+            reason=error,
+            verdict=error.verdict.value,
+            silent=error.silent,
+            rests_s=rest_s,
+        )
 
     def _outgoing(self, job: _Job, server_id: str) -> OutgoingRequest:
         names = self._names
@@ -362,7 +453,7 @@
             ),
         )
 
-    async def _pass_on(self, job: _Job, reply: BackendReply, caller: CallerConnection) -> Outcome:
+    async def _pass_on(self, reply: BackendReply, caller: CallerConnection) -> Outcome:
         if reply.rest is None:
             await caller.reply(reply.status, reply.headers, reply.body)
         else:
@@ -384,9 +475,11 @@
 
     async def _give_up(self, job: _Job, caller: CallerConnection, reason: str) -> Outcome:
         """The final answer, at once, of a request that got none from a backend server."""
-        if job.failure is not None:
-            await caller.reply(job.failure.status, job.failure.headers, job.failure.body)
-            return Outcome(job.failure.status, "answered", Verdict.RAN)
+        if job.failed_reply is not None:
+            await caller.reply(
+                job.failed_reply.status, job.failed_reply.headers, job.failed_reply.body
+            )
+            return Outcome(job.failed_reply.status, "answered", Verdict.RAN)
         if job.verdict is Verdict.NOT_RUN:
             return await self._refuse(caller, reason, self._come_back_s(job))
         late = job.left_s < LEAST_EXCHANGE_S
@@ -429,7 +522,7 @@
             verdict=outcome.verdict.value,
             ms=round(1000 * elapsed_s, 1),
             tried=(
-                ",".join(f"{each.choice.entry.server_id}:{each.reason}" for each in job.attempts)
+                ",".join(f"{each.server_id}:{each.reason}" for each in job.failures)
                 if job is not None
                 else ""
             ),
