--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -24,6 +24,7 @@
 from wagtailpoint.observe.hlc import HybridClock
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
+from wagtailpoint.placement.cached_part import CachedPart
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.placement import Placement
@@ -190,6 +191,9 @@
                 bound=ColdBound(settings.bounds.cold_overage, settings.bounds.cold_slack),
                 instances=self._instances,
             ),
+            cached_part=CachedPart(fleet=self._fleet, instances_here=self._instances_here),
+            instances=self._instances,
+            instances_here=self._instances_here,
         )
 
     def _make_dispatcher(self) -> Dispatcher:
@@ -235,6 +239,17 @@
         alive = sum(member.state != "dead" for member in self._membership.members())
         return max(alive, self._registration.count)
 
+    def _instances_here(self) -> int:
+        """How many instances share the callers of this failure domain."""
+        here = self._settings.failure_domain
+        return max(
+            1,
+            sum(
+                member.state == "live" and member.failure_domain == here
+                for member in self._membership.members()
+            ),
+        )
+
     def _is_alone(self) -> bool:
         return sum(member.state != "dead" for member in self._membership.members()) <= 1
 
--- /dev/null
+++ b/src/wagtailpoint/placement/cached_part.py
@@ -0,0 +1,96 @@
+"""Which part of the affinity keys a failure domain holds: as many as its slots can serve."""
+
+import math
+from collections.abc import Callable
+from typing import Final
+
+import trio
+
+from wagtailpoint.discovery.fleet import Fleet
+
+TARGET_UTILISATION: Final = 0.6
+"""Of the slots of a failure domain, by the requests for the keys that it holds. Above it requests
+wait for each other; what is free serves what spills over from elsewhere."""
+
+RATE_HALF_LIFE_S: Final = 4.0
+"""The demand is averaged over a few seconds: keys that change hands with each fluctuation would
+find no cache warm."""
+
+UPDATE_INTERVAL_S: Final = 0.5
+MOST_STEP: Final = 0.02
+"""The part changes by so much in an interval at most: where requests run must not shift suddenly,
+and each key that moves meets a cold cache."""
+
+
+class _ServiceDemand:
+    """The demand of this instance's callers for one service."""
+
+    def __init__(self, now: float) -> None:
+        self.slots = 0.0
+        self.at = now
+        self.parts: dict[str, float] = {}
+        self.updated_at = -math.inf
+
+    def fade(self, now: float) -> None:
+        self.slots *= math.exp(-math.log(2) * (now - self.at) / RATE_HALF_LIFE_S)
+        self.at = now
+
+
+class CachedPart:
+    """For each service and failure domain, the part of the keys that shall be cached there.
+
+    A failure domain with few backend servers can't serve all the keys of its callers. Were they
+    chosen by load alone, every key would be served there now and then, and none would be found in
+    a cache: all would take three times as long. So a fixed part of the keys is served there, and
+    the others elsewhere, where their caches are warm.
+
+    Every failure domain is assumed to have the same demand as this instance's own.
+    """
+
+    def __init__(self, *, fleet: Fleet, instances_here: Callable[[], int]) -> None:
+        """Make it.
+
+        Args:
+            fleet: The backend servers.
+            instances_here: How many instances share the callers of this failure domain.
+        """
+        self._fleet = fleet
+        self._instances_here = instances_here
+        self._demands: dict[str, _ServiceDemand] = {}
+
+    def note_request(self, service: str, service_s: float) -> None:
+        """A request came that will hold a slot for so many seconds if its object is cached."""
+        now = trio.current_time()
+        demand = self._demand(service, now)
+        demand.fade(now)
+        # The integral of the decay: a steady rate of slots settles at just that value.
+        demand.slots += service_s * math.log(2) / RATE_HALF_LIFE_S
+
+    def of(self, service: str, failure_domain: str) -> float:
+        """The part of the keys, 0 to 1, that a failure domain holds."""
+        now = trio.current_time()
+        demand = self._demand(service, now)
+        if now - demand.updated_at >= UPDATE_INTERVAL_S:
+            self._update(service, demand, now)
+        return demand.parts.get(failure_domain, 1.0)
+
+    def _demand(self, service: str, now: float) -> _ServiceDemand:
+        demand = self._demands.get(service)
+        if demand is None:
+            demand = self._demands[service] = _ServiceDemand(now)
+        return demand
+
+    def _update(self, service: str, demand: _ServiceDemand, now: float) -> None:
+        demand.fade(now)
+        wanted_slots = demand.slots * self._instances_here()
+        slots: dict[str, int] = {}
+        for candidate in self._fleet.candidates(service):
+            domain = candidate.entry.failure_domain
+            slots[domain] = slots.get(domain, 0) + candidate.entry.slots
+        first = demand.updated_at == -math.inf
+        for domain, available in slots.items():
+            part = min(1.0, TARGET_UTILISATION * available / max(0.01, wanted_slots))
+            before = demand.parts.get(domain, part)
+            step = 1.0 if first else MOST_STEP
+            demand.parts[domain] = before + max(-step, min(step, part - before))
+        demand.updated_at = now
--- a/src/wagtailpoint/placement/distances.py
+++ b/src/wagtailpoint/placement/distances.py
@@ -20,6 +20,16 @@
         self._region_of = region_of
         self._measured: dict[str, float] = {}
 
+    @property
+    def failure_domain(self) -> str:
+        """This instance's own failure domain."""
+        return self._failure_domain
+
+    @property
+    def region(self) -> str:
+        """This instance's own region."""
+        return self._region
+
     def round_trip_s(self, failure_domain: str) -> float:
         """The round trip to a failure domain, in seconds."""
         measured = self._measured.get(failure_domain)
--- /dev/null
+++ b/src/wagtailpoint/placement/expectation.py
@@ -0,0 +1,127 @@
+"""What a request may expect at a backend server, and what is lost by that, as a part of its value.
+
+One scale for everything that speaks for or against a backend server: the value of an answer in
+time is 1, so a chance of 10 % to be late costs 0.1 times what lateness costs, and bytes that cross
+between failure domains cost their price.
+"""
+
+import math
+from typing import Final, NamedTuple
+
+LATE_LOSS: Final = 0.8
+"""A late answer is worth a fifth of one in time."""
+
+UNCACHED_FACTOR: Final = 3.3
+"""An object that is not cached takes so many times as long: 240 ms against 72 ms, measured."""
+
+COLD_FACTOR: Final = 2.0
+"""A backend server that has just started takes so many times as long."""
+
+SERVICE_SPREAD: Final = 0.2
+"""Service times vary by 15 %, and the way there and back by a few milliseconds."""
+
+LEAST_SPREAD_S: Final = 0.008
+
+CROWDING_LOSS: Final = 0.15
+"""What a request costs the others at a backend server whose slots are all in use."""
+
+TIME_LOSS: Final = 0.03
+"""Per latency objective: of two that are both in time the faster is preferred."""
+
+DOMAIN_LOSS_PER_KB: Final = 0.02
+REGION_LOSS_PER_KB: Final = 0.01
+"""The prices of bytes between failure domains of a region and between regions: 4,500 to 40,000 and
+9,600 to 11,000 a gigabyte, of answers worth 1 each."""
+
+
+class Prospect(NamedTuple):
+    """What is known of a request at a backend server.
+
+    Attributes:
+        service_s: Its service time with a cached object.
+        cached: The chance that its object is cached.
+        uses: How often the object will be used there if it gets cached now.
+        round_trip_s: The way there and back.
+        occupancy: The requests there.
+        slots: The slots there.
+        error_share: The part of answers that are failures.
+        reply_bytes: The size of the answer.
+        crosses_domain: It goes to another failure domain of the same region.
+        crosses_region: It goes to another region.
+    """
+
+    service_s: float
+    cached: float
+    uses: float
+    round_trip_s: float
+    occupancy: float
+    slots: int
+    error_share: float
+    reply_bytes: float
+    crosses_domain: bool
+    crosses_region: bool
+
+
+class Expectation(NamedTuple):
+    """What to expect.
+
+    Attributes:
+        latency_s: The mean time until the answer.
+        service_s: The part of it that the backend server works.
+        loss: What is lost of the answer's value.
+    """
+
+    latency_s: float
+    service_s: float
+    loss: float
+
+
+def expect(prospect: Prospect, *, objective_s: float) -> Expectation:
+    """What to expect of a request whose answer is due in ``objective_s`` seconds.
+
+    What an object that is not cached costs is spread over its uses: the first of them pays for
+    all. Without that, no object would ever be cached anywhere but where it is.
+    """
+    warm_s, cold_s = prospect.service_s, prospect.service_s * UNCACHED_FACTOR
+    service_s = prospect.cached * warm_s + (1 - prospect.cached) * cold_s
+    wait_s = _wait_s(prospect.occupancy, prospect.slots, service_s)
+    warm_loss = _loss(prospect, warm_s, wait_s, objective_s)
+    cold_loss = _loss(prospect, cold_s, wait_s, objective_s)
+    loss = warm_loss + (1 - prospect.cached) * (cold_loss - warm_loss) / prospect.uses
+    return Expectation(
+        prospect.round_trip_s + wait_s + service_s, service_s, loss + _bytes_loss(prospect)
+    )
+
+
+def _loss(prospect: Prospect, service_s: float, wait_s: float, objective_s: float) -> float:
+    """The loss if the backend server works for so long, without that of the bytes."""
+    ahead_s = prospect.round_trip_s + wait_s
+    # The occupancy is an estimate, so what waits is as uncertain as it is long.
+    late = _late(ahead_s, service_s, 0.6 * wait_s + LEAST_SPREAD_S, objective_s)
+    crowding = CROWDING_LOSS * (prospect.occupancy / prospect.slots) ** 2
+    return (
+        LATE_LOSS * max(late, prospect.error_share)
+        + crowding * service_s / objective_s
+        + TIME_LOSS * (ahead_s + service_s) / objective_s
+    )
+
+
+def _late(ahead_s: float, service_s: float, spread_s: float, objective_s: float) -> float:
+    """The chance of an answer after the objective; a logistic curve is close to the normal one."""
+    spread_s += SERVICE_SPREAD * service_s
+    steps = 1.7 * (ahead_s + service_s - objective_s) / spread_s
+    return 1 / (1 + math.exp(-max(-30.0, min(30.0, steps))))
+
+
+def _wait_s(occupancy: float, slots: int, service_s: float) -> float:
+    """The expected wait for a slot, in seconds: rising before the slots are all in use."""
+    if occupancy < slots:
+        return 0.3 * service_s * (occupancy / slots) ** 2
+    return service_s * (0.3 + (occupancy - slots + 1) / slots)
+
+
+def _bytes_loss(prospect: Prospect) -> float:
+    kilobytes = prospect.reply_bytes / 1024
+    if prospect.crosses_region:
+        return REGION_LOSS_PER_KB * kilobytes
+    return DOMAIN_LOSS_PER_KB * kilobytes if prospect.crosses_domain else 0.0
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -1,35 +1,34 @@
-"""The choice of a backend server by expected time: affinity, load, distance, evidence."""
+"""The choice of a backend server: affinity, load, distance and evidence, weighed as one loss."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 from typing import Final, NamedTuple
 
 import trio
 
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.discovery.fleet import Candidate, Fleet
+from wagtailpoint.placement.cached_part import CachedPart
 from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
-from wagtailpoint.placement.ranking import Ranking
+from wagtailpoint.placement.expectation import (
+    COLD_FACTOR,
+    Expectation,
+    Prospect,
+    expect,
+)
+from wagtailpoint.placement.key_reuse import KeyReuse
+from wagtailpoint.placement.ranking import Ranked, Ranking
 from wagtailpoint.placement.route_costs import RouteCost
 from wagtailpoint.placement.server_load import LoadReport, ServerLoad
+from wagtailpoint.placement.warm_keys import WarmKeys
 from wagtailpoint.routing.table import HostRoute, ServicePolicy
 
-CANDIDATES_PER_REGION: Final = 3
-"""More would spread a key over more caches and need more connections."""
-
-UNCACHED_PART: Final = (0.0, 1.0, 2.0)
-"""By rank within the region: how much of a service time more a request is expected to take because
-the backend server has not handled the key lately. A cached object takes 0.3 of the time."""
-
-COLD_SERVER_PART: Final = 1.0
-"""A cold backend server takes twice as long."""
-
-ERROR_COST_S: Final = 0.3
-"""A failed answer costs a repetition, and often the answer's value."""
-
-REGION_S_PER_KB: Final = 0.001
-DOMAIN_S_PER_KB: Final = 0.0005
-"""Bytes between regions and failure domains have a price; as time, so that it can be weighed."""
+KNOWN_CACHED: Final = 0.95
+FIRST_CACHED: Final = 0.7
+LOCAL_CACHED: Final = 0.3
+OTHER_CACHED: Final = 0.05
+"""The chance that an object is cached: where this instance had it answered lately, where all
+instances send it first, where the others of this failure domain may have, and elsewhere."""
 
 URGENT_QUEUE: Final = 3.0
 OTHER_QUEUE: Final = 1.5
@@ -49,6 +48,7 @@
         key: Its affinity key; empty if it has none.
         tried: Backend servers that it was sent to before.
         left_s: Seconds left until its deadline.
+        objective_left_s: Seconds left in which an answer has its full value.
     """
 
     route: HostRoute
@@ -57,6 +57,7 @@
     key: str
     tried: Collection[str]
     left_s: float
+    objective_left_s: float
 
 
 class Choice(NamedTuple):
@@ -64,15 +65,17 @@
 
     Attributes:
         entry: The backend server.
-        rank: Its rank for the key within its region.
-        expected_s: The expected time until the answer, in seconds.
+        rank: Its rank for the key among all.
+        cached: The chance that the object is cached there.
+        expected: What to expect there.
         occupancy: The requests believed to be there.
         report_age_s: How old the newest report of its load is, in seconds.
     """
 
     entry: ServerEntry
     rank: int
-    expected_s: float
+    cached: float
+    expected: Expectation
     occupancy: float
     report_age_s: float
 
@@ -118,7 +121,9 @@
         fleet: Fleet,
         distances: Distances,
         cold: ColdPacing,
-        ranking: Ranking | None = None,
+        cached_part: CachedPart,
+        instances: Callable[[], int],
+        instances_here: Callable[[], int],
     ) -> None:
         """Make it.
 
@@ -126,15 +131,36 @@
             fleet: The backend servers.
             distances: How far they are.
             cold: Paces those that are cold.
-            ranking: The order for a key.
+            cached_part: Which keys each failure domain holds.
+            instances: How many instances there are.
+            instances_here: How many of them share the callers of this failure domain.
         """
         self._fleet = fleet
         self._distances = distances
         self._cold = cold
-        self._ranking = ranking or Ranking(fleet=fleet, most_per_region=CANDIDATES_PER_REGION)
+        self._cached_part = cached_part
+        self._instances = instances
+        self._instances_here = instances_here
+        self._ranking = Ranking(
+            fleet=fleet, own_domain=distances.failure_domain, own_region=distances.region
+        )
+        self._warm: dict[str, WarmKeys] = {}
+        self._reuse: dict[str, KeyReuse] = {}
         self._loads: dict[str, ServerLoad] = {}
         self._costs: dict[tuple[str, str], RouteCost] = {}
 
+    def _warm_of(self, server_id: str) -> WarmKeys:
+        warm = self._warm.get(server_id)
+        if warm is None:
+            warm = self._warm[server_id] = WarmKeys()
+        return warm
+
+    def _reuse_of(self, route: HostRoute) -> KeyReuse:
+        reuse = self._reuse.get(route.name)
+        if reuse is None:
+            reuse = self._reuse[route.name] = KeyReuse()
+        return reuse
+
     def load_of(self, server_id: str) -> ServerLoad:
         """What is believed of a backend server."""
         load = self._loads.get(server_id)
@@ -149,27 +175,37 @@
             cost = self._costs[route.name, service] = RouteCost()
         return cost
 
+    def note_request(self, demand: Demand) -> None:
+        """A request of a caller came."""
+        cost = self.cost_of(demand.route, demand.service)
+        self._cached_part.note_request(demand.service, cost.service_s)
+        self._reuse_of(demand.route).note(demand.key, trio.current_time())
+
     def choose(self, demand: Demand) -> Choice | NoRoom:
         """Choose where a request goes."""
         now = trio.current_time()
-        found = self._allowed(demand)
+        order = self._ranking.of(demand.service, demand.key, demand.route.homes)
+        found = [
+            each for each in order.ranked if each.candidate.entry.server_id not in demand.tried
+        ]
         if not found:
             return NoRoom("no backend server", full=False)
         reachable = [
-            (candidate, rank)
-            for candidate, rank in found
-            if not self.load_of(candidate.entry.server_id).is_suspect(now)
+            each
+            for each in found
+            if not self.load_of(each.candidate.entry.server_id).is_suspect(now)
         ]
-        # When all are suspect the suspicion is of no use: the fault may be on our side.
         best: Choice | None = None
-        best_cost = float("inf")
-        for candidate, rank in reachable or found:
-            choice, cost = self._weigh(demand, candidate, rank, now)
-            if choice is not None and cost < best_cost:
-                best, best_cost = choice, cost
+        # When all are suspect the suspicion is of no use: the fault may be on our side.
+        for each in reachable or found:
+            choice = self._weigh(demand, each, order.position, now)
+            if choice is None:
+                continue
+            if best is None or choice.expected.loss < best.expected.loss:
+                best = choice
         if best is None:
             return NoRoom("no room", full=True)
-        if best.expected_s > demand.left_s:
+        if best.expected.latency_s > demand.left_s:
             return NoRoom("too late", full=True)
         return best
 
@@ -196,11 +232,13 @@
         self._fleet.note_cold(entry.server_id, seen.cold_s)
         if seen.failed or seen.shed:
             return
-        cost = self.cost_of(demand.route, demand.service)
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
         service_s = max(0.001, seen.latency_s - round_trip_s)
-        load.note_latency(service_s / max(0.001, choice.expected_s - round_trip_s))
-        if choice.rank == 0 and choice.occupancy < entry.slots:
+        expected_s = max(0.001, choice.expected.latency_s - round_trip_s)
+        load.note_latency(service_s / expected_s, now)
+        self._warm_of(entry.server_id).note(demand.key, now)
+        if choice.cached >= KNOWN_CACHED and choice.occupancy < entry.slots - 1:
+            cost = self.cost_of(demand.route, demand.service)
             cost.note(service_s, seen.reply_bytes)
 
     def note_unreachable(self, entry: ServerEntry) -> float:
@@ -216,52 +254,73 @@
         load = self._loads.get(server_id)
         if load is not None and load.in_flight == 0:
             del self._loads[server_id]
+        self._warm.pop(server_id, None)
         self._cold.forget(server_id)
 
-    def _allowed(self, demand: Demand) -> list[tuple[Candidate, int]]:
-        homes = demand.route.homes
-        return [
-            (candidate, rank)
-            for candidate, rank in self._ranking.of(demand.service, demand.key)
-            if candidate.entry.server_id not in demand.tried
-            and (not homes or candidate.region in homes)
-        ]
-
-    def _weigh(
-        self, demand: Demand, candidate: Candidate, rank: int, now: float
-    ) -> tuple[Choice | None, float]:
-        """The choice of a candidate with its cost in seconds; None if it has no room."""
-        entry = candidate.entry
+    def _weigh(self, demand: Demand, ranked: Ranked, position: float, now: float) -> Choice | None:
+        """The choice of a candidate; None if it has no room."""
+        entry = ranked.candidate.entry
         load = self.load_of(entry.server_id)
         occupancy = load.occupancy(now)
         urgent = demand.route.priority <= MOST_URGENT_PRIORITY
         if occupancy >= entry.slots + (URGENT_QUEUE if urgent else OTHER_QUEUE):
-            return None, 0.0
-        cost = self.cost_of(demand.route, demand.service)
-        service_s = cost.service_s * max(1.0, load.slowness)
-        expected_s = self._distances.round_trip_s(entry.failure_domain) + service_s
-        if demand.route.sticky and demand.key:
-            expected_s += service_s * UNCACHED_PART[rank]
+            return None
+        service_s = self.cost_of(demand.route, demand.service).service_s * load.slowness(now)
         if self._fleet.is_cold(entry.server_id):
             if not self._cold.may_send(entry.server_id, _cold_per_s(demand.policy)):
-                return None, 0.0
-            expected_s += service_s * COLD_SERVER_PART
-        expected_s += _queueing_s(occupancy, entry.slots, service_s)
-        choice = Choice(entry, rank, expected_s, occupancy, load.report_age_s(now))
-        return choice, expected_s + self._price_s(entry, cost) + ERROR_COST_S * load.error_share
-
-    def _price_s(self, entry: ServerEntry, cost: RouteCost) -> float:
-        if self._distances.is_own_domain(entry.failure_domain):
-            return 0.0
-        near = self._distances.is_own_region(entry.failure_domain)
-        return cost.reply_bytes / 1024 * (DOMAIN_S_PER_KB if near else REGION_S_PER_KB)
-
-
-def _queueing_s(occupancy: float, slots: int, service_s: float) -> float:
-    """The expected wait for a slot, in seconds: rising before the slots are all in use."""
-    if occupancy < slots:
-        return 0.3 * service_s * (occupancy / slots) ** 2
-    return service_s * (0.3 + (occupancy - slots + 1) / slots)
+                return None
+            service_s *= COLD_FACTOR
+        cached = self._cached_chance(demand, ranked, now)
+        uses = self._uses(demand, ranked, position, now)
+        expected = expect(
+            self._prospect(demand, ranked.candidate, service_s, now)._replace(
+                cached=cached, uses=uses, occupancy=occupancy
+            ),
+            objective_s=max(demand.objective_left_s, 0.01),
+        )
+        return Choice(entry, ranked.rank, cached, expected, occupancy, load.report_age_s(now))
+
+    def _cached_chance(self, demand: Demand, ranked: Ranked, now: float) -> float:
+        entry = ranked.candidate.entry
+        if not demand.route.sticky or self._warm_of(entry.server_id).holds(demand.key, now):
+            return KNOWN_CACHED
+        if ranked.rank == 0:
+            return FIRST_CACHED
+        if ranked.local_rank == 0 and self._distances.is_own_domain(entry.failure_domain):
+            return LOCAL_CACHED
+        return OTHER_CACHED
+
+    def _uses(self, demand: Demand, ranked: Ranked, position: float, now: float) -> float:
+        """How often the object would be used if it got cached there."""
+        domain = ranked.candidate.entry.failure_domain
+        reuse = self._reuse_of(demand.route)
+        if ranked.rank == 0:
+            return reuse.uses(self._instances(), now)
+        if position >= self._cached_part.of(demand.service, domain):
+            return 1.0
+        return reuse.uses(self._instances_here(), now)
+
+    def _prospect(
+        self,
+        demand: Demand,
+        candidate: Candidate,
+        service_s: float,
+        now: float,
+    ) -> Prospect:
+        domain = candidate.entry.failure_domain
+        in_region = self._distances.is_own_region(domain)
+        return Prospect(
+            service_s=service_s,
+            cached=0.0,
+            uses=1.0,
+            round_trip_s=self._distances.round_trip_s(domain),
+            occupancy=0.0,
+            slots=candidate.entry.slots,
+            error_share=self.load_of(candidate.entry.server_id).error_share(now),
+            reply_bytes=self.cost_of(demand.route, demand.service).reply_bytes,
+            crosses_domain=in_region and not self._distances.is_own_domain(domain),
+            crosses_region=not in_region,
+        )
 
 
 def _cold_per_s(policy: ServicePolicy | None) -> float:
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -2,24 +2,45 @@
 
 from collections.abc import Sequence
 from hashlib import blake2b
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from wagtailpoint.discovery.fleet import Candidate, Fleet
 
-MOST_REMEMBERED = 8192
+MOST_REMEMBERED: Final = 8192
 """Keys whose order is remembered; each takes about 1 KB."""
 
+MOST_ANYWHERE: Final = 4
+MOST_NEAR: Final = 2
+"""Candidates for one key, of all and of the own failure domain and region. More would spread a key
+over more caches and need more connections."""
+
+_FULL_SCALE: Final = float(1 << 64)
+
 
 class Ranked(NamedTuple):
     """A candidate for one affinity key.
 
     Attributes:
         candidate: The backend server.
-        rank: Its place among those of its region; 0 is the one that all instances prefer.
+        rank: Its place among all that may serve the request; 0 is the one that all instances know.
+        local_rank: Its place among those of its failure domain.
     """
 
     candidate: Candidate
     rank: int
+    local_rank: int
+
+
+class KeyOrder(NamedTuple):
+    """The candidates for one affinity key.
+
+    Attributes:
+        position: Of the key among all keys of the service, evenly spread from 0 to 1.
+        ranked: The candidates.
+    """
+
+    position: float
+    ranked: Sequence[Ranked]
 
 
 def rendezvous_score(key: str, server_id: str) -> int:
@@ -35,37 +56,50 @@
     all others keep theirs, with what it has in its cache of them.
     """
 
-    def __init__(self, *, fleet: Fleet, most_per_region: int) -> None:
+    def __init__(self, *, fleet: Fleet, own_domain: str, own_region: str) -> None:
         """Make it.
 
         Args:
             fleet: The backend servers.
-            most_per_region: So many of each region are candidates for one key.
+            own_domain: This instance's failure domain.
+            own_region: This instance's region.
         """
         self._fleet = fleet
-        self._most = most_per_region
+        self._own_domain = own_domain
+        self._own_region = own_region
         self._generation = -1
-        self._known: dict[tuple[str, str], tuple[Ranked, ...]] = {}
+        self._known: dict[tuple[str, str, frozenset[str]], KeyOrder] = {}
 
-    def of(self, service: str, key: str) -> Sequence[Ranked]:
-        """The candidates for a key, each region's best first."""
+    def of(self, service: str, key: str, homes: frozenset[str]) -> KeyOrder:
+        """The candidates for a key, in the regions ``homes`` only if there are any."""
         if self._generation != self._fleet.generation or len(self._known) > MOST_REMEMBERED:
             self._known = {}
             self._generation = self._fleet.generation
-        found = self._known.get((service, key))
+        found = self._known.get((service, key, homes))
         if found is None:
-            found = self._known[service, key] = tuple(self._order(service, key))
+            position = rendezvous_score(key, "") / _FULL_SCALE
+            found = KeyOrder(position, tuple(self._order(service, key, homes)))
+            self._known[service, key, homes] = found
         return found
 
-    def _order(self, service: str, key: str) -> list[Ranked]:
-        counts: dict[str, int] = {}
+    def _order(self, service: str, key: str, homes: frozenset[str]) -> list[Ranked]:
+        allowed = [
+            each for each in self._fleet.candidates(service) if not homes or each.region in homes
+        ]
+        allowed.sort(key=lambda each: -rendezvous_score(key, each.entry.server_id))
+        in_domain: dict[str, int] = {}
+        in_region: dict[str, int] = {}
         ranked = []
-        for candidate in sorted(
-            self._fleet.candidates(service),
-            key=lambda each: -rendezvous_score(key, each.entry.server_id),
-        ):
-            rank = counts.get(candidate.region, 0)
-            counts[candidate.region] = rank + 1
-            if rank < self._most:
-                ranked.append(Ranked(candidate, rank))
+        for rank, candidate in enumerate(allowed):
+            domain, region = candidate.entry.failure_domain, candidate.region
+            local_rank = in_domain.get(domain, 0)
+            region_rank = in_region.get(region, 0)
+            in_domain[domain] = local_rank + 1
+            in_region[region] = region_rank + 1
+            if (
+                rank < MOST_ANYWHERE
+                or (domain == self._own_domain and local_rank < MOST_NEAR)
+                or (region == self._own_region and region_rank < MOST_NEAR)
+            ):
+                ranked.append(Ranked(candidate, rank, local_rank))
         return ranked
--- a/src/wagtailpoint/placement/server_load.py
+++ b/src/wagtailpoint/placement/server_load.py
@@ -14,6 +14,12 @@
 ERROR_GAIN: Final = 0.2
 """Weights of one observation: five errors in a row bring the share to two thirds."""
 
+MOST_SLOWNESS: Final = 10.0
+
+EVIDENCE_HALF_LIFE_S: Final = 2.0
+"""Slowness and errors are forgotten without new evidence: a backend server that is avoided gives
+none, and would be avoided for ever after it has recovered."""
+
 FIRST_SUSPICION_S: Final = 0.5
 LONGEST_SUSPICION_S: Final = 4.0
 """After a failure to reach it a backend server rests, doubling; one that comes back is cold and
@@ -53,6 +59,7 @@
         self._reported_at = -math.inf
         self._slowness = 1.0
         self._error_share = 0.0
+        self._evidence_at = 0.0
         self._failures = 0
         self._suspect_until = -math.inf
         self._heard_at = -math.inf
@@ -62,16 +69,6 @@
         """Requests of this instance at the backend server."""
         return self._in_flight
 
-    @property
-    def slowness(self) -> float:
-        """How many times as long as usual it takes; 1 is usual."""
-        return self._slowness
-
-    @property
-    def error_share(self) -> float:
-        """The part of its responses that were failures of its own, lately."""
-        return self._error_share
-
     @property
     def heard_at(self) -> float:
         """When it last answered anything."""
@@ -80,7 +77,16 @@
     def occupancy(self, now: float) -> float:
         """Requests there: ours, and an estimate of the other instances'."""
         age_s = now - self._reported_at
-        return self._in_flight + self._others * _faded(age_s)
+        return self._in_flight + self._others * _faded(age_s, OTHERS_HALF_LIFE_S)
+
+    def slowness(self, now: float) -> float:
+        """How many times as long as expected it takes, lately; 1 is as expected."""
+        left = _faded(now - self._evidence_at, EVIDENCE_HALF_LIFE_S)
+        return max(1.0, 1.0 + (self._slowness - 1.0) * left)
+
+    def error_share(self, now: float) -> float:
+        """The part of its responses that were failures of its own, lately."""
+        return self._error_share * _faded(now - self._evidence_at, EVIDENCE_HALF_LIFE_S)
 
     def report_age_s(self, now: float) -> float:
         """How old the last report is, in seconds."""
@@ -106,7 +112,7 @@
             now: When it came. The request that it came with is still counted as in flight.
         """
         others = max(0, report.running + report.waiting - self._in_flight)
-        faded = self._others * _faded(now - self._reported_at)
+        faded = self._others * _faded(now - self._reported_at, OTHERS_HALF_LIFE_S)
         self._others = OTHERS_GAIN * others + (1 - OTHERS_GAIN) * faded
         self._reported_at = now
 
@@ -115,11 +121,19 @@
         self._heard_at = now
         self._failures = 0
         self._suspect_until = -math.inf
+        self._fade_evidence(now)
         self._error_share += ERROR_GAIN * ((1.0 if failed else 0.0) - self._error_share)
 
-    def note_latency(self, ratio: float) -> None:
-        """An answer took ``ratio`` times as long as such answers usually take."""
-        self._slowness += LATENCY_GAIN * (min(ratio, 10.0) - self._slowness)
+    def note_latency(self, ratio: float, now: float) -> None:
+        """An answer took ``ratio`` times as long as was expected."""
+        self._fade_evidence(now)
+        self._slowness += LATENCY_GAIN * (min(ratio, MOST_SLOWNESS) - self._slowness)
+
+    def _fade_evidence(self, now: float) -> None:
+        left = _faded(now - self._evidence_at, EVIDENCE_HALF_LIFE_S)
+        self._slowness = 1.0 + (self._slowness - 1.0) * left
+        self._error_share *= left
+        self._evidence_at = now
 
     def note_unreachable(self, now: float) -> float:
         """It could not be reached, or broke off; return for how long it rests, in seconds."""
@@ -130,6 +144,6 @@
         return rest_s
 
 
-def _faded(age_s: float) -> float:
+def _faded(age_s: float, half_life_s: float) -> float:
     """What is left of a belief after so many seconds, 1 to 0."""
-    return math.exp(-math.log(2) * age_s / OTHERS_HALF_LIFE_S)
+    return math.exp(-math.log(2) * age_s / half_life_s)
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -245,6 +245,7 @@
 
     async def _serve(self, job: _Job, caller: CallerConnection) -> Outcome:
         self._budget.note_request(job.service)
+        self._placement.note_request(self._demand(job))
         if _has_body(job.request.headers):
             job.body = await caller.read_body(READ_AHEAD_BYTES)
         while True:
@@ -274,6 +275,7 @@
             key=f"{job.route.prefix}{_text(key)}" if key else job.request.target,
             tried=job.tried,
             left_s=job.left_s,
+            objective_left_s=job.request.arrived + job.route.objective_s - trio.current_time(),
         )
 
     def _may_go_on(self, job: _Job) -> bool:
@@ -529,7 +531,8 @@
             server=last.entry.server_id if last is not None else "",
             domain=last.entry.failure_domain if last is not None else "",
             rank=last.rank if last is not None else "",
-            expected_ms=round(1000 * last.expected_s) if last is not None else "",
+            cached=last.cached if last is not None else "",
+            expected_ms=round(1000 * last.expected.latency_s) if last is not None else "",
             occupancy=round(last.occupancy, 1) if last is not None else "",
             report_age_s=round(min(last.report_age_s, 999.0), 2) if last is not None else "",
         )
--- /dev/null
+++ b/tests/cover/test_caller_connection.py
@@ -0,0 +1,162 @@
+"""A caller's connection: order of replies, closes that are noticed, limits, ambiguous framing."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from tests.common.sockets import loopback_address
+from wagtailpoint.node_settings import Endpoint
+from wagtailpoint.proxy.caller_connection import CallerConnection, IncomingRequest
+from wagtailpoint.proxy.caller_server import CallerServer
+from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
+
+LIMIT_S = 5
+GET = b"GET /%s HTTP/1.1\r\nHost: h\r\n\r\n"
+Handler = Callable[[IncomingRequest, CallerConnection], Awaitable[None]]
+
+
+async def echo(request: IncomingRequest, caller: CallerConnection) -> None:
+    body = await caller.read_body(1024)
+    await caller.reply(200, (), request.target.encode() + body.read)
+
+
+class CallerConnectionTest(unittest.TestCase):
+    bounds = DEFAULT_CALLER_BOUNDS
+    leaving = False
+
+    def run_with(self, handler: Handler, test: Callable[[trio.SocketStream], Awaitable[None]]):
+        async def run() -> None:
+            with trio.fail_after(LIMIT_S):
+                endpoint = Endpoint(loopback_address(), 18080)
+                server = CallerServer(
+                    endpoint=endpoint,
+                    handler=handler,
+                    bounds=lambda: self.bounds,
+                    is_leaving=lambda: self.leaving,
+                    most_connections=10,
+                )
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(server.run)
+                    stream = await trio.open_tcp_stream(*endpoint)
+                    async with stream:
+                        await test(stream)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    async def read_until(self, stream: trio.SocketStream, end: bytes) -> bytes:
+        data = b""
+        while not data.endswith(end):
+            part = await stream.receive_some(65536)
+            if not part:
+                break
+            data += bytes(part)
+        return data
+
+    def test_pipelined_requests_are_answered_in_order(self) -> None:
+        async def slow_first(request: IncomingRequest, caller: CallerConnection) -> None:
+            if request.target == "/a":
+                await trio.sleep(0.1)
+            await echo(request, caller)
+
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(GET % b"a" + GET % b"b" + GET % b"c")
+            data = await self.read_until(stream, b"/c")
+            self.assertLess(data.index(b"/a"), data.index(b"/b"))
+            self.assertLess(data.index(b"/b"), data.index(b"/c"))
+
+        self.run_with(slow_first, test)
+
+    def test_close_is_noticed_while_requests_wait_behind_the_open_one(self) -> None:
+        """Symptom: backend servers go on working for callers that have left.
+
+        A caller sends two requests, and closes the connection while the first is served. A server
+        that stops reading while a reply is under way sees the close only after that reply.
+        """
+        cancelled = trio.Event()
+
+        async def endless(request: IncomingRequest, caller: CallerConnection) -> None:
+            try:
+                await trio.sleep_forever()
+            except trio.Cancelled:
+                cancelled.set()
+                raise
+
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(GET % b"a" + GET % b"b")
+            await trio.sleep(0.05)
+            await stream.aclose()
+            with trio.fail_after(0.5):
+                await cancelled.wait()
+
+        self.run_with(endless, test)
+
+    def test_chunked_body_is_read_whole(self) -> None:
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(
+                b"POST /p HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+                b"3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+            )
+            self.assertIn(b"/pabcde", await self.read_until(stream, b"/pabcde"))
+
+        self.run_with(echo, test)
+
+    def test_ambiguous_framing_is_refused(self) -> None:
+        """Symptom: a request hidden in another's body runs.
+
+        With both a length and chunks, two readers disagree where the body ends.
+        """
+
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(
+                b"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET /hidden HTTP/1.1\r\n\r\n"
+            )
+            data = await self.read_until(stream, b"never")
+            self.assertIn(b" 400 ", data)
+            self.assertNotIn(b"/hidden", data)
+
+        self.run_with(echo, test)
+
+    def test_bytes_that_are_no_request(self) -> None:
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(b"\x16\x03\x01 hello\r\n\r\n")
+            self.assertIn(b" 400 ", await self.read_until(stream, b"never"))
+
+        self.run_with(echo, test)
+
+    def test_head_that_is_not_finished_in_time(self) -> None:
+        self.bounds = CallerBounds(1024, 1024, header_timeout_s=0.1, idle_timeout_s=5)
+
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(b"GET /a HTTP/1.1\r\nHo")
+            self.assertIn(b" 408 ", await self.read_until(stream, b"never"))
+
+        self.run_with(echo, test)
+
+    def test_idle_connection_is_closed_after_its_time_only(self) -> None:
+        self.bounds = CallerBounds(1024, 1024, header_timeout_s=1, idle_timeout_s=0.4)
+
+        async def test(stream: trio.SocketStream) -> None:
+            for _ in range(2):
+                await stream.send_all(GET % b"a")
+                await self.read_until(stream, b"/a")
+                await trio.sleep(0.32)
+            began = trio.current_time()
+            self.assertEqual(await stream.receive_some(1), b"")
+            self.assertLess(trio.current_time() - began, 1.0)
+
+        self.run_with(echo, test)
+
+    def test_reply_of_a_leaving_instance_ends_the_connection(self) -> None:
+        self.leaving = True
+
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(GET % b"a" + GET % b"b")
+            data = await self.read_until(stream, b"never")
+            self.assertIn(b"connection: close", data.lower())
+            self.assertIn(b"/a", data)
+            self.assertNotIn(b"/b", data)
+
+        self.run_with(echo, test)
