--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -58,7 +58,7 @@
 """The process ends so long before it would be killed."""
 
 WITHDRAW_TIMEOUT_S = 0.5
-STATE_INTERVAL_S = 0.2
+CLEANING_INTERVAL_S = 0.2
 
 
 class SteeringInstance:
@@ -141,7 +141,6 @@
                     self._membership.run,
                     partial(self._registration.run, self._is_alone),
                     *(follower.run for follower in self._followers.values()),
-                    self._follow_own_state,
                     self._clean_gone,
                     self._watch_settings,
                 ]
@@ -166,7 +165,7 @@
                 kind=kind,
                 platform=self._platform,
                 peers=self._exchange,
-                on_change=lambda: apply(made.objects),
+                on_change=lambda: self._on_change(apply, made),
                 random=self._random,
                 lapses=lapses,
             )
@@ -266,17 +265,17 @@
             "config_version": self._state.table.version if self._state.table else 0,
         }
 
-    async def _follow_own_state(self) -> None:
-        """Tell the others when this instance takes requests."""
-        while True:
-            if self._membership.own.state == "starting" and self._is_ready():
-                self._membership.publish(state="live")
-                log_event("ready", backend_servers=len(self._fleet.entries))
-            await trio.sleep(STATE_INTERVAL_S)
+    def _on_change(
+        self, apply: Callable[[Mapping[str, StoredObject]], None], follower: KindFollower
+    ) -> None:
+        apply(follower.objects)
+        if self._membership.own.state == "starting" and self._is_ready():
+            self._membership.publish(state="live")
+            log_event("ready", backend_servers=len(self._fleet.entries))
 
     async def _clean_gone(self) -> None:
         while True:
-            await trio.sleep(STATE_INTERVAL_S)
+            await trio.sleep(CLEANING_INTERVAL_S)
             gone, self._gone[:] = list(self._gone), []
             for server_id in gone:
                 self._placement.forget(server_id)
--- /dev/null
+++ b/tests/cover/test_platform_documents.py
@@ -0,0 +1,119 @@
+"""The users' documents and settings, decoded; and that nothing else knows their names."""
+
+import re
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from tests.common.node_settings_file import (
+    config_document,
+    node_settings_document,
+    server_document,
+)
+from wagtailpoint.node_settings import Endpoint
+from wagtailpoint.platform.documents import decode_config, decode_server
+from wagtailpoint.platform.settings import decode_node_settings
+from wagtailpoint.ports.platform import StoredObject
+from wagtailpoint.routing.table import RouteKind, SplitPart
+
+SOURCES = Path(__file__).parents[2] / "src" / "wagtailpoint"
+
+
+def stored(value, name: str = "main") -> StoredObject:
+    return StoredObject("config", name, 5, value)
+
+
+class ConfigTest(unittest.TestCase):
+    def test_routes_of_a_host(self) -> None:
+        table = decode_config(stored(config_document())).unwrap()
+        self.assertEqual(table.version, 7)
+        release = table.find("ficu95.EXAMPLE", "/look/release/1")
+        look = table.find("ficu95.example", "/look/1")
+        assert release is not None
+        assert look is not None
+        self.assertIs(release.kind, RouteKind.NON_IDEMPOTENT)
+        self.assertFalse(release.idempotent)
+        self.assertEqual(release.homes, {"a"})
+        self.assertEqual(look.parts, (SplitPart("desk", 90), SplitPart("vault", 10)))
+        self.assertEqual((look.timeout_s, look.objective_s, look.most_attempts), (0.8, 0.3, 2))
+        self.assertEqual(table.services["desk"].cold_per_s, 10.0)
+
+    def test_homes_of_a_host_bind_with_those_of_its_routes(self) -> None:
+        document = config_document()
+        document["VirtualHosts"][0]["HomeRegions"] = ["a", "b"]
+        table = decode_config(stored(document)).unwrap()
+        homes = {route.name: route.homes for route in table.hosts["ficu95.example"]}
+        self.assertEqual(homes, {"r-1": {"a", "b"}, "r-2": {"a"}})
+
+    def test_unreadable_configuration_says_where(self) -> None:
+        for changes, expected in (
+            ({"Version": "seven"}, "main"),
+            ({"Limits": {}}, "MaxHeaderBytes"),
+            ({"VirtualHosts": [{"Host": "h", "PathRoutes": [{"Name": "r"}]}]}, "PathPrefix"),
+        ):
+            error = decode_config(stored(config_document(**changes))).unwrap_err()
+            self.assertIn(expected, str(error))
+
+    def test_unknown_fields_are_ignored(self) -> None:
+        self.assertTrue(decode_config(stored(config_document(New=1))).is_ok())
+
+
+class ServerEntryTest(unittest.TestCase):
+    def test_fields(self) -> None:
+        value = server_document("10.1.2.3:80", State="draining", ColdLeftS=1.5)
+        entry = decode_server(stored(value, "i-1")).unwrap()
+        self.assertEqual((entry.server_id, entry.draining, entry.cold_left_s), ("i-1", True, 1.5))
+        self.assertEqual((entry.address.address, entry.address.port), ("10.1.2.3", 80))
+
+    def test_unreadable_entry(self) -> None:
+        for value in (None, {}, server_document("nowhere")):
+            self.assertTrue(decode_server(stored(value, "i-1")).is_err())
+
+
+class SettingsTest(unittest.TestCase):
+    def document(self):
+        return node_settings_document(store=Endpoint("10.0.0.1", 8142), seeds=("10.1.0.1:8146",))
+
+    def test_fields(self) -> None:
+        settings = decode_node_settings(msgspec.json.encode(self.document())).unwrap()
+        self.assertEqual((settings.name, settings.region), ("entry-1", "a"))
+        self.assertEqual(settings.store, Endpoint("10.0.0.1", 8142))
+        self.assertEqual(settings.seeds, (Endpoint("10.1.0.1", 8146),))
+        self.assertEqual(settings.bounds.repeat_slack, 58)
+
+    def test_every_mistake_is_named(self) -> None:
+        document = self.document()
+        del document["Self"]["Zone"]
+        document["Network"]["Zones"] = 7
+        del document["Platform"]
+        mistakes = decode_node_settings(msgspec.json.encode(document)).unwrap_err().mistakes
+        named = [each.path for each in mistakes]
+        self.assertEqual(named, ["Self", "Network.Zones", "Platform"])
+        self.assertIn("Zone", mistakes[0].given)
+
+    def test_no_json_and_bad_addresses(self) -> None:
+        self.assertTrue(decode_node_settings(b"{").is_err())
+        self.assertTrue(decode_node_settings(b"[]").is_err())
+        document = self.document()
+        document["Network"]["ListenAddrs"]["FrontAddr"] = "nowhere"
+        self.assertIn("nowhere", str(decode_node_settings(msgspec.json.encode(document)).err()))
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_nothing_else_knows_the_names_of_the_wire(self) -> None:
+        """A name is taken from the adapter itself: its wire fields, headers, paths."""
+        adapter = "\n".join(path.read_text() for path in (SOURCES / "platform").glob("*.py"))
+        fields = set(re.findall(r"^    ([A-Z][A-Za-z]+): ", adapter, re.MULTILINE))
+        headers = set(re.findall(r'b"(x-[a-z-]+)"', adapter))
+        self.assertGreater(len(fields), 30)
+        self.assertGreater(len(headers), 5)
+        # Words of everyday English that also stand in class names of ours.
+        distinctive = {name for name in fields if re.search(r"[a-z][A-Z]", name)} | headers
+        distinctive |= {"/api/ready", "/api/resolve", "/api/objects"}
+        for path in SOURCES.rglob("*.py"):
+            if path.parent.name == "platform":
+                continue
+            text = path.read_text()
+            for name in distinctive - {"RetryAfter"}:
+                self.assertIsNone(re.search(rf"\b{re.escape(name)}\b", text), f"{name} in {path}")
