Remove seats, permits and loans; leases stay for moves

Cause: the users ask to remove what their platform makes needless. Ruled out: keeping them for the shared bounds of the platform, which are divided by the number of instances without any message. Conclusion: nothing that runs used them.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -10,7 +10,6 @@
     measure_instance,
     measure_memory,
     measure_replacement,
-    measure_seats,
     memory_lines,
 )
 
@@ -19,7 +18,6 @@
 REGIONS_SHORT, REGIONS_FULL = 4, 51
 MEMBERS_SHORT = (9, 30)
 MEMBERS_FULL = (9, 60, 120, 245, 490)
-LATER_INSTANCES = 490
 CUT_MEMBERS_SHORT, CUT_MEMBERS_FULL = 24, 120
 MOST_GROWTH_OF_IDLE = 1.5
 MOST_WAIT_AGAINST_CHANGE = 0.5
@@ -36,7 +34,7 @@
     sizes, regions = (BLOCKS_SHORT, REGIONS_SHORT) if short else (BLOCKS_FULL, REGIONS_FULL)
     memory = measure_memory(sizes, regions=regions)
     lines = measure_instance(2.0 if short else 60.0, 300 if short else 5_000)
-    lines += [measure_replacement(sizes[-1], regions=REGIONS_FULL), measure_seats(LATER_INSTANCES)]
+    lines.append(measure_replacement(sizes[-1], regions=REGIONS_FULL))
     lines.append(measure_reports(CUT_MEMBERS_SHORT if short else CUT_MEMBERS_FULL))
     lines.append(measure_cut(CUT_MEMBERS_SHORT if short else CUT_MEMBERS_FULL))
     groups = [measure_group(count) for count in (MEMBERS_SHORT if short else MEMBERS_FULL)]
--- a/bench/capacity_instance.py
+++ b/bench/capacity_instance.py
@@ -27,9 +27,6 @@
 from wagtailpoint.config.manifest import ChangeInfo, Snapshot
 from wagtailpoint.config.packed import pack
 from wagtailpoint.config.store import ConfigStore
-from wagtailpoint.limits.keeper import STEPS_PER_LEASE
-from wagtailpoint.limits.lease import Holder
-from wagtailpoint.limits.seat import SEAT_KIND, SeatState
 from wagtailpoint.membership.config_delta import (
     apply_delta,
     digest_of,
@@ -232,15 +229,6 @@
     )
 
 
-def measure_seats(count: int) -> str:
-    """Bytes of the listing of all seats, which every keeper reads at each step."""
-    holder = Holder("127.20.101.101", 8081, 1 << 59)
-    state = SeatState("salt-lake-11", 1 << 20, holder, None, False, "1152921504606846976-100000")
-    wire = {"kind": SEAT_KIND, "name": state.name, "version": state.version}
-    size = len(msgspec.json.encode([{**wire, "value": state.to_value()}] * count))
-    return f"listing of {count} seats: {size} bytes, {STEPS_PER_LEASE} times a lease"
-
-
 def memory_lines(rows: list[Memory]) -> list[str]:
     lines = [
         "   blocks  RSS MB  peak MB  change s  longest wait s  fresh: in force s  RSS MB",
--- a/bench/run.py
+++ b/bench/run.py
@@ -20,7 +20,6 @@
     "keys",
     "membership",
     "config_spread",
-    "slots",
     "classes",
     "hedging",
     "locality",
--- a/src/wagtailpoint/config/model.py
+++ b/src/wagtailpoint/config/model.py
@@ -23,8 +23,8 @@
             decision uses it yet.
         client_latency_ms: One-way latency from its clients to its instances, in milliseconds; no
             decision uses it yet.
-        seats_per_failure_domain: How many seats each of its failure domains has; every limit is
-            split evenly over all seats of all regions.
+        seats_per_failure_domain: How many instances may run in each of its failure domains; every
+            limit is split evenly over all of all regions.
     """
 
     name: str
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -26,7 +26,6 @@
 from wagtailpoint.daemon.pages import InstancePages
 from wagtailpoint.daemon.probing import BackendProber
 from wagtailpoint.daemon.servers import ConfiguredServers
-from wagtailpoint.daemon.sharing import SharedLimits
 from wagtailpoint.daemon.stopping import GracefulStop
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
@@ -127,23 +126,11 @@
             timeout_s=timings.connect_timeout_s,
             random=Random(),
         )
-        self._shared = SharedLimits(
-            settings=settings,
-            clock=self._clock,
-            platform=self._platform,
-            peers=self._peers,
-            membership=self._membership,
-            health=self._health,
-        )
         self._slots = SlotPool(
             clock=self._clock,
             most_queued=settings.limits.queued_requests,
-            grants=self._shared if settings.share_slots else None,
-            # Not the seats' share: it is nothing while an instance has no seat, as after a restart,
-            # and unlike permits nobody lends it any, so all its requests would be refused.
             limit_part=lambda: even_part(self._config.effective),
         )
-        self._shared.serve_from(self._slots)
         self._gate = RequestGate(most_open=settings.limits.open_requests)
         self._keys = KeyStore(
             incarnation=incarnation,
@@ -175,8 +162,6 @@
             lookup_ttl_s=timings.lookup_ttl_s,
             drain_timeout_s=timings.drain_timeout_s,
         )
-        if settings.share_slots:
-            self._stop.at_end(self._shared.keeper.stop)
         self._config.follow(self._apply)
 
     async def run(self) -> None:
@@ -212,8 +197,6 @@
             self._clean_claims,
         ):
             self._nursery.start_soon(task)
-        if self._settings.share_slots:
-            self._nursery.start_soon(self._shared.run)
         await server.run(stop=self._stop.wait)
 
     async def _handle(self, request: CallerRequest, reply: AsgiReply) -> None:
@@ -234,7 +217,6 @@
         self._lookups.apply(config)
         self._prober.apply(config)
         self._moving.apply(config)
-        self._shared.apply(config)
         state = self._membership.own.state
         self._membership.publish(
             state="live" if state == "starting" else state, config_version=config.version
@@ -242,8 +224,6 @@
 
     def _cap_fraction(self) -> float:
         """The part of every move's cap that this instance may spend."""
-        if self._settings.share_slots:
-            return self._shared.keeper.spendable_share()
         return even_part(self._config.effective)
 
     def _locate(self, incarnation: str) -> PeerAddress | None:
@@ -345,7 +325,7 @@
             clock=self._clock,
             name=MOVES_LEASE,
             own=Holder(*self._peers.address),
-            lease_s=self._settings.timings.seat_lease_s,
+            lease_s=self._settings.timings.moves_lease_s,
         )
         return Moving(
             board=self._moves,
@@ -367,7 +347,6 @@
             lookups=self._lookups,
             gate=self._gate,
             slots=self._slots,
-            shared=self._shared,
             keys=self._keys,
             health=self._health,
             moves=self._moves,
--- a/src/wagtailpoint/daemon/moving.py
+++ b/src/wagtailpoint/daemon/moving.py
@@ -70,7 +70,7 @@
             clock=clock,
             board=board,
             lease=lease,
-            lease_s=timings.seat_lease_s,
+            lease_s=timings.moves_lease_s,
             own=peers.address,
             eligible=lambda: watching() and membership.own.state == "live",
             receiving=self._receiving,
--- a/src/wagtailpoint/daemon/pages.py
+++ b/src/wagtailpoint/daemon/pages.py
@@ -14,7 +14,6 @@
 from wagtailpoint.daemon.draining import drain_status
 from wagtailpoint.daemon.lookups import Lookups
 from wagtailpoint.daemon.metrics_page import measure, metrics_json, metrics_text
-from wagtailpoint.daemon.sharing import SharedLimits
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.idempotency.keys import KeyStore
@@ -41,7 +40,6 @@
         lookups: Lookups,
         gate: RequestGate,
         slots: SlotPool,
-        shared: SharedLimits,
         keys: KeyStore,
         health: HealthBoard,
         moves: MoveBoard,
@@ -54,7 +52,6 @@
         self._lookups = lookups
         self._gate = gate
         self._slots = slots
-        self._shared = shared
         self._keys = keys
         self._health = health
         self._moves = moves
@@ -105,8 +102,6 @@
             },
             "moves": [_move_fields(move) for move in self._moves.status()],
             "drains": self._drains(),
-            "seats": self._shared.seats(),
-            "permits": self._shared.permits(),
             "backend_servers": self._backend_servers(),
         }
         return Page(HTTPStatus.OK, value)
--- a/src/wagtailpoint/limits/__init__.py
+++ b/src/wagtailpoint/limits/__init__.py
@@ -1,1 +1,1 @@
-"""Limits that several instances spend together: leases, seats, shares, slot permits."""
+"""Leases of objects of the platform."""
--- a/src/wagtailpoint/limits/lease.py
+++ b/src/wagtailpoint/limits/lease.py
@@ -32,7 +32,7 @@
 
 
 class Holder(NamedTuple):
-    """One process that may hold leases and seats.
+    """One process that may hold leases.
 
     Attributes:
         address: IP number where it hears its peers.
--- a/src/wagtailpoint/settings.py
+++ b/src/wagtailpoint/settings.py
@@ -58,9 +58,7 @@
             dead; longer where there are more than ten instances, as news takes longer there.
         epoch_s: How long bindings are given out under one epoch; keys of idempotency are
             remembered for at least one and at most two epochs.
-        seat_lease_s: The lease of a seat, that is, of the shares of limits.
-        share_round_s: Between two rounds of moving permits by demand.
-        share_loan_s: How long permits are lent to another instance; the same on all instances.
+        moves_lease_s: The lease of the right to take the steps of moves.
         probe_interval_s: Between two questions for a backend server's load report.
         connect_timeout_s: For a connection to a backend server or a peer.
         platform_timeout_s: For one call of the platform, a watch's own waiting not counted.
@@ -77,9 +75,7 @@
     heartbeat_interval_s: float = 1.0
     suspect_after_s: float = 3.0
     epoch_s: float = 120.0
-    seat_lease_s: float = 10.0
-    share_round_s: float = 0.1
-    share_loan_s: float = 10.0
+    moves_lease_s: float = 10.0
     probe_interval_s: float = 0.5
     connect_timeout_s: float = 1.0
     platform_timeout_s: float = 2.0
@@ -103,8 +99,6 @@
         peers: Some other instances to begin with; the others are learnt from them.
         limits: The most that it takes on.
         timings: Periods and timeouts.
-        share_slots: Whether slots of backend servers are spent by permits, so that all instances
-            together never use more than there are; else each instance goes by its own count.
         log_level: The least level that is logged.
     """
 
@@ -117,7 +111,6 @@
     peers: tuple[PeerAddress, ...] = ()
     limits: Limits = Limits()
     timings: Timings = Timings()
-    share_slots: bool = False
     log_level: str = "INFO"
 
 
@@ -149,7 +142,6 @@
         peers=_read_peers(reader),
         limits=_read_limits(reader.child("limits", default={})),
         timings=_read_timings(reader.child("timings", default={})),
-        share_slots=reader.flag("share_slots", default=False),
         log_level=reader.text("log_level", choices=LOG_LEVELS, default="INFO"),
     )
     reader.finish()
@@ -221,10 +213,10 @@
             timings.epoch_s,
             f"more seconds than lookup_ttl_s ({timings.lookup_ttl_s:g})",
         )
-    if timings.seat_lease_s <= timings.platform_timeout_s:
+    if timings.moves_lease_s <= timings.platform_timeout_s:
         # One slow renewal would already lose the lease.
         reader.mistake(
-            "timings.seat_lease_s",
-            timings.seat_lease_s,
+            "timings.moves_lease_s",
+            timings.moves_lease_s,
             f"more seconds than platform_timeout_s ({timings.platform_timeout_s:g})",
         )
--- a/tests/common/deployment_process.py
+++ b/tests/common/deployment_process.py
@@ -107,7 +107,7 @@
         name: One of ``examples.deployment.DEPLOYMENTS``.
         entries: How many of its entry instances run.
         timings: Replaces timings of the settings.
-        settings: Replaces other settings, for example ``share_slots``.
+        settings: Replaces other settings, for example ``log_level``.
         limits: Replaces limits of the settings.
         backend_options: Command line of the backend stand-ins.
         platform_options: Command line of the platform stand-in.
--- a/tests/common/stepped_platform.py
+++ b/tests/common/stepped_platform.py
@@ -11,7 +11,6 @@
 
 from tests.common.object_store import ObjectStore
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
-from wagtailpoint.limits.evidence import Evidence
 from wagtailpoint.limits.lease import Holder
 from wagtailpoint.ports.platform import Conflict, ListedInstance, Listing
 
@@ -150,26 +149,3 @@
             self._waiting = self._work.send(answer)
         except StopIteration:
             self._work = self._waiting = None
-
-
-class SteppedCheck:
-    """Evidence that is true when it is given, and may be used much later."""
-
-    def __init__(self, world: World, processes: list[SteppedProcess], *, margin_s: float) -> None:
-        self._world = world
-        self._processes = processes
-        self._margin_s = margin_s
-
-    async def evidence(self, holder: Holder) -> Evidence | None:
-        request = Request(lambda: Ok(self._find(holder)), is_write=False)
-        self._world.on_their_way.append(request)
-        answer = await request
-        return answer.ok_value if isinstance(answer, Ok) else None
-
-    def _find(self, holder: Holder) -> Evidence | None:
-        for process in self._processes:
-            if process.holder == holder and process.alive:
-                frozen_since = process.frozen_since
-                if frozen_since is None or self._world.now - frozen_since < self._margin_s:
-                    return None
-        return Evidence.DROPPED
--- a/tests/cover/test_dispatcher.py
+++ b/tests/cover/test_dispatcher.py
@@ -1,7 +1,7 @@
 """One request through the entry: routes, repetitions, verdicts, given to real sockets."""
 
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack
 
 import trio
@@ -84,7 +84,7 @@
         self.parts = SteeringParts(make_table(make_route()))
 
     def run_with(
-        self, scripts: dict[str, Script], test: Callable[[Endpoint], Awaitable[None]]
+        self, scripts: Mapping[str, Script], test: Callable[[Endpoint], Awaitable[None]]
     ) -> None:
         async def run() -> None:
             with trio.fail_after(LIMIT_S):
@@ -98,7 +98,7 @@
 
         trio.run(run)
 
-    def replies(self, scripts: dict[str, Script], *requests: bytes) -> list[bytes]:
+    def replies(self, scripts: Mapping[str, Script], *requests: bytes) -> list[bytes]:
         """What a caller gets for requests, each on a connection of its own."""
         got: list[bytes] = []
 
--- a/tests/cover/test_object_store.py
+++ b/tests/cover/test_object_store.py
@@ -99,9 +99,10 @@
         async def test(client: ObjectStore) -> None:
             made = (await client.put(kind="k", name="a", value=1, if_version=ABSENT)).unwrap()
             again = await client.put(kind="k", name="a", value=2, if_version=ABSENT)
-            assert isinstance(again.err_value, Conflict)
-            assert again.err_value.current is not None
-            self.assertEqual(again.err_value.current.value, 1)
+            conflict = again.unwrap_err()
+            assert isinstance(conflict, Conflict)
+            assert conflict.current is not None
+            self.assertEqual(conflict.current.value, 1)
             changed = await client.put(kind="k", name="a", value=3, if_version=made.version)
             self.assertIsInstance(changed, Ok)
             gone = await client.delete(kind="k", name="a", if_version=changed.unwrap().version)
--- /dev/null
+++ b/tests/cover/test_placement.py
@@ -0,0 +1,290 @@
+"""The choice of a backend server: affinity, load, homes, evidence, scarcity."""
+
+import unittest
+from collections import Counter
+
+import trio
+from loguru import logger
+from trio.testing import MockClock
+
+from tests.common.steering_parts import (
+    REGION_OF,
+    make_placement,
+    make_route,
+    make_server,
+    make_table,
+)
+from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.placement.cached_part import CachedPart
+from wagtailpoint.placement.expectation import Prospect, expect
+from wagtailpoint.placement.key_reuse import KeyReuse
+from wagtailpoint.placement.placement import Choice, Demand, NoRoom, Observation, Placement
+from wagtailpoint.placement.server_load import LoadReport, ServerLoad, parse_load
+
+DOMAINS = ("a-1", "a-2", "b-1")
+
+
+class PlacementTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+        self.fleet = Fleet(region_of=REGION_OF)
+
+    def run_with(self, test) -> None:
+        trio.run(test, clock=MockClock(autojump_threshold=0))
+
+    def demand(self, key: str = "k", **changes) -> Demand:
+        demand = Demand(
+            route=make_route(),
+            service="desk",
+            policy=make_table().services["desk"],
+            key=key,
+            tried=(),
+            left_s=1.0,
+            objective_left_s=0.3,
+        )
+        return demand._replace(**changes)
+
+    def twelve(self) -> Placement:
+        self.fleet.update(
+            make_server(f"i-{number}", failure_domain=DOMAINS[number % 3]) for number in range(12)
+        )
+        return make_placement(self.fleet)
+
+    def choose(self, placement: Placement, demand: Demand) -> Choice:
+        choice = placement.choose(demand)
+        assert isinstance(choice, Choice), choice
+        return choice
+
+    def answer(
+        self, placement: Placement, demand: Demand, choice: Choice, latency_s: float = 0.08, **seen
+    ) -> None:
+        observation = Observation(latency_s, 400, False, False, None, 0.0)
+        placement.began(demand, choice.entry)
+        placement.note_answer(demand, choice, observation._replace(**seen))
+        placement.ended(choice.entry)
+
+    def test_key_stays_where_it_is_cached(self) -> None:
+        async def test() -> None:
+            placement = self.twelve()
+            used = set()
+            for _ in range(20):
+                demand = self.demand()
+                placement.note_request(demand)
+                choice = self.choose(placement, demand)
+                used.add(choice.entry.server_id)
+                self.answer(placement, demand, choice)
+                await trio.sleep(0.1)
+            self.assertLessEqual(len(used), 2)
+
+        self.run_with(test)
+
+    def test_few_servers_hold_a_key_also_under_load(self) -> None:
+        """Symptom: under high load every request takes as long as an uncached one.
+
+        Requests that spilled over to any backend server with room brought every key to all of
+        them; the caches overflowed and the load rose further.
+        """
+
+        async def test() -> None:
+            placement = self.twelve()
+            used: Counter[str] = Counter()
+            for _ in range(60):
+                choice = placement.choose(self.demand())
+                if isinstance(choice, Choice):
+                    placement.began(self.demand(), choice.entry)
+                    used[choice.entry.server_id] += 1
+            self.assertLessEqual(len(used), 5)
+
+        self.run_with(test)
+
+    def test_homes_bind(self) -> None:
+        async def test() -> None:
+            placement = self.twelve()
+            route = make_route(homes=frozenset(["b"]))
+            for number in range(30):
+                choice = self.choose(placement, self.demand(str(number), route=route))
+                self.assertEqual(choice.entry.failure_domain, "b-1")
+
+        self.run_with(test)
+
+    def test_server_that_was_tried_is_not_chosen_again(self) -> None:
+        async def test() -> None:
+            placement = self.twelve()
+            first = self.choose(placement, self.demand())
+            second = self.choose(placement, self.demand(tried=[first.entry.server_id]))
+            self.assertNotEqual(first.entry, second.entry)
+
+        self.run_with(test)
+
+    def test_unreachable_server_rests_and_comes_back(self) -> None:
+        async def test() -> None:
+            self.fleet.update([make_server("i-1"), make_server("i-2")])
+            placement = make_placement(self.fleet)
+            placement.note_unreachable(self.fleet.entries["i-1"])
+            chosen = {
+                self.choose(placement, self.demand(str(n))).entry.server_id for n in range(20)
+            }
+            self.assertEqual(chosen, {"i-2"})
+            await trio.sleep(0.6)
+            chosen = {
+                self.choose(placement, self.demand(str(n))).entry.server_id for n in range(20)
+            }
+            self.assertEqual(chosen, {"i-1", "i-2"})
+
+        self.run_with(test)
+
+    def test_suspicion_of_all_is_no_reason_to_refuse(self) -> None:
+        """Symptom: an instance refuses everything after its own link failed for a moment."""
+
+        async def test() -> None:
+            self.fleet.update([make_server("i-1"), make_server("i-2")])
+            placement = make_placement(self.fleet)
+            for entry in self.fleet.entries.values():
+                placement.note_unreachable(entry)
+            self.choose(placement, self.demand())
+
+        self.run_with(test)
+
+    def test_urgent_requests_find_room_behind_the_others(self) -> None:
+        async def test() -> None:
+            self.fleet.update([make_server("i-1")])
+            placement = make_placement(self.fleet)
+            other, urgent = make_route(priority=2), make_route(priority=1)
+            while isinstance(choice := placement.choose(self.demand(route=other)), Choice):
+                placement.began(self.demand(route=other), choice.entry)
+            self.assertIsInstance(placement.choose(self.demand(route=urgent)), Choice)
+
+        self.run_with(test)
+
+    def test_no_server_and_no_time(self) -> None:
+        async def test() -> None:
+            placement = make_placement(self.fleet)
+            nothing = placement.choose(self.demand())
+            assert isinstance(nothing, NoRoom)
+            self.assertFalse(nothing.full)
+            self.fleet.update([make_server("i-1")])
+            late = placement.choose(self.demand(left_s=0.02))
+            self.assertEqual(late, NoRoom("too late", full=True))
+
+        self.run_with(test)
+
+    def test_server_that_fails_a_part_of_its_requests_is_avoided_and_tried_again(self) -> None:
+        async def test() -> None:
+            self.fleet.update([make_server("i-1"), make_server("i-2")])
+            placement = make_placement(self.fleet)
+            demand = self.demand()
+            bad = self.choose(placement, demand)
+            for _ in range(5):
+                self.answer(placement, demand, bad, failed=True)
+            self.assertNotEqual(self.choose(placement, demand).entry, bad.entry)
+            await trio.sleep(10.0)
+            self.assertEqual(self.choose(placement, demand).entry, bad.entry)
+
+        self.run_with(test)
+
+
+class CachedPartTest(unittest.TestCase):
+    def test_small_failure_domain_holds_what_its_slots_can_serve(self) -> None:
+        async def test() -> None:
+            fleet = Fleet(region_of=REGION_OF)
+            fleet.update(
+                [
+                    make_server("i-1", failure_domain="a-1"),
+                    *(make_server(f"i-b{n}", failure_domain="b-1") for n in range(10)),
+                ]
+            )
+            part = CachedPart(fleet=fleet, instances_here=lambda: 1)
+            for _ in range(2000):
+                part.note_request("desk", 0.1)
+                await trio.sleep(0.02)  # 50 a second of 0.1 s each: 5 slots are wanted.
+            for _ in range(60):
+                part.note_request("desk", 0.1)
+                part.of("desk", "a-1")
+                await trio.sleep(0.6)
+                for _ in range(30):
+                    part.note_request("desk", 0.1)
+            self.assertLess(part.of("desk", "a-1"), 0.6)
+            self.assertEqual(part.of("desk", "b-1"), 1.0)
+
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+        trio.run(test, clock=MockClock(autojump_threshold=0))
+
+
+class ExpectationTest(unittest.TestCase):
+    prospect = Prospect(
+        service_s=0.08,
+        cached=0.95,
+        uses=1.0,
+        round_trip_s=0.001,
+        occupancy=0.0,
+        slots=3,
+        utilisation=0.2,
+        error_share=0.0,
+        reply_bytes=400,
+        crosses_domain=False,
+        crosses_region=False,
+    )
+
+    def loss(self, **changes) -> float:
+        return expect(self.prospect._replace(**changes), objective_s=0.3).loss
+
+    def test_what_makes_a_server_worse(self) -> None:
+        best = self.loss()
+        for worse in (
+            {"cached": 0.05},
+            {"round_trip_s": 0.11},
+            {"occupancy": 3.0},
+            {"error_share": 0.5},
+            {"reply_bytes": 90_000, "crosses_region": True},
+            {"service_s": 0.4},
+        ):
+            self.assertGreater(self.loss(**worse), best, worse)
+
+    def test_far_cached_server_beats_a_near_uncached_one(self) -> None:
+        far = self.loss(round_trip_s=0.11, crosses_region=True)
+        self.assertLess(far, self.loss(cached=0.05))
+
+    def test_cost_of_an_uncached_object_is_spread_over_its_uses(self) -> None:
+        self.assertLess(self.loss(cached=0.05, uses=20.0), self.loss(cached=0.05, uses=2.0))
+
+    def test_uncached_objects_cost_more_when_slots_are_scarce(self) -> None:
+        idle = self.loss(cached=0.05) - self.loss()
+        busy = self.loss(cached=0.05, utilisation=0.95) - self.loss(utilisation=0.95)
+        self.assertGreater(busy, idle + 0.5)
+
+
+class ServerLoadTest(unittest.TestCase):
+    def test_report_counts_what_others_have_there(self) -> None:
+        load = ServerLoad()
+        load.began()
+        load.note_report(LoadReport(3, 2, 3), 10.0)
+        self.assertAlmostEqual(load.occupancy(10.0), 5.0)
+        load.ended()
+        self.assertAlmostEqual(load.occupancy(10.0), 4.0)
+        self.assertLess(load.occupancy(11.0), 1.5)
+
+    def test_reports_in_other_forms_are_ignored(self) -> None:
+        self.assertEqual(parse_load(b"1,0,3"), LoadReport(1, 0, 3))
+        for text in (None, b"", b"1,2", b"a,b,c", b"1,2,3,4"):
+            self.assertIsNone(parse_load(text))
+
+    def test_suspicion_doubles_and_ends_with_an_answer(self) -> None:
+        load = ServerLoad()
+        rests = [load.note_unreachable(now) for now in (0.0, 1.0, 3.0, 8.0, 20.0)]
+        self.assertEqual(rests, [0.5, 1.0, 2.0, 4.0, 4.0])
+        load.note_answer(21.0, failed=False)
+        self.assertFalse(load.is_suspect(21.0))
+        self.assertEqual(load.note_unreachable(22.0), 0.5)
+
+
+class KeyReuseTest(unittest.TestCase):
+    def test_uses_follow_the_rate_and_the_number_of_keys(self) -> None:
+        reuse = KeyReuse()
+        self.assertEqual(reuse.uses(1, 0.0), 1.0)
+        for number in range(400):
+            reuse.note(str(number % 10), number * 0.1)
+        uses = reuse.uses(1, 40.0)
+        self.assertTrue(12 < uses < 28, uses)  # 10 a second of 10 keys, for 20 seconds.
+        self.assertAlmostEqual(reuse.uses(2, 40.0), 2 * uses)
--- a/tests/cover/test_settings.py
+++ b/tests/cover/test_settings.py
@@ -36,7 +36,7 @@
             "prot": 1,
             "platform": [{"address": "0.0.0.0", "port": 7000}],
             "limits": {"open_requests": 0},
-            "timings": {"lookup_ttl_ms": 2000, "epoch_s": "2m", "seat_lease_s": float("nan")},
+            "timings": {"lookup_ttl_ms": 2000, "epoch_s": "2m", "moves_lease_s": float("nan")},
         }
         result = check_settings(wrong)
         assert isinstance(result, Err)
@@ -51,7 +51,7 @@
                 "limits.open_requests",
                 "timings.lookup_ttl_ms",
                 "timings.epoch_s",
-                "timings.seat_lease_s",
+                "timings.moves_lease_s",
             },
         )
         self.assertIn("did you mean 'lookup_ttl_s'", found["timings.lookup_ttl_ms"])
@@ -62,7 +62,7 @@
         self.assertEqual([mistake.path for mistake in mistakes], ["platform"])
 
     def test_rules_that_bind_several_fields(self) -> None:
-        timings = {"heartbeat_interval_s": 3, "epoch_s": 1, "seat_lease_s": 1}
+        timings = {"heartbeat_interval_s": 3, "epoch_s": 1, "moves_lease_s": 1}
         result = check_settings({**SETTINGS, "peer_port": 8080, "timings": timings})
         assert isinstance(result, Err)
         self.assertEqual(len(result.err_value.mistakes), 4)
--- a/tests/integration/test_moves_and_drains.py
+++ b/tests/integration/test_moves_and_drains.py
@@ -15,7 +15,7 @@
 TIMINGS = {
     "lookup_ttl_s": 0.5,
     "platform_timeout_s": 0.8,
-    "seat_lease_s": 2.0,
+    "moves_lease_s": 2.0,
     "move_interval_s": 0.1,
     "watch_wait_s": 5.0,
 }
