Keep a caller's connection after a request without body

Cause: the end of a request without a body was never asked of the parser, so it counted as not read and the connection was closed with each reply. Ruled out: the callers' own closes. Change: the end is taken with the head. test_connection_is_kept_after_a_request_without_body failed before.

--- a/src/wagtailpoint/proxy/caller_connection.py
+++ b/src/wagtailpoint/proxy/caller_connection.py
@@ -14,7 +14,7 @@
 
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.backend import BodyBroken, Headers
-from wagtailpoint.proxy.headers import content_length, first
+from wagtailpoint.proxy.headers import content_length, first, has_body
 from wagtailpoint.routing.table import CallerBounds
 
 READ_BYTES = 64 * 1024
@@ -99,6 +99,7 @@
         self._room = trio.Event()
         self._gone = False
         self._resting = True
+        self._has_body = False
         self._request: trio.CancelScope | None = None
         self._idle = trio.CancelScope()
 
@@ -130,6 +131,8 @@
             CallerGone: The caller closed the connection.
             BodyBroken: The body breaks HTTP.
         """
+        if not self._has_body:
+            return ReadBody(b"", None)
         parts = bytearray()
         if self._parser.they_are_waiting_for_100_continue:
             await self._write(
@@ -200,6 +203,11 @@
                 return
 
     async def _handle(self, head: IncomingRequest) -> None:
+        self._has_body = has_body(head.headers)
+        if not self._has_body:
+            # Until its end was asked for, the request counts as not read, and its connection would
+            # be closed with the reply.
+            self._parsed()
         wrong = _framing_mistake(head.headers)
         if wrong is not None:
             await self._refuse_unreadable(HTTPStatus.BAD_REQUEST, wrong)
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -21,7 +21,13 @@
 )
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.caller_connection import CallerConnection, IncomingRequest, ReadBody
-from wagtailpoint.proxy.headers import HeaderNames, content_length, end_to_end, first
+from wagtailpoint.proxy.headers import (
+    HeaderNames,
+    content_length,
+    end_to_end,
+    first,
+    has_body,
+)
 from wagtailpoint.proxy.repeat_budget import RepeatBudget
 from wagtailpoint.routing.split import SplitChooser
 from wagtailpoint.routing.table import HostRoute, RouteTable
@@ -248,7 +254,7 @@
     async def _serve(self, job: _Job, caller: CallerConnection) -> Outcome:
         self._budget.note_request(job.service)
         self._placement.note_request(self._demand(job))
-        if _has_body(job.request.headers):
+        if has_body(job.request.headers):
             job.body = await caller.read_body(READ_AHEAD_BYTES)
         while True:
             chosen = self._choose(job)
@@ -548,7 +554,3 @@
 
 def _text(value: bytes | None) -> str:
     return value.decode("latin-1") if value is not None else ""
-
-
-def _has_body(headers: Headers) -> bool:
-    return first(headers, b"transfer-encoding") is not None or bool(content_length(headers))
--- a/src/wagtailpoint/proxy/headers.py
+++ b/src/wagtailpoint/proxy/headers.py
@@ -61,3 +61,8 @@
     """The length that a message promises; None if it does not say one."""
     value = first(headers, b"content-length")
     return int(value) if value is not None and value.isdigit() else None
+
+
+def has_body(headers: Headers) -> bool:
+    """Whether a request has a body."""
+    return first(headers, b"transfer-encoding") is not None or bool(content_length(headers))
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -68,6 +68,24 @@
 
         self.run_with(slow_first, test)
 
+    def test_connection_is_kept_after_a_request_without_body(self) -> None:
+        """Symptom: every caller opens a connection for each request, and pipelined ones are lost.
+
+        The handler of a request without a body reads none. The parser had not been asked for the
+        end of the request, so it was taken as not read to its end, and the connection was closed.
+        """
+
+        async def unread(request: IncomingRequest, caller: CallerConnection) -> None:
+            await caller.reply(200, (), request.target.encode())
+
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(GET % b"a" + GET % b"b")
+            data = await self.read_until(stream, b"/b")
+            self.assertIn(b"/b", data)
+            self.assertNotIn(b"close", data.lower())
+
+        self.run_with(unread, test)
+
     def test_close_is_noticed_while_requests_wait_behind_the_open_one(self) -> None:
         """Symptom: backend servers go on working for callers that have left.
 
