Bounds on a caller's head and body; a body that does not come is answered 408

Cause: a chunked body had no bound, a stalled one held its request open, a head could be 64 KiB over its bound; a deadline with a fraction was ignored. Found by reading. Also: what was learned of routes that are gone is bounded.

--- a/src/wagtailpoint/placement/key_reuse.py
+++ b/src/wagtailpoint/placement/key_reuse.py
@@ -9,8 +9,8 @@
 
 HORIZON_S: Final = 8.0
 """An object is taken to be of use for so long. Longer, and each failure domain caches more by
-itself, where its first uses are slow: of a calm day's value 20 s lost 0.002 and 0.022 more than 8 s (one
-run on each site)."""
+itself, where its first uses are slow: of a calm day's value 20 s lost 0.002 and 0.022 more than 8 s
+(one run on each site)."""
 
 
 class KeyReuse:
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -32,6 +32,9 @@
 
 UTILISATION_INTERVAL_S: Final = 0.1
 
+MOST_ROUTES: Final = 10_000
+"""Routes come and go with the configuration; what was learned of old ones must not fill memory."""
+
 URGENT_QUEUE: Final = 3.0
 OTHER_QUEUE: Final = 1.5
 """Requests that may wait at a backend server beyond its slots, for the urgent and for the others:
@@ -161,6 +164,8 @@
     def _reuse_of(self, route: HostRoute) -> KeyReuse:
         reuse = self._reuse.get(route.name)
         if reuse is None:
+            if len(self._reuse) >= MOST_ROUTES:
+                self._reuse.clear()
             reuse = self._reuse[route.name] = KeyReuse()
         return reuse
 
@@ -175,6 +180,8 @@
         """What requests of a route take at a service."""
         cost = self._costs.get((route.name, service))
         if cost is None:
+            if len(self._costs) >= MOST_ROUTES:
+                self._costs.clear()
             cost = self._costs[route.name, service] = RouteCost()
         return cost
 
--- a/src/wagtailpoint/proxy/caller_connection.py
+++ b/src/wagtailpoint/proxy/caller_connection.py
@@ -91,15 +91,14 @@
         self._handler = handler
         self._bounds = bounds
         self._is_leaving = is_leaving
-        self._parser = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=bounds().header_bytes + READ_BYTES
-        )
+        self._parser = h11.Connection(h11.SERVER, max_incomplete_event_size=bounds().header_bytes)
         self._unread = bytearray()
         self._arrived = trio.Event()
         self._room = trio.Event()
         self._gone = False
         self._resting = True
         self._has_body = False
+        self._body_bytes = 0
         self._request: trio.CancelScope | None = None
         self._idle = trio.CancelScope()
 
@@ -204,6 +203,7 @@
 
     async def _handle(self, head: IncomingRequest) -> None:
         self._has_body = has_body(head.headers)
+        self._body_bytes = 0
         if not self._has_body:
             # Until its end was asked for, the request counts as not read, and its connection would
             # be closed with the reply.
@@ -221,7 +221,7 @@
             log_event("reply-cut", level="WARNING", target=head.target, error=error)
             self._note_gone()
         except h11.RemoteProtocolError as error:
-            await self._refuse_unreadable(HTTPStatus.BAD_REQUEST, str(error))
+            await self._refuse_unreadable(HTTPStatus(error.error_status_hint), str(error))
         except Exception as error:  # noqa: BLE001 - one request's fault must not end the others
             log_event("internal-error", level="ERROR", target=head.target, error=repr(error))
             await self._refuse_unreadable(HTTPStatus.INTERNAL_SERVER_ERROR, "internal error")
@@ -254,11 +254,18 @@
         raise HeadTooSlow
 
     async def _body_parts(self) -> AsyncIterator[bytes]:
+        most_bytes = self._bounds().body_bytes
         while True:
             event = self._parsed()
             if event is h11.NEED_DATA:
                 await self._more()
             elif isinstance(event, h11.Data):
+                self._body_bytes += len(event.data)
+                if self._body_bytes > most_bytes:
+                    raise h11.RemoteProtocolError(
+                        f"a body of more than {most_bytes} bytes",
+                        error_status_hint=HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+                    )
                 yield bytes(event.data)
             else:
                 return
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -1,5 +1,6 @@
 """One request from its head to the end of its reply: route, backend servers, verdict, answer."""
 
+import re
 from collections.abc import AsyncIterator, Callable
 from http import HTTPStatus
 from random import Random
@@ -52,6 +53,8 @@
 
 LEAST_SILENT_S = 0.15
 
+DEADLINE_FORM = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,6})?")
+
 COME_BACK_S = 0.2
 """When a refused caller may come back: about two service times later some slots have changed."""
 
@@ -254,8 +257,9 @@
     async def _serve(self, job: _Job, caller: CallerConnection) -> Outcome:
         self._budget.note_request(job.service)
         self._placement.note_request(self._demand(job))
-        if has_body(job.request.headers):
-            job.body = await caller.read_body(READ_AHEAD_BYTES)
+        if not await self._read_body(job, caller):
+            await caller.reply(HTTPStatus.REQUEST_TIMEOUT, (), b"the body came too slowly\n")
+            return Outcome(HTTPStatus.REQUEST_TIMEOUT, "slow-body", Verdict.NOT_RUN)
         while True:
             chosen = self._choose(job)
             if isinstance(chosen, NoRoom):
@@ -268,6 +272,15 @@
             if not self._may_go_on(job):
                 return await self._give_up(job, caller, "failed")
 
+    async def _read_body(self, job: _Job, caller: CallerConnection) -> bool:
+        """Read the body ahead; False if the caller does not send it within the deadline."""
+        if not has_body(job.request.headers):
+            return True
+        with trio.move_on_at(job.deadline):
+            job.body = await caller.read_body(READ_AHEAD_BYTES)
+            return True
+        return False
+
     def _choose(self, job: _Job) -> Choice | NoRoom:
         chosen = self._placement.choose(self._demand(job))
         if isinstance(chosen, Choice):
@@ -510,9 +523,9 @@
     def _timeout_s(self, request: IncomingRequest, route: HostRoute) -> float:
         """The shorter of the caller's remaining time and the route's timeout, in seconds."""
         value = first(request.headers, self._names.deadline_ms)
-        if value is None or not value.isdigit():
+        if value is None or not DEADLINE_FORM.fullmatch(value):
             return route.timeout_s
-        return min(route.timeout_s, int(value) / 1000)
+        return min(route.timeout_s, float(value) / 1000)
 
     def _log(self, request: IncomingRequest, job: _Job | None, outcome: Outcome) -> None:
         elapsed_s = trio.current_time() - request.arrived
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -153,6 +153,21 @@
 
         self.run_with(echo, test)
 
+    def test_head_and_body_over_their_bounds(self) -> None:
+        self.bounds = CallerBounds(1024, 100, header_timeout_s=1, idle_timeout_s=5)
+        long_head = b"GET /a HTTP/1.1\r\nHost: h\r\nX: " + b"x" * 5000
+        long_body = b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+        long_body += b"80\r\n" + b"x" * 128 + b"\r\n0\r\n\r\n"
+        for request, status in ((long_head, b" 431 "), (long_body, b" 413 ")):
+
+            async def test(
+                stream: trio.SocketStream, request: bytes = request, status: bytes = status
+            ) -> None:
+                await stream.send_all(request)
+                self.assertIn(status, await self.read_until(stream, b"never"))
+
+            self.run_with(echo, test)
+
     def test_idle_connection_is_closed_after_its_time_only(self) -> None:
         self.bounds = CallerBounds(1024, 1024, header_timeout_s=1, idle_timeout_s=0.4)
 
--- a/tests/cover/test_dispatcher.py
+++ b/tests/cover/test_dispatcher.py
@@ -214,6 +214,12 @@
         self.assertTrue(reply.startswith(b"HTTP/1.1 504"), reply)
         self.assertNotIn(b"retry-after", reply)
 
+    def test_body_that_does_not_come_is_answered_at_the_deadline(self) -> None:
+        """Symptom: a caller that stalls in its body holds a request open for ever."""
+        stalled = get("/r/x", "X-Deadline-Ms: 200", "Content-Length: 5") + b"ab"
+        (reply,) = self.replies({"i-1": Backend(ok).script}, stalled)
+        self.assertTrue(reply.startswith(b"HTTP/1.1 408"), reply)
+
     def test_caller_that_leaves_ends_the_work_at_the_backend_server(self) -> None:
         """Symptom: backend servers are busy with requests that nobody waits for."""
         ended = trio.Event()
