--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -39,6 +39,7 @@
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.repeat_budget import RepeatBudget
+from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
 
 STORE_TIMEOUT_S = 2.0
@@ -197,8 +198,7 @@
 
     def _make_dispatcher(self) -> Dispatcher:
         bounds = self._settings.bounds
-        return Dispatcher(
-            table=lambda: self._state.table,
+        sender = Sender(
             takes_work=self._fleet.takes_work,
             placement=self._placement,
             pool=self._pool,
@@ -206,6 +206,11 @@
                 ratio=bounds.repeat_ratio, slack=bounds.repeat_slack, instances=self._instances
             ),
             names=HEADER_NAMES,
+        )
+        return Dispatcher(
+            table=lambda: self._state.table,
+            sender=sender,
+            names=HEADER_NAMES,
             metrics=self._metrics,
             random=self._random,
         )
--- a/src/wagtailpoint/proxy/headers.py
+++ b/src/wagtailpoint/proxy/headers.py
@@ -66,3 +66,8 @@
 def has_body(headers: Headers) -> bool:
     """Whether a request has a body."""
     return first(headers, b"transfer-encoding") is not None or bool(content_length(headers))
+
+
+def text(value: bytes | None) -> str:
+    """The value of a header as text; empty if it is absent."""
+    return value.decode("latin-1") if value is not None else ""
--- /dev/null
+++ b/src/wagtailpoint/proxy/job.py
@@ -0,0 +1,88 @@
+"""A request on its way: what is known of it, what was tried, what became of it."""
+
+from typing import Final, NamedTuple
+
+import trio
+
+from wagtailpoint.placement.placement import Choice
+from wagtailpoint.ports.backend import FailureReason
+from wagtailpoint.proxy.backend_connection import BackendReply
+from wagtailpoint.proxy.caller_connection import IncomingRequest, ReadBody
+from wagtailpoint.routing.table import HostRoute, RouteTable
+from wagtailpoint.verdict import Verdict
+
+UNREACHED: Final = frozenset(
+    (
+        FailureReason.CONNECT_REFUSED,
+        FailureReason.CONNECT_FAILED,
+        FailureReason.CONNECT_TIMEOUT,
+    )
+)
+"""With these no byte of the request has left."""
+
+
+class Outcome(NamedTuple):
+    """What became of a request.
+
+    Attributes:
+        status: The status that the caller got.
+        result: One word for logs and metrics.
+        verdict: Whether it may have run.
+    """
+
+    status: int
+    result: str
+    verdict: Verdict
+
+
+class Failure(NamedTuple):
+    """A send to a backend server that gave no answer to pass on."""
+
+    server_id: str
+    verdict: Verdict
+    reason: str
+
+
+class Job:
+    """A request on its way, with what was tried.
+
+    Attributes:
+        tried: Backend servers that it was given to, by id.
+        sends: Of these, how many may have seen it.
+        failures: The sends that gave no answer to pass on.
+        failed_reply: The last failure of a backend server's own, should there be nothing better.
+        last: The last choice, for the log.
+        load: The load that the last answer told, for the log.
+    """
+
+    def __init__(
+        self, *, request: IncomingRequest, table: RouteTable, route: HostRoute, service: str
+    ) -> None:
+        self.request = request
+        self.table = table
+        self.route = route
+        self.service = service
+        self.deadline = 0.0
+        self.body = ReadBody(b"", None)
+        self.tried: list[str] = []
+        self.sends = 0
+        self.failures: list[Failure] = []
+        self.failed_reply: BackendReply | None = None
+        self.last: Choice | None = None
+        self.load = b""
+
+    @property
+    def left_s(self) -> float:
+        """Seconds left until the deadline."""
+        return self.deadline - trio.current_time()
+
+    @property
+    def verdict(self) -> Verdict:
+        """Whether any of the sends may have run."""
+        if all(each.verdict is Verdict.NOT_RUN for each in self.failures):
+            return Verdict.NOT_RUN
+        return Verdict.MAY_HAVE_RUN
+
+    def fail(self, server_id: str, verdict: Verdict, reason: str) -> None:
+        """A send is over without an answer to pass on."""
+        self.failures.append(Failure(server_id, verdict, reason))
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -20,6 +20,7 @@
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.repeat_budget import RepeatBudget
+from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.routing.table import (
     DEFAULT_CALLER_BOUNDS,
     HostRoute,
@@ -100,10 +101,13 @@
         self.budget = RepeatBudget(ratio=0.2, slack=50.0, instances=lambda: 1)
         self.dispatcher = Dispatcher(
             table=lambda: self.table,
-            takes_work=self.fleet.takes_work,
-            placement=self.placement,
-            pool=BackendPool(names=HEADER_NAMES),
-            budget=self.budget,
+            sender=Sender(
+                takes_work=self.fleet.takes_work,
+                placement=self.placement,
+                pool=BackendPool(names=HEADER_NAMES),
+                budget=self.budget,
+                names=HEADER_NAMES,
+            ),
             names=HEADER_NAMES,
             metrics=Metrics(),
             random=Random(1),
