--- a/src/wagtailpoint/adapters/backend_headers.py
+++ b/src/wagtailpoint/adapters/backend_headers.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 
 from wagtailpoint.ports.backend import BackendAddress, BackendRequest, Headers
+from wagtailpoint.proxy.headers import HOP_BY_HOP
 
 REQUEST_ID_HEADER = b"wagtailpoint-request-id"
 DEADLINE_HEADER = b"wagtailpoint-deadline-ms"
@@ -14,20 +15,6 @@
 """Taken off the deadline that is passed on, in seconds, so that an answer made in the last moment
 still arrives in time."""
 
-HOP_BY_HOP = frozenset(
-    (
-        b"connection",
-        b"keep-alive",
-        b"proxy-authenticate",
-        b"proxy-authorization",
-        b"proxy-connection",
-        b"te",
-        b"trailer",
-        b"transfer-encoding",
-        b"upgrade",
-    )
-)
-
 OWN_REQUEST_HEADERS = frozenset((REQUEST_ID_HEADER, DEADLINE_HEADER, b"expect"))
 """Made new for each exchange, or, for ``Expect``, answered by the entry itself."""
 
