--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -28,7 +28,7 @@
 from wagtailpoint.proxy.repeat_budget import RepeatBudget
 from wagtailpoint.verdict import Verdict
 
-MOSTUNREACHED = 3
+MOST_UNREACHED = 3
 """Backend servers that may turn out unreachable for one request; no byte of it left then."""
 
 RETURN_ALLOWANCE_S = 0.003
@@ -124,7 +124,7 @@
         if job.verdict is not Verdict.NOT_RUN and not job.route.idempotent:
             return False
         if job.sends == 0:
-            return len(job.tried) < MOSTUNREACHED
+            return len(job.tried) < MOST_UNREACHED
         return job.sends < job.route.most_attempts and self._budget.take(job.service)
 
     def _may_repeat(self, job: Job) -> bool:
