Remove a field and a property of backend connections that nothing reads

Cause: read again, BackendReply.closing was worked out for each response and BackendConnection.fresh offered, and no code used either. Change: both gone; no behaviour changed. Linter and types clean; 24 tests of the connections and the dispatcher unchanged and green.

--- a/src/wagtailpoint/proxy/backend_connection.py
+++ b/src/wagtailpoint/proxy/backend_connection.py
@@ -76,7 +76,6 @@
         rest: The rest of a long body; None if ``body`` is all. Raises ``BodyBroken``.
         length: The length of the whole body if it was promised and there is a rest.
         not_run: The backend server says that it did not run the request.
-        closing: The backend server ends the connection after it.
     """
 
     status: int
@@ -85,7 +84,6 @@
     rest: AsyncIterator[bytes] | None
     length: int | None
     not_run: bool
-    closing: bool
 
 
 class ExchangeFailed(Exception):
@@ -119,11 +117,6 @@
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since = trio.current_time()
 
-    @property
-    def fresh(self) -> bool:
-        """Whether no exchange was begun on it."""
-        return self._fresh
-
     def reusable(self) -> bool:
         """Whether the last exchange ended cleanly, with nothing left over.
 
@@ -281,7 +274,6 @@
             length=int(length) if length is not None else None,
             not_run=response.status_code == MISDIRECTED
             or first(headers, self._names.not_run) is not None,
-            closing=b"close" in (first(headers, b"connection") or b"").lower(),
         )
 
     async def _rest_of_body(self) -> AsyncIterator[bytes]:
