Whoever is refused by a draining backend server tells all instances

Cause: only the instance that was refused knew of it. A hedged or spilled request of an instance in another region, which had sent that server nothing before, was the first one there to be refused.

Ruled out: the memory of a refusal (10 s) running out, as the test watches 7 s.

Change: health/drain_news.py sends one message to each other instance at the first refusal; those who were told do not tell it on. Membership.others() replaces the copy in daemon/moving.py.

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -33,6 +33,7 @@
 from wagtailpoint.entry.request import CallerRequest
 from wagtailpoint.entry.service import EntryService
 from wagtailpoint.health.board import HealthBoard
+from wagtailpoint.health.drain_news import DrainNews
 from wagtailpoint.idempotency.binding import new_incarnation
 from wagtailpoint.idempotency.bound_entry import BoundEntries
 from wagtailpoint.idempotency.claims import Claims
@@ -119,6 +120,7 @@
         )
         self._backends = HttpBackends()
         self._health = HealthBoard(clock=self._clock)
+        DrainNews(peers=self._peers, health=self._health, others=self._membership.others)
         self._prober = BackendProber(
             backends=self._backends,
             health=self._health,
--- a/src/wagtailpoint/daemon/moving.py
+++ b/src/wagtailpoint/daemon/moving.py
@@ -1,6 +1,6 @@
 """The moves of one instance: what it knows, follows and, if it has the lease, writes."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 from random import Random
 from typing import Final
 
@@ -14,7 +14,7 @@
 from wagtailpoint.moves.news import MoveNewsroom
 from wagtailpoint.moves.writer import MoveWriter, ProgressCleaner, WriterLease
 from wagtailpoint.ports.clock import Clock
-from wagtailpoint.ports.peers import PeerAddress, Peers
+from wagtailpoint.ports.peers import Peers
 from wagtailpoint.ports.platform import Platform
 from wagtailpoint.settings import Timings
 
@@ -60,7 +60,7 @@
             platform=platform,
             peers=peers,
             board=board,
-            others=self._others,
+            others=self._membership.others,
             watching=watching,
             wait_s=timings.watch_wait_s,
             random=Random(),
@@ -99,14 +99,6 @@
             await trio.sleep(CLEANING_S)
             await self._cleaner.step()
 
-    def _others(self) -> Sequence[PeerAddress]:
-        own = self._membership.own.address
-        return [
-            member.peer_address
-            for member in self._membership.members()
-            if member.address != own and member.state != "dead"
-        ]
-
     def _receiving(self, move: Move) -> tuple[int, int]:
         config = self._config
         if config is None:
--- a/src/wagtailpoint/health/board.py
+++ b/src/wagtailpoint/health/board.py
@@ -1,6 +1,6 @@
 """Which backend servers get new work."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from statistics import median
 
 from wagtailpoint.config.model import BackendServer
@@ -40,10 +40,24 @@
         self._most_ejected = most_ejected
         self._health: dict[BackendAddress, ServerHealth] = {}
         self._judged_at: dict[tuple[BackendServer, ...], float] = {}
+        self._draining_callbacks: list[Callable[[BackendAddress], None]] = []
+
+    def on_draining(self, callback: Callable[[BackendAddress], None]) -> None:
+        """Call ``callback``, which must not block, when an answer says "draining" first."""
+        self._draining_callbacks.append(callback)
 
     def observe_outcome(self, server: BackendAddress, outcome: Outcome, latency_s: float) -> None:
         """Take in how one of our own exchanges ended, after so many seconds."""
-        self._of(server).observe_outcome(outcome, latency_s)
+        health = self._of(server)
+        known = health.said_draining
+        health.observe_outcome(outcome, latency_s)
+        if health.said_draining and not known:
+            for callback in self._draining_callbacks:
+                callback(server)
+
+    def learn_draining(self, server: BackendAddress) -> None:
+        """Take in that an answer to another instance's request said "draining"."""
+        self._of(server).observe_outcome(Outcome.DRAINING, 0.0)
 
     def observe_report(self, server: BackendAddress, report: LoadReport) -> None:
         """Take in what a backend server says of itself."""
--- a/src/wagtailpoint/membership/service.py
+++ b/src/wagtailpoint/membership/service.py
@@ -98,6 +98,15 @@
         """Return one member."""
         return next((member for member in self.members() if member.address == address), None)
 
+    def others(self) -> Sequence[PeerAddress]:
+        """Return where the other instances that are not known to be dead are heard."""
+        own = self._table.own.address
+        return [
+            member.peer_address
+            for member in self.members()
+            if member.address != own and member.state != "dead"
+        ]
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Call ``callback``, which must not block, after every change of ``members()``."""
         self._teller.on_change(callback)
--- a/tests/cover/test_health.py
+++ b/tests/cover/test_health.py
@@ -2,9 +2,16 @@
 
 import unittest
 
+import trio
+import trio.testing
+from trio.testing import MockClock
+
+from tests.common.fake_peers import FakeNetwork, FakePeers
 from wagtailpoint.config.model import BackendServer
 from wagtailpoint.health import HealthBoard, Outcome, State, outcome_of
+from wagtailpoint.health.drain_news import DrainNews
 from wagtailpoint.ports.backend import BackendAddress, BackendFailure, FailureReason, LoadReport
+from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.verdict import Verdict
 
 
@@ -158,3 +165,37 @@
         self.assertEqual(outcome_of(shed._replace(draining=True)), Outcome.DRAINING)
         self.assertEqual(outcome_of(refused), Outcome.CONNECT_FAILED)
         self.assertEqual(outcome_of(refused._replace(reason="odd")), Outcome.UNKNOWN)
+
+
+class DrainNewsTest(unittest.TestCase):
+    """Refusals of one instance are known to all; see ``tests/integration/test_leaving.py``."""
+
+    def test_a_refusal_is_told_once_and_kept_by_those_who_were_told(self) -> None:
+        """Symptom: each instance sends a draining backend server one request more, seconds later.
+
+        Cause: only the instance that was refused knew of it. Those who are told must not tell it
+        on: with n instances that would be n times n messages for each refusal.
+        """
+        network, clock = FakeNetwork(), MovableClock()
+        places = [PeerAddress(f"127.9.0.{number}", 7000, number) for number in (1, 2, 3)]
+        boards = [HealthBoard(clock=clock) for _ in places]
+        links = [FakePeers(network=network, address=place) for place in places]
+        for place, board, peers in zip(places, boards, links, strict=True):
+            others = [other for other in places if other != place]
+            DrainNews(peers=peers, health=board, others=lambda others=others: others)
+        server = BackendAddress("127.1.1.1", 9100)
+
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                for peers in links:
+                    nursery.start_soon(peers.run)
+                await trio.testing.wait_all_tasks_blocked()
+                for _ in range(3):
+                    boards[0].observe_outcome(server, Outcome.DRAINING, 0.0)
+                await trio.sleep(1.0)
+                nursery.cancel_scope.cancel()
+
+        trio.run(test, clock=MockClock(autojump_threshold=0))
+        self.assertEqual([board.state_of(server) for board in boards], [State.DRAINING] * 3)
+        sent = [peers.counts.sent.get("server-draining") for peers in links]
+        self.assertEqual([each and each.messages for each in sent], [2, None, None])
--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -27,9 +27,16 @@
 BULK_BYTES = 600_000
 BULK_MS = 7000
 CLIENTS = ("10.16.0.9", "10.24.0.9", "10.32.0.9", "10.17.3.4", "10.33.5.6", "10.16.8.8")
+BURST = 250
+"""Requests at once: more than the slots of all backend servers nearer than the farthest ones."""
 in_thread = trio.to_thread.run_sync
 
 
+def count_of(record: dict[str, Any], name: str) -> int:
+    """How many requests with this name in their path arrived at a backend server."""
+    return sum(name in arrival["path"] for arrival in record["arrivals"])
+
+
 class LeavingServersTest(DeploymentCase):
     AT_MOST_ONCE = False
 
@@ -54,6 +61,47 @@
         """
         self.check_leaves("reports", {"report": {"draining": True}})
 
+    def test_entry_that_never_sent_it_anything_learns_it_from_its_peers(self) -> None:
+        """Symptom: a server that shuts down gets a request after all, seconds later.
+
+        Sequence: the platform is out; one backend server refuses the requests of one entry, because
+        it drains, while its report still says that it does not. An entry in another region, which
+        had sent it nothing so far, has more requests than nearer servers take. Cause: a refusal was
+        known only to the entry that got it.
+        """
+        backends = self.running.backends["deposit-desk"]
+        near, far = self.running.entries[0], self.running.entries[-1]
+
+        async def test() -> None:
+            await self.send_one_by_one("near-before", near, 1.0)
+            await in_thread(partial(self.running.set_platform, down=True))
+            records = await in_thread(backends.records)
+            busiest = max(records, key=lambda server: count_of(records[server], "near-before"))
+            mode = {"draining": True, "report": {"draining": False}}
+            await in_thread(backends.control, busiest, "POST", "mode", mode)
+            await self.send_one_by_one("near-after", near, LEAVE_WITHIN_S)
+            records = await in_thread(backends.records)
+            self.assertGreater(count_of(records[busiest], "near-after"), 0)
+            async with trio.open_nursery() as nursery:
+                for number in range(BURST):
+                    path = f"/deposits/balance/far-{number}"
+                    nursery.start_soon(partial(self.raw.send, far.place, path, method="GET"))
+            arrivals = await in_thread(backends.records)
+            reached = {server for server in arrivals if count_of(arrivals[server], "/far-")}
+            # Without a burst that reaches the other regions, nothing is tested.
+            self.assertGreater(len(reached), len(arrivals) / 2)
+            self.assertNotIn(busiest, reached)
+
+        self.run_trio(test)
+
+    async def send_one_by_one(self, name: str, entry: EntryProcess, duration_s: float) -> None:
+        """Balance checks at one entry, each after the one before."""
+        until = trio.current_time() + duration_s
+        number = 0
+        while trio.current_time() < until:
+            number += 1
+            await self.raw.send(entry.place, f"/deposits/balance/{name}-{number}", method="GET")
+
     def check_leaves(self, name: str, mode: dict[str, object]) -> None:
         backends = self.running.backends["deposit-desk"]
 
