--- a/tests/cover/test_health.py
+++ b/tests/cover/test_health.py
@@ -1,6 +1,7 @@
 """Which backend servers get new work."""
 
 import unittest
+from functools import partial
 
 import trio
 import trio.testing
@@ -181,8 +182,8 @@
         boards = [HealthBoard(clock=clock) for _ in places]
         links = [FakePeers(network=network, address=place) for place in places]
         for place, board, peers in zip(places, boards, links, strict=True):
-            others = [other for other in places if other != place]
-            DrainNews(peers=peers, health=board, others=lambda others=others: others)
+            others = tuple(other for other in places if other != place)
+            DrainNews(peers=peers, health=board, others=partial(tuple, others))
         server = BackendAddress("127.1.1.1", 9100)
 
         async def test() -> None:
