Spare connections to far backend servers; distances probed before requests come

Change: for each connection in use to a backend server 10 ms or more away one spare is kept. Connections that rested too long are closed every 2 s, before only when the next request came. One connection is opened to each failure domain at the start, so that round trips are measured before callers come.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -38,6 +38,7 @@
 from wagtailpoint.proxy.caller_connection import RequestHandler
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
+from wagtailpoint.proxy.distance_probe import DistanceProbe
 from wagtailpoint.proxy.repeat_budget import RepeatBudget
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
@@ -147,6 +148,8 @@
                     self._membership.run,
                     partial(self._registration.run, self._is_alone),
                     *(follower.run for follower in self._followers.values()),
+                    self._pool.run,
+                    self._make_distance_probe().run,
                     self._clean_gone,
                     self._watch_settings,
                 ]
@@ -197,6 +200,14 @@
             instances_here=self._instances_here,
         )
 
+    def _make_distance_probe(self) -> DistanceProbe:
+        return DistanceProbe(
+            entries=lambda: self._fleet.entries.values(),
+            pool=self._pool,
+            distances=self._distances,
+            random=self._random,
+        )
+
     def _make_dispatcher(self) -> Dispatcher:
         bounds = self._settings.bounds
         sender = Sender(
--- a/src/wagtailpoint/placement/distances.py
+++ b/src/wagtailpoint/placement/distances.py
@@ -45,6 +45,10 @@
         measured = self._measured.get(failure_domain)
         return self._assumed_s(failure_domain) if measured is None else measured
 
+    def is_measured(self, failure_domain: str) -> bool:
+        """Whether a connection was ever opened to a backend server there."""
+        return failure_domain in self._measured
+
     def note_opened(self, failure_domain: str, seconds: float) -> None:
         """A connection to a backend server there took so long to open."""
         believed = self.round_trip_s(failure_domain)
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -1,10 +1,12 @@
 """The connections to all backend servers: which is used again, which is closed."""
 
 from collections import deque
+from typing import Final
 
 import trio
 
 from wagtailpoint.discovery.entries import ServerEntry
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.ports.backend import FailureReason
 from wagtailpoint.proxy.backend_connection import (
@@ -15,15 +17,24 @@
 from wagtailpoint.proxy.headers import HeaderNames
 from wagtailpoint.verdict import Verdict
 
-KEPT_CONNECTIONS = 8
+KEPT_CONNECTIONS: Final = 8
 """Idle connections kept for each backend server."""
 
-CONNECT_SLACK_S = 0.2
-CONNECT_ROUND_TRIPS = 2.0
+CONNECT_SLACK_S: Final = 0.2
+CONNECT_ROUND_TRIPS: Final = 2.0
 """How long a connection may take to open: so many round trips and the slack in seconds, for a
 machine that gets no processor time for a tenth of one. One without power never answers at all,
 and a lost packet is sent again after a second, too late for most requests: better another one."""
 
+SPARE_ROUND_TRIP_S: Final = 0.01
+"""From this round trip on a spare connection is opened for each one in use. A request that has to
+open its own waits a round trip more, which at 110 ms is a third to half of the time in which an
+answer has its full value; a connection that is never used costs a hundredth of an answer."""
+
+SWEEP_INTERVAL_S: Final = 2.0
+"""How often connections that rested too long are closed; the backend server closes them anyway, but
+its end would not be noticed, and the descriptor kept, until the next request to it."""
+
 
 class BackendPool:
     """Idle connections by the id of the backend server, and new ones.
@@ -42,6 +53,16 @@
         self._names = names
         self._distances = distances
         self._idle: dict[str, deque[BackendConnection]] = {}
+        self._opening_spare: set[str] = set()
+        self._nursery: trio.Nursery | None = None
+
+    async def run(self) -> None:
+        """Open spare connections and close those that rested too long, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            while True:
+                await trio.sleep(SWEEP_INTERVAL_S)
+                await self._sweep()
 
     async def acquire(self, entry: ServerEntry) -> BackendConnection:
         """Take an idle connection, or open one. No byte of a request leaves here.
@@ -53,9 +74,47 @@
         while idle:
             connection = idle.pop()
             if not connection.rested_too_long():
+                self._want_spare(entry)
                 return connection
             await connection.close()
-        return await self._open(entry)
+        connection = await self._open(entry)
+        self._want_spare(entry)
+        return connection
+
+    async def release(self, server_id: str, connection: BackendConnection) -> None:
+        """Give a connection back: it is kept if it is clean, otherwise closed."""
+        if not connection.reusable():
+            await connection.close()
+            return
+        await self._keep(server_id, connection)
+
+    async def close(self, server_id: str) -> None:
+        """Close the idle connections to a backend server that is gone."""
+        for connection in self._idle.pop(server_id, ()):
+            await connection.close()
+
+    async def open_spare(self, entry: ServerEntry) -> None:
+        """Open a connection for the next request."""
+        self._opening_spare.add(entry.server_id)
+        try:
+            connection = await self._open(entry)
+        except ExchangeFailed as error:
+            # Nobody waits for it: whoever needs a connection opens one, and learns what is wrong.
+            log_event("spare-not-opened", server=entry.server_id, reason=error)
+            return
+        finally:
+            self._opening_spare.discard(entry.server_id)
+        await self._keep(entry.server_id, connection)
+
+    def _want_spare(self, entry: ServerEntry) -> None:
+        """Have a connection opened for the next request, if none is idle and it takes long."""
+        if self._nursery is None or self._idle.get(entry.server_id):
+            return
+        if entry.server_id in self._opening_spare:
+            return
+        if self._distances.round_trip_s(entry.failure_domain) >= SPARE_ROUND_TRIP_S:
+            self._opening_spare.add(entry.server_id)
+            self._nursery.start_soon(self.open_spare, entry)
 
     async def _open(self, entry: ServerEntry) -> BackendConnection:
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
@@ -73,18 +132,22 @@
             raise ExchangeFailed(Verdict.NOT_RUN, reason, str(error)) from error
         raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_TIMEOUT)
 
-    async def release(self, server_id: str, connection: BackendConnection) -> None:
-        """Give a connection back: it is kept if it is clean, otherwise closed."""
-        if not connection.reusable():
-            await connection.close()
-            return
+    async def _keep(self, server_id: str, connection: BackendConnection) -> None:
         connection.rest()
         idle = self._idle.setdefault(server_id, deque())
         idle.append(connection)
         while len(idle) > KEPT_CONNECTIONS:
             await idle.popleft().close()
 
-    async def close(self, server_id: str) -> None:
-        """Close the idle connections to a backend server that is gone."""
-        for connection in self._idle.pop(server_id, ()):
+    async def _sweep(self) -> None:
+        ended: list[BackendConnection] = []
+        for server_id, idle in list(self._idle.items()):
+            rested = [each for each in idle if each.rested_too_long()]
+            for connection in rested:
+                # In place: a request may be looking through the same queue.
+                idle.remove(connection)
+            if not idle:
+                del self._idle[server_id]
+            ended += rested
+        for connection in ended:
             await connection.close()
--- /dev/null
+++ b/tests/cover/test_backend_pool.py
@@ -0,0 +1,148 @@
+"""Connections to backend servers: kept, spare, swept; and the distances that they measure."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from random import Random
+from unittest.mock import patch
+
+import trio
+import trio.lowlevel
+from loguru import logger
+
+from tests.common.scripted_server import ScriptedStream, scripted_server
+from tests.common.steering_parts import make_distances, make_server
+from wagtailpoint.discovery.entries import ServerEntry
+from wagtailpoint.placement.distances import Distances
+from wagtailpoint.platform.header_names import HEADER_NAMES
+from wagtailpoint.proxy import backend_pool
+from wagtailpoint.proxy.backend_pool import BackendPool
+from wagtailpoint.proxy.distance_probe import DistanceProbe
+
+LIMIT_S = 20
+FAR = "b-1"
+NEAR = "a-1"
+
+
+class FixedDistances(Distances):
+    """Round trips that opened connections don't change: on loopback all are near."""
+
+    def __init__(self) -> None:
+        super().__init__(failure_domain=NEAR, region="a", region_of={"a-1": "a", "b-1": "b"})
+
+    def note_opened(self, failure_domain: str, seconds: float) -> None:
+        """Learn nothing."""
+
+
+async def until(holds: Callable[[], bool]) -> None:
+    """Wait for something that another task brings about, bounded by the test's limit."""
+    while not holds():  # noqa: ASYNC110 - there is no event for it
+        await trio.sleep(0.01)
+
+
+class BackendPoolTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+        self.opened = 0
+        self.ended = 0
+
+    def run_with(
+        self, domain: str, test: Callable[[BackendPool, ServerEntry], Awaitable[None]]
+    ) -> None:
+        async def script(stream: ScriptedStream) -> None:
+            self.opened += 1
+            await stream.request()
+            self.ended += 1
+
+        async def run() -> None:
+            with trio.fail_after(LIMIT_S):
+                async with scripted_server(script) as address, trio.open_nursery() as nursery:
+                    pool = BackendPool(names=HEADER_NAMES, distances=FixedDistances())
+                    nursery.start_soon(pool.run)
+                    await trio.lowlevel.checkpoint()
+                    await test(pool, make_server("i-1", address, failure_domain=domain))
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    def test_far_backend_server_has_a_spare_connection(self) -> None:
+        """Symptom: callers of a failure domain with few backend servers are answered late.
+
+        Sequence: most of their requests go to another region, each time one more at a time than
+        before. Cause: each opens a connection first, and that takes a round trip of 110 ms.
+        """
+
+        async def test(pool: BackendPool, entry: ServerEntry) -> None:
+            first = await pool.acquire(entry)
+            await until(lambda: self.opened == 2)
+            await trio.sleep(0.05)
+            with patch.object(backend_pool, "open_connection", side_effect=AssertionError):
+                # Asked for while no connection can be opened: the spare one is there.
+                second = await pool.acquire(entry)
+            self.assertIsNot(first, second)
+
+        self.run_with(FAR, test)
+
+    def test_near_backend_server_has_none(self) -> None:
+        async def test(pool: BackendPool, entry: ServerEntry) -> None:
+            await pool.acquire(entry)
+            await trio.sleep(0.1)
+            self.assertEqual(self.opened, 1)
+
+        self.run_with(NEAR, test)
+
+    def test_connections_that_rested_too_long_are_closed(self) -> None:
+        """Symptom: descriptors run out. Cause: connections that nobody uses stay open."""
+
+        async def test(pool: BackendPool, entry: ServerEntry) -> None:
+            await pool.open_spare(entry)
+            await until(lambda: self.ended == 1)
+
+        with (
+            patch.object(backend_pool, "SWEEP_INTERVAL_S", 0.05),
+            patch("wagtailpoint.proxy.backend_connection.DEFAULT_IDLE_S", 0.1),
+        ):
+            self.run_with(NEAR, test)
+
+    def test_spare_that_cannot_be_opened_harms_nobody(self) -> None:
+        async def test(pool: BackendPool, entry: ServerEntry) -> None:
+            refusing = entry._replace(address=entry.address._replace(port=1))
+            await pool.open_spare(refusing)
+            await pool.acquire(entry)
+
+        self.run_with(NEAR, test)
+
+
+class DistanceProbeTest(unittest.TestCase):
+    def test_each_failure_domain_is_measured_once(self) -> None:
+        """Symptom: two seconds after the start many requests move to another region at once.
+
+        Cause: until requests had opened connections there, the region was believed to be far.
+        """
+        opened: list[None] = []
+
+        async def script(stream: ScriptedStream) -> None:
+            opened.append(None)
+            await stream.request()
+
+        async def run() -> None:
+            async with scripted_server(script) as address, trio.open_nursery() as nursery:
+                distances = make_distances()
+                pool = BackendPool(names=HEADER_NAMES, distances=distances)
+                entries = [
+                    make_server(f"i-{number}", address, failure_domain=domain)
+                    for number, domain in enumerate((NEAR, FAR, FAR, FAR))
+                ]
+                probe = DistanceProbe(
+                    entries=lambda: entries, pool=pool, distances=distances, random=Random(1)
+                )
+                nursery.start_soon(probe.run)
+                with trio.fail_after(LIMIT_S):
+                    await until(lambda: distances.is_measured(FAR))
+                    await until(lambda: distances.is_measured(NEAR))
+                await trio.sleep(1.2)
+                self.assertLess(distances.round_trip_s(FAR), 0.1)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run)
+        self.assertEqual(len(opened), 2)
