--- a/src/wagtailpoint/daemon/entry_pages.py
+++ b/src/wagtailpoint/daemon/entry_pages.py
@@ -5,7 +5,7 @@
 
 from wagtailpoint.daemon.metrics_page import measure, metrics_text
 from wagtailpoint.membership import Membership
-from wagtailpoint.node_settings import Endpoint, NodeSettings
+from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.observe.prometheus import CONTENT_TYPE
@@ -26,7 +26,7 @@
     def __init__(
         self,
         *,
-        settings: NodeSettings,
+        lookup_ttl_max_s: Callable[[], float],
         membership: Membership,
         is_ready: Callable[[], bool],
         metrics: Metrics,
@@ -36,14 +36,14 @@
         """Make them.
 
         Args:
-            settings: Of this instance.
+            lookup_ttl_max_s: Callers keep an answer no longer than this, in seconds.
             membership: Who is there.
             is_ready: Whether this instance takes requests.
             metrics: Counts and latencies.
             peers: For their counts.
             gauges: Values of this moment.
         """
-        self._settings = settings
+        self._lookup_ttl_max_s = lookup_ttl_max_s
         self._membership = membership
         self._is_ready = is_ready
         self._metrics = metrics
@@ -86,4 +86,4 @@
         return [Endpoint(each.address, each.port) for each in near or region or live]
 
     def _ttl_s(self) -> float:
-        return min(LOOKUP_TTL_S, self._settings.bounds.lookup_ttl_max_s)
+        return min(LOOKUP_TTL_S, self._lookup_ttl_max_s())
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -7,11 +7,11 @@
 from random import Random
 
 import trio
-from result import Err
 
 from wagtailpoint.adapters.clock import SystemClock
 from wagtailpoint.adapters.peers_nng import NngPeers
 from wagtailpoint.daemon.entry_pages import LOOKUP_TTL_S, EntryPages
+from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.store_state import StoreState
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.follower import KindFollower
@@ -39,7 +39,7 @@
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.distance_probe import DistanceProbe
-from wagtailpoint.proxy.repeat_budget import RepeatBudget
+from wagtailpoint.proxy.repeat_budget import RepeatBound, RepeatBudget
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
 
@@ -69,7 +69,9 @@
     def __init__(self, *, settings: NodeSettings, settings_file: Path) -> None:
         """Wire its parts together."""
         self._settings = settings
-        self._settings_file = settings_file
+        self._settings_file = SettingsFile(
+            path=settings_file, settings=settings, read=read_node_settings
+        )
         self._leaving = False
         self._random = Random()
         self._metrics = Metrics()
@@ -123,7 +125,7 @@
         self._placement = self._make_placement()
         self._dispatcher = self._make_dispatcher()
         self._pages = EntryPages(
-            settings=settings,
+            lookup_ttl_max_s=lambda: self._settings_file.bounds.lookup_ttl_max_s,
             membership=self._membership,
             is_ready=self._is_ready,
             metrics=self._metrics,
@@ -151,7 +153,7 @@
                     self._pool.run,
                     self._make_distance_probe().run,
                     self._clean_gone,
-                    self._watch_settings,
+                    self._settings_file.run,
                 ]
                 for task in tasks:
                     nursery.start_soon(task)
@@ -187,12 +189,11 @@
         }
 
     def _make_placement(self) -> Placement:
-        settings = self._settings
         return Placement(
             fleet=self._fleet,
             distances=self._distances,
             cold=ColdPacing(
-                bound=ColdBound(settings.bounds.cold_overage, settings.bounds.cold_slack),
+                bound=self._cold_bound,
                 instances=self._instances,
             ),
             cached_part=CachedPart(fleet=self._fleet, instances_here=self._instances_here),
@@ -209,14 +210,11 @@
         )
 
     def _make_dispatcher(self) -> Dispatcher:
-        bounds = self._settings.bounds
         sender = Sender(
             takes_work=self._fleet.takes_work,
             placement=self._placement,
             pool=self._pool,
-            budget=RepeatBudget(
-                ratio=bounds.repeat_ratio, slack=bounds.repeat_slack, instances=self._instances
-            ),
+            budget=RepeatBudget(bound=self._repeat_bound, instances=self._instances),
             names=HEADER_NAMES,
         )
         return Dispatcher(
@@ -246,6 +244,14 @@
             server(settings.metrics, self._pages.handle_metrics, PAGE_CONNECTIONS),
         ]
 
+    def _cold_bound(self) -> ColdBound:
+        bounds = self._settings_file.bounds
+        return ColdBound(bounds.cold_overage, bounds.cold_slack)
+
+    def _repeat_bound(self) -> RepeatBound:
+        bounds = self._settings_file.bounds
+        return RepeatBound(bounds.repeat_ratio, bounds.repeat_slack)
+
     def _bounds(self) -> CallerBounds:
         table = self._state.table
         return table.bounds if table is not None else DEFAULT_CALLER_BOUNDS
@@ -298,23 +304,6 @@
                 self._placement.forget(server_id)
                 await self._pool.close(server_id)
 
-    async def _watch_settings(self) -> None:
-        """Read the settings again on SIGHUP, and say what changed; nothing is cut."""
-        with trio.open_signal_receiver(signal.SIGHUP) as signals:
-            async for _ in signals:
-                read = read_node_settings(self._settings_file)
-                if isinstance(read, Err):
-                    log_event("reload-refused", level="ERROR", error=read.err_value)
-                    continue
-                changed = [
-                    name
-                    for name, before, after in zip(
-                        NodeSettings._fields, self._settings, read.ok_value, strict=True
-                    )
-                    if before != after
-                ]
-                log_event("reload", changed=",".join(changed))
-
     async def _wait_for_stop(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
@@ -324,7 +313,7 @@
     async def _stop(self) -> None:
         """Leave the lookups first, serve who still comes, then end without cutting a request."""
         began = trio.current_time()
-        end = began + self._settings.bounds.grace_s - STOP_MARGIN_S
+        end = began + self._settings_file.bounds.grace_s - STOP_MARGIN_S
         self._leaving = True
         self._membership.leave()
         with trio.move_on_after(WITHDRAW_TIMEOUT_S):
--- a/src/wagtailpoint/placement/cold_pacing.py
+++ b/src/wagtailpoint/placement/cold_pacing.py
@@ -41,11 +41,11 @@
     one is what is left of its part after the burst.
     """
 
-    def __init__(self, *, bound: ColdBound, instances: Callable[[], int]) -> None:
+    def __init__(self, *, bound: Callable[[], ColdBound], instances: Callable[[], int]) -> None:
         """Make it.
 
         Args:
-            bound: Of all instances together.
+            bound: Of all instances together, as it is now.
             instances: How many instances there may be.
         """
         self._bound = bound
@@ -70,7 +70,7 @@
         bucket = self._buckets.get(server_id)
         if bucket is None:
             bucket = self._buckets[server_id] = _Bucket(now)
-        part = SAFETY * self._bound.per_second(cold_per_s) / max(1, self._instances())
+        part = SAFETY * self._bound().per_second(cold_per_s) / max(1, self._instances())
         rate = max(0.0, part - BURST)
         bucket.tokens = min(BURST, bucket.tokens + rate * (now - bucket.at))
         bucket.at = now
--- a/src/wagtailpoint/proxy/repeat_budget.py
+++ b/src/wagtailpoint/proxy/repeat_budget.py
@@ -1,11 +1,24 @@
 """The budget of repeated sends that all instances share, spent in parts without any message."""
 
 from collections.abc import Callable
+from typing import NamedTuple
 
 SAFETY = 0.8
 """The part of the budget that is spent: instances may be more than are believed to be."""
 
 
+class RepeatBound(NamedTuple):
+    """What all instances together may send again.
+
+    Attributes:
+        ratio: Repeated sends for each request, over a window,
+        slack: and so many in a window beside that.
+    """
+
+    ratio: float
+    slack: float
+
+
 class RepeatBudget:
     """How many sends beyond the first of each request may go to a service.
 
@@ -14,24 +27,23 @@
     of instances and can't be earned again but by requests.
     """
 
-    def __init__(self, *, ratio: float, slack: float, instances: Callable[[], int]) -> None:
+    def __init__(self, *, bound: Callable[[], RepeatBound], instances: Callable[[], int]) -> None:
         """Make it with half of this instance's slack.
 
         Half, since a process that is killed and started again would spend it a second time.
 
         Args:
-            ratio: Repeated sends for each request, of all instances together.
-            slack: Repeated sends in a window beside the ratio.
+            bound: Of all instances together, as it is now.
             instances: How many instances there may be.
         """
-        self._ratio = SAFETY * ratio
-        self._slack = slack
+        self._bound = bound
         self._instances = instances
         self._tokens: dict[str, float] = {}
 
     def note_request(self, service: str) -> None:
         """A request for a service came."""
-        self._tokens[service] = min(self._most(), self._of(service) + self._ratio)
+        earned = SAFETY * self._bound().ratio
+        self._tokens[service] = min(self._most(), self._of(service) + earned)
 
     def take(self, service: str) -> bool:
         """Spend one repeated send; False if there is none left."""
@@ -49,4 +61,4 @@
         return self._tokens.get(service, self._most() / 2)
 
     def _most(self) -> float:
-        return max(1.0, SAFETY * self._slack / max(1, self._instances()))
+        return max(1.0, SAFETY * self._bound().slack / max(1, self._instances()))
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -19,7 +19,7 @@
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
-from wagtailpoint.proxy.repeat_budget import RepeatBudget
+from wagtailpoint.proxy.repeat_budget import RepeatBound, RepeatBudget
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.routing.table import (
     DEFAULT_CALLER_BOUNDS,
@@ -82,7 +82,7 @@
     return Placement(
         fleet=fleet,
         distances=make_distances(),
-        cold=ColdPacing(bound=ColdBound(1.5, 5.0), instances=lambda: instances),
+        cold=ColdPacing(bound=lambda: ColdBound(1.5, 5.0), instances=lambda: instances),
         cached_part=CachedPart(fleet=fleet, instances_here=lambda: 1),
         instances=lambda: instances,
         instances_here=lambda: 1,
@@ -103,7 +103,7 @@
         self.table = table
         self.fleet = Fleet(region_of=REGION_OF)
         self.placement = make_placement(self.fleet)
-        self.budget = RepeatBudget(ratio=0.2, slack=50.0, instances=lambda: 1)
+        self.budget = RepeatBudget(bound=lambda: RepeatBound(0.2, 50.0), instances=lambda: 1)
         self.dispatcher = Dispatcher(
             table=lambda: self.table,
             sender=Sender(
--- a/tests/cover/test_shared_bounds.py
+++ b/tests/cover/test_shared_bounds.py
@@ -6,12 +6,14 @@
 from trio.testing import MockClock
 
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
-from wagtailpoint.proxy.repeat_budget import RepeatBudget
+from wagtailpoint.proxy.repeat_budget import RepeatBound, RepeatBudget
 
 
 class RepeatBudgetTest(unittest.TestCase):
     def test_sum_over_instances_keeps_the_bound(self) -> None:
-        budgets = [RepeatBudget(ratio=0.2, slack=58, instances=lambda: 9) for _ in range(9)]
+        budgets = [
+            RepeatBudget(bound=lambda: RepeatBound(0.2, 58), instances=lambda: 9) for _ in range(9)
+        ]
         spent = 0
         for budget in budgets:
             for _ in range(100):
@@ -22,7 +24,7 @@
         self.assertGreater(spent, 0.1 * 900)
 
     def test_services_have_budgets_of_their_own(self) -> None:
-        budget = RepeatBudget(ratio=0.2, slack=10, instances=lambda: 1)
+        budget = RepeatBudget(bound=lambda: RepeatBound(0.2, 10), instances=lambda: 1)
         while budget.take("desk"):
             pass
         self.assertTrue(budget.take("vault"))
@@ -38,7 +40,9 @@
         sent: list[float] = []
 
         async def test() -> None:
-            pacings = [ColdPacing(bound=ColdBound(1.5, 5.0), instances=lambda: 9) for _ in range(9)]
+            pacings = [
+                ColdPacing(bound=lambda: ColdBound(1.5, 5.0), instances=lambda: 9) for _ in range(9)
+            ]
             for _ in range(400):
                 for pacing in pacings:
                     if pacing.may_send("i-1", 10.0):
