Four watchers a region tell the others what the store says

Change: discovery/watch_sharing.py. Four instances of each region, by rendezvous hashing, watch; each other one asks two of them for what is newer than it has (answered at once, or after 0.8 s), and watches by itself, from where it is, while one of the two does not answer in 1.2 s, has lost the store, or doubts a removal. discovery/history.py keeps the last batches of events. Regions of up to four instances behave as before.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -17,6 +17,7 @@
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.peer_states import PeerStateExchange
 from wagtailpoint.discovery.registration import Registration
+from wagtailpoint.discovery.watch_sharing import WatchSharing
 from wagtailpoint.idempotency.binding import new_incarnation
 from wagtailpoint.membership import Membership, MembershipSettings
 from wagtailpoint.membership.member import Fact
@@ -116,6 +117,9 @@
         self._state = StoreState(fleet=self._fleet, on_gone=self._gone.append)
         self._followers = self._make_followers()
         self._exchange.answer_for(self._followers)
+        self._sharing = WatchSharing(
+            peers=self._peers, membership=self._membership, followers=self._followers
+        )
         self._distances = Distances(
             failure_domain=settings.failure_domain,
             region=settings.region,
@@ -150,6 +154,7 @@
                     self._membership.run,
                     partial(self._registration.run, self._is_alone),
                     *(follower.run for follower in self._followers.values()),
+                    self._sharing.run,
                     self._pool.run,
                     self._make_distance_probe().run,
                     self._clean_gone,
@@ -285,6 +290,7 @@
             "caller_connections": self._servers[0].connections,
             "backend_servers": len(self._fleet.entries),
             "instances": self._instances(),
+            "watching": all(each.watching for each in self._followers.values()),
             "config_version": self._state.table.version if self._state.table else 0,
         }
 
@@ -292,6 +298,7 @@
         self, apply: Callable[[Mapping[str, StoredObject]], None], follower: KindFollower
     ) -> None:
         apply(follower.objects)
+        self._sharing.note_change()
         if self._membership.own.state == "starting" and self._is_ready():
             self._membership.publish(state="live")
             log_event("ready", backend_servers=len(self._fleet.entries))
--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -7,6 +7,7 @@
 import trio
 from result import Err
 
+from wagtailpoint.discovery.history import ChangeHistory, KindChanges
 from wagtailpoint.errors import PlatformUnavailable, WatchTooOld
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.platform import Platform, StoredObject
@@ -110,6 +111,9 @@
         self._lost = trio.Event()
         self._store_away_since = 0.0
         self._trust_removals_at = 0.0
+        self._history = ChangeHistory(kind=kind)
+        self._watching = trio.Event()
+        self._watching.set()
 
     @property
     def objects(self) -> Mapping[str, StoredObject]:
@@ -131,6 +135,49 @@
         """For how long the store could not be reached; 0 while it can."""
         return 0.0 if self._lost_at is None else trio.current_time() - self._lost_at
 
+    @property
+    def watching(self) -> bool:
+        """Whether this instance watches the store itself, and isn't told by peers."""
+        return self._watching.is_set()
+
+    @watching.setter
+    def watching(self, watching: bool) -> None:
+        if watching:
+            self._watching.set()
+        elif self._watching.is_set():
+            # A watch that waits is not cut: it was paid for.
+            self._watching = trio.Event()
+
+    @property
+    def settled(self) -> bool:
+        """Whether the state is the store's, with no doubt left from an outage."""
+        trusts = trio.current_time() >= self._trust_removals_at
+        return self.known and self._lost_at is None and not self._doubtful and trusts
+
+    def changes_since(self, version: int) -> KindChanges | None:
+        """What leads from an older state to this one; None if there is nothing newer."""
+        return self._history.since(version, self._version, self._objects)
+
+    def take_changes(self, changes: KindChanges) -> None:
+        """Take in what a peer that watches the store was told by it."""
+        if changes.version <= self._version:
+            return
+        objects = {
+            name: StoredObject(self._kind, name, version, value)
+            for name, version, value in changes.objects
+        }
+        if changes.whole:
+            self._replace(KindState(changes.version, objects), believe_removals=True)
+            return
+        for name in changes.removed:
+            self._remove(name, believed=True)
+        for stored in objects.values():
+            self._put(stored)
+        self._history.clear()
+        self._version = changes.version
+        if changes.removed or objects:
+            self._on_change()
+
     async def run(self) -> None:
         """Follow until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -142,6 +189,7 @@
         retry_s = FIRST_RETRY_S
         must_list = True
         while True:
+            await self._watching.wait()
             failed = await self._list() if must_list else await self._watch()
             if failed is None:
                 retry_s = FIRST_RETRY_S
@@ -185,6 +233,7 @@
             else:
                 self._put(event.stored)
         self._version = max(self._version, batch.ok_value.version)
+        self._history.record(before=asked_from, after=self._version, events=batch.ok_value.events)
         if batch.ok_value.events:
             self._on_change()
             await trio.sleep(GATHER_S)
@@ -200,6 +249,7 @@
         for stored in state.objects.values():
             self._put(stored)
         self._version = max(self._version, state.version)
+        self._history.clear()
         self._on_change()
 
     def _put(self, stored: StoredObject) -> None:
--- /dev/null
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -0,0 +1,197 @@
+"""A few instances of each region watch the store, and tell the others what it says.
+
+Each answer to a watch is a priced call. If every instance watched, the price of a change would grow
+with their number: at 77 instances 11,200 calls a day took a third of its worth. With a fixed number
+of watchers it does not grow.
+"""
+
+from collections.abc import Mapping, Sequence
+from typing import Final, NamedTuple
+
+import trio
+from result import Ok
+
+from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.history import KindChanges
+from wagtailpoint.membership import Member, Membership
+from wagtailpoint.observe.log import log_event
+from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
+from wagtailpoint.rendezvous import rendezvous_score
+
+WATCHERS: Final = 4
+"""Watchers in a region. A region with so few instances has all of them watch."""
+
+SOURCES: Final = 2
+"""Watchers that an instance asks at the same time. One of them may be cut off from the store and
+not notice for up to three seconds; changes must be in force within two to four."""
+
+WAIT_S: Final = 0.8
+"""How long a question waits for news."""
+
+REPLY_TIMEOUT_S: Final = 0.4
+"""How much later the answer may come; above a round trip within a region, and a short stall."""
+
+LOOK_INTERVAL_S: Final = 0.5
+EXPIRE_INTERVAL_S: Final = 0.1
+
+
+class WatchQuestion(NamedTuple):
+    """Asks for news of all kinds.
+
+    Attributes:
+        versions: The kinds, each with the version that the asking instance has.
+    """
+
+    versions: Sequence[tuple[str, int]]
+
+
+class WatchAnswer(NamedTuple):
+    """What is new.
+
+    Attributes:
+        watches: Whether the answering instance watches the store and has no doubt of what it knows.
+        changes: What is new, by kind.
+    """
+
+    watches: bool
+    changes: Sequence[KindChanges]
+
+
+register_message("watch-question", WatchQuestion)
+register_message("watch-answer", WatchAnswer)
+
+NOT_WATCHING: Final = WatchAnswer(False, ())
+
+
+class _Waiting(NamedTuple):
+    received: Received
+    until: float
+
+
+class WatchSharing:
+    """Asks the watchers of the region, and answers as one of them.
+
+    An instance stops to watch only while all its sources answer that they watch. With the first one
+    that does not answer in time, or has lost the store, it watches by itself, from where it is.
+    """
+
+    def __init__(
+        self, *, peers: Peers, membership: Membership, followers: Mapping[str, KindFollower]
+    ) -> None:
+        """Make it.
+
+        Args:
+            peers: The links to the others.
+            membership: Who is there.
+            followers: What is followed, by kind.
+        """
+        self._peers = peers
+        self._membership = membership
+        self._followers = followers
+        self._answering = [False] * SOURCES
+        self._waiting: list[_Waiting] = []
+        self._asked = trio.Event()
+        peers.handle(WatchQuestion, self._on_question)
+
+    async def run(self) -> None:
+        """Ask and answer until cancelled."""
+        async with trio.open_nursery() as nursery:
+            for number in range(SOURCES):
+                nursery.start_soon(self._ask, number)
+            nursery.start_soon(self._expire)
+
+    def note_change(self) -> None:
+        """Tell those who wait; to be called after every change of what is followed."""
+        for waiting in list(self._waiting):
+            answer = self._news_for(waiting.received.message)
+            if answer is not None:
+                self._answer(waiting, answer)
+
+    async def _ask(self, number: int) -> None:
+        while True:
+            source = self._source(number)
+            if source is None or not self._settled:
+                self._set_answering(number, False)
+                await trio.sleep(LOOK_INTERVAL_S)
+                continue
+            versions = [(kind, each.state.version) for kind, each in self._followers.items()]
+            answered = await self._peers.request(
+                source, WatchQuestion(versions), timeout_s=WAIT_S + REPLY_TIMEOUT_S
+            )
+            answer = answered.ok_value if isinstance(answered, Ok) else NOT_WATCHING
+            for changes in answer.changes:
+                self._followers[changes.kind].take_changes(changes)
+            self._set_answering(number, answer.watches)
+            if not answer.watches:
+                await trio.sleep(LOOK_INTERVAL_S)
+
+    @property
+    def _settled(self) -> bool:
+        return all(each.settled for each in self._followers.values())
+
+    def _set_answering(self, number: int, answering: bool) -> None:
+        self._answering[number] = answering
+        watching = not all(self._answering)
+        for kind, follower in self._followers.items():
+            if follower.watching != watching:
+                follower.watching = watching
+                log_event("watching", kind=kind, itself=watching, version=follower.state.version)
+
+    def _source(self, number: int) -> PeerAddress | None:
+        """The watcher that this instance asks; None if it is one itself, or there are too few."""
+        own = self._membership.own.address
+        watchers = self._watchers()
+        if len(watchers) <= SOURCES or any(each.address == own for each in watchers):
+            return None
+        # The others of the region ask other pairs, so that the questions are spread.
+        first = rendezvous_score("source", own)
+        return watchers[(first + number) % len(watchers)].peer_address
+
+    def _watchers(self) -> Sequence[Member]:
+        """The watchers of the region: the same for all instances that see the same members."""
+        region = self._membership.own.region
+        live = [
+            member
+            for member in self._membership.members()
+            if member.region == region and member.state == "live" and not member.suspect
+        ]
+        live.sort(key=lambda member: rendezvous_score("watcher", member.address))
+        return live[:WATCHERS]
+
+    def _on_question(self, received: Received) -> WatchAnswer | None:
+        answer = self._news_for(received.message)
+        if answer is None:
+            self._waiting.append(_Waiting(received, trio.current_time() + WAIT_S))
+            self._asked.set()
+        return answer
+
+    def _news_for(self, question: WatchQuestion) -> WatchAnswer | None:
+        """The answer; None if there is nothing to tell yet."""
+        if not self._settled or not all(each.watching for each in self._followers.values()):
+            return NOT_WATCHING
+        news = [
+            changes
+            for kind, version in question.versions
+            if kind in self._followers
+            and (changes := self._followers[kind].changes_since(version)) is not None
+        ]
+        return WatchAnswer(True, news) if news else None
+
+    async def _expire(self) -> None:
+        """Answer those for whom there was no news, or will be none."""
+        while True:
+            if not self._waiting:
+                self._asked = trio.Event()
+                await self._asked.wait()
+            await trio.sleep(EXPIRE_INTERVAL_S)
+            now = trio.current_time()
+            for waiting in list(self._waiting):
+                answer = self._news_for(waiting.received.message)
+                if answer is None and now >= waiting.until:
+                    answer = WatchAnswer(True, ())
+                if answer is not None:
+                    self._answer(waiting, answer)
+
+    def _answer(self, waiting: _Waiting, answer: WatchAnswer) -> None:
+        self._waiting.remove(waiting)
+        self._peers.reply(waiting.received, answer)
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -1,10 +1,10 @@
 """The order of backend servers for an affinity key: the same on every instance."""
 
 from collections.abc import Sequence
-from hashlib import blake2b
 from typing import Final, NamedTuple
 
 from wagtailpoint.discovery.fleet import Candidate, Fleet
+from wagtailpoint.rendezvous import rendezvous_score
 
 MOST_REMEMBERED: Final = 8192
 """Keys whose order is remembered; each takes about 1 KB."""
@@ -44,14 +44,8 @@
     ranked: Sequence[Ranked]
 
 
-def rendezvous_score(key: str, server_id: str) -> int:
-    """A number that is as good as random for each pair of key and backend server."""
-    digest = blake2b(f"{key}|{server_id}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
 class Ranking:
-    """Orders the candidates of a service by rendezvous hashing (Thaler and Ravishankar 1998).
+    """Orders the candidates of a service by rendezvous hashing.
 
     When a backend server comes or goes, only the keys that it has or had get another first one;
     all others keep theirs, with what it has in its cache of them.
