An instance that was frozen does not go on to refuse requests as too late

Cause: answers to requests that were open during the freeze had taken five seconds; learned as the route's service time (20 of them make it 16 times as long), every request looked too late, none was sent, and nothing else could be learned.

Ruled out: the backend servers (other instances were answered), their slowness (fades in 2 s), suspicion.

Change: RouteCost takes a sample as twice its belief at most, and returns to the first belief without samples; a request is not refused as too late at a free slot if half of the service time would be in time.

--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -40,6 +40,9 @@
 """Requests that may wait at a backend server beyond its slots, for the urgent and for the others:
 what waits there delays everybody, and the urgent must find room behind the others."""
 
+HOPEFUL_PART: Final = 0.5
+"""The part of its expected service time that a request may be faster by at a free slot."""
+
 MOST_URGENT_PRIORITY: Final = 1
 
 
@@ -188,8 +191,9 @@
     def note_request(self, demand: Demand) -> None:
         """A request of a caller came."""
         cost = self.cost_of(demand.route, demand.service)
-        self._cached_part.note_request(demand.service, cost.service_s)
-        self._reuse_of(demand.route).note(demand.key, trio.current_time())
+        now = trio.current_time()
+        self._cached_part.note_request(demand.service, cost.service_s(now))
+        self._reuse_of(demand.route).note(demand.key, now)
 
     def choose(self, demand: Demand) -> Choice | NoRoom:
         """Choose where a request goes."""
@@ -216,7 +220,7 @@
                 best = choice
         if best is None:
             return NoRoom("no room", full=True)
-        if best.expected.latency_s > demand.left_s:
+        if _is_hopeless(best, demand.left_s):
             return NoRoom("too late", full=True)
         return best
 
@@ -250,7 +254,7 @@
         self._warm_of(entry.server_id).note(demand.key, now)
         if choice.cached >= KNOWN_CACHED and choice.occupancy < entry.slots - 1:
             cost = self.cost_of(demand.route, demand.service)
-            cost.note(service_s, seen.reply_bytes)
+            cost.note(service_s, seen.reply_bytes, now)
 
     def note_unreachable(self, entry: ServerEntry) -> float:
         """A backend server could not be reached, or broke off; return how long it rests."""
@@ -283,7 +287,7 @@
         urgent = demand.route.priority <= MOST_URGENT_PRIORITY
         if occupancy >= entry.slots + (URGENT_QUEUE if urgent else OTHER_QUEUE):
             return None
-        service_s = self.cost_of(demand.route, demand.service).service_s * load.slowness(now)
+        service_s = self.cost_of(demand.route, demand.service).service_s(now) * load.slowness(now)
         if self._fleet.is_cold(entry.server_id):
             if not self._cold.may_send(entry.server_id, _cold_per_s(demand.policy)):
                 return None
@@ -356,5 +360,17 @@
         )
 
 
+def _is_hopeless(choice: Choice, left_s: float) -> bool:
+    """Whether an answer can hardly come in time.
+
+    With a free slot the service time is given the benefit of the doubt: the slot costs nobody else
+    anything, and the answer, if only to a late request, shows what is true now.
+    """
+    expected = choice.expected
+    if choice.occupancy < choice.entry.slots:
+        return expected.latency_s - HOPEFUL_PART * expected.service_s > left_s
+    return expected.latency_s > left_s
+
+
 def _cold_per_s(policy: ServicePolicy | None) -> float:
     return policy.cold_per_s if policy is not None else 0.0
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -20,6 +20,7 @@
 from wagtailpoint.placement.expectation import Prospect, expect
 from wagtailpoint.placement.key_reuse import HORIZON_S, KeyReuse
 from wagtailpoint.placement.placement import Choice, Demand, NoRoom, Observation, Placement
+from wagtailpoint.placement.route_costs import FIRST_SERVICE_S, RouteCost
 from wagtailpoint.placement.server_load import LoadReport, ServerLoad, parse_load
 
 DOMAINS = ("a-1", "a-2", "b-1")
@@ -158,6 +159,33 @@
 
         self.run_with(test)
 
+    def test_instance_that_was_frozen_serves_again(self) -> None:
+        """Symptom: an instance refuses nearly all requests as too late, for the rest of the day.
+
+        Sequence: it is frozen for five seconds with requests at its backend servers. When it wakes,
+        their answers have taken five seconds. Cause: they were learned as the time that requests of
+        the route take; no request was sent that could have shown better.
+        """
+
+        async def test() -> None:
+            placement = self.twelve()
+            for number in range(120):
+                demand = self.demand(str(number // 3))
+                choice = placement.choose(demand)
+                if isinstance(choice, Choice):
+                    latency_s = 5.0 if number % 3 == 2 else 0.08
+                    self.answer(placement, demand, choice, latency_s)
+            sent = 0
+            for number in range(40):
+                await trio.sleep(0.1)
+                choice = placement.choose(self.demand(str(number), left_s=0.8))
+                if isinstance(choice, Choice):
+                    sent += 1
+                    self.answer(placement, self.demand(str(number)), choice)
+            self.assertGreater(sent, 30)
+
+        self.run_with(test)
+
     def test_no_server_and_no_time(self) -> None:
         async def test() -> None:
             placement = make_placement(self.fleet)
@@ -317,3 +345,19 @@
         for _ in range(150):
             distances.note_opened("b-1", 0.06)
         self.assertGreater(distances.round_trip_s("b-1"), 0.055)
+
+
+class RouteCostTest(unittest.TestCase):
+    def test_learned_and_forgotten(self) -> None:
+        cost = RouteCost()
+        for number in range(100):
+            cost.note(0.3, 1000, number / 10)
+        self.assertAlmostEqual(cost.service_s(10.0), 0.3, delta=0.02)
+        self.assertAlmostEqual(cost.service_s(30.0), FIRST_SERVICE_S, delta=0.01)
+
+    def test_one_wild_sample_changes_little(self) -> None:
+        cost = RouteCost()
+        for number in range(100):
+            cost.note(0.1, 1000, number / 10)
+        cost.note(60.0, 1000, 10.0)
+        self.assertLess(cost.service_s(10.0), 0.11)
