Requests of an instance change the region in which they run only so fast

Nothing limited it: each request went where it would be answered soonest by the loads told so far, and before any demand was measured a failure domain with few backend servers took all keys.

Change: RegionMix counts where the requests of the last four seconds went; a region that would get more than its share of the two seconds before plus 0.6 of the bound gets no more, as long as a sound backend server with room is to be had elsewhere. Faults still move all at once. CachedPart begins with the demand that 0.6 of all slots would be, not with none. MaxShift is read from the settings.

Tests: test_load_moves_few_requests_at_a_time fails without the limit, test_faults_move_all_at_once shows that the limit does not bind then.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -30,6 +30,7 @@
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.placement import Placement
+from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.platform.documents import CONFIG_KIND, EVACUATIONS_KIND, SERVERS_KIND
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.platform.settings import read_node_settings
@@ -206,6 +207,7 @@
                 instances=self._instances,
             ),
             cached_part=CachedPart(fleet=self._fleet, instances_here=self._instances_here),
+            mix=RegionMix(most_shift=lambda: self._settings_file.bounds.region_shift_max),
             instances=self._instances,
             instances_here=self._instances_here,
         )
--- a/src/wagtailpoint/discovery/fleet.py
+++ b/src/wagtailpoint/discovery/fleet.py
@@ -56,6 +56,15 @@
         """All backend servers by id."""
         return self._entries
 
+    @property
+    def failure_domains(self) -> int:
+        """How many failure domains there are, whether they have backend servers or not."""
+        return len(self._region_of)
+
+    def region_of(self, failure_domain: str) -> str:
+        """The region of a failure domain; empty if it is not known."""
+        return self._region_of.get(failure_domain, "")
+
     def candidates(self, service: str) -> tuple[Candidate, ...]:
         """The backend servers of a service that may take new work."""
         return self._candidates.get(service, ())
@@ -129,7 +138,7 @@
         for entry in self._entries.values():
             if not self.takes_work(entry.server_id):
                 continue
-            region = self._region_of.get(entry.failure_domain, "")
+            region = self.region_of(entry.failure_domain)
             by_service.setdefault(entry.service, []).append(Candidate(entry, region))
         self._candidates = {
             service: tuple(sorted(found, key=lambda each: each.entry.server_id))
--- a/src/wagtailpoint/node_settings.py
+++ b/src/wagtailpoint/node_settings.py
@@ -36,6 +36,8 @@
         repeat_slack: Repeated sends allowed in a window beside the ratio.
         cold_overage: A cold backend server may get so many times its own rate,
         cold_slack: and so many requests a second more.
+        region_shift_max: The part of a region's requests, 0 to 1, that may change the region in
+            which they run from one two seconds to the next.
         lookup_ttl_max_s: Callers keep the answer to a lookup no longer than this, in seconds.
     """
 
@@ -45,6 +47,7 @@
     repeat_slack: float
     cold_overage: float
     cold_slack: float
+    region_shift_max: float
     lookup_ttl_max_s: float
 
 
--- a/src/wagtailpoint/placement/cached_part.py
+++ b/src/wagtailpoint/placement/cached_part.py
@@ -8,6 +8,11 @@
 
 from wagtailpoint.discovery.fleet import Fleet
 
+ASSUMED_UTILISATION: Final = 0.6
+"""The demand that is assumed before any was measured: all slots of the service, used by so much, by
+the callers of all failure domains alike. Assuming none, a failure domain with few backend servers
+would take all requests of its callers for seconds, and then lose most to other regions at once."""
+
 TARGET_UTILISATION: Final = 0.6
 """Of the slots of a failure domain, by the requests for the keys that it holds. Above it requests
 wait for each other; what is free serves what spills over from elsewhere."""
@@ -25,8 +30,8 @@
 class _ServiceDemand:
     """The demand of this instance's callers for one service."""
 
-    def __init__(self, now: float) -> None:
-        self.slots = 0.0
+    def __init__(self, slots: float, now: float) -> None:
+        self.slots = slots
         self.at = now
         self.parts: dict[str, float] = {}
         self.updated_at = -math.inf
@@ -77,9 +82,15 @@
     def _demand(self, service: str, now: float) -> _ServiceDemand:
         demand = self._demands.get(service)
         if demand is None:
-            demand = self._demands[service] = _ServiceDemand(now)
+            demand = self._demands[service] = _ServiceDemand(self._assumed(service), now)
         return demand
 
+    def _assumed(self, service: str) -> float:
+        """The slots that the callers of this instance may be expected to use."""
+        slots = sum(each.entry.slots for each in self._fleet.candidates(service))
+        domains = max(1, self._fleet.failure_domains)
+        return ASSUMED_UTILISATION * slots / domains / self._instances_here()
+
     def _update(self, service: str, demand: _ServiceDemand, now: float) -> None:
         demand.fade(now)
         wanted_slots = demand.slots * self._instances_here()
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -1,6 +1,6 @@
 """The choice of a backend server: affinity, load, distance and evidence, weighed as one loss."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from typing import Final, NamedTuple
 
 import trio
@@ -18,6 +18,7 @@
 )
 from wagtailpoint.placement.key_reuse import KeyReuse
 from wagtailpoint.placement.ranking import Ranked, Ranking
+from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.placement.route_costs import RouteCost
 from wagtailpoint.placement.server_load import LoadReport, ServerLoad
 from wagtailpoint.placement.warm_keys import WarmKeys
@@ -73,6 +74,7 @@
 
     Attributes:
         entry: The backend server.
+        region: Where it is.
         rank: Its rank for the key among all.
         cached: The chance that the object is cached there.
         expected: What to expect there.
@@ -81,6 +83,7 @@
     """
 
     entry: ServerEntry
+    region: str
     rank: int
     cached: float
     expected: Expectation
@@ -130,6 +133,7 @@
         distances: Distances,
         cold: ColdPacing,
         cached_part: CachedPart,
+        mix: RegionMix,
         instances: Callable[[], int],
         instances_here: Callable[[], int],
     ) -> None:
@@ -140,6 +144,7 @@
             distances: How far they are.
             cold: Paces those that are cold.
             cached_part: Which keys each failure domain holds.
+            mix: In which regions requests run.
             instances: How many instances there are.
             instances_here: How many of them share the callers of this failure domain.
         """
@@ -147,6 +152,7 @@
         self._distances = distances
         self._cold = cold
         self._cached_part = cached_part
+        self._mix = mix
         self._instances = instances
         self._instances_here = instances_here
         self._ranking = Ranking(
@@ -210,23 +216,41 @@
             if not self.load_of(each.candidate.entry.server_id).is_suspect(now)
         ]
         utilisation = self._utilisation(demand.service, now)
-        best: Choice | None = None
         # When all are suspect the suspicion is of no use: the fault may be on our side.
-        for each in reachable or found:
-            choice = self._weigh(demand, each, order.position, utilisation, now)
-            if choice is None:
-                continue
-            if best is None or choice.expected.loss < best.expected.loss:
-                best = choice
-        if best is None:
+        weighed = (
+            self._weigh(demand, each, order.position, utilisation, now)
+            for each in reachable or found
+        )
+        choices = [choice for choice in weighed if choice is not None]
+        if not choices:
             return NoRoom("no room", full=True)
+        best = self._least_loss(choices, demand.left_s, now)
         if _is_hopeless(best, demand.left_s):
             return NoRoom("too late", full=True)
         return best
 
+    def _least_loss(self, choices: Sequence[Choice], left_s: float, now: float) -> Choice:
+        """The best choice, in another region if too many requests would come to its own at once.
+
+        A sound backend server with room must be there for that: what changes because others fail
+        or fill up may change at once.
+        """
+        best = min(choices, key=_loss)
+        if not self._mix.is_full(best.region, now):
+            return best
+        others = [
+            each
+            for each in choices
+            if not self._mix.is_full(each.region, now)
+            and not _is_hopeless(each, left_s)
+            and self.load_of(each.entry.server_id).is_sound(now)
+        ]
+        return min(others, key=_loss, default=best)
+
     def began(self, demand: Demand, entry: ServerEntry) -> None:
         """A request is sent."""
         self.load_of(entry.server_id).began()
+        self._mix.note(self._fleet.region_of(entry.failure_domain), trio.current_time())
         if self._fleet.is_cold(entry.server_id):
             self._cold.note_sent(entry.server_id, _cold_per_s(demand.policy))
 
@@ -300,7 +324,10 @@
             ),
             objective_s=max(demand.objective_left_s, 0.01),
         )
-        return Choice(entry, ranked.rank, cached, expected, occupancy, load.report_age_s(now))
+        region = ranked.candidate.region
+        return Choice(
+            entry, region, ranked.rank, cached, expected, occupancy, load.report_age_s(now)
+        )
 
     def _utilisation(self, service: str, now: float) -> float:
         """Of all slots of a service, 0 to 1; worked out now and then, for all requests."""
@@ -360,6 +387,10 @@
         )
 
 
+def _loss(choice: Choice) -> float:
+    return choice.expected.loss
+
+
 def _is_hopeless(choice: Choice, left_s: float) -> bool:
     """Whether an answer can hardly come in time.
 
--- a/src/wagtailpoint/placement/server_load.py
+++ b/src/wagtailpoint/placement/server_load.py
@@ -19,6 +19,11 @@
 
 MOST_SLOWNESS: Final = 10.0
 
+SOUND_SLOWNESS: Final = 2.0
+SOUND_ERROR_SHARE: Final = 0.1
+"""Below these a backend server is as good as others: requests vary by a fifth, and answers that
+meet a full cache take three times as long but are expected to."""
+
 EVIDENCE_HALF_LIFE_S: Final = 2.0
 """Slowness and errors are forgotten without new evidence: a backend server that is avoided gives
 none, and would be avoided for ever after it has recovered."""
@@ -101,6 +106,10 @@
         """Whether it could not be reached lately."""
         return now < self._suspect_until
 
+    def is_sound(self, now: float) -> bool:
+        """Whether it neither fails nor is slow."""
+        return self.slowness(now) < SOUND_SLOWNESS and self.error_share(now) < SOUND_ERROR_SHARE
+
     def began(self) -> None:
         """A request is sent to it."""
         self._in_flight += 1
--- a/src/wagtailpoint/platform/settings.py
+++ b/src/wagtailpoint/platform/settings.py
@@ -134,6 +134,7 @@
             repeat_slack=bounds.BudgetSlack,
             cold_overage=bounds.ColdOverage,
             cold_slack=bounds.ColdSlack,
+            region_shift_max=bounds.MaxShift,
             lookup_ttl_max_s=bounds.ttl_max_s,
         ),
     )
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -14,6 +14,7 @@
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.placement import Placement
+from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.ports.backend import BackendAddress
 from wagtailpoint.proxy.backend_pool import BackendPool
@@ -32,6 +33,7 @@
 
 REGION_OF = {"a-1": "a", "a-2": "a", "b-1": "b"}
 ENTRY_PORT = 18081
+MOST_SHIFT = 0.15
 
 
 def make_route(name: str = "r", **changes) -> HostRoute:
@@ -84,6 +86,7 @@
         distances=make_distances(),
         cold=ColdPacing(bound=lambda: ColdBound(1.5, 5.0), instances=lambda: instances),
         cached_part=CachedPart(fleet=fleet, instances_here=lambda: 1),
+        mix=RegionMix(most_shift=lambda: MOST_SHIFT),
         instances=lambda: instances,
         instances_here=lambda: 1,
     )
