Ask the store whether it answers only while a watch waits

Ruled out: a longer interval, which the watchers need. Change: instances that do not watch do not check.

--- a/src/wagtailpoint/discovery/store_check.py
+++ b/src/wagtailpoint/discovery/store_check.py
@@ -38,17 +38,24 @@
         """
         self._store = store
         self._random = random
+        self._waiting = 0
         self._failed = trio.Event()
         self._answering = True
 
     async def wait_failed(self) -> None:
-        """Wait until the store does not answer."""
-        await self._failed.wait()
+        """Wait until the store does not answer; it is asked only while somebody waits."""
+        self._waiting += 1
+        try:
+            await self._failed.wait()
+        finally:
+            self._waiting -= 1
 
     async def run(self) -> None:
         """Ask until cancelled."""
         while True:
             await trio.sleep(CHECK_INTERVAL_S * self._random.uniform(0.8, 1.2))
+            if not self._waiting:
+                continue
             answering = False
             with trio.move_on_after(CHECK_TIMEOUT_S):
                 answering = await self._store.answers()
