Instances lost for good: their objects are removed, and they do not count for ever

Cause: nothing removed the object of an instance that never came back, and the number of objects that a process found at its start stayed in its count for as long as it ran.

Ruled out: counting only who is alive now (each side of a cut would spend the other's parts as well).

Change: discovery/instance_count.py counts the most that were alive in five minutes, and the registered ones only until ten seconds after the first other instance was heard of. discovery/lost_registrations.py: one instance, by rendezvous hashing, removes the objects of instances that have been dead for two minutes, each only as it was read.

Not measured.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -15,6 +15,8 @@
 from wagtailpoint.daemon.store_state import StoreState
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.instance_count import InstanceCount
+from wagtailpoint.discovery.lost_registrations import LostRegistrations
 from wagtailpoint.discovery.peer_states import PeerStateExchange
 from wagtailpoint.discovery.registration import Registration
 from wagtailpoint.discovery.store_check import StoreCheck
@@ -112,6 +114,12 @@
             hints=self._registration.addresses,
             settings=MembershipSettings(),
         )
+        self._instance_count = InstanceCount(
+            alive=self._alive, registered=lambda: self._registration.count
+        )
+        self._lost_registrations = LostRegistrations(
+            platform=self._platform, membership=self._membership, random=self._random
+        )
         self._exchange = PeerStateExchange(
             peers=self._peers, membership=self._membership, seeds=seeds, random=self._random
         )
@@ -157,6 +165,7 @@
                     self._membership.run,
                     partial(self._registration.run, self._is_alone),
                     *(follower.run for follower in self._followers.values()),
+                    self._lost_registrations.run,
                     self._sharing.run,
                     self._store_check.run,
                     self._pool.run,
@@ -267,10 +276,12 @@
         table = self._state.table
         return table.bounds if table is not None else DEFAULT_CALLER_BOUNDS
 
+    def _alive(self) -> int:
+        return sum(member.state != "dead" for member in self._membership.members())
+
     def _instances(self) -> int:
         """How many instances share what is bounded for all together."""
-        alive = sum(member.state != "dead" for member in self._membership.members())
-        return max(alive, self._registration.count)
+        return self._instance_count.value
 
     def _instances_here(self) -> int:
         """How many instances share the callers of this failure domain."""
@@ -284,7 +295,7 @@
         )
 
     def _is_alone(self) -> bool:
-        return sum(member.state != "dead" for member in self._membership.members()) <= 1
+        return self._alive() <= 1
 
     def _is_ready(self) -> bool:
         known = all(follower.known for follower in self._followers.values())
--- /dev/null
+++ b/src/wagtailpoint/discovery/instance_count.py
@@ -0,0 +1,50 @@
+"""How many instances share what is bounded for all of them together."""
+
+import math
+from collections.abc import Callable
+from typing import Final
+
+import trio
+
+CONVERGED_S: Final = 10.0
+"""So long after the first other instance was heard of, all are known; before, the registered ones
+count as well, although some of them may be gone."""
+
+REMEMBERED_S: Final = 300.0
+"""An instance that hears of few others may be cut off from the rest, which go on to spend their
+parts: the most that were alive count for so long."""
+
+
+class InstanceCount:
+    """A count that is too large rather than too small.
+
+    Each instance spends its part of the repeated sends and of what cold backend servers bear. If
+    one believes that there are fewer instances than there are, the sum exceeds the bound; the other
+    way round a part of it is not used.
+    """
+
+    def __init__(self, *, alive: Callable[[], int], registered: Callable[[], int]) -> None:
+        """Make it.
+
+        Args:
+            alive: How many instances are known to be alive, this one included.
+            registered: How many have registered; those that were lost may be among them.
+        """
+        self._alive = alive
+        self._registered = registered
+        self._most = 1
+        self._most_at = -math.inf
+        self._company_since = math.inf
+
+    @property
+    def value(self) -> int:
+        """The number to divide by; at least 1."""
+        now = trio.current_time()
+        alive = max(1, self._alive())
+        if alive >= self._most or now - self._most_at > REMEMBERED_S:
+            self._most, self._most_at = alive, now
+        if alive > 1:
+            self._company_since = min(self._company_since, now)
+        if now - self._company_since >= CONVERGED_S:
+            return self._most
+        return max(self._most, self._registered())
--- a/src/wagtailpoint/discovery/registration.py
+++ b/src/wagtailpoint/discovery/registration.py
@@ -10,7 +10,7 @@
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import PeerAddress
-from wagtailpoint.ports.platform import ABSENT, Conflict, Platform
+from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
 
 KIND = "wagtailpoint-instances"
 RETRY_S = 0.5
@@ -22,13 +22,22 @@
 a smaller one would spend the others' parts."""
 
 
-class _Registered(msgspec.Struct):
+class Registered(msgspec.Struct):
     """An instance, as it registered itself."""
 
     address: str
     peer_port: int
 
 
+def read_registered(stored: StoredObject) -> Registered | None:
+    """Read an instance's object; None, with a log line, if it can't be read."""
+    try:
+        return msgspec.convert(stored.value, Registered)
+    except msgspec.ValidationError as error:
+        log_event("instance-unreadable", level="WARNING", name=stored.name, error=error)
+        return None
+
+
 class Registration:
     """Registers this instance, and reads who else did."""
 
@@ -81,7 +90,7 @@
             await self._platform.delete(kind=KIND, name=self._name, if_version=self._version)
 
     async def _register(self) -> bool:
-        value = msgspec.to_builtins(_Registered(self._own.address, self._own.port))
+        value = msgspec.to_builtins(Registered(self._own.address, self._own.port))
         written = await self._platform.put(
             kind=KIND, name=self._name, value=value, if_version=self._version
         )
@@ -106,12 +115,8 @@
             return
         found = []
         for stored in listing.ok_value.objects:
-            try:
-                each = msgspec.convert(stored.value, _Registered)
-            except msgspec.ValidationError as error:
-                log_event("instance-unreadable", level="WARNING", name=stored.name, error=error)
-                continue
-            if each.address != self._own.address:
+            each = read_registered(stored)
+            if each is not None and each.address != self._own.address:
                 found.append(PeerAddress(each.address, each.peer_port))
         self._others = found
         self._count = len(found) + 1
--- /dev/null
+++ b/tests/cover/test_instances.py
@@ -0,0 +1,140 @@
+"""How many instances there are, and what lost ones have left in the store."""
+
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+from loguru import logger
+from trio.testing import MockClock
+
+from tests.common.fake_platform import FakePlatform
+from wagtailpoint.discovery.instance_count import CONVERGED_S, REMEMBERED_S, InstanceCount
+from wagtailpoint.discovery.lost_registrations import LOST_S, LostRegistrations
+from wagtailpoint.discovery.registration import KIND
+from wagtailpoint.membership.member import Member, MemberState
+
+ADDRESSES = ("127.9.0.1", "127.9.0.2", "127.9.0.3")
+
+
+def run(test: Callable[[], Awaitable[None]]) -> None:
+    trio.run(test, clock=MockClock(autojump_threshold=0))
+
+
+class InstanceCountTest(unittest.TestCase):
+    def test_registered_ones_count_until_the_others_are_known(self) -> None:
+        """Symptom: an instance hardly ever repeats a request, as long as it runs.
+
+        Sequence: hundreds of instances were replaced, and their objects stay in the store. Cause:
+        those that were registered at the start were counted for ever.
+        """
+        alive = 1
+
+        async def test() -> None:
+            nonlocal alive
+            count = InstanceCount(alive=lambda: alive, registered=lambda: 500)
+            self.assertEqual(count.value, 500)
+            alive = 9
+            self.assertEqual(count.value, 500)
+            await trio.sleep(CONVERGED_S)
+            self.assertEqual(count.value, 9)
+
+        run(test)
+
+    def test_who_hears_of_nobody_does_not_spend_everything(self) -> None:
+        """Symptom: more repeated sends than all instances together may make.
+
+        Sequence: a link between regions fails. Cause: each side took itself for all there are, and
+        spent the parts of the others, which spent them, too.
+        """
+        alive = 9
+
+        async def test() -> None:
+            nonlocal alive
+            count = InstanceCount(alive=lambda: alive, registered=lambda: 9)
+            self.assertEqual(count.value, 9)
+            await trio.sleep(60.0)
+            alive = 3
+            self.assertEqual(count.value, 9)
+            await trio.sleep(REMEMBERED_S + 1)
+            self.assertEqual(count.value, 3)
+
+        run(test)
+
+
+class FixedMembers:
+    """Members whose states the test sets; seen by the first one that lives."""
+
+    def __init__(self) -> None:
+        self.states: dict[str, MemberState] = dict.fromkeys(ADDRESSES, "live")
+        self.viewer = ADDRESSES[0]
+
+    @property
+    def own(self) -> Member:
+        return next(each for each in self.members() if each.address == self.viewer)
+
+    def members(self) -> tuple[Member, ...]:
+        return tuple(
+            Member(address, 80, 7000, "a", "a-1", 1, 1, state, False, 1, 0.0)
+            for address, state in self.states.items()
+        )
+
+
+class LostRegistrationsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+        self.platform = FakePlatform()
+        self.views = [FixedMembers() for _ in ADDRESSES]
+        for view, address in zip(self.views, ADDRESSES, strict=True):
+            view.viewer = address
+
+    def set_state(self, address: str, state: MemberState) -> None:
+        for view in self.views:
+            view.states[address] = state
+
+    def run_with(self, test: Callable[[], Awaitable[None]]) -> None:
+        async def body() -> None:
+            for number, address in enumerate(ADDRESSES):
+                await self.register(f"entry-{number}", address)
+            async with trio.open_nursery() as nursery:
+                for view in self.views:
+                    cleaner = LostRegistrations(
+                        platform=self.platform,
+                        membership=view,  # type: ignore[arg-type]
+                        random=random.Random(1),
+                    )
+                    nursery.start_soon(cleaner.run)
+                await test()
+                nursery.cancel_scope.cancel()
+
+        run(body)
+
+    async def register(self, name: str, address: str, version: int = 0) -> int:
+        value = {"address": address, "peer_port": 7000}
+        written = await self.platform.put(kind=KIND, name=name, value=value, if_version=version)
+        return written.unwrap().version
+
+    async def names(self) -> set[str]:
+        return {each.name for each in (await self.platform.list(kind=KIND)).unwrap().objects}
+
+    def test_lost_instance_is_removed_by_one_of_the_others(self) -> None:
+        async def test() -> None:
+            self.set_state(ADDRESSES[2], "dead")
+            await trio.sleep(LOST_S - 5)
+            self.assertEqual(len(await self.names()), 3)
+            await trio.sleep(60.0)
+            self.assertEqual(await self.names(), {"entry-0", "entry-1"})
+            self.assertEqual(self.platform.counts["DELETE", KIND], 1)
+
+        self.run_with(test)
+
+    def test_instance_that_came_back_stays(self) -> None:
+        async def test() -> None:
+            self.set_state(ADDRESSES[2], "dead")
+            await trio.sleep(LOST_S / 2)
+            self.set_state(ADDRESSES[2], "live")
+            await trio.sleep(2 * LOST_S)
+            self.assertEqual(len(await self.names()), 3)
+
+        self.run_with(test)
