--- /dev/null
+++ b/src/wagtailpoint/placement/choice.py
@@ -0,0 +1,103 @@
+"""What goes into the choice of a backend server, and what comes out of it."""
+
+from collections.abc import Collection
+from typing import Final, NamedTuple
+
+from wagtailpoint.discovery.entries import ServerEntry
+from wagtailpoint.placement.expectation import Expectation
+from wagtailpoint.placement.server_load import LoadReport
+from wagtailpoint.routing.table import HostRoute, ServicePolicy
+
+HOPEFUL_PART: Final = 0.5
+"""The part of its expected service time that a request may be faster by at a free slot."""
+
+
+class Demand(NamedTuple):
+    """What a request needs.
+
+    Attributes:
+        route: Its route.
+        service: The service that the route sent it to.
+        policy: What the configuration says of the service.
+        key: Its affinity key; empty if it has none.
+        tried: Backend servers that it was sent to before.
+        left_s: Seconds left until its deadline.
+        objective_left_s: Seconds left in which an answer has its full value.
+    """
+
+    route: HostRoute
+    service: str
+    policy: ServicePolicy | None
+    key: str
+    tried: Collection[str]
+    left_s: float
+    objective_left_s: float
+
+
+class Choice(NamedTuple):
+    """The backend server for a request, and what it was chosen by.
+
+    Attributes:
+        entry: The backend server.
+        region: Where it is.
+        rank: Its rank for the key among all.
+        cached: The chance that the object is cached there.
+        expected: What to expect there.
+        occupancy: The requests believed to be there.
+        report_age_s: How old the newest report of its load is, in seconds.
+    """
+
+    entry: ServerEntry
+    region: str
+    rank: int
+    cached: float
+    expected: Expectation
+    occupancy: float
+    report_age_s: float
+
+
+class NoRoom(NamedTuple):
+    """Why a request can't be sent now.
+
+    Attributes:
+        reason: For the log.
+    """
+
+    reason: str
+
+
+class Observation(NamedTuple):
+    """How an exchange ended, as far as the backend server is concerned.
+
+    Attributes:
+        latency_s: Until the end of the answer, in seconds.
+        reply_bytes: Its length.
+        failed: It was a failure of the backend server's own.
+        shed: It was refused without being run.
+        report: The load that came with it.
+        cold_s: How much longer the backend server stays cold, if it said so.
+    """
+
+    latency_s: float
+    reply_bytes: int
+    failed: bool
+    shed: bool
+    report: LoadReport | None
+    cold_s: float
+
+
+def loss_of(choice: Choice) -> float:
+    """What is lost of the answer's value by this choice."""
+    return choice.expected.loss
+
+
+def is_hopeless(choice: Choice, left_s: float) -> bool:
+    """Whether an answer can hardly come in time.
+
+    With a free slot the service time is given the benefit of the doubt: the slot costs nobody else
+    anything, and the answer, if only to a late request, shows what is true now.
+    """
+    expected = choice.expected
+    if choice.occupancy < choice.entry.slots:
+        return expected.latency_s - HOPEFUL_PART * expected.service_s > left_s
+    return expected.latency_s > left_s
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -1,18 +1,25 @@
 """The choice of a backend server: affinity, load, distance and evidence, weighed as one loss."""
 
-from collections.abc import Callable, Collection, Sequence
-from typing import Final, NamedTuple
+from collections.abc import Callable, Sequence
+from typing import Final
 
 import trio
 
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.discovery.fleet import Candidate, Fleet
 from wagtailpoint.placement.cached_part import CachedPart
+from wagtailpoint.placement.choice import (
+    Choice,
+    Demand,
+    NoRoom,
+    Observation,
+    is_hopeless,
+    loss_of,
+)
 from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.expectation import (
     COLD_FACTOR,
-    Expectation,
     Prospect,
     expect,
 )
@@ -20,7 +27,7 @@
 from wagtailpoint.placement.ranking import Ranked, Ranking
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.placement.route_costs import RouteCost
-from wagtailpoint.placement.server_load import LoadReport, ServerLoad
+from wagtailpoint.placement.server_load import ServerLoad
 from wagtailpoint.placement.warm_keys import WarmKeys
 from wagtailpoint.routing.table import HostRoute, ServicePolicy
 
@@ -41,88 +48,9 @@
 """Requests that may wait at a backend server beyond its slots, for the urgent and for the others:
 what waits there delays everybody, and the urgent must find room behind the others."""
 
-HOPEFUL_PART: Final = 0.5
-"""The part of its expected service time that a request may be faster by at a free slot."""
-
 MOST_URGENT_PRIORITY: Final = 1
 
 
-class Demand(NamedTuple):
-    """What a request needs.
-
-    Attributes:
-        route: Its route.
-        service: The service that the route sent it to.
-        policy: What the configuration says of the service.
-        key: Its affinity key; empty if it has none.
-        tried: Backend servers that it was sent to before.
-        left_s: Seconds left until its deadline.
-        objective_left_s: Seconds left in which an answer has its full value.
-    """
-
-    route: HostRoute
-    service: str
-    policy: ServicePolicy | None
-    key: str
-    tried: Collection[str]
-    left_s: float
-    objective_left_s: float
-
-
-class Choice(NamedTuple):
-    """The backend server for a request, and what it was chosen by.
-
-    Attributes:
-        entry: The backend server.
-        region: Where it is.
-        rank: Its rank for the key among all.
-        cached: The chance that the object is cached there.
-        expected: What to expect there.
-        occupancy: The requests believed to be there.
-        report_age_s: How old the newest report of its load is, in seconds.
-    """
-
-    entry: ServerEntry
-    region: str
-    rank: int
-    cached: float
-    expected: Expectation
-    occupancy: float
-    report_age_s: float
-
-
-class NoRoom(NamedTuple):
-    """Why a request can't be sent now.
-
-    Attributes:
-        reason: For the log.
-        full: There are backend servers, but they have no room.
-    """
-
-    reason: str
-    full: bool
-
-
-class Observation(NamedTuple):
-    """How an exchange ended, as far as the backend server is concerned.
-
-    Attributes:
-        latency_s: Until the end of the answer, in seconds.
-        reply_bytes: Its length.
-        failed: It was a failure of the backend server's own.
-        shed: It was refused without being run.
-        report: The load that came with it.
-        cold_s: How much longer the backend server stays cold, if it said so.
-    """
-
-    latency_s: float
-    reply_bytes: int
-    failed: bool
-    shed: bool
-    report: LoadReport | None
-    cold_s: float
-
-
 class Placement:
     """Chooses backend servers, and learns from what becomes of the requests."""
 
@@ -209,7 +137,7 @@
             each for each in order.ranked if each.candidate.entry.server_id not in demand.tried
         ]
         if not found:
-            return NoRoom("no backend server", full=False)
+            return NoRoom("no backend server")
         reachable = [
             each
             for each in found
@@ -223,10 +151,10 @@
         )
         choices = [choice for choice in weighed if choice is not None]
         if not choices:
-            return NoRoom("no room", full=True)
+            return NoRoom("no room")
         best = self._least_loss(choices, demand.left_s, now)
-        if _is_hopeless(best, demand.left_s):
-            return NoRoom("too late", full=True)
+        if is_hopeless(best, demand.left_s):
+            return NoRoom("too late")
         return best
 
     def _least_loss(self, choices: Sequence[Choice], left_s: float, now: float) -> Choice:
@@ -235,17 +163,17 @@
         A sound backend server with room must be there for that: what changes because others fail
         or fill up may change at once.
         """
-        best = min(choices, key=_loss)
+        best = min(choices, key=loss_of)
         if not self._mix.is_full(best.region, now):
             return best
         others = [
             each
             for each in choices
             if not self._mix.is_full(each.region, now)
-            and not _is_hopeless(each, left_s)
+            and not is_hopeless(each, left_s)
             and self.load_of(each.entry.server_id).is_sound(now)
         ]
-        return min(others, key=_loss, default=best)
+        return min(others, key=loss_of, default=best)
 
     def began(self, demand: Demand, entry: ServerEntry) -> None:
         """A request is sent."""
@@ -387,21 +315,5 @@
         )
 
 
-def _loss(choice: Choice) -> float:
-    return choice.expected.loss
-
-
-def _is_hopeless(choice: Choice, left_s: float) -> bool:
-    """Whether an answer can hardly come in time.
-
-    With a free slot the service time is given the benefit of the doubt: the slot costs nobody else
-    anything, and the answer, if only to a late request, shows what is true now.
-    """
-    expected = choice.expected
-    if choice.occupancy < choice.entry.slots:
-        return expected.latency_s - HOPEFUL_PART * expected.service_s > left_s
-    return expected.latency_s > left_s
-
-
 def _cold_per_s(policy: ServicePolicy | None) -> float:
     return policy.cold_per_s if policy is not None else 0.0
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -11,7 +11,7 @@
 
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import LatencyKey, Metrics
-from wagtailpoint.placement.placement import Choice, NoRoom
+from wagtailpoint.placement.choice import Choice, NoRoom
 from wagtailpoint.ports.backend import Headers
 from wagtailpoint.proxy.caller_connection import CallerConnection, IncomingRequest
 from wagtailpoint.proxy.headers import (
--- a/src/wagtailpoint/proxy/job.py
+++ b/src/wagtailpoint/proxy/job.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from wagtailpoint.placement.placement import Choice
+from wagtailpoint.placement.choice import Choice
 from wagtailpoint.ports.backend import FailureReason
 from wagtailpoint.proxy.backend_connection import BackendReply
 from wagtailpoint.proxy.caller_connection import IncomingRequest, ReadBody
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -6,7 +6,8 @@
 import trio
 
 from wagtailpoint.observe.log import log_event
-from wagtailpoint.placement.placement import Choice, Demand, NoRoom, Observation, Placement
+from wagtailpoint.placement.choice import Choice, Demand, NoRoom, Observation
+from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.server_load import parse_load
 from wagtailpoint.ports.backend import FailureReason
 from wagtailpoint.proxy.backend_connection import (
