Watch sharing ignores kinds that it does not follow, and answers that are none

Cause: an answer of a newer version that follows one more kind would have ended the process (KeyError). Found by reading. Test: test_watcher_of_another_version_harms_nobody, failed before.

--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -118,9 +118,14 @@
             answered = await self._peers.request(
                 source, WatchQuestion(versions), timeout_s=WAIT_S + REPLY_TIMEOUT_S
             )
-            answer = answered.ok_value if isinstance(answered, Ok) else NOT_WATCHING
+            answer = NOT_WATCHING
+            if isinstance(answered, Ok) and isinstance(answered.ok_value, WatchAnswer):
+                answer = answered.ok_value
             for changes in answer.changes:
-                self._followers[changes.kind].take_changes(changes)
+                # Versions differ while instances are replaced: another one may follow more kinds.
+                follower = self._followers.get(changes.kind)
+                if follower is not None:
+                    follower.take_changes(changes)
             self._set_answering(number, answer.watches)
             if not answer.watches:
                 await trio.sleep(LOOK_INTERVAL_S)
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -11,9 +11,15 @@
 from tests.common.fake_peers import FakeNetwork, FakePeers
 from tests.common.fake_platform import FakePlatform
 from wagtailpoint.discovery.follower import WATCH_WAIT_S, KindFollower
-from wagtailpoint.discovery.history import ChangeHistory
+from wagtailpoint.discovery.history import ChangeHistory, KindChanges
 from wagtailpoint.discovery.store_check import StoreCheck
-from wagtailpoint.discovery.watch_sharing import SOURCES, WATCHERS, WatchSharing
+from wagtailpoint.discovery.watch_sharing import (
+    SOURCES,
+    WATCHERS,
+    WatchAnswer,
+    WatchQuestion,
+    WatchSharing,
+)
 from wagtailpoint.membership.member import Member
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import StoredObject, WatchEvent
@@ -208,6 +214,26 @@
 
         self.run_with(test)
 
+    def test_watcher_of_another_version_harms_nobody(self) -> None:
+        """Symptom: instances end by themselves while the program is replaced by a newer one.
+
+        Cause: the newer ones follow one more kind of object and tell of it.
+        """
+
+        async def test() -> None:
+            answer = WatchAnswer(True, [KindChanges("quotas", 99, True, [], [])])
+            for each in self.watchers:
+                each.peers.handle(WatchQuestion, lambda _: answer)
+            # Longer than a question that waits already.
+            await trio.sleep(BOUND_S)
+            for each in self.watchers:
+                each.peers.handle(WatchQuestion, lambda _: None)
+            await self.put("new")
+            await trio.sleep(BOUND_S)
+            self.assertEqual(self.known(), [{"first", "new"}] * COUNT)
+
+        self.run_with(test)
+
     def test_cut_off_watcher_that_has_not_noticed(self) -> None:
         """Symptom as above.
 
