--- /dev/null
+++ b/bench/placement.py
@@ -0,0 +1,186 @@
+"""What the choice of backend servers is worth, on a model of the two deployments of today.
+
+    python -m bench.placement
+    python -m bench.placement --seconds 30 --set cached_part.TARGET_UTILISATION=0.5 --plot out.png
+
+``--set`` replaces constants of ``wagtailpoint.placement`` for one run, to try an idea before it is
+played on the users' bench. Two seeds differ by about 0.01 of worth.
+"""
+
+import importlib
+import sys
+from collections.abc import Mapping, Sequence
+from contextlib import ExitStack
+from pathlib import Path
+from unittest.mock import patch
+
+import click
+
+from bench.system_model import (
+    MOST_SHIFT,
+    Deployment,
+    Outcome,
+    RequestClass,
+    SystemModel,
+    largest_shift,
+    worth,
+    worth_by,
+)
+
+SHORT_S = 8.0
+FULL_S = 24.0
+LEAST_WORTH = 0.85
+LEAST_DOMAIN = 0.75
+"""Bounds against a fall; over 12 s with two seeds 0.935 and 0.915 or more were measured."""
+
+SURAKKHA = Deployment(
+    region_of={
+        "salt-lake": "kolkata",
+        "new-town": "kolkata",
+        "matigara": "siliguri",
+        "sevoke-road": "siliguri",
+        "bidhannagar": "durgapur",
+        "city-centre": "durgapur",
+    },
+    instances={
+        "salt-lake": 2,
+        "new-town": 1,
+        "matigara": 2,
+        "sevoke-road": 1,
+        "bidhannagar": 2,
+        "city-centre": 1,
+    },
+    servers={
+        "deposit-desk": {
+            "salt-lake": 1,
+            "new-town": 1,
+            "matigara": 5,
+            "sevoke-road": 5,
+            "bidhannagar": 6,
+            "city-centre": 6,
+        },
+        "records-vault": {
+            "salt-lake": 1,
+            "new-town": 1,
+            "matigara": 2,
+            "sevoke-road": 2,
+            "bidhannagar": 3,
+            "city-centre": 3,
+        },
+    },
+    cache={"deposit-desk": 43, "records-vault": 50},
+    slots=3,
+    in_region_s=0.0018,
+    between_regions_s=0.11,
+    classes=(
+        RequestClass("balance", "deposit-desk", 23.5, 0.24, 0.3, 1.2, 1.0, 57, 5000, 2),
+        RequestClass("release", "deposit-desk", 10.9, 0.312, 0.3, 1.5, 2.0, 26, 400, 1),
+        RequestClass("certificate", "records-vault", 3.3, 0.192, 0.25, 1.0, 1.0, 24, 90000, 2),
+        RequestClass("lookup", "records-vault", 6.3, 0.096, 0.2, 0.5, 2.0, 24, 1500, 1),
+    ),
+)
+
+HEATHER_ISLES = Deployment(
+    region_of={
+        "inv-a": "highlands",
+        "inv-b": "highlands",
+        "edi-a": "lowlands",
+        "edi-b": "lowlands",
+        "sty-a": "islands",
+        "sty-b": "islands",
+    },
+    instances={"inv-a": 2, "inv-b": 1, "edi-a": 2, "edi-b": 1, "sty-a": 2, "sty-b": 1},
+    servers={
+        "stay-desk": {"inv-a": 5, "inv-b": 5, "edi-a": 6, "edi-b": 6, "sty-a": 1, "sty-b": 1},
+        "visitor-hub": {"inv-a": 2, "inv-b": 2, "edi-a": 3, "edi-b": 3, "sty-a": 1, "sty-b": 1},
+    },
+    cache={"stay-desk": 44, "visitor-hub": 50},
+    slots=3,
+    in_region_s=0.001,
+    between_regions_s=0.04,
+    classes=(
+        RequestClass("browse", "stay-desk", 22.2, 0.24, 0.2, 1.2, 1.0, 57, 5000, 2),
+        RequestClass("hold", "stay-desk", 8.8, 0.312, 0.25, 1.5, 2.0, 24, 400, 1),
+        RequestClass("brochure", "visitor-hub", 2.9, 0.192, 0.15, 1.0, 1.0, 24, 90000, 2),
+        RequestClass("tonight", "visitor-hub", 8.0, 0.096, 0.1, 0.5, 2.0, 24, 5000, 1),
+    ),
+)
+"""Places, backend servers and work as the users' pages have them; the load of a calm day."""
+
+DEPLOYMENTS: Mapping[str, Deployment] = {"surakkha": SURAKKHA, "heather-isles": HEATHER_ISLES}
+
+_last: dict[str, Sequence[Outcome]] = {}
+
+
+def play(name: str, *, seconds: float, seed: int = 1) -> Sequence[Outcome]:
+    """Play one deployment and remember what came of it, for the plot."""
+    outcomes = SystemModel(deployment=DEPLOYMENTS[name], seed=seed).play(seconds)
+    _last[name] = outcomes
+    return outcomes
+
+
+def describe(name: str, outcomes: Sequence[Outcome]) -> list[str]:
+    """The lines of a table."""
+    domains = worth_by(outcomes, "domain")
+    worst = min(domains, key=lambda domain: domains[domain])
+    shift = largest_shift(outcomes, DEPLOYMENTS[name].region_of)
+    refused = sum(each.refused for each in outcomes) / len(outcomes)
+    by_class = "  ".join(
+        f"{each} {value:.3f}" for each, value in worth_by(outcomes, "name").items()
+    )
+    return [
+        f"{name:14} worth {worth(outcomes):.3f}  worst domain {domains[worst]:.3f} ({worst})  "
+        f"refused {refused:.3f}  largest shift {shift:.2f}",
+        f"{'':14} {by_class}",
+    ]
+
+
+def run(short: bool) -> list[str]:
+    """Play both deployments and check the bounds."""
+    lines = []
+    for name, deployment in DEPLOYMENTS.items():
+        outcomes = play(name, seconds=SHORT_S if short else FULL_S)
+        lines += describe(name, outcomes)
+        warm = [each for each in outcomes if each.began >= SHORT_S / 2]
+        least = min(worth_by(warm, "domain").values())
+        assert worth(warm) >= LEAST_WORTH, f"{name}: worth {worth(warm):.3f}"
+        assert least >= LEAST_DOMAIN, f"{name}: worst failure domain {least:.3f}"
+        shift = largest_shift(warm, deployment.region_of)
+        assert shift <= 2 * MOST_SHIFT, f"{name}: {shift:.2f} of a region's requests moved"
+    return lines
+
+
+def figures() -> Mapping[str, Mapping[str, float]]:
+    """For the plot: worth by failure domain, by class and by second."""
+    return {
+        f"{name}: worth by {title}": worth_by(outcomes, field)
+        for name, outcomes in _last.items()
+        for title, field in (("domain", "domain"), ("class", "name"), ("second", "began"))
+    }
+
+
+@click.command()
+@click.option("--seconds", default=FULL_S, help="How long to play, in seconds of the model.")
+@click.option("--seed", default=1, help="Of arrivals and service times.")
+@click.option("--set", "changes", multiple=True, help="MODULE.CONSTANT=NUMBER of placement/.")
+@click.option("--plot", type=click.Path(path_type=Path), help="Write a PNG of the figures.")
+def main(seconds: float, seed: int, changes: Sequence[str], plot: Path | None) -> None:
+    """Play both deployments, with some constants replaced."""
+    with ExitStack() as stack:
+        for change in changes:
+            place, _, number = change.partition("=")
+            module_name, _, constant = place.rpartition(".")
+            module = importlib.import_module(f"wagtailpoint.placement.{module_name}")
+            if not hasattr(module, constant):
+                raise click.BadParameter(f"given {place}, expected a constant of that module")
+            stack.enter_context(patch.object(module, constant, float(number)))
+        for name in DEPLOYMENTS:
+            click.echo("\n".join(describe(name, play(name, seconds=seconds, seed=seed))))
+    if plot is not None:
+        from bench.run import draw
+
+        draw(figures(), plot)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/bench/run.py
+++ b/bench/run.py
@@ -23,6 +23,7 @@
     "classes",
     "hedging",
     "locality",
+    "placement",
     "moves",
     "entry",
     "capacity",
@@ -81,14 +82,14 @@
     text = json.dumps(measured._asdict(), indent=2)
     (directory / f"{measured.name}.json").write_text(text + "\n")
     if measured.figures:
-        _plot(measured, directory / f"{measured.name}.png")
+        draw(measured.figures, directory / f"{measured.name}.png")
 
 
-def _plot(measured: Measured, path: Path) -> None:
+def draw(panels: Figures, path: Path) -> None:
+    """Write a plot with a panel of bars for each group of figures."""
     # Imported late: it takes a second, which the short bench need not spend.
     from matplotlib.figure import Figure
 
-    panels = measured.figures
     figure = Figure(figsize=(5.0 * len(panels), 4.0), layout="constrained")
     for place, (title, bars) in enumerate(panels.items(), start=1):
         axes = figure.add_subplot(1, len(panels), place)
--- /dev/null
+++ b/bench/system_model.py
@@ -0,0 +1,343 @@
+"""A small model of a deployment: callers, instances with the real placement, backend servers.
+
+For quick rounds on the choice of backend servers: what the users' bench plays in a minute runs here
+in seconds, under a clock that jumps. The decisions are the product's own (``placement/``). Modelled
+are round trips, slots, queues, caches of backend servers and callers that come back once when they
+are refused; not modelled are connections, faults, processor time and the price of bytes. So the
+figures compare one setting with another; they do not foretell what a deployment earns.
+"""
+
+from collections import Counter, OrderedDict, defaultdict
+from collections.abc import Mapping, Sequence
+from random import Random
+from typing import NamedTuple
+
+import trio
+from loguru import logger
+from trio.testing import MockClock
+
+from wagtailpoint.discovery.entries import ServerEntry
+from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.placement.cached_part import CachedPart
+from wagtailpoint.placement.choice import Choice, Demand, Observation
+from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
+from wagtailpoint.placement.distances import Distances
+from wagtailpoint.placement.placement import Placement
+from wagtailpoint.placement.region_mix import RegionMix
+from wagtailpoint.placement.server_load import LoadReport
+from wagtailpoint.ports.backend import BackendAddress
+from wagtailpoint.routing.table import HostRoute, RouteKind, SplitPart
+
+LATE_VALUE = 0.2
+COME_BACK_S = 0.2
+CACHED_FACTOR = 0.3
+SERVICE_SPREAD = 0.15
+QUEUE = 9
+MOST_SHIFT = 0.15
+WINDOW_S = 2.0
+
+
+class RequestClass(NamedTuple):
+    """What callers send.
+
+    Attributes:
+        name: For the tables.
+        service: The service that serves it.
+        rate: Requests a second from the callers of each failure domain.
+        work_s: Seconds of work for an object that is not cached.
+        objective_s: An answer within this time has its full value.
+        deadline_s: The callers' patience.
+        value: Of an answer in time.
+        keys: How many objects there are.
+        reply_bytes: The size of an answer.
+        priority: 0 is the most urgent.
+    """
+
+    name: str
+    service: str
+    rate: float
+    work_s: float
+    objective_s: float
+    deadline_s: float
+    value: float
+    keys: int
+    reply_bytes: int
+    priority: int
+
+
+class Deployment(NamedTuple):
+    """The places, the backend servers and the load.
+
+    Attributes:
+        region_of: The region of each failure domain.
+        instances: Instances in each failure domain.
+        servers: Backend servers of each service in each failure domain.
+        cache: Objects that a backend server of each service keeps.
+        slots: Of each backend server.
+        in_region_s: The way between failure domains of a region and back, in seconds.
+        between_regions_s: The same between regions.
+        classes: What callers send.
+    """
+
+    region_of: Mapping[str, str]
+    instances: Mapping[str, int]
+    servers: Mapping[str, Mapping[str, int]]
+    cache: Mapping[str, int]
+    slots: int
+    in_region_s: float
+    between_regions_s: float
+    classes: Sequence[RequestClass]
+
+    def round_trip_s(self, one: str, other: str) -> float:
+        """The way from one failure domain to another one and back, in seconds."""
+        if one == other:
+            return 0.0004
+        same = self.region_of[one] == self.region_of[other]
+        return self.in_region_s if same else self.between_regions_s
+
+
+class Outcome(NamedTuple):
+    """What became of one request.
+
+    Attributes:
+        began: When the caller sent it, in seconds from the start.
+        domain: The caller's failure domain.
+        name: Its class.
+        value: What an answer in time was worth.
+        earned: What was earned.
+        refused: It was refused twice.
+        ran_in: The region where it ran; empty if nowhere.
+    """
+
+    began: float
+    domain: str
+    name: str
+    value: float
+    earned: float
+    refused: bool
+    ran_in: str
+
+
+class ModelServer:
+    """One backend server: slots, a short queue, a cache of objects."""
+
+    def __init__(self, *, entry: ServerEntry, cache: int, random: Random) -> None:
+        self.entry = entry
+        self._slot = trio.Semaphore(entry.slots)
+        self._cache: OrderedDict[str, None] = OrderedDict()
+        self._most_cached = cache
+        self._random = random
+        self._running = 0
+        self._waiting = 0
+
+    @property
+    def report(self) -> LoadReport:
+        """What it tells with an answer."""
+        return LoadReport(self._running, self._waiting, self.entry.slots)
+
+    async def serve(self, key: str, work_s: float, left_s: float) -> bool:
+        """Run a request; False if the queue is full or its time is over."""
+        if self._waiting >= QUEUE:
+            return False
+        self._waiting += 1
+        try:
+            with trio.move_on_after(left_s) as scope:
+                await self._slot.acquire()
+        finally:
+            self._waiting -= 1
+        if scope.cancelled_caught:
+            return False
+        self._running += 1
+        try:
+            await trio.sleep(self._service_s(key, work_s))
+        finally:
+            self._running -= 1
+            self._slot.release()
+        return True
+
+    def _service_s(self, key: str, work_s: float) -> float:
+        cached = key in self._cache
+        self._cache[key] = None
+        self._cache.move_to_end(key)
+        if len(self._cache) > self._most_cached:
+            self._cache.popitem(last=False)
+        factor = max(0.3, self._random.gauss(1.0, SERVICE_SPREAD))
+        return work_s * factor * (CACHED_FACTOR if cached else 1.0)
+
+
+class SystemModel:
+    """One run of a deployment."""
+
+    def __init__(self, *, deployment: Deployment, seed: int) -> None:
+        self._deployment = deployment
+        self._random = Random(seed)
+        self._servers: dict[str, ModelServer] = {}
+        self.outcomes: list[Outcome] = []
+
+    def play(self, seconds: float) -> Sequence[Outcome]:
+        """Play so many seconds of load and return what became of the requests."""
+        logger.disable("wagtailpoint")
+        try:
+            trio.run(self._play, seconds, clock=MockClock(autojump_threshold=0.0))
+        finally:
+            logger.enable("wagtailpoint")
+        return self.outcomes
+
+    async def _play(self, seconds: float) -> None:
+        self._servers = {each.entry.server_id: each for each in self._make_servers()}
+        total = sum(self._deployment.instances.values())
+        placements = {
+            domain: [self._make_placement(domain, total) for _ in range(count)]
+            for domain, count in self._deployment.instances.items()
+        }
+        async with trio.open_nursery() as nursery:
+            for domain, here in placements.items():
+                for request_class in self._deployment.classes:
+                    nursery.start_soon(self._callers, domain, here, request_class, seconds)
+
+    def _make_servers(self) -> list[ModelServer]:
+        made = []
+        for service, places in self._deployment.servers.items():
+            for domain, count in places.items():
+                for number in range(count):
+                    address = BackendAddress("127.0.0.1", 1)
+                    slots = self._deployment.slots
+                    name = f"{service}-{domain}-{number}"
+                    entry = ServerEntry(name, service, address, domain, slots, False, 0.0)
+                    cache = self._deployment.cache[service]
+                    made.append(ModelServer(entry=entry, cache=cache, random=self._random))
+        return made
+
+    def _make_placement(self, domain: str, instances: int) -> Placement:
+        deployment = self._deployment
+        fleet = Fleet(region_of=deployment.region_of)
+        fleet.update([each.entry for each in self._servers.values()])
+        distances = Distances(
+            failure_domain=domain,
+            region=deployment.region_of[domain],
+            region_of=deployment.region_of,
+        )
+        for other in deployment.region_of:
+            distances.note_opened(other, deployment.round_trip_s(domain, other))
+
+        def instances_here() -> int:
+            return deployment.instances[domain]
+
+        return Placement(
+            fleet=fleet,
+            distances=distances,
+            cold=ColdPacing(bound=lambda: ColdBound(1.5, 5.0), instances=lambda: instances),
+            cached_part=CachedPart(fleet=fleet, instances_here=instances_here),
+            mix=RegionMix(most_shift=lambda: MOST_SHIFT),
+            instances=lambda: instances,
+            instances_here=instances_here,
+        )
+
+    async def _callers(
+        self, domain: str, here: Sequence[Placement], sent: RequestClass, seconds: float
+    ) -> None:
+        route = _route_of(sent)
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < seconds:
+                placement = self._random.choice(here)
+                key = f"{sent.name}-{self._random.randrange(sent.keys)}"
+                nursery.start_soon(self._request, domain, placement, sent, route, key)
+                await trio.sleep(self._random.expovariate(sent.rate))
+
+    async def _request(
+        self, domain: str, placement: Placement, sent: RequestClass, route: HostRoute, key: str
+    ) -> None:
+        began = trio.current_time()
+        ran_in = ""
+        for _ in range(2):
+            ran_in = await self._attempt(domain, placement, sent, route, key, began)
+            if ran_in:
+                break
+            await trio.sleep(COME_BACK_S)
+        took_s = trio.current_time() - began
+        in_time = took_s <= sent.objective_s
+        part = 1.0 if in_time else LATE_VALUE if took_s <= sent.deadline_s else 0.0
+        earned = sent.value * part if ran_in else 0.0
+        self.outcomes.append(
+            Outcome(began, domain, sent.name, sent.value, earned, not ran_in, ran_in)
+        )
+
+    async def _attempt(
+        self,
+        domain: str,
+        placement: Placement,
+        sent: RequestClass,
+        route: HostRoute,
+        key: str,
+        began: float,
+    ) -> str:
+        """Send it once; return the region where it ran, empty if it was refused."""
+        elapsed_s = trio.current_time() - began
+        left_s = sent.deadline_s - elapsed_s
+        demand = Demand(route, sent.service, None, key, (), left_s, sent.objective_s - elapsed_s)
+        placement.note_request(demand)
+        choice = placement.choose(demand)
+        if not isinstance(choice, Choice):
+            return ""
+        sent_at = trio.current_time()
+        way_s = self._deployment.round_trip_s(domain, choice.entry.failure_domain) / 2
+        placement.began(demand, choice.entry)
+        await trio.sleep(way_s)
+        server = self._servers[choice.entry.server_id]
+        ran = await server.serve(key, sent.work_s, max(0.0, left_s - way_s))
+        report = server.report
+        await trio.sleep(way_s)
+        latency_s = trio.current_time() - sent_at
+        seen = Observation(latency_s, sent.reply_bytes, False, not ran, report, 0.0)
+        placement.note_answer(demand, choice, seen)
+        placement.ended(choice.entry)
+        return choice.region if ran else ""
+
+
+def _route_of(sent: RequestClass) -> HostRoute:
+    return HostRoute(
+        name=sent.name,
+        prefix=f"/{sent.name}/",
+        kind=RouteKind.IDEMPOTENT,
+        timeout_s=sent.deadline_s,
+        objective_s=sent.objective_s,
+        priority=sent.priority,
+        most_attempts=2,
+        sticky=True,
+        homes=frozenset(),
+        parts=(SplitPart(sent.service, 1.0),),
+    )
+
+
+def worth(outcomes: Sequence[Outcome]) -> float:
+    """What was earned of what could have been, 0 to 1."""
+    owed = sum(each.value for each in outcomes)
+    return sum(each.earned for each in outcomes) / owed if owed else 0.0
+
+
+def worth_by(outcomes: Sequence[Outcome], field: str) -> dict[str, float]:
+    """The same by a field of the outcomes; ``began`` by the second."""
+    groups: dict[str, list[Outcome]] = defaultdict(list)
+    for each in outcomes:
+        value = getattr(each, field)
+        groups[f"{int(value):02}" if field == "began" else value].append(each)
+    return {name: worth(found) for name, found in sorted(groups.items())}
+
+
+def largest_shift(outcomes: Sequence[Outcome], region_of: Mapping[str, str]) -> float:
+    """The largest part of a region's requests that changed regions between two windows."""
+    windows: dict[tuple[str, int], Counter[str]] = defaultdict(Counter)
+    for each in outcomes:
+        if each.ran_in:
+            windows[region_of[each.domain], int(each.began // WINDOW_S)][each.ran_in] += 1
+    shifts = [0.0]
+    for (region, number), ran in windows.items():
+        after = windows.get((region, number + 1))
+        if after is not None:
+            shifts.append(
+                sum(
+                    max(0.0, after[place] / after.total() - ran[place] / ran.total())
+                    for place in after
+                )
+            )
+    return max(shifts)
--- /dev/null
+++ b/tests/cover/test_system_model.py
@@ -0,0 +1,43 @@
+"""The model of a deployment on which placement is tried."""
+
+import unittest
+
+from bench.placement import SURAKKHA, main
+from bench.system_model import Outcome, SystemModel, largest_shift, worth, worth_by
+from click.testing import CliRunner
+
+REGION_OF = {"a-1": "a", "b-1": "b"}
+
+
+def outcome(began: float, ran_in: str, earned: float = 1.0, domain: str = "a-1") -> Outcome:
+    return Outcome(began, domain, "balance", 1.0, earned, not ran_in, ran_in)
+
+
+class FiguresTest(unittest.TestCase):
+    def test_worth_is_what_was_earned_of_what_was_owed(self) -> None:
+        outcomes = [outcome(0.1, "a"), outcome(1.2, "a", 0.2), outcome(1.3, "", 0.0, "b-1")]
+        self.assertAlmostEqual(worth(outcomes), 0.4)
+        self.assertEqual(worth_by(outcomes, "domain"), {"a-1": 0.6, "b-1": 0.0})
+        self.assertEqual(worth_by(outcomes, "began"), {"00": 1.0, "01": 0.1})
+
+    def test_shift_is_the_part_that_changed_regions(self) -> None:
+        before = [outcome(0.1, "a") for _ in range(8)] + [outcome(0.2, "b") for _ in range(2)]
+        after = [outcome(2.1, "a") for _ in range(5)] + [outcome(2.2, "b") for _ in range(5)]
+        self.assertAlmostEqual(largest_shift(before + after, REGION_OF), 0.3)
+        self.assertEqual(largest_shift(before, REGION_OF), 0.0)
+
+
+class SystemModelTest(unittest.TestCase):
+    def test_two_servers_of_a_region_are_not_given_what_others_can_serve(self) -> None:
+        """Kolkata has two of 24 backend servers, and as many callers as the other regions."""
+        outcomes = SystemModel(deployment=SURAKKHA, seed=1).play(3.0)
+        kolkata = [each for each in outcomes if SURAKKHA.region_of[each.domain] == "kolkata"]
+        away = sum(each.ran_in not in ("", "kolkata") for each in kolkata)
+        self.assertGreater(away, len(kolkata) / 3)
+        self.assertLess(sum(each.refused for each in outcomes), len(outcomes) / 20)
+
+    def test_constant_that_does_not_exist_is_an_error(self) -> None:
+        """The experiment with a mistyped constant would show that it changes nothing."""
+        result = CliRunner().invoke(main, ["--set", "cached_part.NOWHERE=1"])
+        self.assertNotEqual(result.exit_code, 0)
+        self.assertIn("cached_part.NOWHERE", result.output)
