--- a/src/wagtailpoint/placement/key_reuse.py
+++ b/src/wagtailpoint/placement/key_reuse.py
@@ -7,6 +7,15 @@
 KEYS_INTERVAL_S: Final = 10.0
 MOST_KEYS: Final = 4096
 
+COUNT_INTERVAL_S: Final = 0.2
+"""How often the number of keys is worked out anew."""
+
+ASSUMED_REPEATS: Final = 0.1
+"""Counted beside the repeats that came: without any, the number of keys would have no upper end."""
+
+NEWTON_STEPS: Final = 6
+"""From a start within a factor of 2 they give more digits than the counts are good for."""
+
 HORIZON_S: Final = 8.0
 """An object is taken to be of use for so long. Longer, and each failure domain caches more by
 itself, where its first uses are slow: of a calm day's value 20 s lost 0.002 and 0.022 more than 8 s
@@ -17,31 +26,59 @@
     """The rate of requests for each affinity key of one route, at this instance.
 
     Keys are taken to be equally popular: the rate of one is the rate of the route divided by the
-    number of keys that came lately.
+    number of keys. That is not the number of keys that came: an instance of many gets a few
+    requests a second, nearly all for keys that it has not seen before. Taking those for all that
+    there are, it expected each of them again within the second, so that a copy in every failure
+    domain seemed to pay. In a model of 77 instances 0.69 of the value of the first eight seconds
+    was earned with that, 0.76 with the number estimated from the repeats.
     """
 
     def __init__(self) -> None:
         self._rate = 0.0
         self._at = 0.0
-        self._keys: set[str] = set()
-        self._keys_before = 0
-        self._keys_since = 0.0
+        self._seen: set[str] = set()
+        self._requests = 0
+        self._since = 0.0
+        self._keys_before = 0.0
+        self._keys = 1.0
+        self._counted_at = -math.inf
 
     def note(self, key: str, now: float) -> None:
         """A request came."""
         self._rate = self._rate_at(now) + math.log(2) / HALF_LIFE_S
         self._at = now
-        if now - self._keys_since > KEYS_INTERVAL_S:
-            self._keys_before = len(self._keys)
-            self._keys.clear()
-            self._keys_since = now
-        if len(self._keys) < MOST_KEYS:
-            self._keys.add(key)
+        if now - self._since > KEYS_INTERVAL_S:
+            self._keys_before = estimated_keys(self._requests, len(self._seen))
+            self._seen.clear()
+            self._requests = 0
+            self._since = now
+        if len(self._seen) < MOST_KEYS:
+            self._seen.add(key)
+            self._requests += 1
+        if now - self._counted_at >= COUNT_INTERVAL_S:
+            keys = estimated_keys(self._requests, len(self._seen))
+            self._keys = max(1.0, keys, self._keys_before)
+            self._counted_at = now
 
     def uses(self, instances: int, now: float) -> float:
         """How often a cached object is used, by the callers of so many instances; at least 1."""
-        keys = max(1, len(self._keys), self._keys_before)
-        return max(1.0, HORIZON_S * instances * self._rate_at(now) / keys)
+        return max(1.0, HORIZON_S * instances * self._rate_at(now) / self._keys)
 
     def _rate_at(self, now: float) -> float:
         return self._rate * math.exp(-math.log(2) * (now - self._at) / HALF_LIFE_S)
+
+
+def estimated_keys(requests: int, distinct: int) -> float:
+    """How many keys there are, if so many distinct ones came in so many requests.
+
+    Of ``n`` requests for ``k`` equally popular keys, ``k * (1 - exp(-n / k))`` distinct ones are
+    expected; that is solved for ``k`` by Newton's method, with ``x = n / k`` as the unknown.
+    """
+    if distinct == 0:
+        return 0.0
+    part = min(distinct, max(0.5, requests - ASSUMED_REPEATS)) / requests
+    x = 2 * (1 - part) if part > 0.5 else 1 / part
+    for _ in range(NEWTON_STEPS):
+        decay = math.exp(-x)
+        x -= (1 - decay - part * x) / (decay - part)
+    return max(float(distinct), requests / x)
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -119,7 +119,7 @@
         if cost is None:
             if len(self._costs) >= MOST_ROUTES:
                 self._costs.clear()
-            cost = self._costs[route.name, service] = RouteCost()
+            cost = self._costs[route.name, service] = RouteCost(objective_s=route.objective_s)
         return cost
 
     def note_request(self, demand: Demand) -> None:
--- a/src/wagtailpoint/placement/region_mix.py
+++ b/src/wagtailpoint/placement/region_mix.py
@@ -3,6 +3,7 @@
 import math
 from collections import Counter, deque
 from collections.abc import Callable
+from random import Random
 from typing import Final
 
 WINDOW_S: Final = 2.0
@@ -11,12 +12,9 @@
 SLOTS: Final = 8
 SLOT_S: Final = WINDOW_S / SLOTS
 
-SAFETY: Final = 0.5
+SAFETY: Final = 0.4
 """The part of the bound that is spent; the rest is for what the instances of a region send more or
-less by chance, when that adds up."""
-
-ENOUGH_REQUESTS: Final = 30
-"""In fewer requests than that chance alone moves shares by more than the bound."""
+less by chance, and for requests that run in another window than the one they are counted in."""
 
 
 class RegionMix:
@@ -25,18 +23,35 @@
     Caches and links of a region are sized for what usually comes. When the choice by load moved a
     third of the requests of a region to another one within two seconds, that one's caches were cold
     for all of them, and its own callers had to wait.
+
+    The more instances share the callers of a region, the fewer requests each of them sends in a
+    window, until chance alone moves its shares by more than the bound. Over all of them chance
+    evens out, a systematic move does not: so each instance allows for the chance of the region's
+    requests and not of its own, and rounds what that makes to whole requests by lot. In a model of
+    77 instances 0.15 of a region's requests moved within a window without that, 0.10 with it.
     """
 
-    def __init__(self, *, most_shift: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        *,
+        most_shift: Callable[[], float],
+        instances_in_region: Callable[[], int],
+        random: Random,
+    ) -> None:
         """Make it empty.
 
         Args:
             most_shift: The part of a region's requests that may change the region in which they run
                 from one window to the next, 0 to 1.
+            instances_in_region: How many instances share the callers of this region.
+            random: For the rounding.
         """
         self._most_shift = most_shift
+        self._instances_in_region = instances_in_region
+        self._random = random
+        self._rounding = random.random()
         self._slot = -math.inf
-        self._past: deque[Counter[str]] = deque()
+        self._past: deque[Counter[str]] = deque(maxlen=2 * SLOTS)
         self._recent: Counter[str] = Counter()
         self._before: Counter[str] = Counter()
 
@@ -50,26 +65,40 @@
         """Whether one more request there would shift too many from other regions."""
         self._advance(now)
         recent, before = self._recent.total(), self._before.total()
-        if recent < ENOUGH_REQUESTS or before < ENOUGH_REQUESTS:
+        if not before:
             return False
-        share = (self._recent[region] + 1) / (recent + 1)
-        share_before = self._before[region] / before
-        # Chance moves the share of one instance; over those of a region it evens out.
-        chance = math.sqrt(share_before * (1 - share_before) * (1 / recent + 1 / before))
-        return share > share_before + SAFETY * self._most_shift() + chance
+        share = self._before[region] / before
+        own_chance = math.sqrt(share * (1 - share) * (1 / (recent + 1) + 1 / before))
+        chance = own_chance / math.sqrt(self._instances_in_region())
+        most = (share + SAFETY * self._most_shift() + chance) * (recent + 1)
+        return self._recent[region] + 1 > most + self._rounding
 
     def _advance(self, now: float) -> None:
         slot = now // SLOT_S
-        if slot - self._slot >= 2 * SLOTS:
-            self._past = deque([Counter()])
-            self._recent, self._before = Counter(), Counter()
-            self._slot = slot
-        while self._slot < slot:
-            self._slot += 1
-            self._past.append(Counter())
-            if len(self._past) > SLOTS:
-                ripe = self._past[-SLOTS - 1]
-                self._recent -= ripe
-                self._before += ripe
-            if len(self._past) > 2 * SLOTS:
-                self._before -= self._past.popleft()
+        new = slot - self._slot
+        if not new:
+            return
+        if new >= 2 * SLOTS:
+            self._past.clear()
+            new = 1
+        self._past.extend(Counter() for _ in range(int(new)))
+        self._slot = slot
+        if slot % SLOTS < new:
+            self._rounding = self._random.random()
+        self._compare()
+
+    def _compare(self) -> None:
+        """Add up both windows; while less than two of them have passed, both halves of that.
+
+        Just after the start a whole window before would be a few requests, and their chance would
+        decide for all that come.
+        """
+        self._recent, self._before = Counter(), Counter()
+        half = len(self._past) // 2
+        if half < SLOTS // 2:
+            return
+        for age, counted in enumerate(reversed(self._past)):
+            if age < half:
+                self._recent += counted
+            elif age < 2 * half:
+                self._before += counted
--- a/src/wagtailpoint/placement/route_costs.py
+++ b/src/wagtailpoint/placement/route_costs.py
@@ -4,7 +4,13 @@
 from typing import Final
 
 GAIN: Final = 0.05
-FIRST_SERVICE_S: Final = 0.1
+FIRST_SERVICE_PART: Final = 1 / 3
+"""Of the latency objective, as long as no service time is known. Routes whose requests take long
+have late objectives: of eight routes measured, cached objects took 0.14 to 0.44 of theirs. With
+0.1 s for all, an instance with three requests a second, which forgets as fast as it learns, took an
+object that is not cached to be in time where it was not. In a model of 77 instances 0.76 of the
+value of the first eight seconds was earned with that, 0.85 with the part."""
+
 FIRST_BYTES: Final = 4096.0
 
 MOST_RATIO: Final = 2.0
@@ -21,8 +27,9 @@
 class RouteCost:
     """Means of one route on one service."""
 
-    def __init__(self) -> None:
-        self._service_s = FIRST_SERVICE_S
+    def __init__(self, *, objective_s: float) -> None:
+        self._first_service_s = FIRST_SERVICE_PART * objective_s
+        self._service_s = self._first_service_s
         self._bytes = FIRST_BYTES
         self._seen = 0
         self._sampled_at = -math.inf
@@ -31,7 +38,7 @@
         """The time at the backend server, without queue, in seconds."""
         stale_s = max(0.0, now - self._sampled_at - FRESH_S)
         left: float = 0.5 ** (stale_s / FADE_HALF_LIFE_S)
-        return FIRST_SERVICE_S + left * (self._service_s - FIRST_SERVICE_S)
+        return self._first_service_s + left * (self._service_s - self._first_service_s)
 
     @property
     def reply_bytes(self) -> float:
