--- a/src/wagtailpoint/adapters/object_calls.py
+++ b/src/wagtailpoint/adapters/object_calls.py
@@ -9,9 +9,10 @@
 import socket
 from collections.abc import Sequence
 from http import HTTPStatus
-from typing import Any, NamedTuple, cast
+from typing import Any, NamedTuple, TypeVar, cast
 
 import httpcore
+import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -52,6 +53,9 @@
 )
 
 
+_T = TypeVar("_T")
+
+
 class Call(NamedTuple):
     """One call of the object API; ``writes`` ones are never sent twice."""
 
@@ -169,6 +173,16 @@
     return None
 
 
+def decoded(answer: Answer, wire_type: type[_T]) -> Result[_T, PlatformUnavailable]:
+    """The body of an answer, by its type on the wire."""
+    if answer.status // 100 != 2:
+        return Err(refused(answer))
+    try:
+        return Ok(msgspec.json.decode(answer.body, type=wire_type))
+    except msgspec.DecodeError as error:
+        return Err(PlatformUnavailable(f"the platform's answer can't be read: {error}"))
+
+
 def refused(answer: Answer) -> PlatformUnavailable:
     """The error for an answer that is a refusal."""
     return PlatformUnavailable(
--- a/src/wagtailpoint/adapters/platform_http.py
+++ b/src/wagtailpoint/adapters/platform_http.py
@@ -3,7 +3,7 @@
 from collections.abc import Sequence
 from http import HTTPStatus
 from types import TracebackType
-from typing import Any, Literal, Self, TypedDict, TypeVar
+from typing import Any, Literal, Self, TypedDict
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -14,6 +14,7 @@
     Answer,
     Call,
     ObjectCalls,
+    decoded,
     refused,
 )
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
@@ -65,9 +66,6 @@
     instances: list[_WireInstance]
 
 
-_T = TypeVar("_T")
-
-
 class HttpPlatform:
     """The object API at one of several addresses; the next is tried when one is down.
 
@@ -109,12 +107,12 @@
             return Ok(None)
         if answer.status != HTTPStatus.OK:
             return Err(refused(answer))
-        return _decoded(answer, _WireObject).and_then(lambda wire: _checked(wire, kind, name))
+        return decoded(answer, _WireObject).and_then(lambda wire: _checked(wire, kind, name))
 
     async def list(self, *, kind: str) -> Result[Listing, PlatformUnavailable]:
         """Read all objects of a kind."""
         outcome = await self._calls.read(Call("GET", f"/objects/{_quoted(kind)}"))
-        return outcome.and_then(lambda answer: _decoded(answer, _WireListing)).map(
+        return outcome.and_then(lambda answer: decoded(answer, _WireListing)).map(
             lambda wire: Listing(wire["version"], [StoredObject(**one) for one in wire["objects"]])
         )
 
@@ -143,7 +141,7 @@
             return outcome
         if outcome.ok_value.status == HTTPStatus.GONE:
             return Err(WatchTooOld(f"no events since version {from_version}; list again"))
-        return _decoded(outcome.ok_value, _WireBatch).map(
+        return decoded(outcome.ok_value, _WireBatch).map(
             lambda wire: WatchBatch(
                 wire["version"],
                 [
@@ -156,7 +154,7 @@
     async def instances(self) -> Result[Sequence[ListedInstance], PlatformUnavailable]:
         """Read the platform's list of live and leaving instances."""
         outcome = await self._calls.read(Call("GET", "/instances"))
-        return outcome.and_then(lambda answer: _decoded(answer, _WireInstances)).map(
+        return outcome.and_then(lambda answer: decoded(answer, _WireInstances)).map(
             lambda wire: [ListedInstance(**one) for one in wire["instances"]]
         )
 
@@ -171,7 +169,7 @@
             return Err(refused(answer))
         if answer.status == HTTPStatus.CONFLICT:
             return _conflict(answer, kind, name)
-        written = _decoded(answer, _WireWritten)
+        written = decoded(answer, _WireWritten)
         if isinstance(written, Ok) and _names(written.ok_value, kind, name):
             return written
         return Err(OutcomeUnknown(f"{call.method} {call.target}: {answer.status}, no clear answer"))
@@ -185,15 +183,6 @@
     return f"/objects/{_quoted(kind)}/{_quoted(name)}"
 
 
-def _decoded(answer: Answer, wire_type: type[_T]) -> Result[_T, PlatformUnavailable]:
-    if answer.status != HTTPStatus.OK:
-        return Err(refused(answer))
-    try:
-        return Ok(msgspec.json.decode(answer.body, type=wire_type))
-    except msgspec.DecodeError as error:
-        return Err(PlatformUnavailable(f"the platform's answer can't be read: {error}"))
-
-
 def _names(wire: _WireObject | _WireWritten, kind: str, name: str) -> bool:
     """Whether an answer is about the object asked for; a crossed answer is not."""
     return (wire["kind"], wire["name"]) == (kind, name)
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -2,13 +2,20 @@
 
 from collections.abc import Sequence
 from http import HTTPStatus
-from typing import Any, TypeVar
+from typing import Any
 from urllib.parse import quote, urlencode
 
 import msgspec
 from result import Err, Ok, Result
 
-from wagtailpoint.adapters.object_calls import REFUSALS, Answer, Call, ObjectCalls, refused
+from wagtailpoint.adapters.object_calls import (
+    REFUSALS,
+    Answer,
+    Call,
+    ObjectCalls,
+    decoded,
+    refused,
+)
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.platform.documents import EVACUATIONS_KIND
@@ -52,9 +59,6 @@
     StoreRevision: int
 
 
-_T = TypeVar("_T")
-
-
 class ObjectStore:
     """The platform's object store; one kind of object at a time can be watched."""
 
@@ -76,7 +80,7 @@
             return outcome
         if outcome.ok_value.status == HTTPStatus.NOT_FOUND:
             return Ok(None)
-        return _decoded(outcome.ok_value, _Object).map(lambda wire: _stored(kind, wire))
+        return decoded(outcome.ok_value, _Object).map(lambda wire: _stored(kind, wire))
 
     async def answers(self) -> bool:
         """Ask something cheap; False if the store refuses or can't be reached.
@@ -95,7 +99,7 @@
         while True:
             query = f"?{urlencode({'after': after})}" if after else ""
             outcome = await self._calls.read(Call("GET", f"{_path(kind)}{query}"))
-            page = outcome.and_then(lambda answer: _decoded(answer, _Items))
+            page = outcome.and_then(lambda answer: decoded(answer, _Items))
             if isinstance(page, Err):
                 return page
             wire = page.ok_value
@@ -126,7 +130,7 @@
         outcome = await self._write(call, kind)
         if isinstance(outcome, Err):
             return outcome
-        written = _decoded(outcome.ok_value, _Object)
+        written = decoded(outcome.ok_value, _Object)
         if isinstance(written, Err):
             return Err(OutcomeUnknown(str(written.err_value)))
         return Ok(_stored(kind, written.ok_value))
@@ -151,7 +155,7 @@
             return outcome
         if outcome.ok_value.status == HTTPStatus.GONE:
             return Err(WatchTooOld(f"no events since version {from_version}; list again"))
-        return _decoded(outcome.ok_value, _Events).map(
+        return decoded(outcome.ok_value, _Events).map(
             lambda wire: WatchBatch(
                 wire.StoreRevision,
                 [
@@ -195,12 +199,3 @@
     except msgspec.DecodeError as error:
         return Err(OutcomeUnknown(f"the store's conflict can't be read: {error}"))
     return Err(Conflict(_stored(kind, current)))
-
-
-def _decoded(answer: Answer, wire_type: type[_T]) -> Result[_T, PlatformUnavailable]:
-    if answer.status // 100 != 2:
-        return Err(refused(answer))
-    try:
-        return Ok(msgspec.json.decode(answer.body, type=wire_type))
-    except msgspec.DecodeError as error:
-        return Err(PlatformUnavailable(f"the store's answer can't be read: {error}"))
