HEAD requests and callers of HTTP/1.0 on the request path

Cause: a reply to HEAD sent its body to the parser, which raised: the request ended as an internal error, its connection broke, and those pipelined behind it got no answer. A reply of unknown length that broke off ended with a plain close, which is the regular end for a caller of HTTP/1.0. Ruled out: the own interface's server, which handles both (its tests were the example). Change: no body goes out for HEAD, 204 and 304, whole or in parts; a gone connection of HTTP/1.0 is reset. Both tests failed before.

--- a/src/wagtailpoint/adapters/http_connection.py
+++ b/src/wagtailpoint/adapters/http_connection.py
@@ -1,7 +1,5 @@
 """One caller's connection: reading, writing, and the limits on a caller that does neither."""
 
-import socket
-import struct
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager, suppress
 from typing import NamedTuple
@@ -19,6 +17,7 @@
     ServerConfig,
     slow_head,
 )
+from wagtailpoint.proxy.caller_connection import reset_on_close
 
 LINGER_S = 2.0
 LINGER_BYTES = 16 * 1024 * 1024
@@ -217,6 +216,7 @@
     async def _close(self) -> None:
         try:
             if self._gone or self._protocol.end_is_ambiguous:
+                # A reply that broke off must not look whole to a caller that waits for the end.
                 reset_on_close(self._stream)
             elif self._protocol.has_unread_body:
                 await linger(self._stream)
@@ -224,16 +224,6 @@
             await self._stream.aclose()
 
 
-def reset_on_close(stream: trio.SocketStream) -> None:
-    """Have the connection reset when it is closed.
-
-    A reply that broke off must not look whole, as it would to a caller of HTTP/1.0 who waits for
-    the end of the connection; and what a stalled caller has not taken is dropped at once.
-    """
-    with suppress(OSError):
-        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-
-
 async def linger(stream: trio.SocketStream) -> None:
     """End our side, and read what the caller still sends, within bounds."""
     with suppress(OSError, trio.BrokenResourceError, trio.ClosedResourceError):
--- a/src/wagtailpoint/proxy/caller_connection.py
+++ b/src/wagtailpoint/proxy/caller_connection.py
@@ -5,9 +5,12 @@
 reading a connection in that state, so the close would be seen only after the reply.
 """
 
+import socket
+import struct
 from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import suppress
 from http import HTTPStatus
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 import h11
 import trio
@@ -29,6 +32,10 @@
 bytes resets the connection, and the reset can overtake the reply."""
 
 
+BODILESS: Final = (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+"""Responses that never bear a body."""
+
+
 class IncomingRequest(NamedTuple):
     """The head of a request as it arrived.
 
@@ -97,6 +104,8 @@
         self._room = trio.Event()
         self._gone = False
         self._resting = True
+        self._method = ""
+        self._may_have_body = True
         self._has_body = False
         self._body_bytes = 0
         self._request: trio.CancelScope | None = None
@@ -121,6 +130,9 @@
                 await self._linger()
                 nursery.cancel_scope.cancel()
         finally:
+            if self._gone and self._parser.their_http_version == b"1.0":
+                # The end of the connection would be the regular end of a reply that broke off.
+                reset_on_close(self._stream)
             await trio.aclose_forcefully(self._stream)
 
     async def read_body(self, most_bytes: int) -> ReadBody:
@@ -147,15 +159,8 @@
         """Send a whole reply; ``headers`` without any framing."""
         length = (b"content-length", str(len(body)).encode())
         head = self._head(status, [*headers, length])
-        await self._write(
-            head
-            + (
-                self._parser.send(h11.Data(data=body)) or b""
-                if self._may_have_body(status)
-                else b""
-            )
-            + (self._parser.send(h11.EndOfMessage()) or b"")
-        )
+        data = self._data(body)
+        await self._write(head + data + (self._parser.send(h11.EndOfMessage()) or b""))
 
     async def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a reply whose body follows in parts."""
@@ -163,7 +168,7 @@
 
     async def send(self, data: bytes) -> None:
         """Send a part of the body."""
-        await self._write(self._parser.send(h11.Data(data=data)) or b"")
+        await self._write(self._data(data))
 
     async def finish(self) -> None:
         """End the body: from here on the reply is whole."""
@@ -174,10 +179,11 @@
         # What was not read of a body would stand before the next request.
         if self._is_leaving() or self._parser.their_state is h11.SEND_BODY:
             sent.append((b"connection", b"close"))
+        self._may_have_body = self._method != "HEAD" and status not in BODILESS
         return self._parser.send(h11.Response(status_code=status, headers=sent)) or b""
 
-    def _may_have_body(self, status: int) -> bool:
-        return status not in (HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED)
+    def _data(self, body: bytes) -> bytes:
+        return self._parser.send(h11.Data(data=body)) or b"" if self._may_have_body else b""
 
     async def _serve(self) -> None:
         while not self._is_gone():
@@ -202,6 +208,7 @@
                 return
 
     async def _handle(self, head: IncomingRequest) -> None:
+        self._method = head.method
         self._has_body = has_body(head.headers)
         self._body_bytes = 0
         if not self._has_body:
@@ -365,6 +372,12 @@
                 await self._arrived.wait()
 
 
+def reset_on_close(stream: trio.SocketStream) -> None:
+    """Have the connection reset when it is closed; what the caller has not taken is dropped."""
+    with suppress(OSError):
+        stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
+
 def _request(event: object) -> IncomingRequest | None:
     if not isinstance(event, h11.Request):
         return None
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -7,6 +7,7 @@
 
 from tests.common.sockets import loopback_address
 from wagtailpoint.node_settings import Endpoint
+from wagtailpoint.ports.backend import BodyBroken
 from wagtailpoint.proxy.caller_connection import CallerConnection, IncomingRequest
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
@@ -86,6 +87,50 @@
 
         self.run_with(unread, test)
 
+    def test_replies_to_head_bear_no_body(self) -> None:
+        """Symptom: a HEAD request ends its connection, and those behind it get no answer.
+
+        Sequence: the reply has a body, since the page or the refusal has one for every method.
+        Cause: the parser knows that none may follow, and raised.
+        """
+
+        async def handler(request: IncomingRequest, caller: CallerConnection) -> None:
+            if request.target == "/parts":
+                await caller.begin(200, [(b"content-length", b"5")])
+                await caller.send(b"12345")
+                await caller.finish()
+            else:
+                await caller.reply(404, (), b"no such page")
+
+        async def test(stream: trio.SocketStream) -> None:
+            head = GET.replace(b"GET", b"HEAD")
+            await stream.send_all(head % b"a" + head % b"parts" + GET % b"b")
+            data = await self.read_until(stream, b"no such page")
+            self.assertEqual([data.count(b" 404 "), data.count(b" 200 ")], [2, 1])
+            self.assertEqual(data.count(b"no such page"), 1)
+            self.assertNotIn(b"12345", data)
+
+        self.run_with(handler, test)
+
+    def test_broken_reply_is_reset_for_old_callers(self) -> None:
+        """Symptom: a short certificate looks whole to a caller of HTTP/1.0.
+
+        Sequence: a backend server dies in the middle of a body of unknown length. Cause: the end of
+        the connection is the regular end of such a body.
+        """
+
+        async def handler(request: IncomingRequest, caller: CallerConnection) -> None:
+            await caller.begin(200, [(b"transfer-encoding", b"chunked")])
+            await caller.send(b"short")
+            raise BodyBroken("test")
+
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(b"GET / HTTP/1.0\r\n\r\n")
+            with self.assertRaises(trio.BrokenResourceError):
+                await self.read_until(stream, b"never")
+
+        self.run_with(handler, test)
+
     def test_close_is_noticed_while_requests_wait_behind_the_open_one(self) -> None:
         """Symptom: backend servers go on working for callers that have left.
 
