An idle instance wakes up only when there is something to do

Cause: each of three followers woke ten times a second to look for doubtful removals, and the instance five times for backend servers that are gone: 35 of some 45 wake-ups a second. Ruled out: longer waits of the questions to watchers (0.8 s is what bounds the news of a killed one). Change: both wait for an event.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -65,7 +65,6 @@
 """The process ends so long before it would be killed."""
 
 WITHDRAW_TIMEOUT_S = 0.5
-CLEANING_INTERVAL_S = 0.2
 
 
 class SteeringInstance:
@@ -125,7 +124,8 @@
         )
         self._fleet = Fleet(region_of=settings.region_of)
         self._gone: list[str] = []
-        self._state = StoreState(fleet=self._fleet, on_gone=self._gone.append)
+        self._some_gone = trio.Event()
+        self._state = StoreState(fleet=self._fleet, on_gone=self._note_gone)
         self._followers = self._make_followers()
         self._exchange.answer_for(self._followers)
         self._sharing = WatchSharing(
@@ -326,9 +326,15 @@
             self._membership.publish(state="live")
             log_event("ready", backend_servers=len(self._fleet.entries))
 
+    def _note_gone(self, server_id: str) -> None:
+        self._gone.append(server_id)
+        self._some_gone.set()
+
     async def _clean_gone(self) -> None:
         while True:
-            await trio.sleep(CLEANING_INTERVAL_S)
+            if not self._gone:
+                self._some_gone = trio.Event()
+                await self._some_gone.wait()
             gone, self._gone[:] = list(self._gone), []
             for server_id in gone:
                 self._placement.forget(server_id)
--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -112,6 +112,7 @@
         self._version = 0
         self._objects: dict[str, StoredObject] = {}
         self._doubtful: dict[str, float] = {}
+        self._doubted = trio.Event()
         self._lost_at: float | None = None
         self._lost = trio.Event()
         self._store_away_since = 0.0
@@ -290,6 +291,7 @@
             return
         if not believed:
             self._doubtful.setdefault(name, trio.current_time())
+            self._doubted.set()
             log_event("removal-doubted", kind=self._kind, name=name)
             return
         del self._objects[name]
@@ -298,6 +300,9 @@
     async def _drop_doubtful(self) -> None:
         """Believe the removals that still stand some time after the store's return."""
         while True:
+            if not self._doubtful:
+                self._doubted = trio.Event()
+                await self._doubted.wait()
             await trio.sleep(RETURN_GRACE_S / 20)
             now = trio.current_time()
             if self._lost_at is not None or now < self._trust_removals_at:
