--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -223,22 +223,12 @@
         def instances_here() -> int:
             return deployment.instances[domain]
 
-        def instances_in_region() -> int:
-            return sum(
-                count
-                for other, count in deployment.instances.items()
-                if deployment.region_of[other] == deployment.region_of[domain]
-            )
-
         return Placement(
             fleet=fleet,
             distances=distances,
             cold=ColdPacing(bound=lambda: ColdBound(1.5, 5.0), instances=lambda: instances),
             cached_part=CachedPart(fleet=fleet, instances_here=instances_here),
-            mix=RegionMix(
-                most_shift=lambda: MOST_SHIFT,
-                random=self._random,
-            ),
+            mix=RegionMix(most_shift=lambda: MOST_SHIFT, random=self._random),
             instances=lambda: instances,
             instances_here=instances_here,
         )
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -23,7 +23,7 @@
 from wagtailpoint.discovery.watch_sharing import WatchSharing
 from wagtailpoint.idempotency.binding import new_incarnation
 from wagtailpoint.membership import Membership, MembershipSettings
-from wagtailpoint.membership.member import Fact, Member
+from wagtailpoint.membership.member import Fact
 from wagtailpoint.node_settings import Endpoint, NodeSettings
 from wagtailpoint.observe.hlc import HybridClock
 from wagtailpoint.observe.log import log_event
@@ -289,16 +289,13 @@
     def _instances_here(self) -> int:
         """How many instances share the callers of this failure domain."""
         here = self._settings.failure_domain
-        return self._live_count(lambda member: member.failure_domain == here)
-
-    def _instances_in_region(self) -> int:
-        """How many instances share the callers of this region."""
-        here = self._settings.region
-        return self._live_count(lambda member: member.region == here)
-
-    def _live_count(self, is_meant: Callable[[Member], bool]) -> int:
-        members = self._membership.members()
-        return max(1, sum(each.state == "live" and is_meant(each) for each in members))
+        return max(
+            1,
+            sum(
+                member.state == "live" and member.failure_domain == here
+                for member in self._membership.members()
+            ),
+        )
 
     def _is_alone(self) -> bool:
         return self._alive() <= 1
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -27,8 +27,8 @@
 not notice for up to three seconds; changes must be in force within two to four."""
 
 INSTANCES_A_WATCHER: Final = 32
-"""Each asks twice in 0.8 s, and all get a copy of each change. More watchers than that and the
-sources cost calls: four for 25 instances took twice the calls of two."""
+"""Each asks twice in 0.8 s, and gets a copy of each change; a further watcher costs a call of the
+store for each change."""
 
 WAIT_S: Final = 0.8
 """How long a question waits for news."""
@@ -155,7 +155,7 @@
                 log_event("watching", kind=kind, itself=watching, version=follower.state.version)
 
     def _source(self, number: int) -> PeerAddress | None:
-        """The watcher that this instance asks; None if it is one itself, or there are too few."""
+        """The watcher that this instance asks; None if it is one itself, or there is none."""
         own = self._membership.own.address
         watchers = self._watchers()
         if any(each.address == own for each in watchers):
--- a/src/wagtailpoint/placement/region_mix.py
+++ b/src/wagtailpoint/placement/region_mix.py
@@ -14,9 +14,10 @@
 
 LEAST_PART: Final = 0.4
 MOST_PART: Final = 0.8
-"""Of the bound: what an instance may shift, and that with an allowance for its own chance. More
-than all of the bound is never allowed, however few its requests are: the chance of the instances
-evens out, but what moves all of them in one direction adds up."""
+"""Of the bound: what an instance may shift, and the most that it may with an allowance for its own
+chance. However few its requests are, that stays below the bound: the chance of the instances evens
+out, but what moves all of them in one direction adds up. The rest is for requests that run in
+another window than the one they are counted in."""
 
 
 class RegionMix:
@@ -30,12 +31,7 @@
     moved within a window when those with few requests were free to, 0.04 with a limit for all.
     """
 
-    def __init__(
-        self,
-        *,
-        most_shift: Callable[[], float],
-        random: Random,
-    ) -> None:
+    def __init__(self, *, most_shift: Callable[[], float], random: Random) -> None:
         """Make it empty.
 
         Args:
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -35,8 +35,7 @@
 LEAST_REUSED: Final = 0.4
 """The weight of one request in the part of requests that find an idle connection, and the least
 part with which spare ones are opened. An instance that sends 8 requests a second to 400 backend
-servers meets each of them once a minute; its spare connections were closed unused, and doubled the
-number of connections to 1.05 a request. With 36 backend servers the part stays above 0.45."""
+servers meets each of them once a minute, and closes its spare connections unused."""
 
 SWEEP_INTERVAL_S: Final = 2.0
 """How often connections that rested too long are closed; the backend server closes them anyway, but
@@ -115,7 +114,7 @@
         await self._keep(entry.server_id, connection)
 
     def _note_acquired(self, entry: ServerEntry, *, reused: bool) -> None:
-        """Have a connection opened for the next request, if none is idle and it takes long."""
+        """Have a spare connection opened where it takes long and none is idle, if they are used."""
         self._reused_part += REUSE_GAIN * (reused - self._reused_part)
         if self._nursery is None or self._idle.get(entry.server_id):
             return
