Connections to far backend servers stand ready after a start; who holds the key is kept to

Cause: of the requests in the first two seconds after a start or a restart of all instances 31 % opened a connection first and waited 90 ms in the mean, with objectives of 150 to 500 ms.

Suspects leave the choice to those that hold the key; another backend server is tried only when none of them is left.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -49,6 +49,7 @@
 from wagtailpoint.proxy.reach_probe import ReachProbe
 from wagtailpoint.proxy.repeat_budget import RepeatBound, RepeatBudget
 from wagtailpoint.proxy.sender import Sender
+from wagtailpoint.proxy.warm_up import WarmUp
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
 
 STORE_TIMEOUT_S = 1.2
@@ -173,6 +174,7 @@
                     self._store_check.run,
                     self._pool.run,
                     self._make_distance_probe().run,
+                    self._make_warm_up().run,
                     ReachProbe(placement=self._placement, pool=self._pool, random=self._random).run,
                     self._clean_gone,
                     self._settings_file.run,
@@ -240,6 +242,14 @@
             random=self._random,
         )
 
+    def _make_warm_up(self) -> WarmUp:
+        return WarmUp(
+            entries=lambda: self._fleet.entries.values(),
+            pool=self._pool,
+            distances=self._distances,
+            random=self._random,
+        )
+
     def _make_dispatcher(self) -> Dispatcher:
         sender = Sender(
             takes_work=self._fleet.takes_work,
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -27,13 +27,11 @@
 from wagtailpoint.placement.weighing import KNOWN_CACHED, Weigher, cold_per_s
 
 SPILL_UTILISATION: Final = 0.3
-"""Below this part of a service's slots in use a request goes on to the next backend servers when
-its own ones have no room. Its object is not cached there, and takes the time of three that are:
-under high load whoever went on took the room of others, who went on, too. In a model of twelve
-instances under high load 0.82 of the value was earned with it, 0.55 when all went on."""
-
-MOST_SPILL: Final = 2
-"""So many of the next backend servers are considered then."""
+"""Below this part of a service's slots in use a request goes on to another backend server when
+those that should have its key could not serve it. Its object is not cached there, and takes the
+time of three that are: under high load whoever went on took the room of others, who went on, too.
+In a model of twelve instances under high load 0.82 of the value was earned when none went on, 0.55
+when all did."""
 
 
 class Placement:
@@ -96,27 +94,24 @@
         """Choose where a request goes."""
         now = trio.current_time()
         order = self._ranking.of(demand.service, demand.key, demand.route.homes)
-        found = [
-            each for each in order.ranked if each.candidate.entry.server_id not in demand.tried
-        ]
-        if not found:
-            return NoRoom("no backend server")
         # When all are suspect the suspicion is of no use: the fault may be on our side.
-        usable = [
-            each for each in found if not self._is_suspect(each.candidate.entry, now)
-        ] or found
-        sound = [each for each in usable if self.load_of(each.candidate.entry).is_sound(now)]
-        preferred = list(dict.fromkeys((*preferred_of(usable), *preferred_of(sound))))
+        reachable = [
+            each for each in order.ranked if not self._is_suspect(each.candidate.entry, now)
+        ] or order.ranked
+        untried = [each for each in reachable if each.candidate.entry.server_id not in demand.tried]
+        if not untried:
+            return NoRoom("no backend server")
+        wanted = self._wanted(order.ranked, reachable, now)
         utilisation = self._utilisation.of(demand.service, now)
 
         def weigh(each: Ranked) -> Choice | Declined:
             return self._weigher.weigh(demand, each, order.position, utilisation, now)
 
-        weighed = [weigh(each) for each in preferred]
+        left = [each for each in untried if each in wanted]
+        if not left and utilisation < SPILL_UTILISATION:
+            left = untried[:1]
+        weighed = [weigh(each) for each in left]
         choices = [each for each in weighed if isinstance(each, Choice)]
-        if not choices and utilisation < SPILL_UTILISATION:
-            others = [each for each in usable if each not in preferred][:MOST_SPILL]
-            choices = [each for each in map(weigh, others) if isinstance(each, Choice)][:1]
         if not choices:
             return NoRoom("no room", [each for each in weighed if isinstance(each, Declined)])
         best = self._least_loss(choices, demand.left_s, now)
@@ -124,6 +119,19 @@
             return NoRoom("too late")
         return best
 
+    def _wanted(
+        self, ranked: Sequence[Ranked], reachable: Sequence[Ranked], now: float
+    ) -> set[Ranked]:
+        """Those to which a request should go if they have room."""
+        wanted = set(preferred_of(ranked)).intersection(reachable)
+        if not wanted:
+            return set(preferred_of(reachable))
+        failing = {each for each in wanted if self.load_of(each.candidate.entry).is_failing(now)}
+        if failing:
+            # They stay in the choice: what they give is weighed against an object not cached.
+            wanted.update(preferred_of([each for each in reachable if each not in failing]))
+        return wanted
+
     def _least_loss(self, choices: Sequence[Choice], left_s: float, now: float) -> Choice:
         """The best choice, in another region if too many requests would come to its own at once.
 
--- a/src/wagtailpoint/placement/server_load.py
+++ b/src/wagtailpoint/placement/server_load.py
@@ -24,6 +24,11 @@
 """Below these a backend server is as good as others: requests vary by a fifth, and answers that
 meet a full cache take three times as long but are expected to."""
 
+FAILING_SLOWNESS: Final = 3.0
+FAILING_ERROR_SHARE: Final = 0.3
+"""Above these a backend server is worse than another where the object is not cached, which takes
+three times as long. A few answers that were not cached, one after the other, are not that bad."""
+
 EVIDENCE_HALF_LIFE_S: Final = 2.0
 """Slowness and errors are forgotten without new evidence: a backend server that is avoided gives
 none, and would be avoided for ever after it has recovered."""
@@ -129,6 +134,12 @@
         """How old the last report is, in seconds."""
         return now - self._reported_at
 
+    def is_failing(self, now: float) -> bool:
+        """Whether it is so slow or fails so often that others should be considered."""
+        return (
+            self.slowness(now) >= FAILING_SLOWNESS or self.error_share(now) >= FAILING_ERROR_SHARE
+        )
+
     @property
     def resting_until(self) -> float | None:
         """When it may be tried again after a failure to reach it; None if there was none."""
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -100,6 +100,12 @@
         for connection in self._idle.pop(start, ()):
             await connection.close()
 
+    def has_spare(self, entry: ServerEntry) -> bool:
+        """Whether a usable connection is idle, or is being opened for the next request."""
+        if entry.start in self._opening_spare:
+            return True
+        return any(not each.rested_too_long() for each in self._idle.get(entry.start, ()))
+
     async def open_spare(self, entry: ServerEntry) -> bool:
         """Open a connection for the next request; False if that failed."""
         self._opening_spare.add(entry.start)
