Callers are told of few instances, the most capable first; the shared bounds lie with these

Cause: a lookup named every live instance of the caller's failure domain alike. With 195 instances each got 3 to 6 requests a second, so connections were not used again, nothing was learned of backend servers, and nine tenths of the slack of repeated sends lay with instances that make none.

Ruled out: a fixed number by hashing, blind to what an instance can do (it takes mostly small ones), and a fixed part of the capacity without regard to load (a burst must widen it).

Change: the settings' limits give each instance a capacity, which the membership tells with its load (measured at the event loop). The entries of a failure domain are the most capable instances, at least three, a quarter of the capacity, three times what is in use; an overloaded one comes last. Slack of repeated sends: three quarters for the entries. Cold backend servers are shared by the most capable instances. Figures a peer can't have are refused with a log line.

Small deployments (three instances in a failure domain or fewer) name all, as before.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -304,7 +304,7 @@
         for other in deployment.region_of:
             distances.note_opened(other, deployment.round_trip_s(domain, other))
 
-        def instances_here() -> int:
+        def entries_here() -> int:
             return deployment.instances[domain]
 
         return Placement(
@@ -313,10 +313,10 @@
             cold=ColdPacing(
                 bound=lambda: ColdBound(1.5, 5.0), sharing=lambda start, region, wanted: instances
             ),
-            cached_part=CachedPart(fleet=fleet, instances_here=instances_here),
+            cached_part=CachedPart(fleet=fleet, entries_here=entries_here),
             mix=RegionMix(most_shift=lambda: MOST_SHIFT, random=self._random),
-            instances=lambda: instances,
-            instances_here=instances_here,
+            entries=lambda: instances,
+            entries_here=entries_here,
         )
 
     async def _callers(
--- a/src/wagtailpoint/daemon/entry_pages.py
+++ b/src/wagtailpoint/daemon/entry_pages.py
@@ -4,7 +4,7 @@
 from http import HTTPStatus
 
 from wagtailpoint.daemon.metrics_page import measure, metrics_text
-from wagtailpoint.membership import Membership
+from wagtailpoint.lookup.entry_choice import EntryChoice
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
@@ -17,6 +17,9 @@
 """How long callers keep an answer: an instance that stops serves them for so long, and one that is
 lost costs them failed connections for so long. Each lookup takes about 1 ms of processor time."""
 
+MOST_NAMED = 64
+"""Callers accept no more addresses in an answer."""
+
 JSON = ((b"content-type", b"application/json"),)
 
 
@@ -27,7 +30,7 @@
         self,
         *,
         lookup_ttl_max_s: Callable[[], float],
-        membership: Membership,
+        entries: EntryChoice,
         is_ready: Callable[[], bool],
         metrics: Metrics,
         peers: Peers,
@@ -37,14 +40,14 @@
 
         Args:
             lookup_ttl_max_s: Callers keep an answer no longer than this, in seconds.
-            membership: Who is there.
+            entries: Which instances callers shall use.
             is_ready: Whether this instance takes requests.
             metrics: Counts and latencies.
             peers: For their counts.
             gauges: Values of this moment.
         """
         self._lookup_ttl_max_s = lookup_ttl_max_s
-        self._membership = membership
+        self._entries = entries
         self._is_ready = is_ready
         self._metrics = metrics
         self._peers = peers
@@ -76,14 +79,8 @@
 
     def entries_for(self, question: LookupQuestion) -> list[Endpoint]:
         """The entries that a caller shall use: the nearest that there are."""
-        live = [
-            member
-            for member in self._membership.members()
-            if member.state == "live" and not member.suspect
-        ]
-        near = [each for each in live if each.failure_domain == question.failure_domain]
-        region = [each for each in live if each.region == question.region]
-        return [Endpoint(each.address, each.port) for each in near or region or live]
+        nearest = self._entries.nearest(question.failure_domain, question.region)
+        return [Endpoint(each.address, each.port) for each in nearest[:MOST_NAMED]]
 
     def _ttl_s(self) -> float:
         return min(LOOKUP_TTL_S, self._lookup_ttl_max_s())
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -11,8 +11,10 @@
 from wagtailpoint.adapters.clock import SystemClock
 from wagtailpoint.adapters.peers_nng import NngPeers
 from wagtailpoint.daemon.entry_pages import LOOKUP_TTL_S, EntryPages
+from wagtailpoint.daemon.processor_load import ProcessorLoad
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.store_state import StoreState
+from wagtailpoint.discovery.bound_part import BoundPart
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.follower import KindFollower
@@ -23,6 +25,7 @@
 from wagtailpoint.discovery.store_check import StoreCheck
 from wagtailpoint.discovery.watch_sharing import WatchSharing
 from wagtailpoint.idempotency.binding import new_incarnation
+from wagtailpoint.lookup.entry_choice import EntryChoice
 from wagtailpoint.membership import Membership, MembershipSettings
 from wagtailpoint.membership.member import Fact
 from wagtailpoint.node_settings import Endpoint, NodeSettings
@@ -70,6 +73,10 @@
 
 WITHDRAW_TIMEOUT_S = 0.5
 
+LOAD_INTERVAL_S = 0.5
+URGENT_LOAD_STEP = 0.25
+"""A load that changed by so much is told to all at once: more instances may have to be entries."""
+
 
 class SteeringInstance:
     """One instance."""
@@ -109,17 +116,26 @@
                 failure_domain=settings.failure_domain,
                 incarnation=incarnation,
                 sequence=int(clock.wall() * 1000),
+                capacity=settings.capacity,
             ),
             peers=self._peers,
             clock=clock,
             random=self._random,
             seeds=seeds,
             hints=self._registration.addresses,
-            settings=MembershipSettings(),
+            settings=MembershipSettings(urgent_load_step=URGENT_LOAD_STEP),
         )
+        self._entries = EntryChoice(members=self._membership.members)
         self._instance_count = InstanceCount(
             alive=self._alive, registered=lambda: self._registration.count
         )
+        self._bound_part = BoundPart(
+            instances=self._instance_count,
+            entries=InstanceCount(
+                alive=lambda: self._entries.count, registered=lambda: self._registration.count
+            ),
+            is_entry=lambda: self._entries.is_entry(settings.callers.address),
+        )
         self._lost_registrations = LostRegistrations(
             platform=self._platform, membership=self._membership, random=self._random
         )
@@ -145,7 +161,7 @@
         self._dispatcher = self._make_dispatcher()
         self._pages = EntryPages(
             lookup_ttl_max_s=lambda: self._settings_file.bounds.lookup_ttl_max_s,
-            membership=self._membership,
+            entries=self._entries,
             is_ready=self._is_ready,
             metrics=self._metrics,
             peers=self._peers,
@@ -177,6 +193,7 @@
                     self._make_warm_up().run,
                     ReachProbe(placement=self._placement, pool=self._pool, random=self._random).run,
                     self._clean_gone,
+                    self._report_load,
                     self._settings_file.run,
                 ]
                 for task in tasks:
@@ -225,13 +242,13 @@
                     instances=self._instances,
                 ).sharing,
             ),
-            cached_part=CachedPart(fleet=self._fleet, instances_here=self._instances_here),
+            cached_part=CachedPart(fleet=self._fleet, entries_here=self._entries_here),
             mix=RegionMix(
                 most_shift=lambda: self._settings_file.bounds.region_shift_max,
                 random=self._random,
             ),
-            instances=self._instances,
-            instances_here=self._instances_here,
+            entries=lambda: max(1, self._entries.count),
+            entries_here=self._entries_here,
         )
 
     def _make_distance_probe(self) -> DistanceProbe:
@@ -255,7 +272,7 @@
             takes_work=self._fleet.takes_work,
             placement=self._placement,
             pool=self._pool,
-            budget=RepeatBudget(bound=self._repeat_bound, instances=self._instances),
+            budget=RepeatBudget(bound=self._repeat_bound, divisor=lambda: self._bound_part.divisor),
             names=HEADER_NAMES,
         )
         return Dispatcher(
@@ -304,16 +321,9 @@
         """How many instances share what is bounded for all together."""
         return self._instance_count.value
 
-    def _instances_here(self) -> int:
+    def _entries_here(self) -> int:
         """How many instances share the callers of this failure domain."""
-        here = self._settings.failure_domain
-        return max(
-            1,
-            sum(
-                member.state == "live" and member.failure_domain == here
-                for member in self._membership.members()
-            ),
-        )
+        return max(1, len(self._entries.by_domain.get(self._settings.failure_domain, ())))
 
     def _is_alone(self) -> bool:
         return self._alive() <= 1
@@ -329,6 +339,8 @@
             "backend_servers": len(self._fleet.entries),
             "unusable_server_entries": self._state.unusable_entries,
             "instances": self._instances(),
+            "entries": self._entries.count,
+            "load": self._membership.own.load,
             "watching": all(each.watching for each in self._followers.values()),
             "config_version": self._state.table.version if self._state.table else 0,
         }
@@ -356,6 +368,15 @@
                 self._placement.forget(start)
                 await self._pool.close(start)
 
+    async def _report_load(self) -> None:
+        load = ProcessorLoad()
+        trio.lowlevel.add_instrument(load)
+        while True:
+            await trio.sleep(LOAD_INTERVAL_S)
+            value = load.read()
+            if self._membership.own.state == "live":
+                self._membership.publish(load=value)
+
     async def _wait_for_stop(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
--- /dev/null
+++ b/src/wagtailpoint/lookup/entry_choice.py
@@ -0,0 +1,97 @@
+"""Which instances callers are told to use: as few as the load needs, the most capable first.
+
+Instances learn from the requests that they get: round trips, caches, loads, connections that are
+used again. Spread over hundreds of instances a deployment's requests teach each of them nothing.
+"""
+
+from collections.abc import Callable, Mapping, Sequence
+from typing import Final
+
+from wagtailpoint.membership.member import Member
+from wagtailpoint.rendezvous import rendezvous_score
+
+LEAST_ENTRIES: Final = 3
+"""In a failure domain: the loss of one leaves two thirds of the callers undisturbed."""
+
+LEAST_CAPACITY_PART: Final = 0.25
+"""Of a failure domain's capacity. The load of a burst is known to all some seconds after it
+begins; until then the entries must bear it."""
+
+HEADROOM: Final = 3.0
+"""The capacity of the entries, in times of what their load takes of it."""
+
+OVERLOADED: Final = 0.85
+"""An instance with so much of its processor in use comes last. Where all are, all are entries."""
+
+
+def by_capacity(member: Member) -> tuple[float, int]:
+    """Orders members: the most capable first, equal ones by hashing."""
+    return (-member.capacity, rendezvous_score("entry", member.address))
+
+
+def entries_among(members: Sequence[Member]) -> list[Member]:
+    """The entries among the live instances of one failure domain, the most capable first.
+
+    All instances that see the same members choose the same ones, and a member that comes or goes
+    changes the place of no other.
+    """
+    ordered = sorted(members, key=lambda each: (each.load >= OVERLOADED, *by_capacity(each)))
+    total = sum(each.capacity for each in members)
+    in_use = sum(each.load * each.capacity for each in members)
+    wanted = max(LEAST_CAPACITY_PART * total, HEADROOM * in_use)
+    chosen: list[Member] = []
+    capacity = 0.0
+    for each in ordered:
+        if len(chosen) >= LEAST_ENTRIES and capacity >= wanted:
+            break
+        chosen.append(each)
+        capacity += each.capacity
+    return chosen
+
+
+class EntryChoice:
+    """The entries of each failure domain, as this instance sees the members."""
+
+    def __init__(self, *, members: Callable[[], tuple[Member, ...]]) -> None:
+        """Make it.
+
+        Args:
+            members: The instances, the dead among them; the same object until something changes.
+        """
+        self._members = members
+        self._seen: tuple[Member, ...] = ()
+        self._by_domain: Mapping[str, Sequence[Member]] = {}
+
+    @property
+    def by_domain(self) -> Mapping[str, Sequence[Member]]:
+        """The entries of each failure domain that has any."""
+        members = self._members()
+        if members is not self._seen:
+            self._seen = members
+            self._by_domain = _entries_by_domain(members)
+        return self._by_domain
+
+    @property
+    def count(self) -> int:
+        """How many entries there are in all failure domains."""
+        return sum(len(entries) for entries in self.by_domain.values())
+
+    def is_entry(self, address: str) -> bool:
+        """Whether an instance is one of them."""
+        return any(each.address == address for found in self.by_domain.values() for each in found)
+
+    def nearest(self, failure_domain: str, region: str) -> Sequence[Member]:
+        """The entries for a caller: of its failure domain, else of its region, else all."""
+        near = self.by_domain.get(failure_domain)
+        if near:
+            return near
+        everywhere = [each for found in self.by_domain.values() for each in found]
+        return [each for each in everywhere if each.region == region] or everywhere
+
+
+def _entries_by_domain(members: Sequence[Member]) -> Mapping[str, Sequence[Member]]:
+    live: dict[str, list[Member]] = {}
+    for member in members:
+        if member.state == "live" and not member.suspect:
+            live.setdefault(member.failure_domain, []).append(member)
+    return {domain: entries_among(found) for domain, found in live.items()}
--- a/src/wagtailpoint/membership/member.py
+++ b/src/wagtailpoint/membership/member.py
@@ -1,12 +1,15 @@
 """What is known of one instance."""
 
 from hashlib import blake2b
-from typing import Literal, NamedTuple
+from typing import Final, Literal, NamedTuple
 
 from wagtailpoint.ports.peers import PeerAddress
 
 MemberState = Literal["starting", "live", "leaving", "dead"]
 
+MOST_CAPACITY: Final = 10_000.0
+"""In processor cores; no instance has more."""
+
 
 class Fact(NamedTuple):
     """What an instance says of itself, and whether others doubt that it lives.
@@ -25,6 +28,7 @@
         suspect: Somebody got no answer from it.
         config_version: The configuration that it enforces; 0 before the first.
         load: 0 (idle) to 1.
+        capacity: How much it can do beside others; never changes while its process lives.
     """
 
     address: str
@@ -39,12 +43,18 @@
     suspect: bool = False
     config_version: int = 0
     load: float = 0.0
+    capacity: float = 1.0
 
     @property
     def order(self) -> tuple[int, int, bool]:
         """Of two facts on the same address, the greater is the newer one."""
         return (self.sequence, self.incarnation, self.suspect)
 
+    @property
+    def is_possible(self) -> bool:
+        """Whether its figures can be true; others would spoil every decision made by them."""
+        return 0.0 <= self.load <= 1.0 and 0.0 < self.capacity <= MOST_CAPACITY
+
     @property
     def peer_address(self) -> PeerAddress:
         """Where to send it messages."""
@@ -72,6 +82,7 @@
         suspect: It may be dead; nobody has heard from it since somebody asked.
         config_version: The configuration that it enforces; 0 before the first.
         load: 0 (idle) to 1, coarse and late.
+        capacity: How much it can do beside others.
     """
 
     address: str
@@ -85,6 +96,7 @@
     suspect: bool
     config_version: int
     load: float
+    capacity: float = 1.0
 
     @property
     def peer_address(self) -> PeerAddress:
@@ -106,4 +118,5 @@
         suspect=fact.suspect,
         config_version=fact.config_version,
         load=fact.load,
+        capacity=fact.capacity,
     )
--- a/src/wagtailpoint/membership/service.py
+++ b/src/wagtailpoint/membership/service.py
@@ -55,6 +55,7 @@
             clock=clock,
             gossip_copies=self._settings.gossip_copies,
             report_copies=self._settings.report_copies,
+            urgent_load_step=self._settings.urgent_load_step,
         )
         self._teller = NewsTeller(
             table=self._table, peers=peers, random=random, settings=self._settings
@@ -174,10 +175,13 @@
             nursery.start_soon(self._finder.run)
 
     def _load_is_due(self, load: float) -> bool:
-        if abs(load - self._table.own.load) < self._settings.load_step:
+        step = abs(load - self._table.own.load)
+        if step < self._settings.load_step:
             return False
-        interval_s = LOAD_INTERVAL_PER_MEMBER_S * len(self._table.members)
-        last_s = self._load_told_at
-        return last_s is None or self._monotonic() - last_s >= max(
-            LEAST_LOAD_INTERVAL_S, interval_s
+        interval_s = max(
+            LEAST_LOAD_INTERVAL_S, LOAD_INTERVAL_PER_MEMBER_S * len(self._table.members)
         )
+        if step >= self._settings.urgent_load_step:
+            interval_s = self._settings.urgent_load_interval_s
+        last_s = self._load_told_at
+        return last_s is None or self._monotonic() - last_s >= interval_s
--- a/src/wagtailpoint/membership/settings.py
+++ b/src/wagtailpoint/membership/settings.py
@@ -1,5 +1,6 @@
 """The times and numbers of the membership."""
 
+import math
 from typing import NamedTuple
 
 
@@ -27,6 +28,9 @@
             that is not known to live is asked whether it does.
         forget_dead_s: How long the dead are remembered, and retried.
         load_step: The load is told on when it has moved by this much.
+        urgent_load_step: A load that has moved by this much is told on like a change of the state,
+            but no more often than once in ``urgent_load_interval_s``.
+        urgent_load_interval_s: See there.
     """
 
     heartbeat_interval_s: float = 1.0
@@ -43,3 +47,5 @@
     retry_interval_s: float = 3.0
     forget_dead_s: float = 24 * 3600.0
     load_step: float = 0.125
+    urgent_load_step: float = math.inf
+    urgent_load_interval_s: float = 1.0
--- a/src/wagtailpoint/membership/table.py
+++ b/src/wagtailpoint/membership/table.py
@@ -1,5 +1,6 @@
 """The view of one instance: the newest fact of each address, and which of them are news."""
 
+import math
 from collections.abc import Iterable
 from zlib import crc32
 
@@ -11,6 +12,7 @@
     unpack_address,
 )
 from wagtailpoint.membership.member import Fact, Member, make_member
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.clock import Clock
 
 BUCKETS = 32
@@ -29,15 +31,23 @@
         clock: Measures how long a suspicion stands.
         gossip_copies: How often this instance tells a piece of news on, at most.
         report_copies: The same, of a change of anything but the state.
+        urgent_load_step: A change of the load by so much is urgent news.
     """
 
     def __init__(
-        self, *, own: Fact, clock: Clock, gossip_copies: int, report_copies: int | None = None
+        self,
+        *,
+        own: Fact,
+        clock: Clock,
+        gossip_copies: int,
+        report_copies: int | None = None,
+        urgent_load_step: float = math.inf,
     ) -> None:
         self._own = own
         self._monotonic = clock.monotonic
         self._gossip_copies = gossip_copies
         self._report_copies = gossip_copies if report_copies is None else report_copies
+        self._urgent_load_step = urgent_load_step
         self._facts: dict[str, Fact] = {own.address: own}
         self._suspect_since: dict[str, float] = {}
         self._dead_since: dict[str, float] = {}
@@ -113,6 +123,9 @@
 
     def apply(self, fact: Fact) -> bool:
         """Take in a fact; True if it was news."""
+        if not fact.is_possible:
+            log_event("fact-impossible", level="WARNING", address=fact.address, fact=fact)
+            return False
         known = self._facts.get(fact.address)
         if fact.address == self._own.address:
             return self._refute(fact)
@@ -220,15 +233,18 @@
             self._dead_since[fact.address] = self._monotonic()
         else:
             self._toggle(fact)
-        if known is None or known != fact._replace(
-            sequence=known.sequence, epoch=known.epoch, load=known.load
-        ):
+        if known is None or self._is_urgent(fact, known):
             self._urgent.add(fact.address)
         # A leave that is still being told must not be told more rarely for a load after it.
         left = self._copies_left.get(fact.address, 0)
         self._copies_left[fact.address] = max(left, self._copies_of(fact, known))
         self._members = None
 
+    def _is_urgent(self, fact: Fact, known: Fact) -> bool:
+        if abs(fact.load - known.load) >= self._urgent_load_step:
+            return True
+        return known != fact._replace(sequence=known.sequence, epoch=known.epoch, load=known.load)
+
     def _copies_of(self, fact: Fact, known: Fact | None) -> int:
         same = known is not None and (known.incarnation, known.state, known.suspect) == (
             fact.incarnation,
--- a/src/wagtailpoint/node_settings.py
+++ b/src/wagtailpoint/node_settings.py
@@ -69,6 +69,7 @@
         seeds: Peers that may be known at the start; they may be out of date.
         store: The platform's object store.
         most_descriptors: File descriptors that the process may have.
+        capacity: What it can do beside other instances, in processor cores.
         bounds: What the operators demand.
     """
 
@@ -84,4 +85,5 @@
     seeds: tuple[Endpoint, ...]
     store: Endpoint
     most_descriptors: int
+    capacity: float
     bounds: ServiceBounds
--- a/src/wagtailpoint/placement/cached_part.py
+++ b/src/wagtailpoint/placement/cached_part.py
@@ -52,15 +52,15 @@
     Every failure domain is assumed to have the same demand as this instance's own.
     """
 
-    def __init__(self, *, fleet: Fleet, instances_here: Callable[[], int]) -> None:
+    def __init__(self, *, fleet: Fleet, entries_here: Callable[[], int]) -> None:
         """Make it.
 
         Args:
             fleet: The backend servers.
-            instances_here: How many instances share the callers of this failure domain.
+            entries_here: How many instances share the callers of this failure domain.
         """
         self._fleet = fleet
-        self._instances_here = instances_here
+        self._entries_here = entries_here
         self._demands: dict[str, _ServiceDemand] = {}
 
     def note_request(self, service: str, service_s: float) -> None:
@@ -89,11 +89,11 @@
         """The slots that the callers of this instance may be expected to use."""
         slots = sum(each.entry.slots for each in self._fleet.candidates(service))
         domains = max(1, self._fleet.failure_domains)
-        return ASSUMED_UTILISATION * slots / domains / self._instances_here()
+        return ASSUMED_UTILISATION * slots / domains / self._entries_here()
 
     def _update(self, service: str, demand: _ServiceDemand, now: float) -> None:
         demand.fade(now)
-        wanted_slots = demand.slots * self._instances_here()
+        wanted_slots = demand.slots * self._entries_here()
         slots: dict[str, int] = {}
         for candidate in self._fleet.candidates(service):
             domain = candidate.entry.failure_domain
--- a/src/wagtailpoint/placement/cold_senders.py
+++ b/src/wagtailpoint/placement/cold_senders.py
@@ -8,6 +8,7 @@
 
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.instance_count import REMEMBERED_S
+from wagtailpoint.lookup.entry_choice import LEAST_ENTRIES, by_capacity
 from wagtailpoint.membership import Member
 from wagtailpoint.rendezvous import rendezvous_score
 
@@ -45,7 +46,8 @@
         self._instances = instances
         self._looked_at = -math.inf
         self._alive_at: dict[str, float] = {}
-        self._region_of: dict[str, str] = {}
+        self._newest: dict[str, Member] = {}
+        self._able: frozenset[str] = frozenset()
 
     def sharing(self, start: ServerStart, region: str, wanted: int) -> int:
         """How many instances share what a backend server bears; 0 if this one has no part.
@@ -64,7 +66,8 @@
         senders = sorted(
             self._alive_at,
             key=lambda address: (
-                self._region_of[address] != region,
+                self._newest[address].region != region,
+                address not in self._able,
                 -rendezvous_score(start.server_id, address),
             ),
         )
@@ -75,11 +78,31 @@
         if now - self._looked_at < LOOK_INTERVAL_S:
             return
         self._looked_at = now
+        before = self._alive_at.keys()
+        alive_at = dict(self._alive_at)
         for member in self._members():
-            self._region_of[member.address] = member.region
+            self._newest[member.address] = member
             if member.state != "dead":
-                self._alive_at[member.address] = now
-        self._alive_at = _since(self._alive_at, now - REMEMBERED_S)
+                alive_at[member.address] = now
+        self._alive_at = _since(alive_at, now - REMEMBERED_S)
+        if self._alive_at.keys() != before:
+            self._able = self._most_able()
+
+    def _most_able(self) -> frozenset[str]:
+        """The most capable instances of each failure domain: requests come to them first.
+
+        By their capacity only, and not by who is an entry at the moment: while two instances
+        disagreed on that, their senders would be others, and together exceed the bound.
+        """
+        domains: dict[str, list[Member]] = {}
+        for address in self._alive_at:
+            member = self._newest[address]
+            domains.setdefault(member.failure_domain, []).append(member)
+        return frozenset(
+            each.address
+            for found in domains.values()
+            for each in sorted(found, key=by_capacity)[:LEAST_ENTRIES]
+        )
 
 
 def _since(times: Mapping[str, float], earliest: float) -> dict[str, float]:
--- a/src/wagtailpoint/placement/key_reuse.py
+++ b/src/wagtailpoint/placement/key_reuse.py
@@ -60,9 +60,9 @@
             self._keys = max(1.0, keys, self._keys_before)
             self._counted_at = now
 
-    def uses(self, instances: int, now: float) -> float:
-        """How often a cached object is used, by the callers of so many instances; at least 1."""
-        return max(1.0, HORIZON_S * instances * self._rate_at(now) / self._keys)
+    def uses(self, entries: int, now: float) -> float:
+        """How often a cached object is used, by the callers of so many entries; at least 1."""
+        return max(1.0, HORIZON_S * entries * self._rate_at(now) / self._keys)
 
     def _rate_at(self, now: float) -> float:
         return self._rate * math.exp(-math.log(2) * (now - self._at) / HALF_LIFE_S)
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -45,8 +45,8 @@
         cold: ColdPacing,
         cached_part: CachedPart,
         mix: RegionMix,
-        instances: Callable[[], int],
-        instances_here: Callable[[], int],
+        entries: Callable[[], int],
+        entries_here: Callable[[], int],
     ) -> None:
         """Make it.
 
@@ -56,8 +56,8 @@
             cold: Paces those that are cold.
             cached_part: Which keys each failure domain holds.
             mix: In which regions requests run.
-            instances: How many instances there are.
-            instances_here: How many of them share the callers of this failure domain.
+            entries: How many instances callers are told to use.
+            entries_here: How many of them are for the callers of this failure domain.
         """
         self._fleet = fleet
         self._distances = distances
@@ -75,8 +75,8 @@
             cold=cold,
             cached_part=cached_part,
             learned=self._learned,
-            instances=instances,
-            instances_here=instances_here,
+            entries=entries,
+            entries_here=entries_here,
         )
 
     def load_of(self, entry: ServerEntry) -> ServerLoad:
--- a/src/wagtailpoint/placement/weighing.py
+++ b/src/wagtailpoint/placement/weighing.py
@@ -46,8 +46,8 @@
         cold: ColdPacing,
         cached_part: CachedPart,
         learned: Learned,
-        instances: Callable[[], int],
-        instances_here: Callable[[], int],
+        entries: Callable[[], int],
+        entries_here: Callable[[], int],
     ) -> None:
         """Make it.
 
@@ -57,16 +57,16 @@
             cold: Paces those that are cold.
             cached_part: Which keys each failure domain holds.
             learned: What this instance knows of backend servers and routes.
-            instances: How many instances there are.
-            instances_here: How many of them share the callers of this failure domain.
+            entries: How many instances callers are told to use.
+            entries_here: How many of them are for the callers of this failure domain.
         """
         self._fleet = fleet
         self._distances = distances
         self._cold = cold
         self._cached_part = cached_part
         self._learned = learned
-        self._instances = instances
-        self._instances_here = instances_here
+        self._entries = entries
+        self._entries_here = entries_here
 
     def weigh(
         self, demand: Demand, ranked: Ranked, position: float, utilisation: float, now: float
@@ -122,11 +122,11 @@
         """How often the object would be used if it got cached there."""
         reuse = self._learned.reuse_of(demand.route)
         if ranked.rank == 0:
-            return reuse.uses(self._instances(), now)
+            return reuse.uses(self._entries(), now)
         domain = ranked.candidate.entry.failure_domain
         if position >= self._cached_part.of(demand.service, domain):
             return 1.0
-        return reuse.uses(self._instances_here(), now)
+        return reuse.uses(self._entries_here(), now)
 
 
 def cold_per_s(policy: ServicePolicy | None) -> float:
--- a/src/wagtailpoint/platform/settings.py
+++ b/src/wagtailpoint/platform/settings.py
@@ -1,12 +1,13 @@
 """The settings file that the platform writes for each process."""
 
 from pathlib import Path
-from typing import Any
+from typing import Annotated, Any, Final
 
 import msgspec
 from result import Err, Ok, Result
 
 from wagtailpoint.errors import InvalidInput, Mistake
+from wagtailpoint.membership.member import MOST_CAPACITY
 from wagtailpoint.node_settings import Endpoint, NodeSettings, ServiceBounds
 
 SETTINGS_VARIABLE = "WAGTAILPOINT_NODE_FILE"
@@ -14,9 +15,16 @@
 METRICS_PORT = 9190
 """The deploy file names it: the platform gives no port for metrics."""
 
+LINK_MBPS_PER_CORE: Final = 30.0
+"""What a core's requests bring over the link: 300 a second of 12 KB, there and back."""
+
 
 class _Limits(msgspec.Struct):
     MaxFds: int
+    # The part of a core that the process gets, of cores that are ``CpuCores`` times as fast.
+    CpuShare: Annotated[float, msgspec.Meta(gt=0, le=MOST_CAPACITY)] = 1.0
+    CpuCores: Annotated[float, msgspec.Meta(gt=0, le=MOST_CAPACITY)] = 1.0
+    LinkMbps: Annotated[float, msgspec.Meta(gt=0)] | None = None
 
 
 class _Self(msgspec.Struct):
@@ -127,6 +135,7 @@
         seeds=tuple(Endpoint.parse(each) for each in wire.Network.SeedAddrs),
         store=Endpoint.parse(wire.Platform.Platform.Address),
         most_descriptors=wire.Self.Limits.MaxFds,
+        capacity=_capacity(wire.Self.Limits),
         bounds=ServiceBounds(
             grace_s=bounds.GraceS,
             repeat_ratio=bounds.BudgetRatio,
@@ -138,3 +147,11 @@
             lookup_ttl_max_s=bounds.ttl_max_s,
         ),
     )
+
+
+def _capacity(limits: _Limits) -> float:
+    """What an instance can do, in cores; the link may allow less than the processor."""
+    cores = limits.CpuShare * limits.CpuCores
+    if limits.LinkMbps is not None:
+        cores = min(cores, limits.LinkMbps / LINK_MBPS_PER_CORE)
+    return min(cores, MOST_CAPACITY)
--- a/src/wagtailpoint/proxy/repeat_budget.py
+++ b/src/wagtailpoint/proxy/repeat_budget.py
@@ -23,21 +23,21 @@
     """How many sends beyond the first of each request may go to a service.
 
     The deployment allows, over any window, a part of the requests and some slack. This instance
-    earns its part of the former with each of its own requests; the slack is divided by the number
-    of instances and can't be earned again but by requests.
+    earns its part of the former with each of its own requests; its part of the slack can't be
+    earned again but by requests.
     """
 
-    def __init__(self, *, bound: Callable[[], RepeatBound], instances: Callable[[], int]) -> None:
+    def __init__(self, *, bound: Callable[[], RepeatBound], divisor: Callable[[], float]) -> None:
         """Make it with half of this instance's slack.
 
         Half, since a process that is killed and started again would spend it a second time.
 
         Args:
             bound: Of all instances together, as it is now.
-            instances: How many instances there may be.
+            divisor: How many parts of this instance's size the slack has; at least 1.
         """
         self._bound = bound
-        self._instances = instances
+        self._divisor = divisor
         self._tokens: dict[str, float] = {}
 
     def note_request(self, service: str) -> None:
@@ -61,4 +61,4 @@
         return self._tokens.get(service, self._most() / 2)
 
     def _most(self) -> float:
-        return max(1.0, SAFETY * self._bound().slack / max(1, self._instances()))
+        return max(1.0, SAFETY * self._bound().slack / max(1.0, self._divisor()))
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -87,10 +87,10 @@
         cold=ColdPacing(
             bound=lambda: ColdBound(1.5, 5.0), sharing=lambda start, region, wanted: instances
         ),
-        cached_part=CachedPart(fleet=fleet, instances_here=lambda: 1),
+        cached_part=CachedPart(fleet=fleet, entries_here=lambda: 1),
         mix=RegionMix(most_shift=lambda: MOST_SHIFT, random=Random(1)),
-        instances=lambda: instances,
-        instances_here=lambda: 1,
+        entries=lambda: instances,
+        entries_here=lambda: 1,
     )
 
 
@@ -108,7 +108,7 @@
         self.table = table
         self.fleet = Fleet(region_of=REGION_OF)
         self.placement = make_placement(self.fleet)
-        self.budget = RepeatBudget(bound=lambda: RepeatBound(0.2, 50.0), instances=lambda: 1)
+        self.budget = RepeatBudget(bound=lambda: RepeatBound(0.2, 50.0), divisor=lambda: 1.0)
         self.dispatcher = Dispatcher(
             table=lambda: self.table,
             sender=Sender(
--- a/tests/cover/test_shared_bounds.py
+++ b/tests/cover/test_shared_bounds.py
@@ -5,7 +5,9 @@
 import trio
 from trio.testing import MockClock
 
+from wagtailpoint.discovery.bound_part import BoundPart
 from wagtailpoint.discovery.entries import ServerStart
+from wagtailpoint.discovery.instance_count import InstanceCount
 from wagtailpoint.membership import Member
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
 from wagtailpoint.placement.cold_senders import ColdSenders
@@ -17,7 +19,7 @@
 class RepeatBudgetTest(unittest.TestCase):
     def test_sum_over_instances_keeps_the_bound(self) -> None:
         budgets = [
-            RepeatBudget(bound=lambda: RepeatBound(0.2, 58), instances=lambda: 9) for _ in range(9)
+            RepeatBudget(bound=lambda: RepeatBound(0.2, 58), divisor=lambda: 9.0) for _ in range(9)
         ]
         spent = 0
         for budget in budgets:
@@ -29,12 +31,45 @@
         self.assertGreater(spent, 0.1 * 900)
 
     def test_services_have_budgets_of_their_own(self) -> None:
-        budget = RepeatBudget(bound=lambda: RepeatBound(0.2, 10), instances=lambda: 1)
+        budget = RepeatBudget(bound=lambda: RepeatBound(0.2, 10), divisor=lambda: 1.0)
         while budget.take("desk"):
             pass
         self.assertTrue(budget.take("vault"))
 
 
+class BoundPartTest(unittest.TestCase):
+    def parts(self, entries: int, instances: int) -> list[float]:
+        """The parts of one bound that the instances spend; the first ones are entries."""
+        found = []
+        for number in range(instances):
+            part = BoundPart(
+                instances=InstanceCount(alive=lambda: instances, registered=lambda: instances),
+                entries=InstanceCount(alive=lambda: entries, registered=lambda: 1),
+                is_entry=lambda number=number: number < entries,  # type: ignore[misc]
+            )
+
+            async def test(part: BoundPart = part) -> None:
+                _ = part.divisor
+                await trio.sleep(60)
+                found.append(1 / part.divisor)
+
+            trio.run(test, clock=MockClock(autojump_threshold=0))
+        return found
+
+    def test_entries_of_hundreds_of_instances_get_most(self) -> None:
+        """Symptom: no request is sent again although the budget of all is hardly touched.
+
+        Callers use 27 of 195 instances; the parts of the others, nine tenths, lay idle.
+        """
+        parts = self.parts(27, 195)
+        self.assertLessEqual(sum(parts), 1.0 + 1e-9)
+        self.assertGreater(sum(parts[:27]), 0.7)
+        self.assertGreater(min(parts), 0.0)
+
+    def test_where_all_are_entries_all_get_the_same(self) -> None:
+        self.assertEqual(self.parts(9, 9), [1 / 9] * 9)
+
+
 class ColdPacingTest(unittest.TestCase):
     def sent_by(self, pacings: list[ColdPacing]) -> list[float]:
         """When requests were sent, each pacing sending as often as it may for four seconds."""
