Model of the large deployment; connections are warmed by those whom callers use

The model: 357 and 48 backend servers that remember 11 and 23 objects, three entries in each of nine failure domains, or all 198 instances.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -148,12 +148,50 @@
 """Places, backend servers and work as the users' pages have them; the load of a calm day, and what
 the newest of them has to bear on a day of high load."""
 
+_LARGE_DOMAINS = (
+    *("salt-lake", "new-town", "garia"),
+    *("matigara", "sevoke-road", "bagdogra"),
+    *("bidhannagar", "city-centre", "benachity"),
+)
+_LARGE_REGIONS = ("kolkata", "siliguri", "durgapur")
+
+
+def _by_region(*counts: int) -> dict[str, int]:
+    """So many in each of the three failure domains of each region."""
+    return {domain: counts[number // 3] for number, domain in enumerate(_LARGE_DOMAINS)}
+
+
+LARGE = Deployment(
+    region_of={domain: _LARGE_REGIONS[n // 3] for n, domain in enumerate(_LARGE_DOMAINS)},
+    instances=_by_region(3, 3, 3),
+    servers={"deposit-desk": _by_region(12, 49, 58), "records-vault": _by_region(2, 6, 8)},
+    cache={"deposit-desk": 11, "records-vault": 23},
+    slots={"deposit-desk": 3, "records-vault": 3},
+    in_region_s=0.0028,
+    between_regions_s=0.11,
+    domain_price=4500.0,
+    region_price=9600.0,
+    classes=(
+        RequestClass("balance", "deposit-desk", 70.4, 1.2, 0.8, 5.0, 1.0, 293, 5000, 2),
+        RequestClass("release", "deposit-desk", 32.4, 1.536, 1.0, 6.0, 2.0, 135, 400, 1),
+        RequestClass("certificate", "records-vault", 9.9, 0.96, 0.6, 4.0, 1.0, 41, 90000, 2),
+        RequestClass("lookup", "records-vault", 19.0, 0.475, 0.4, 2.0, 2.0, 79, 1500, 1),
+    ),
+    swing=0.55,
+    own_keys=True,
+)
+LARGE_SPREAD = LARGE._replace(instances=_by_region(25, 20, 21))
+"""Hundreds of backend servers that remember few objects each: behind three entries in each failure
+domain, and behind all instances."""
+
 DEPLOYMENTS: Mapping[str, Deployment] = {
     "surakkha": SURAKKHA,
     "heather-isles": HEATHER_ISLES,
     "vitamins": VITAMINS,
     "vitamins-loaded": VITAMINS_LOADED,
     "vitamins-overloaded": VITAMINS_OVERLOADED,
+    "large": LARGE,
+    "large-spread": LARGE_SPREAD,
 }
 
 FAULTS = (Fault(10.0, 4.0, "gal-b"), Fault(18.0))
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -134,7 +134,7 @@
             entries=InstanceCount(
                 alive=lambda: self._entries.count, registered=lambda: self._registration.count
             ),
-            is_entry=lambda: self._entries.is_entry(settings.callers.address),
+            is_entry=self._is_entry,
         )
         self._lost_registrations = LostRegistrations(
             platform=self._platform, membership=self._membership, random=self._random
@@ -257,6 +257,7 @@
             entries=lambda: self._fleet.entries.values(),
             pool=self._pool,
             distances=self._distances,
+            is_entry=self._is_entry,
             random=self._random,
         )
 
@@ -265,6 +266,7 @@
             entries=lambda: self._fleet.entries.values(),
             pool=self._pool,
             distances=self._distances,
+            is_entry=self._is_entry,
             random=self._random,
         )
 
@@ -322,6 +324,10 @@
         """How many instances share what is bounded for all together."""
         return self._instance_count.value
 
+    def _is_entry(self) -> bool:
+        """Whether callers are told to use this instance."""
+        return self._entries.is_entry(self._settings.callers.address)
+
     def _entries_here(self) -> int:
         """How many instances share the callers of this failure domain."""
         return max(1, len(self._entries.by_domain.get(self._settings.failure_domain, ())))
--- a/src/wagtailpoint/proxy/distance_probe.py
+++ b/src/wagtailpoint/proxy/distance_probe.py
@@ -28,6 +28,7 @@
         entries: Callable[[], Iterable[ServerEntry]],
         pool: BackendPool,
         distances: Distances,
+        is_entry: Callable[[], bool],
         random: Random,
     ) -> None:
         """Make it.
@@ -36,18 +37,20 @@
             entries: The backend servers.
             pool: Opens and keeps the connections.
             distances: Learns how long they took.
+            is_entry: Whether callers are told to use this instance: nobody else sends anything.
             random: Chooses the backend server: one that can't be reached is not asked each time.
         """
         self._entries = entries
         self._pool = pool
         self._distances = distances
+        self._is_entry = is_entry
         self._random = random
 
     async def run(self) -> None:
         """Measure what is not known, until cancelled."""
         while True:
             async with trio.open_nursery() as nursery:
-                for entry in self._unmeasured():
+                for entry in self._unmeasured() if self._is_entry() else ():
                     nursery.start_soon(self._pool.open_spare, entry)
             await trio.sleep(LOOK_INTERVAL_S)
 
--- a/src/wagtailpoint/proxy/warm_up.py
+++ b/src/wagtailpoint/proxy/warm_up.py
@@ -36,6 +36,7 @@
         entries: Callable[[], Iterable[ServerEntry]],
         pool: BackendPool,
         distances: Distances,
+        is_entry: Callable[[], bool],
         random: Random,
     ) -> None:
         """Make it.
@@ -44,11 +45,13 @@
             entries: The backend servers.
             pool: Opens and keeps the connections.
             distances: Which of them are far.
+            is_entry: Whether callers are told to use this instance: nobody else needs any.
             random: Chooses some of very many.
         """
         self._entries = entries
         self._pool = pool
         self._distances = distances
+        self._is_entry = is_entry
         self._seed = str(random.random())
 
     async def run(self) -> None:
@@ -56,7 +59,7 @@
         end = trio.current_time() + WARM_UP_S
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
-                for entry in self._without_spare():
+                for entry in self._without_spare() if self._is_entry() else ():
                     nursery.start_soon(self._pool.open_spare, entry)
                 await trio.sleep(LOOK_INTERVAL_S)
 
--- a/tests/cover/test_backend_pool.py
+++ b/tests/cover/test_backend_pool.py
@@ -155,7 +155,11 @@
                     for number, domain in enumerate((NEAR, FAR, FAR, FAR))
                 ]
                 probe = DistanceProbe(
-                    entries=lambda: entries, pool=pool, distances=distances, random=Random(1)
+                    entries=lambda: entries,
+                    pool=pool,
+                    distances=distances,
+                    is_entry=lambda: True,
+                    random=Random(1),
                 )
                 nursery.start_soon(probe.run)
                 with trio.fail_after(LIMIT_S):
--- a/tests/cover/test_warm_up.py
+++ b/tests/cover/test_warm_up.py
@@ -32,7 +32,9 @@
 
 
 class WarmUpTest(unittest.TestCase):
-    def opened(self, entries: list[ServerEntry], lasts_s: float = 100.0) -> list[str]:
+    def opened(
+        self, entries: list[ServerEntry], lasts_s: float = 100.0, *, is_entry: bool = True
+    ) -> list[str]:
         pool = FakePool(lasts_s)
 
         async def run() -> None:
@@ -40,12 +42,21 @@
                 entries=lambda: entries,
                 pool=cast(BackendPool, cast(Any, pool)),
                 distances=make_distances(),
+                is_entry=lambda: is_entry,
                 random=Random(1),
             ).run()
 
         trio.run(run, clock=MockClock(autojump_threshold=0))
         return pool.opened
 
+    def test_who_gets_no_requests_opens_none(self) -> None:
+        """Symptom: three connections for each request, and backend servers over their cap.
+
+        Of 195 instances that kept 64 each, 168 never sent a request.
+        """
+        far = [make_server(f"far-{n}", failure_domain="b-1") for n in range(100)]
+        self.assertEqual(self.opened(far, is_entry=False), [])
+
     def test_far_ones_that_take_work(self) -> None:
         """Symptom: a third of the requests just after a restart of all instances are late.
 
