One place in a region for each object, agreed by all its instances; misses teach nothing wrong

Cause: an object had a first backend server of all, one of each region and one of each failure domain, and each instance weighed them by what it alone had learned. Misses at places where a hit was expected were learned as the time of hits (0.3 s became 0.9 s), and as slowness of the backend server.

Ruled out: evictions (1 of 1,000 answers there). Bytes without a cap: an answer of 90 KB from the failure domain beside looked worse than none.

Change: the first backend server of the region is the agreed place of as many keys as its slots can serve (0.4 of them); the other keys have the first of all. Answers that took 1.8 times what is believed teach no service time unless 50 come in a row, and no slowness where this instance had not had the object answered.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -307,16 +307,27 @@
         def entries_here() -> int:
             return deployment.instances[domain]
 
+        def entries_of_region() -> int:
+            here = deployment.region_of[domain]
+            return sum(
+                count
+                for other, count in deployment.instances.items()
+                if deployment.region_of[other] == here
+            )
+
         return Placement(
             fleet=fleet,
             distances=distances,
             cold=ColdPacing(
                 bound=lambda: ColdBound(1.5, 5.0), sharing=lambda start, region, wanted: instances
             ),
-            cached_part=CachedPart(fleet=fleet, entries_here=entries_here),
+            cached_part=CachedPart(
+                fleet=fleet, entries_here=entries_here, entries_of_region=entries_of_region
+            ),
             mix=RegionMix(most_shift=lambda: MOST_SHIFT, random=self._random),
             entries=lambda: instances,
             entries_here=entries_here,
+            entries_of_region=entries_of_region,
         )
 
     async def _callers(
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -243,13 +243,18 @@
                     instances=self._instances,
                 ).sharing,
             ),
-            cached_part=CachedPart(fleet=self._fleet, entries_here=self._entries_here),
+            cached_part=CachedPart(
+                fleet=self._fleet,
+                entries_here=self._entries_here,
+                entries_of_region=self._entries_of_region,
+            ),
             mix=RegionMix(
                 most_shift=lambda: self._settings_file.bounds.region_shift_max,
                 random=self._random,
             ),
             entries=lambda: max(1, self._entries.count),
             entries_here=self._entries_here,
+            entries_of_region=self._entries_of_region,
         )
 
     def _make_distance_probe(self) -> DistanceProbe:
@@ -375,6 +380,10 @@
                 self._placement.forget(start)
                 await self._pool.close(start)
 
+    def _entries_of_region(self) -> int:
+        """How many instances share the callers of this region."""
+        return max(1, self._entries.count_in(self._settings.region))
+
     async def _report_load(self) -> None:
         load = ProcessorLoad()
         trio.lowlevel.add_instrument(load)
--- a/src/wagtailpoint/lookup/entry_choice.py
+++ b/src/wagtailpoint/lookup/entry_choice.py
@@ -76,6 +76,10 @@
         """How many entries there are in all failure domains."""
         return sum(len(entries) for entries in self.by_domain.values())
 
+    def count_in(self, region: str) -> int:
+        """How many there are in a region."""
+        return sum(each.region == region for found in self.by_domain.values() for each in found)
+
     def is_entry(self, address: str) -> bool:
         """Whether an instance is one of them."""
         return any(each.address == address for found in self.by_domain.values() for each in found)
--- a/src/wagtailpoint/placement/cached_part.py
+++ b/src/wagtailpoint/placement/cached_part.py
@@ -1,7 +1,8 @@
 """Which part of the affinity keys a failure domain holds: as many as its slots can serve."""
 
 import math
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import trio
@@ -17,6 +18,11 @@
 """Of the slots of a failure domain, by the requests for the keys that it holds. Above it requests
 wait for each other; what is free serves what spills over from elsewhere."""
 
+REGION_TARGET_UTILISATION: Final = 0.4
+"""The same of the slots of a region, by the keys that all its instances send there first. It is
+lower since they have no second place: after a start all of them are fetched there at the same time,
+each for the time of four that are cached."""
+
 RATE_HALF_LIFE_S: Final = 4.0
 """The demand is averaged over a few seconds: keys that change hands with each fluctuation would
 find no cache warm."""
@@ -34,6 +40,7 @@
         self.slots = slots
         self.at = now
         self.parts: dict[str, float] = {}
+        self.region_parts: dict[str, float] = {}
         self.updated_at = -math.inf
 
     def fade(self, now: float) -> None:
@@ -52,15 +59,19 @@
     Every failure domain is assumed to have the same demand as this instance's own.
     """
 
-    def __init__(self, *, fleet: Fleet, entries_here: Callable[[], int]) -> None:
+    def __init__(
+        self, *, fleet: Fleet, entries_here: Callable[[], int], entries_of_region: Callable[[], int]
+    ) -> None:
         """Make it.
 
         Args:
             fleet: The backend servers.
             entries_here: How many instances share the callers of this failure domain.
+            entries_of_region: How many share those of this region.
         """
         self._fleet = fleet
         self._entries_here = entries_here
+        self._entries_of_region = entries_of_region
         self._demands: dict[str, _ServiceDemand] = {}
 
     def note_request(self, service: str, service_s: float) -> None:
@@ -79,6 +90,14 @@
             self._update(service, demand, now)
         return demand.parts.get(failure_domain, 1.0)
 
+    def of_region(self, service: str, region: str) -> float:
+        """The part of the keys, 0 to 1, that a region holds for its own callers."""
+        now = trio.current_time()
+        demand = self._demand(service, now)
+        if now - demand.updated_at >= UPDATE_INTERVAL_S:
+            self._update(service, demand, now)
+        return demand.region_parts.get(region, 1.0)
+
     def _demand(self, service: str, now: float) -> _ServiceDemand:
         demand = self._demands.get(service)
         if demand is None:
@@ -93,15 +112,24 @@
 
     def _update(self, service: str, demand: _ServiceDemand, now: float) -> None:
         demand.fade(now)
-        wanted_slots = demand.slots * self._entries_here()
-        slots: dict[str, int] = {}
-        for candidate in self._fleet.candidates(service):
-            domain = candidate.entry.failure_domain
-            slots[domain] = slots.get(domain, 0) + candidate.entry.slots
-        first = demand.updated_at == -math.inf
-        for domain, available in slots.items():
-            part = min(1.0, TARGET_UTILISATION * available / max(0.01, wanted_slots))
-            before = demand.parts.get(domain, part)
-            step = 1.0 if first else MOST_STEP
-            demand.parts[domain] = before + max(-step, min(step, part - before))
+        domains: Counter[str] = Counter()
+        regions: Counter[str] = Counter()
+        for entry, region in self._fleet.candidates(service):
+            domains[entry.failure_domain] += entry.slots
+            regions[region] += entry.slots
+        step = 1.0 if demand.updated_at == -math.inf else MOST_STEP
+        in_domain = demand.slots * self._entries_here() / TARGET_UTILISATION
+        in_region = demand.slots * self._entries_of_region() / REGION_TARGET_UTILISATION
+        _approach(demand.parts, domains, in_domain, step)
+        _approach(demand.region_parts, regions, in_region, step)
         demand.updated_at = now
+
+
+def _approach(
+    parts: dict[str, float], slots: Mapping[str, int], wanted_slots: float, step: float
+) -> None:
+    """Move the part of each place towards what its slots can serve."""
+    for place, available in slots.items():
+        part = min(1.0, available / max(0.01, wanted_slots))
+        before = parts.get(place, part)
+        parts[place] = before + max(-step, min(step, part - before))
--- a/src/wagtailpoint/placement/expectation.py
+++ b/src/wagtailpoint/placement/expectation.py
@@ -38,6 +38,10 @@
 a gigabyte at three deployments) and between regions (9,600 to 93,000). The latter is the lower end:
 an answer of 90 KB from another region may cost half of its worth, but is better than none."""
 
+MOST_DOMAIN_LOSS: Final = 0.8
+"""However long an answer is, one from the failure domain beside is better than none, and than one
+that is late because its object is not cached."""
+
 REGION_LOSS: Final = 0.06
 """What each request to another region costs, whatever its answer: headers alone are 0.01 to 0.11
 of an answer's worth at those prices, and links between regions are what fails first. In a model of
@@ -146,4 +150,6 @@
     kilobytes = prospect.reply_bytes / 1024
     if prospect.crosses_region:
         return REGION_LOSS + REGION_LOSS_PER_KB * kilobytes
-    return DOMAIN_LOSS_PER_KB * kilobytes if prospect.crosses_domain else 0.0
+    if prospect.crosses_domain:
+        return min(MOST_DOMAIN_LOSS, DOMAIN_LOSS_PER_KB * kilobytes)
+    return 0.0
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -19,12 +19,13 @@
 )
 from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
+from wagtailpoint.placement.expectation import UNCACHED_FACTOR
 from wagtailpoint.placement.learned import Learned
 from wagtailpoint.placement.ranking import Ranked, Ranking, preferred_of
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.placement.server_load import ServerLoad, Underway
 from wagtailpoint.placement.utilisation import Utilisation
-from wagtailpoint.placement.weighing import KNOWN_CACHED, Weigher, cold_per_s
+from wagtailpoint.placement.weighing import Weigher, cold_per_s
 
 SPILL_UTILISATION: Final = 0.3
 """Below this part of a service's slots in use a request goes on to another backend server when
@@ -47,6 +48,7 @@
         mix: RegionMix,
         entries: Callable[[], int],
         entries_here: Callable[[], int],
+        entries_of_region: Callable[[], int],
     ) -> None:
         """Make it.
 
@@ -58,6 +60,7 @@
             mix: In which regions requests run.
             entries: How many instances callers are told to use.
             entries_here: How many of them are for the callers of this failure domain.
+            entries_of_region: How many are for those of this region.
         """
         self._fleet = fleet
         self._distances = distances
@@ -77,6 +80,7 @@
             learned=self._learned,
             entries=entries,
             entries_here=entries_here,
+            entries_of_region=entries_of_region,
         )
 
     def load_of(self, entry: ServerEntry) -> ServerLoad:
@@ -180,9 +184,12 @@
             return
         service_s = max(0.001, seen.latency_s - round_trip_s)
         expected_s = max(0.001, choice.expected.latency_s - round_trip_s)
+        if not self._learned.warm_of(entry).holds(demand.key, now):
+            # Not cached after all, perhaps: that says nothing of the backend server.
+            expected_s = max(expected_s, min(service_s, UNCACHED_FACTOR * expected_s))
         load.note_latency(service_s, expected_s, now)
         self._learned.warm_of(entry).note(demand.key, now)
-        if choice.cached >= KNOWN_CACHED and choice.occupancy < entry.slots - 1:
+        if choice.occupancy < entry.slots - 1:
             cost = self._learned.cost_of(demand.route, demand.service)
             cost.note(service_s, seen.reply_bytes, now)
 
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -25,12 +25,14 @@
         rank: Its place among all that may serve the request; 0 is the one that all instances know.
         in_domain: It is in the own failure domain.
         in_region: It is in the own region.
+        first_of_region: It is the first one there.
     """
 
     candidate: Candidate
     rank: int
     in_domain: bool
     in_region: bool
+    first_of_region: bool
 
 
 class KeyOrder(NamedTuple):
@@ -83,12 +85,14 @@
             each for each in self._fleet.candidates(service) if not homes or each.region in homes
         ]
         allowed.sort(key=lambda each: -rendezvous_score(key, each.entry.server_id))
+        first_here = next((each for each in allowed if each.region == self._own_region), None)
         ranked = [
             Ranked(
                 candidate=each,
                 rank=rank,
                 in_domain=each.entry.failure_domain == self._own_domain,
                 in_region=each.region == self._own_region,
+                first_of_region=each is first_here,
             )
             for rank, each in enumerate(allowed)
         ]
--- a/src/wagtailpoint/placement/route_costs.py
+++ b/src/wagtailpoint/placement/route_costs.py
@@ -13,6 +13,11 @@
 
 FIRST_BYTES: Final = 4096.0
 
+MOST_CACHED_RATIO: Final = 1.8
+MOST_UNCACHED_RUN: Final = 50
+"""An answer that took more than so many times what is believed is taken as not cached and teaches
+nothing, unless so many came in a row: then the belief is too low."""
+
 MOST_RATIO: Final = 2.0
 """A sample counts as no more than so many times what is believed. An instance that was frozen for
 seconds sees answers that took seconds; taken as they are, twenty of them made it believe that no
@@ -32,6 +37,7 @@
         self._service_s = self._first_service_s
         self._bytes = FIRST_BYTES
         self._seen = 0
+        self._uncached_run = 0
         self._sampled_at = -math.inf
 
     def service_s(self, now: float) -> float:
@@ -46,10 +52,18 @@
         return self._bytes
 
     def note(self, service_s: float, reply_bytes: int, now: float) -> None:
-        """Take note of one answer."""
+        """Take note of one answer.
+
+        Those of objects that were not cached would make what is cached look slow, and backend
+        servers without an object as good as those with it: where few requests come for each object
+        more than half of the answers are such.
+        """
         before = self.service_s(now)
         self._seen += 1
         gain = max(GAIN, 1 / self._seen)
-        self._service_s = before + gain * (min(service_s, MOST_RATIO * before) - before)
+        uncached = service_s > MOST_CACHED_RATIO * before
+        self._uncached_run = self._uncached_run + 1 if uncached else 0
+        if not uncached or self._uncached_run > MOST_UNCACHED_RUN:
+            self._service_s = before + gain * (min(service_s, MOST_RATIO * before) - before)
         self._bytes += gain * (reply_bytes - self._bytes)
         self._sampled_at = now
--- a/src/wagtailpoint/placement/weighing.py
+++ b/src/wagtailpoint/placement/weighing.py
@@ -48,6 +48,7 @@
         learned: Learned,
         entries: Callable[[], int],
         entries_here: Callable[[], int],
+        entries_of_region: Callable[[], int],
     ) -> None:
         """Make it.
 
@@ -59,6 +60,7 @@
             learned: What this instance knows of backend servers and routes.
             entries: How many instances callers are told to use.
             entries_here: How many of them are for the callers of this failure domain.
+            entries_of_region: How many are for those of this region.
         """
         self._fleet = fleet
         self._distances = distances
@@ -67,6 +69,7 @@
         self._learned = learned
         self._entries = entries
         self._entries_here = entries_here
+        self._entries_of_region = entries_of_region
 
     def weigh(
         self, demand: Demand, ranked: Ranked, position: float, utilisation: float, now: float
@@ -91,7 +94,7 @@
             if not self._cold.may_send(entry.start, region, cold_per_s(demand.policy)):
                 return Declined(entry, "cold", occupancy, report_age_s)
             service_s *= COLD_FACTOR
-        cached = self._cached_chance(demand, ranked, now)
+        cached = self._cached_chance(demand, ranked, position, now)
         prospect = Prospect(
             service_s=service_s,
             cached=cached,
@@ -110,19 +113,26 @@
             return Declined(entry, "full", occupancy, report_age_s)
         return Choice(entry, region, ranked.rank, cached, expected, occupancy, report_age_s)
 
-    def _cached_chance(self, demand: Demand, ranked: Ranked, now: float) -> float:
+    def _cached_chance(self, demand: Demand, ranked: Ranked, position: float, now: float) -> float:
         warm = self._learned.warm_of(ranked.candidate.entry)
         if not demand.route.sticky or warm.holds(demand.key, now):
             return KNOWN_CACHED
-        if ranked.rank == 0:
+        if self._is_agreed(demand, ranked, position):
             return FIRST_CACHED
         return LOCAL_CACHED if ranked.in_domain else OTHER_CACHED
 
+    def _is_agreed(self, demand: Demand, ranked: Ranked, position: float) -> bool:
+        """Whether all instances of the region send the key there first."""
+        if position < self._cached_part.of_region(demand.service, self._distances.region):
+            return ranked.first_of_region
+        return ranked.rank == 0
+
     def _uses(self, demand: Demand, ranked: Ranked, position: float, now: float) -> float:
         """How often the object would be used if it got cached there."""
         reuse = self._learned.reuse_of(demand.route)
-        if ranked.rank == 0:
-            return reuse.uses(self._entries(), now)
+        if self._is_agreed(demand, ranked, position):
+            entries = self._entries_of_region() if ranked.in_region else self._entries()
+            return reuse.uses(entries, now)
         domain = ranked.candidate.entry.failure_domain
         if position >= self._cached_part.of(demand.service, domain):
             return 1.0
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -87,10 +87,11 @@
         cold=ColdPacing(
             bound=lambda: ColdBound(1.5, 5.0), sharing=lambda start, region, wanted: instances
         ),
-        cached_part=CachedPart(fleet=fleet, entries_here=lambda: 1),
+        cached_part=CachedPart(fleet=fleet, entries_here=lambda: 1, entries_of_region=lambda: 1),
         mix=RegionMix(most_shift=lambda: MOST_SHIFT, random=Random(1)),
         entries=lambda: instances,
         entries_here=lambda: 1,
+        entries_of_region=lambda: instances,
     )
 
 
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -231,7 +231,7 @@
                     *(make_server(f"i-b{n}", failure_domain="b-1") for n in range(10)),
                 ]
             )
-            part = CachedPart(fleet=fleet, entries_here=lambda: 1)
+            part = CachedPart(fleet=fleet, entries_here=lambda: 1, entries_of_region=lambda: 1)
             for _ in range(2000):
                 part.note_request("desk", 0.1)
                 await trio.sleep(0.02)  # 50 a second of 0.1 s each: 5 slots are wanted.
--- a/tests/cover/test_region_mix.py
+++ b/tests/cover/test_region_mix.py
@@ -60,7 +60,7 @@
         demand = Demand(route, "desk", None, f"k{number % 40}", (), 1.0, 0.5)
         placement.note_request(demand)
         choice = placement.choose(demand)
-        assert isinstance(choice, Choice)
+        assert isinstance(choice, Choice), (choice, trio.current_time())
         near = choice.region == "a"
         load = LoadReport(min(3, near_load), max(0, near_load - 3), 3) if near else None
         seen = Observation(0.08 if near else 0.18, 400, False, False, load, 0.0)
