Counters of the store's calls by operation and kind, of connections by what they were opened for

Each price is now traced by a counter on the metrics page: store.OPERATION.KIND and connection.opened.PURPOSE (request, next-request, after-start, distance, after-failure). Tests: the pages of a listing and a refused spare connection are counted. No change of behaviour.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -98,7 +98,9 @@
             hybrid_clock=hybrid,
             clock=clock,
         )
-        self._platform = ObjectStore(address=settings.store, timeout_s=STORE_TIMEOUT_S)
+        self._platform = ObjectStore(
+            address=settings.store, timeout_s=STORE_TIMEOUT_S, metrics=self._metrics
+        )
         self._store_check = StoreCheck(store=self._platform, random=self._random)
         self._registration = Registration(
             platform=self._platform,
@@ -156,7 +158,9 @@
             region=settings.region,
             region_of=settings.region_of,
         )
-        self._pool = BackendPool(names=HEADER_NAMES, distances=self._distances)
+        self._pool = BackendPool(
+            names=HEADER_NAMES, distances=self._distances, metrics=self._metrics
+        )
         self._placement = self._make_placement()
         self._dispatcher = self._make_dispatcher()
         self._pages = EntryPages(
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -19,6 +19,7 @@
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.log import log_event
+from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.platform.documents import EVACUATIONS_KIND
 from wagtailpoint.ports.platform import (
     ABSENT,
@@ -67,19 +68,22 @@
 class ObjectStore:
     """The platform's object store; one kind of object at a time can be watched."""
 
-    def __init__(self, *, address: Endpoint, timeout_s: float) -> None:
+    def __init__(self, *, address: Endpoint, timeout_s: float, metrics: Metrics) -> None:
         """Make a client without any connection.
 
         Args:
             address: Where the store listens.
             timeout_s: The longest that a call may take, in seconds; a watch its wait more.
+            metrics: Counts the calls, which are all priced: by operation and kind.
         """
         self._calls = ObjectCalls(addresses=[address], timeout_s=timeout_s)
+        self._metrics = metrics
 
     async def get(
         self, *, kind: str, name: str
     ) -> Result[StoredObject | None, PlatformUnavailable]:
         """Read one object; None if there is none."""
+        self._count("get", kind)
         outcome = await self._calls.read(Call("GET", _path(kind, name)))
         if isinstance(outcome, Err):
             return outcome
@@ -89,6 +93,7 @@
 
     async def answers(self) -> bool:
         """Ask something cheap; False if the store refuses or can't be reached."""
+        self._count("check", EVACUATIONS_KIND)
         query = urlencode({"AllowStale": 1})
         outcome = await self._calls.read(Call("GET", f"{_path(EVACUATIONS_KIND)}?{query}"))
         return isinstance(outcome, Ok) and outcome.ok_value.status // 100 == 2
@@ -104,6 +109,7 @@
         after = ""
         versions: list[int] = []
         while True:
+            self._count("list-stale" if may_be_stale else "list", kind)
             fields = {"AllowStale": "1"} if may_be_stale else {}
             query = urlencode(fields | ({"after": after} if after else {}))
             outcome = await self._calls.read(Call("GET", f"{_path(kind)}?{query}".rstrip("?")))
@@ -160,6 +166,7 @@
         if len(kinds) != 1:
             raise ValueError(f"kinds: given {kinds}, expected one: this store watches one a call")
         (kind,) = kinds
+        self._count("watch", kind)
         query = urlencode({"Watch": from_version, "WaitMs": int(wait_s * 1000)})
         outcome = await self._calls.read(Call("GET", f"{_path(kind)}?{query}", wait_s=wait_s))
         if isinstance(outcome, Err):
@@ -180,9 +187,13 @@
         """The platform lists no instances by itself: they register as objects of their own."""
         return Ok([])
 
+    def _count(self, operation: str, kind: str) -> None:
+        self._metrics.count(f"store.{operation}.{kind}")
+
     async def _write(
         self, call: Call, kind: str
     ) -> Result[Answer, Conflict | OutcomeUnknown | PlatformUnavailable]:
+        self._count(call.method.lower(), kind)
         outcome = await self._calls.send(call)
         if isinstance(outcome, Err):
             return outcome
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -1,12 +1,13 @@
 """The connections to all backend servers: which is used again, which is closed."""
 
 from collections import deque
-from typing import Final
+from typing import Final, Literal
 
 import trio
 
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.observe.log import log_event
+from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.ports.backend import FailureReason
 from wagtailpoint.proxy.backend_connection import (
@@ -17,6 +18,9 @@
 from wagtailpoint.proxy.headers import HeaderNames
 from wagtailpoint.verdict import Verdict
 
+SparePurpose = Literal["next-request", "after-start", "distance", "after-failure"]
+"""What a connection is opened for that no request waits for."""
+
 KEPT_CONNECTIONS: Final = 8
 """Idle connections kept for each backend server."""
 
@@ -49,15 +53,17 @@
     one has ended, and a connection must not outlive that.
     """
 
-    def __init__(self, *, names: HeaderNames, distances: Distances) -> None:
+    def __init__(self, *, names: HeaderNames, distances: Distances, metrics: Metrics) -> None:
         """Make it empty.
 
         Args:
             names: The deployment's header names.
             distances: Says how long a connection may take to open, and learns how long it took.
+            metrics: Counts the connections by what they were opened for.
         """
         self._names = names
         self._distances = distances
+        self._metrics = metrics
         self._idle: dict[ServerStart, deque[BackendConnection]] = {}
         self._opening_spare: set[ServerStart] = set()
         self._reused_part = 1.0
@@ -84,7 +90,7 @@
                 self._note_acquired(entry, reused=True)
                 return connection
             await connection.close()
-        connection = await self._open(entry)
+        connection = await self._open(entry, "request")
         self._note_acquired(entry, reused=False)
         return connection
 
@@ -106,11 +112,11 @@
             return True
         return any(not each.rested_too_long() for each in self._idle.get(entry.start, ()))
 
-    async def open_spare(self, entry: ServerEntry) -> bool:
+    async def open_spare(self, entry: ServerEntry, purpose: SparePurpose) -> bool:
         """Open a connection for the next request; False if that failed."""
         self._opening_spare.add(entry.start)
         try:
-            connection = await self._open(entry)
+            connection = await self._open(entry, purpose)
         except ExchangeFailed as error:
             # Nobody waits for it: whoever needs a connection opens one, and learns what is wrong.
             log_event("spare-not-opened", server=entry.server_id, reason=error)
@@ -129,9 +135,10 @@
             return
         if self._distances.round_trip_s(entry.failure_domain) >= SPARE_ROUND_TRIP_S:
             self._opening_spare.add(entry.start)
-            self._nursery.start_soon(self.open_spare, entry)
+            self._nursery.start_soon(self.open_spare, entry, "next-request")
 
-    async def _open(self, entry: ServerEntry) -> BackendConnection:
+    async def _open(self, entry: ServerEntry, purpose: str) -> BackendConnection:
+        self._metrics.count(f"connection.opened.{purpose}")
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
         began = trio.current_time()
         try:
--- a/src/wagtailpoint/proxy/distance_probe.py
+++ b/src/wagtailpoint/proxy/distance_probe.py
@@ -51,7 +51,7 @@
         while True:
             async with trio.open_nursery() as nursery:
                 for entry in self._unmeasured() if self._is_entry() else ():
-                    nursery.start_soon(self._pool.open_spare, entry)
+                    nursery.start_soon(self._pool.open_spare, entry, "distance")
             await trio.sleep(LOOK_INTERVAL_S)
 
     def _unmeasured(self) -> Iterable[ServerEntry]:
--- a/src/wagtailpoint/proxy/warm_up.py
+++ b/src/wagtailpoint/proxy/warm_up.py
@@ -60,7 +60,7 @@
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
                 for entry in self._without_spare() if self._is_entry() else ():
-                    nursery.start_soon(self._pool.open_spare, entry)
+                    nursery.start_soon(self._pool.open_spare, entry, "after-start")
                 await trio.sleep(LOOK_INTERVAL_S)
 
     def _without_spare(self) -> list[ServerEntry]:
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -115,7 +115,7 @@
             sender=Sender(
                 takes_work=self.fleet.takes_work,
                 placement=self.placement,
-                pool=BackendPool(names=HEADER_NAMES, distances=make_distances()),
+                pool=BackendPool(names=HEADER_NAMES, distances=make_distances(), metrics=Metrics()),
                 budget=self.budget,
                 names=HEADER_NAMES,
             ),
--- a/tests/cover/test_backend_pool.py
+++ b/tests/cover/test_backend_pool.py
@@ -12,6 +12,7 @@
 from tests.common.scripted_server import ScriptedStream, scripted_server
 from tests.common.steering_parts import make_distances, make_server
 from wagtailpoint.discovery.entries import ServerEntry
+from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.distances import OTHER_REGION_S, Distances
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.proxy import backend_pool
@@ -45,6 +46,7 @@
         self.addCleanup(logger.enable, "wagtailpoint")
         self.opened = 0
         self.ended = 0
+        self.metrics = Metrics()
 
     def run_with(
         self, domain: str, test: Callable[[BackendPool, ServerEntry], Awaitable[None]]
@@ -57,7 +59,9 @@
         async def run() -> None:
             with trio.fail_after(LIMIT_S):
                 async with scripted_server(script) as address, trio.open_nursery() as nursery:
-                    pool = BackendPool(names=HEADER_NAMES, distances=FixedDistances())
+                    pool = BackendPool(
+                        names=HEADER_NAMES, distances=FixedDistances(), metrics=self.metrics
+                    )
                     nursery.start_soon(pool.run)
                     await trio.lowlevel.checkpoint()
                     await test(pool, make_server("i-1", address, failure_domain=domain))
@@ -116,7 +120,7 @@
         """Symptom: descriptors run out. Cause: connections that nobody uses stay open."""
 
         async def test(pool: BackendPool, entry: ServerEntry) -> None:
-            await pool.open_spare(entry)
+            await pool.open_spare(entry, "next-request")
             await until(lambda: self.ended == 1)
 
         with (
@@ -128,8 +132,12 @@
     def test_spare_that_cannot_be_opened_harms_nobody(self) -> None:
         async def test(pool: BackendPool, entry: ServerEntry) -> None:
             refusing = entry._replace(address=entry.address._replace(port=1))
-            await pool.open_spare(refusing)
+            await pool.open_spare(refusing, "next-request")
             await pool.acquire(entry)
+            self.assertEqual(
+                self.metrics.counts,
+                {"connection.opened.next-request": 1, "connection.opened.request": 1},
+            )
 
         self.run_with(NEAR, test)
 
@@ -149,7 +157,7 @@
         async def run() -> None:
             async with scripted_server(script) as address, trio.open_nursery() as nursery:
                 distances = make_distances()
-                pool = BackendPool(names=HEADER_NAMES, distances=distances)
+                pool = BackendPool(names=HEADER_NAMES, distances=distances, metrics=Metrics())
                 entries = [
                     make_server(f"i-{number}", address, failure_domain=domain)
                     for number, domain in enumerate((NEAR, FAR, FAR, FAR))
--- a/tests/cover/test_object_store.py
+++ b/tests/cover/test_object_store.py
@@ -11,6 +11,7 @@
 from tests.common.users_store import UsersStore
 from wagtailpoint.errors import PlatformUnavailable, WatchTooOld
 from wagtailpoint.node_settings import Endpoint
+from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.platform.store import ObjectStore
 from wagtailpoint.ports.platform import ABSENT, Conflict
 
@@ -22,8 +23,9 @@
         async def run() -> None:
             with trio.fail_after(LIMIT_S):
                 self.store = UsersStore()
+                self.metrics = Metrics()
                 async with self.store.serve() as endpoint:
-                    await test(ObjectStore(address=endpoint, timeout_s=5.0))
+                    await test(ObjectStore(address=endpoint, timeout_s=5.0, metrics=self.metrics))
 
         trio.run(run)
 
@@ -34,6 +36,7 @@
             listing = (await client.list(kind="servers")).unwrap()
             self.assertEqual([each.name for each in listing.objects], [f"i-{n}" for n in range(5)])
             self.assertEqual(listing.version, self.store.revision)
+            self.assertEqual(self.metrics.counts, {"store.list.servers": len(self.store.calls)})
 
         self.run_with(test)
 
@@ -127,7 +130,9 @@
         async def run() -> None:
             with trio.fail_after(LIMIT_S):
                 async with scripted_server(connection) as address:
-                    client = ObjectStore(address=Endpoint(*address), timeout_s=5.0)
+                    client = ObjectStore(
+                        address=Endpoint(*address), timeout_s=5.0, metrics=Metrics()
+                    )
                     listed = (await client.list(kind="servers")).unwrap()
                     batch = await client.watch(kinds=["servers"], from_version=1, wait_s=0)
                     names = [each.stored.name for each in batch.unwrap().events]
--- a/tests/cover/test_reach_probe.py
+++ b/tests/cover/test_reach_probe.py
@@ -23,7 +23,7 @@
         self.back = False
         self.tried_at: list[float] = []
 
-    async def open_spare(self, entry: ServerEntry) -> bool:
+    async def open_spare(self, entry: ServerEntry, purpose: str) -> bool:
         self.tried_at.append(trio.current_time())
         await trio.sleep(0.3)
         return self.back
