--- a/tests/common/member_group.py
+++ b/tests/common/member_group.py
@@ -10,7 +10,7 @@
 from tests.common.fake_clock import TrioClock
 from tests.common.fake_peers import FakeNetwork, FakePeers
 from wagtailpoint.config.manifest import Snapshot
-from wagtailpoint.membership import ConfigSpread, Membership
+from wagtailpoint.membership import ConfigSpread, Membership, MembershipSettings
 from wagtailpoint.membership.member import Fact
 from wagtailpoint.ports.peers import PeerAddress
 
@@ -27,7 +27,14 @@
     """One running instance."""
 
     def __init__(
-        self, *, network: FakeNetwork, address: str, region: str, seed: int, wall_s: float
+        self,
+        *,
+        network: FakeNetwork,
+        address: str,
+        region: str,
+        seed: int,
+        wall_s: float,
+        settings: MembershipSettings | None = None,
     ):
         self.address = address
         self.incarnation = Random(seed).getrandbits(60)
@@ -48,6 +55,7 @@
             clock=TrioClock(),
             random=Random(seed),
             seeds=SEEDS,
+            settings=settings,
         )
         self.spread = ConfigSpread(
             peers=self.peers, membership=self.membership, random=Random(seed)
@@ -85,8 +93,11 @@
 class MemberGroup:
     """Starts instances and waits for what they come to see."""
 
-    def __init__(self, *, nursery: trio.Nursery) -> None:
+    def __init__(
+        self, *, nursery: trio.Nursery, settings: MembershipSettings | None = None
+    ) -> None:
         self._nursery = nursery
+        self._settings = settings
         self._started = 0
         self.network = FakeNetwork()
         self.instances: dict[str, Instance] = {}
@@ -102,6 +113,7 @@
             region=region,
             seed=self._started,
             wall_s=TrioClock().wall() if wall_s is None else wall_s,
+            settings=self._settings,
         )
         self.instances[address] = instance
         self._nursery.start_soon(instance.run)
@@ -140,12 +152,14 @@
         raise AssertionError(f"not so after {within_s} s")
 
 
-def run_group(story: Callable[[MemberGroup], Awaitable[None]]) -> None:
+def run_group(
+    story: Callable[[MemberGroup], Awaitable[None]], *, settings: MembershipSettings | None = None
+) -> None:
     """Run a test on a group of instances, on a clock that jumps over every wait."""
 
     async def main() -> None:
         async with trio.open_nursery() as nursery:
-            await story(MemberGroup(nursery=nursery))
+            await story(MemberGroup(nursery=nursery, settings=settings))
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
--- a/tests/cover/test_member_table.py
+++ b/tests/cover/test_member_table.py
@@ -1,6 +1,7 @@
 """How often the view of one instance tells a change on."""
 
 import unittest
+from typing import Any
 
 from tests.common.fake_clock import FakeClock
 from wagtailpoint.membership.change import News
@@ -52,3 +53,40 @@
         self.assertEqual((table.has_news, table.has_urgent_news), (True, False))
         table.apply(OTHER._replace(sequence=3, epoch=2, load=0.5, config_version=4))
         self.assertTrue(table.has_urgent_news)
+
+    def test_load_that_jumps_is_urgent_where_entries_follow_it(self) -> None:
+        """Symptom: the entries of a failure domain are overloaded for most of a burst.
+
+        Cause: their load was told on like any report, a second later at each step of the way.
+        """
+        table = MemberTable(own=OWN, clock=FakeClock(), gossip_copies=1, urgent_load_step=0.25)
+        table.apply(OTHER)
+        table.take_news(10)
+        table.apply(OTHER._replace(sequence=2, load=0.2))
+        self.assertFalse(table.has_urgent_news)
+        table.take_news(10)
+        table.apply(OTHER._replace(sequence=3, load=0.5))
+        self.assertTrue(table.has_urgent_news)
+
+
+class ImpossibleFiguresTest(unittest.TestCase):
+    def test_they_are_refused_and_the_others_hold(self) -> None:
+        """Symptom: all callers of a failure domain are sent to one small instance.
+
+        Cause: it told, by a fault or from another version, a capacity that nothing has.
+        """
+        table = MemberTable(own=OWN, clock=FakeClock(), gossip_copies=1)
+        self.assertTrue(table.apply(OTHER))
+        impossible: tuple[dict[str, Any], ...] = (
+            {"capacity": float("nan")},
+            {"capacity": float("inf")},
+            {"capacity": 0.0},
+            {"capacity": -1.0},
+            {"capacity": 1e9},
+            {"load": float("nan")},
+            {"load": -0.1},
+            {"load": 7.0},
+        )
+        for figures in impossible:
+            self.assertFalse(table.apply(OTHER._replace(sequence=9, **figures)), figures)
+        self.assertEqual(table.fact(OTHER.address), OTHER)
--- a/tests/cover/test_membership.py
+++ b/tests/cover/test_membership.py
@@ -5,6 +5,7 @@
 import trio
 
 from tests.common.member_group import MemberGroup, run_group
+from wagtailpoint.membership import MembershipSettings
 
 VICTIM = "127.0.0.5"
 
@@ -54,6 +55,19 @@
 
         run_group(story)
 
+    def test_load_that_jumps_is_told_at_once_but_not_all_the_time(self) -> None:
+        async def story(group: MemberGroup) -> None:
+            await group.start_all(3)
+            membership = group.instances["127.0.0.2"].membership
+            membership.publish(load=0.1)
+            await trio.sleep(1.1)
+            membership.publish(load=0.6)
+            self.assertEqual(membership.own.load, 0.6)
+            membership.publish(load=0.1)
+            self.assertEqual(membership.own.load, 0.6)
+
+        run_group(story, settings=MembershipSettings(urgent_load_step=0.25))
+
     def test_all_name_the_same_watchers(self) -> None:
         async def story(group: MemberGroup) -> None:
             await group.start_all(9)
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -3,6 +3,7 @@
 import re
 import unittest
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
@@ -123,6 +124,24 @@
         self.assertEqual(settings.seeds, (Endpoint("10.1.0.1", 8146),))
         self.assertEqual(settings.bounds.repeat_slack, 58)
 
+    def test_capacity_by_processor_and_link(self) -> None:
+        def capacity(**limits: Any) -> float:
+            document = self.document()
+            document["Self"]["Limits"] = {"MaxFds": 1024, **limits}
+            return decode_node_settings(msgspec.json.encode(document)).unwrap().capacity
+
+        self.assertAlmostEqual(capacity(CpuShare=0.717, CpuCores=3, LinkMbps=200), 2.151)
+        self.assertAlmostEqual(capacity(CpuShare=0.43, CpuCores=1, LinkMbps=3), 0.1)
+        self.assertEqual(capacity(), 1.0)
+        self.assertEqual(capacity(LinkMbps=None), 1.0)
+
+    def test_absurd_limits_are_refused(self) -> None:
+        for limits in ({"CpuShare": 0}, {"CpuCores": -2}, {"CpuShare": 1e9}, {"LinkMbps": 0}):
+            document = self.document()
+            document["Self"]["Limits"] = {"MaxFds": 1024, **limits}
+            (mistake,) = decode_node_settings(msgspec.json.encode(document)).unwrap_err().mistakes
+            self.assertIn(next(iter(limits)), mistake.path)
+
     def test_every_mistake_is_named(self) -> None:
         document = self.document()
         del document["Self"]["Zone"]
