Counts of entries in one type; the role of an instance as entry in a module of its own

Three callables went through placement, weighing and cached part side by side; they are one type now (placement/entry_counts.py), and what follows from being an entry stands in daemon/entry_role.py.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -23,6 +23,7 @@
 from wagtailpoint.placement.choice import Choice, Demand, Observation
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
 from wagtailpoint.placement.distances import Distances
+from wagtailpoint.placement.entry_counts import FixedEntryCounts
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.placement.server_load import LoadReport
@@ -304,30 +305,25 @@
         for other in deployment.region_of:
             distances.note_opened(other, deployment.round_trip_s(domain, other))
 
-        def entries_here() -> int:
-            return deployment.instances[domain]
-
-        def entries_of_region() -> int:
-            here = deployment.region_of[domain]
-            return sum(
+        region = deployment.region_of[domain]
+        entries = FixedEntryCounts(
+            everywhere=instances,
+            in_region=sum(
                 count
                 for other, count in deployment.instances.items()
-                if deployment.region_of[other] == here
-            )
-
+                if deployment.region_of[other] == region
+            ),
+            in_domain=deployment.instances[domain],
+        )
         return Placement(
             fleet=fleet,
             distances=distances,
             cold=ColdPacing(
                 bound=lambda: ColdBound(1.5, 5.0), sharing=lambda start, region, wanted: instances
             ),
-            cached_part=CachedPart(
-                fleet=fleet, entries_here=entries_here, entries_of_region=entries_of_region
-            ),
+            cached_part=CachedPart(fleet=fleet, entries=entries),
             mix=RegionMix(most_shift=lambda: MOST_SHIFT, random=self._random),
-            entries=lambda: instances,
-            entries_here=entries_here,
-            entries_of_region=entries_of_region,
+            entries=entries,
         )
 
     async def _callers(
--- /dev/null
+++ b/src/wagtailpoint/daemon/entry_role.py
@@ -0,0 +1,59 @@
+"""Whether callers are told to use this instance, and what follows from that."""
+
+from collections.abc import Callable
+from typing import Final
+
+import trio
+
+from wagtailpoint.daemon.processor_load import ProcessorLoad
+from wagtailpoint.discovery.bound_part import BoundPart
+from wagtailpoint.discovery.instance_count import InstanceCount
+from wagtailpoint.lookup.entry_choice import EntriesAround, EntryChoice
+from wagtailpoint.membership import Membership
+
+LOAD_INTERVAL_S: Final = 0.5
+
+
+class EntryRole:
+    """The entries as this instance sees them, its part in their bounds, and the load it tells."""
+
+    def __init__(
+        self, *, membership: Membership, instances: InstanceCount, registered: Callable[[], int]
+    ) -> None:
+        """Make it.
+
+        Args:
+            membership: Who is there.
+            instances: All instances that share a bound.
+            registered: How many registered, for as long as not all are known.
+        """
+        self._membership = membership
+        own = membership.own
+        self.choice = EntryChoice(members=membership.members)
+        self.around = EntriesAround(
+            choice=self.choice, region=own.region, failure_domain=own.failure_domain
+        )
+        self._address = own.address
+        self._part = BoundPart(
+            instances=instances,
+            entries=InstanceCount(alive=lambda: len(self.choice.all), registered=registered),
+            is_entry=self.is_entry,
+        )
+
+    def is_entry(self) -> bool:
+        """Whether callers are told to use this instance."""
+        return self.choice.includes(self._address)
+
+    def bound_divisor(self) -> float:
+        """What to divide a bound of all instances by for this one's part; at least 1."""
+        return self._part.divisor
+
+    async def report_load(self) -> None:
+        """Tell the others how busy this instance is, until cancelled."""
+        load = ProcessorLoad()
+        trio.lowlevel.add_instrument(load)
+        while True:
+            await trio.sleep(LOAD_INTERVAL_S)
+            value = load.read()
+            if self._membership.own.state == "live":
+                self._membership.publish(load=value)
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -11,10 +11,9 @@
 from wagtailpoint.adapters.clock import SystemClock
 from wagtailpoint.adapters.peers_nng import NngPeers
 from wagtailpoint.daemon.entry_pages import LOOKUP_TTL_S, EntryPages
-from wagtailpoint.daemon.processor_load import ProcessorLoad
+from wagtailpoint.daemon.entry_role import EntryRole
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.store_state import StoreState
-from wagtailpoint.discovery.bound_part import BoundPart
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.follower import KindFollower
@@ -25,7 +24,6 @@
 from wagtailpoint.discovery.store_check import StoreCheck
 from wagtailpoint.discovery.watch_sharing import WatchSharing
 from wagtailpoint.idempotency.binding import new_incarnation
-from wagtailpoint.lookup.entry_choice import EntryChoice
 from wagtailpoint.membership import Membership, MembershipSettings
 from wagtailpoint.membership.member import Fact
 from wagtailpoint.node_settings import Endpoint, NodeSettings
@@ -73,7 +71,6 @@
 
 WITHDRAW_TIMEOUT_S = 0.5
 
-LOAD_INTERVAL_S = 0.5
 URGENT_LOAD_STEP = 0.25
 """A load that changed by so much is told to all at once: more instances may have to be entries."""
 
@@ -127,16 +124,13 @@
             hints=self._registration.addresses,
             settings=MembershipSettings(urgent_load_step=URGENT_LOAD_STEP),
         )
-        self._entries = EntryChoice(members=self._membership.members)
         self._instance_count = InstanceCount(
             alive=self._alive, registered=lambda: self._registration.count
         )
-        self._bound_part = BoundPart(
+        self._role = EntryRole(
+            membership=self._membership,
             instances=self._instance_count,
-            entries=InstanceCount(
-                alive=lambda: self._entries.count, registered=lambda: self._registration.count
-            ),
-            is_entry=self._is_entry,
+            registered=lambda: self._registration.count,
         )
         self._lost_registrations = LostRegistrations(
             platform=self._platform, membership=self._membership, random=self._random
@@ -165,7 +159,7 @@
         self._dispatcher = self._make_dispatcher()
         self._pages = EntryPages(
             lookup_ttl_max_s=lambda: self._settings_file.bounds.lookup_ttl_max_s,
-            entries=self._entries,
+            entries=self._role.choice,
             is_ready=self._is_ready,
             metrics=self._metrics,
             peers=self._peers,
@@ -197,7 +191,7 @@
                     self._make_warm_up().run,
                     ReachProbe(placement=self._placement, pool=self._pool, random=self._random).run,
                     self._clean_gone,
-                    self._report_load,
+                    self._role.report_load,
                     self._settings_file.run,
                 ]
                 for task in tasks:
@@ -247,18 +241,12 @@
                     instances=self._instances,
                 ).sharing,
             ),
-            cached_part=CachedPart(
-                fleet=self._fleet,
-                entries_here=self._entries_here,
-                entries_of_region=self._entries_of_region,
-            ),
+            cached_part=CachedPart(fleet=self._fleet, entries=self._role.around),
             mix=RegionMix(
                 most_shift=lambda: self._settings_file.bounds.region_shift_max,
                 random=self._random,
             ),
-            entries=lambda: max(1, self._entries.count),
-            entries_here=self._entries_here,
-            entries_of_region=self._entries_of_region,
+            entries=self._role.around,
         )
 
     def _make_distance_probe(self) -> DistanceProbe:
@@ -266,7 +254,7 @@
             entries=lambda: self._fleet.entries.values(),
             pool=self._pool,
             distances=self._distances,
-            is_entry=self._is_entry,
+            is_entry=self._role.is_entry,
             random=self._random,
         )
 
@@ -275,7 +263,7 @@
             entries=lambda: self._fleet.entries.values(),
             pool=self._pool,
             distances=self._distances,
-            is_entry=self._is_entry,
+            is_entry=self._role.is_entry,
             random=self._random,
         )
 
@@ -284,7 +272,7 @@
             takes_work=self._fleet.takes_work,
             placement=self._placement,
             pool=self._pool,
-            budget=RepeatBudget(bound=self._repeat_bound, divisor=lambda: self._bound_part.divisor),
+            budget=RepeatBudget(bound=self._repeat_bound, divisor=self._role.bound_divisor),
             names=HEADER_NAMES,
         )
         return Dispatcher(
@@ -333,14 +321,6 @@
         """How many instances share what is bounded for all together."""
         return self._instance_count.value
 
-    def _is_entry(self) -> bool:
-        """Whether callers are told to use this instance."""
-        return self._entries.is_entry(self._settings.callers.address)
-
-    def _entries_here(self) -> int:
-        """How many instances share the callers of this failure domain."""
-        return max(1, len(self._entries.by_domain.get(self._settings.failure_domain, ())))
-
     def _is_alone(self) -> bool:
         return self._alive() <= 1
 
@@ -355,7 +335,7 @@
             "backend_servers": len(self._fleet.entries),
             "unusable_server_entries": self._state.unusable_entries,
             "instances": self._instances(),
-            "entries": self._entries.count,
+            "entries": len(self._role.choice.all),
             "load": self._membership.own.load,
             "watching": all(each.watching for each in self._followers.values()),
             "config_version": self._state.table.version if self._state.table else 0,
@@ -384,19 +364,6 @@
                 self._placement.forget(start)
                 await self._pool.close(start)
 
-    def _entries_of_region(self) -> int:
-        """How many instances share the callers of this region."""
-        return max(1, self._entries.count_in(self._settings.region))
-
-    async def _report_load(self) -> None:
-        load = ProcessorLoad()
-        trio.lowlevel.add_instrument(load)
-        while True:
-            await trio.sleep(LOAD_INTERVAL_S)
-            value = load.read()
-            if self._membership.own.state == "live":
-                self._membership.publish(load=value)
-
     async def _wait_for_stop(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
--- a/src/wagtailpoint/lookup/entry_choice.py
+++ b/src/wagtailpoint/lookup/entry_choice.py
@@ -72,25 +72,45 @@
         return self._by_domain
 
     @property
-    def count(self) -> int:
-        """How many entries there are in all failure domains."""
-        return sum(len(entries) for entries in self.by_domain.values())
+    def all(self) -> Sequence[Member]:
+        """The entries of all failure domains."""
+        return [each for found in self.by_domain.values() for each in found]
 
-    def count_in(self, region: str) -> int:
-        """How many there are in a region."""
-        return sum(each.region == region for found in self.by_domain.values() for each in found)
-
-    def is_entry(self, address: str) -> bool:
+    def includes(self, address: str) -> bool:
         """Whether an instance is one of them."""
-        return any(each.address == address for found in self.by_domain.values() for each in found)
+        return any(each.address == address for each in self.all)
 
     def nearest(self, failure_domain: str, region: str) -> Sequence[Member]:
         """The entries for a caller: of its failure domain, else of its region, else all."""
         near = self.by_domain.get(failure_domain)
         if near:
             return near
-        everywhere = [each for found in self.by_domain.values() for each in found]
-        return [each for each in everywhere if each.region == region] or everywhere
+        return [each for each in self.all if each.region == region] or self.all
+
+
+class EntriesAround:
+    """How many entries there are around one instance; implements ``placement.EntryCounts``."""
+
+    def __init__(self, *, choice: EntryChoice, region: str, failure_domain: str) -> None:
+        """Make it for an instance at a place."""
+        self._choice = choice
+        self._region = region
+        self._failure_domain = failure_domain
+
+    @property
+    def everywhere(self) -> int:
+        """In all regions, at least 1."""
+        return max(1, len(self._choice.all))
+
+    @property
+    def in_region(self) -> int:
+        """In the region of the instance, at least 1."""
+        return max(1, sum(each.region == self._region for each in self._choice.all))
+
+    @property
+    def in_domain(self) -> int:
+        """In its failure domain, at least 1."""
+        return max(1, len(self._choice.by_domain.get(self._failure_domain, ())))
 
 
 def _entries_by_domain(members: Sequence[Member]) -> Mapping[str, Sequence[Member]]:
--- a/src/wagtailpoint/placement/cached_part.py
+++ b/src/wagtailpoint/placement/cached_part.py
@@ -2,12 +2,13 @@
 
 import math
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Final
 
 import trio
 
 from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.placement.entry_counts import EntryCounts
 
 ASSUMED_UTILISATION: Final = 0.6
 """The demand that is assumed before any was measured: all slots of the service, used by so much, by
@@ -59,19 +60,15 @@
     Every failure domain is assumed to have the same demand as this instance's own.
     """
 
-    def __init__(
-        self, *, fleet: Fleet, entries_here: Callable[[], int], entries_of_region: Callable[[], int]
-    ) -> None:
+    def __init__(self, *, fleet: Fleet, entries: EntryCounts) -> None:
         """Make it.
 
         Args:
             fleet: The backend servers.
-            entries_here: How many instances share the callers of this failure domain.
-            entries_of_region: How many share those of this region.
+            entries: How many instances share the callers.
         """
         self._fleet = fleet
-        self._entries_here = entries_here
-        self._entries_of_region = entries_of_region
+        self._entries = entries
         self._demands: dict[str, _ServiceDemand] = {}
 
     def note_request(self, service: str, service_s: float) -> None:
@@ -108,7 +105,7 @@
         """The slots that the callers of this instance may be expected to use."""
         slots = sum(each.entry.slots for each in self._fleet.candidates(service))
         domains = max(1, self._fleet.failure_domains)
-        return ASSUMED_UTILISATION * slots / domains / self._entries_here()
+        return ASSUMED_UTILISATION * slots / domains / self._entries.in_domain
 
     def _update(self, service: str, demand: _ServiceDemand, now: float) -> None:
         demand.fade(now)
@@ -118,8 +115,8 @@
             domains[entry.failure_domain] += entry.slots
             regions[region] += entry.slots
         step = 1.0 if demand.updated_at == -math.inf else MOST_STEP
-        in_domain = demand.slots * self._entries_here() / TARGET_UTILISATION
-        in_region = demand.slots * self._entries_of_region() / REGION_TARGET_UTILISATION
+        in_domain = demand.slots * self._entries.in_domain / TARGET_UTILISATION
+        in_region = demand.slots * self._entries.in_region / REGION_TARGET_UTILISATION
         _approach(demand.parts, domains, in_domain, step)
         _approach(demand.region_parts, regions, in_region, step)
         demand.updated_at = now
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -1,6 +1,6 @@
 """The choice of a backend server: affinity, load, distance and evidence, weighed as one loss."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from typing import Final
 
 import trio
@@ -19,6 +19,7 @@
 )
 from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
+from wagtailpoint.placement.entry_counts import EntryCounts
 from wagtailpoint.placement.expectation import UNCACHED_FACTOR
 from wagtailpoint.placement.learned import Learned
 from wagtailpoint.placement.ranking import Ranked, Ranking, preferred_of
@@ -46,9 +47,7 @@
         cold: ColdPacing,
         cached_part: CachedPart,
         mix: RegionMix,
-        entries: Callable[[], int],
-        entries_here: Callable[[], int],
-        entries_of_region: Callable[[], int],
+        entries: EntryCounts,
     ) -> None:
         """Make it.
 
@@ -58,9 +57,7 @@
             cold: Paces those that are cold.
             cached_part: Which keys each failure domain holds.
             mix: In which regions requests run.
-            entries: How many instances callers are told to use.
-            entries_here: How many of them are for the callers of this failure domain.
-            entries_of_region: How many are for those of this region.
+            entries: How many instances share the callers.
         """
         self._fleet = fleet
         self._distances = distances
@@ -79,8 +76,6 @@
             cached_part=cached_part,
             learned=self._learned,
             entries=entries,
-            entries_here=entries_here,
-            entries_of_region=entries_of_region,
         )
 
     def load_of(self, entry: ServerEntry) -> ServerLoad:
--- a/src/wagtailpoint/placement/weighing.py
+++ b/src/wagtailpoint/placement/weighing.py
@@ -1,6 +1,5 @@
 """What one backend server has to offer a request: a choice with its loss, or no room."""
 
-from collections.abc import Callable
 from typing import Final
 
 from wagtailpoint.discovery.fleet import Fleet
@@ -8,6 +7,7 @@
 from wagtailpoint.placement.choice import Choice, Declined, Demand
 from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
+from wagtailpoint.placement.entry_counts import EntryCounts
 from wagtailpoint.placement.expectation import COLD_FACTOR, Prospect, expect
 from wagtailpoint.placement.learned import Learned
 from wagtailpoint.placement.ranking import Ranked
@@ -46,9 +46,7 @@
         cold: ColdPacing,
         cached_part: CachedPart,
         learned: Learned,
-        entries: Callable[[], int],
-        entries_here: Callable[[], int],
-        entries_of_region: Callable[[], int],
+        entries: EntryCounts,
     ) -> None:
         """Make it.
 
@@ -58,9 +56,7 @@
             cold: Paces those that are cold.
             cached_part: Which keys each failure domain holds.
             learned: What this instance knows of backend servers and routes.
-            entries: How many instances callers are told to use.
-            entries_here: How many of them are for the callers of this failure domain.
-            entries_of_region: How many are for those of this region.
+            entries: How many instances share the callers.
         """
         self._fleet = fleet
         self._distances = distances
@@ -68,8 +64,6 @@
         self._cached_part = cached_part
         self._learned = learned
         self._entries = entries
-        self._entries_here = entries_here
-        self._entries_of_region = entries_of_region
 
     def weigh(
         self, demand: Demand, ranked: Ranked, position: float, utilisation: float, now: float
@@ -131,12 +125,12 @@
         """How often the object would be used if it got cached there."""
         reuse = self._learned.reuse_of(demand.route)
         if self._is_agreed(demand, ranked, position):
-            entries = self._entries_of_region() if ranked.in_region else self._entries()
+            entries = self._entries.in_region if ranked.in_region else self._entries.everywhere
             return reuse.uses(entries, now)
         domain = ranked.candidate.entry.failure_domain
         if position >= self._cached_part.of(demand.service, domain):
             return 1.0
-        return reuse.uses(self._entries_here(), now)
+        return reuse.uses(self._entries.in_domain, now)
 
 
 def cold_per_s(policy: ServicePolicy | None) -> float:
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -13,6 +13,7 @@
 from wagtailpoint.placement.cached_part import CachedPart
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
 from wagtailpoint.placement.distances import Distances
+from wagtailpoint.placement.entry_counts import FixedEntryCounts
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.platform.header_names import HEADER_NAMES
@@ -81,17 +82,16 @@
 
 def make_placement(fleet: Fleet, *, instances: int = 1) -> Placement:
     """A placement of an instance in the failure domain ``a-1``."""
+    entries = FixedEntryCounts(everywhere=instances, in_region=instances, in_domain=1)
     return Placement(
         fleet=fleet,
         distances=make_distances(),
         cold=ColdPacing(
             bound=lambda: ColdBound(1.5, 5.0), sharing=lambda start, region, wanted: instances
         ),
-        cached_part=CachedPart(fleet=fleet, entries_here=lambda: 1, entries_of_region=lambda: 1),
+        cached_part=CachedPart(fleet=fleet, entries=entries),
         mix=RegionMix(most_shift=lambda: MOST_SHIFT, random=Random(1)),
-        entries=lambda: instances,
-        entries_here=lambda: 1,
-        entries_of_region=lambda: instances,
+        entries=entries,
     )
 
 
--- a/tests/cover/test_entry_choice.py
+++ b/tests/cover/test_entry_choice.py
@@ -8,6 +8,7 @@
     HEADROOM,
     LEAST_ENTRIES,
     OVERLOADED,
+    EntriesAround,
     EntryChoice,
     entries_among,
 )
@@ -109,7 +110,9 @@
         self.assertEqual(choice.nearest("a-1", "a"), [here])
         self.assertEqual(choice.nearest("a-3", "a"), [here, beside])
         self.assertEqual(choice.nearest("c-1", "c"), [here, beside, far])
-        self.assertEqual(choice.count, 3)
+        self.assertCountEqual(choice.all, [here, beside, far])
+        around = EntriesAround(choice=choice, region="a", failure_domain="a-2")
+        self.assertEqual((around.everywhere, around.in_region, around.in_domain), (3, 2, 1))
 
     def test_who_leaves_starts_or_is_suspect_is_no_entry(self) -> None:
         here = make_member(1)
@@ -121,7 +124,7 @@
         ]
         choice = self.choice(here, *others)
         self.assertEqual(choice.nearest("a-1", "a"), [here])
-        self.assertFalse(any(choice.is_entry(each.address) for each in others))
+        self.assertFalse(any(choice.includes(each.address) for each in others))
 
     def test_hundreds_of_instances_agree_whatever_the_order(self) -> None:
         random = Random(1)
--- /dev/null
+++ b/tests/cover/test_learned.py
@@ -0,0 +1,190 @@
+"""What an instance learns of backend servers, routes, keys and distances."""
+
+import unittest
+from random import Random
+
+from tests.common.steering_parts import (
+    make_distances,
+)
+from wagtailpoint.placement.key_reuse import HORIZON_S, KeyReuse, estimated_keys
+from wagtailpoint.placement.route_costs import FIRST_SERVICE_PART, RouteCost
+from wagtailpoint.placement.server_load import LoadReport, ServerLoad, parse_load
+
+DOMAINS = ("a-1", "a-2", "b-1")
+
+
+class ServerLoadTest(unittest.TestCase):
+    def test_report_counts_what_others_have_there(self) -> None:
+        load = ServerLoad()
+        underway = load.began(10.0, 0.5)
+        load.note_report(LoadReport(3, 2, 3), 10.0, 0.0)
+        self.assertAlmostEqual(load.occupancy(10.0, 0.0), 5.0)
+        load.ended(underway)
+        self.assertAlmostEqual(load.occupancy(10.0, 0.0), 4.0)
+        self.assertLess(load.occupancy(11.0, 0.0), 1.5)
+
+    def test_requests_on_the_way_are_not_at_the_server(self) -> None:
+        """Symptom: an instance refuses a third of its requests while other ones refuse few.
+
+        Sequence: it sends more than the others, most of it to regions 70 ms away. Cause: it counted
+        all its requests under way as being at the backend server, also those whose answers were on
+        the way back, so that who sends most and from far sees all servers full.
+        """
+        load = ServerLoad()
+        for sent_at in (10.00, 10.02, 10.04, 10.06, 10.08, 10.10):
+            load.began(sent_at, 0.05)
+        # Those sent until 10.04 have been worked on; their answers come until 10.16.
+        self.assertAlmostEqual(load.occupancy(10.11, 0.07), 3.0)
+        self.assertAlmostEqual(load.occupancy(10.11, 0.0), 6.0)
+
+    def test_overdue_requests_are_still_there(self) -> None:
+        load = ServerLoad()
+        load.began(10.0, 0.05)
+        self.assertAlmostEqual(load.occupancy(10.1, 0.07), 0.0)
+        self.assertAlmostEqual(load.occupancy(10.2, 0.07), 1.0)
+
+    def test_report_was_written_before_the_latest_requests_came(self) -> None:
+        load = ServerLoad()
+        for sent_at in (10.00, 10.04, 10.09):
+            load.began(sent_at, 0.05)
+        load.note_report(LoadReport(3, 1, 3), 10.125, 0.08)
+        # Two of the four were ours, and two others'; of ours only the latest is still there.
+        self.assertAlmostEqual(load.occupancy(10.125, 0.08), 2.0 + 1.0)
+
+    def test_reports_in_other_forms_are_ignored(self) -> None:
+        self.assertEqual(parse_load(b"1,0,3"), LoadReport(1, 0, 3))
+        for text in (None, b"", b"1,2", b"a,b,c", b"1,2,3,4"):
+            self.assertIsNone(parse_load(text))
+
+    def test_suspicion_doubles_and_ends_with_an_answer(self) -> None:
+        load = ServerLoad()
+        rests = [load.note_unreachable(now) for now in (0.0, 1.0, 3.0, 8.0, 20.0)]
+        self.assertEqual(rests, [0.5, 1.0, 2.0, 4.0, 4.0])
+        load.note_answer(21.0, failed=False)
+        self.assertFalse(load.is_suspect(21.0, 0.0))
+        self.assertEqual(load.note_unreachable(22.0), 0.5)
+
+    def test_server_that_answers_nothing_gets_no_more_requests(self) -> None:
+        """Symptom: a tenth of all requests wait for their deadlines.
+
+        Sequence: backend servers lose power; connections to them stay open, and requests go there
+        on them. Cause: they were taken for dead only when the first of those requests had waited
+        until its deadline, a second later.
+        """
+        load = ServerLoad()
+        load.note_answer(9.0, failed=False)
+        load.note_latency(0.08, 0.1, 9.0)
+        load.began(10.0, 0.1)
+        self.assertFalse(load.is_suspect(10.3, 0.07))
+        self.assertTrue(load.is_suspect(10.5, 0.07))
+        load.note_answer(10.6, failed=False)
+        self.assertFalse(load.is_suspect(10.7, 0.07))
+
+    def test_server_with_a_long_queue_is_not_silent(self) -> None:
+        """Symptom: under high load requests go to backend servers where nothing is cached.
+
+        Sequence: queues grow longer than was expected, and an instance hears of a backend server
+        only now and then. Cause: it was taken for dead.
+        """
+        load = ServerLoad()
+        for number in range(30):
+            load.note_answer(number / 10, failed=False)
+            load.note_latency(0.4, 0.1, number / 10)
+        load.began(10.0, 0.1)
+        self.assertFalse(load.is_suspect(10.9, 0.07))
+        self.assertTrue(load.is_suspect(11.5, 0.07))
+
+    def test_trial_connection_does_not_end_the_doubling(self) -> None:
+        """A process that hangs accepts connections, and answers nothing on them."""
+        load = ServerLoad()
+        self.assertEqual(load.note_unreachable(10.0), 0.5)
+        load.note_reachable()
+        self.assertFalse(load.is_suspect(10.6, 0.0))
+        self.assertEqual(load.note_unreachable(11.0), 1.0)
+
+
+class KeyReuseTest(unittest.TestCase):
+    def test_uses_follow_the_rate_and_the_number_of_keys(self) -> None:
+        reuse = KeyReuse()
+        self.assertEqual(reuse.uses(1, 0.0), 1.0)
+        for number in range(400):
+            reuse.note(str(number % 10), number * 0.1)
+        uses = reuse.uses(1, 40.0)
+        self.assertLess(abs(uses - HORIZON_S), 0.1 * HORIZON_S)  # 10 a second of 10 keys.
+        self.assertAlmostEqual(reuse.uses(2, 40.0), 2 * uses)
+
+    def test_few_requests_for_many_keys(self) -> None:
+        """Symptom: in a large deployment, half of the first requests meet an uncached object.
+
+        Sequence: an instance of many gets 8 requests a second, for any of 270 keys; none of the
+        first ten keys comes twice. Cause: it took them for all keys that there are, and expected
+        each of them again within the second.
+        """
+        reuse, random = KeyReuse(), Random(1)
+        for number in range(24):
+            reuse.note(str(random.randrange(270)), number / 8)
+            self.assertLess(reuse.uses(1, number / 8), 1.5)
+
+    def test_number_of_keys_by_the_repeats(self) -> None:
+        random = Random(2)
+        for keys, requests in ((10, 100), (270, 100), (270, 1000), (1000, 300)):
+            seen = {random.randrange(keys) for _ in range(requests)}
+            estimate = estimated_keys(requests, len(seen))
+            self.assertLess(abs(estimate / keys - 1), 0.25, (keys, requests, estimate))
+        self.assertEqual(estimated_keys(0, 0), 0.0)
+        self.assertAlmostEqual(estimated_keys(100, 1), 1.0, delta=0.01)
+
+
+class DistancesTest(unittest.TestCase):
+    def test_assumed_until_measured(self) -> None:
+        distances = make_distances()
+        assumed = [distances.round_trip_s(domain) for domain in DOMAINS]
+        self.assertEqual(assumed, [0.001, 0.003, 0.1])
+        distances.note_opened("b-1", 0.04)
+        self.assertAlmostEqual(distances.round_trip_s("b-1"), 0.04)
+        self.assertEqual(distances.round_trip_s("a-2"), 0.003)
+
+    def test_delays_are_not_taken_for_distance(self) -> None:
+        """Symptom: a near region gets no requests any more.
+
+        Sequence: some packets are lost and sent again after a second, so a few connections take
+        that long to open. Cause: the mean of such times is several times the round trip.
+        """
+        distances = make_distances()
+        for number in range(200):
+            distances.note_opened("b-1", 1.04 if number % 10 == 0 else 0.04)
+        self.assertLess(distances.round_trip_s("b-1"), 0.05)
+
+    def test_a_longer_way_is_learned_in_the_end(self) -> None:
+        distances = make_distances()
+        distances.note_opened("b-1", 0.02)
+        for _ in range(150):
+            distances.note_opened("b-1", 0.06)
+        self.assertGreater(distances.round_trip_s("b-1"), 0.055)
+
+
+class RouteCostTest(unittest.TestCase):
+    def test_learned_and_forgotten(self) -> None:
+        cost = RouteCost(objective_s=0.3)
+        for number in range(100):
+            cost.note(0.3, 1000, number / 10)
+        self.assertAlmostEqual(cost.service_s(10.0), 0.3, delta=0.02)
+        self.assertAlmostEqual(cost.service_s(30.0), 0.3 * FIRST_SERVICE_PART, delta=0.01)
+
+    def test_a_route_with_a_late_objective_is_taken_to_work_for_long(self) -> None:
+        """Symptom: for eight seconds half of all requests meet an object that is not cached.
+
+        Sequence: 77 instances start, each with three requests a second of a route; an object that
+        is not cached takes 0.86 s there, and 0.5 s are allowed. Cause: before enough answers came,
+        each instance assumed 0.1 s for a cached object, so 0.33 s for another, which is in time
+        anywhere; the requests of one key were spread over all failure domains.
+        """
+        cost = RouteCost(objective_s=0.5)
+        self.assertGreater(UNCACHED_FACTOR * cost.service_s(0.0), 0.5)
+
+    def test_one_wild_sample_changes_little(self) -> None:
+        cost = RouteCost(objective_s=0.3)
+        for number in range(100):
+            cost.note(0.1, 1000, number / 10)
+        cost.note(60.0, 1000, 10.0)
+        self.assertLess(cost.service_s(10.0), 0.11)
