--- a/tests/cover/test_learned.py
+++ b/tests/cover/test_learned.py
@@ -6,6 +6,7 @@
 from tests.common.steering_parts import (
     make_distances,
 )
+from wagtailpoint.placement.expectation import UNCACHED_FACTOR
 from wagtailpoint.placement.key_reuse import HORIZON_S, KeyReuse, estimated_keys
 from wagtailpoint.placement.route_costs import FIRST_SERVICE_PART, RouteCost
 from wagtailpoint.placement.server_load import LoadReport, ServerLoad, parse_load
