A watcher that lost the store is replaced by the next in order; the parts of a region move slowly

Cause: each watcher tells up to 32 instances. When the store turned it away, all of these lacked one of two sources and began to watch three kinds each.

Change: whoever declined is left out for five seconds, the next in the region's order is asked and watches because it is asked; an instance with one source left looks for another one for 1.5 s before it watches itself. With none it watches at once, as before. The part of the keys that a region holds moves by 0.05 in half a second: such a key changes the region in which its requests run.

Test: of twelve instances with one watcher turned away, 12 watched before, now 3 of those served (the other watcher and two).

--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -26,6 +26,16 @@
 """Watchers that an instance asks at the same time. One of them may be cut off from the store and
 not notice for up to three seconds; changes must be in force within two to four."""
 
+LONE_SOURCE_S: Final = 1.5
+"""An instance with one source left looks for another one for so long before it watches by itself.
+When a watcher loses the store, the dozens that it told must not all begin to watch."""
+
+DECLINED_S: Final = 5.0
+"""Who had lost the store when it was asked is not asked again for so long."""
+
+ASKED_S: Final = 5.0
+"""Who is asked in place of such a one watches until so long after the last question."""
+
 INSTANCES_A_WATCHER: Final = 32
 """Each asks twice in 0.8 s, and gets a copy of each change; a further watcher costs a call of the
 store for each change."""
@@ -90,8 +100,9 @@
 class WatchSharing:
     """Asks the watchers of the region, and answers as one of them.
 
-    An instance stops to watch only while all its sources answer that they watch. With the first one
-    that does not answer in time, or has lost the store, it watches by itself, from where it is.
+    In place of a watcher that does not answer, or has lost the store, the next one in the order of
+    the region is asked, and watches because it is. An instance watches by itself, from where it is,
+    when no source answers, or only one for some time.
     """
 
     def __init__(
@@ -109,6 +120,9 @@
         self._followers = followers
         self._answering = [False] * SOURCES
         self._began_at = math.inf
+        self._lacking_since: float | None = None
+        self._asked_until = -math.inf
+        self._declined_until: dict[str, float] = {}
         self._waiting: list[_Waiting] = []
         self._asked = trio.Event()
         peers.handle(WatchQuestion, self._on_question)
@@ -131,7 +145,7 @@
     async def _ask(self, number: int) -> None:
         while True:
             source = self._source(number)
-            if source is None or not self._settled:
+            if source is None or not self._settled or self._is_starting(FIRST_WATCH_S):
                 self._set_answering(number, False)
                 await trio.sleep(LOOK_INTERVAL_S)
                 continue
@@ -147,6 +161,8 @@
                 follower = self._followers.get(changes.kind)
                 if follower is not None:
                     follower.take_changes(changes)
+            if not answer.watches:
+                self._declined_until[source.address] = trio.current_time() + DECLINED_S
             self._set_answering(number, answer.watches)
             if not answer.watches:
                 await trio.sleep(LOOK_INTERVAL_S)
@@ -157,41 +173,72 @@
 
     def _set_answering(self, number: int, answering: bool) -> None:
         self._answering[number] = answering
-        # Who has stopped to hear of others must watch at once; a start is another matter.
-        first_s = FIRST_WATCH_S if self._source(number) is None else FIRST_OWN_WATCH_S
-        if trio.current_time() - self._began_at < first_s:
-            return
-        watching = not all(self._answering)
+        if all(self._answering):
+            self._lacking_since = None
+        elif self._lacking_since is None:
+            self._lacking_since = trio.current_time()
+        self._decide()
+
+    def _decide(self) -> None:
+        """Begin or stop to watch."""
+        watching = self._must_watch()
         for kind, follower in self._followers.items():
             if follower.watching != watching:
                 follower.watching = watching
                 log_event("watching", kind=kind, itself=watching, version=follower.state.version)
 
+    def _must_watch(self) -> bool:
+        now = trio.current_time()
+        if self._is_watcher():
+            return not self._is_starting(FIRST_WATCH_S)
+        if now < self._asked_until:
+            return True
+        if self._is_starting(FIRST_OWN_WATCH_S) or self._lacking_since is None:
+            return False
+        return not any(self._answering) or now - self._lacking_since >= LONE_SOURCE_S
+
+    def _is_starting(self, for_s: float) -> bool:
+        return trio.current_time() - self._began_at < for_s
+
+    def _is_watcher(self) -> bool:
+        own = self._membership.own.address
+        live = self._ordered()
+        return any(each.address == own for each in live[: watchers_among(len(live))])
+
     def _source(self, number: int) -> PeerAddress | None:
         """The watcher that this instance asks; None if it is one itself, or there is none."""
-        own = self._membership.own.address
-        watchers = self._watchers()
-        if any(each.address == own for each in watchers):
+        now = trio.current_time()
+        if self._is_watcher() or now < self._asked_until:
             return None
+        own = self._membership.own.address
+        live = self._ordered()
+        able = [
+            each
+            for each in live
+            if each.address != own and self._declined_until.get(each.address, 0.0) <= now
+        ]
+        sources = able[: watchers_among(len(live))]
         # The others of the region ask other pairs, so that the questions are spread.
         first = rendezvous_score("source", own)
-        return watchers[(first + number) % len(watchers)].peer_address if watchers else None
+        return sources[(first + number) % len(sources)].peer_address if sources else None
 
-    def _watchers(self) -> Sequence[Member]:
-        """The watchers of the region: the same for all instances that see the same members."""
+    def _ordered(self) -> Sequence[Member]:
+        """The live members of the region, the same order for all that see the same members."""
         region = self._membership.own.region
         live = [
             member
             for member in self._membership.members()
             if member.region == region and member.state == "live" and not member.suspect
         ]
-        # The most capable: after a restart of all each of them tells dozens of others everything.
+        # The most capable first: after a restart of all each watcher tells dozens everything.
         live.sort(
             key=lambda member: (-member.capacity, rendezvous_score("watcher", member.address))
         )
-        return live[: watchers_among(len(live))]
+        return live
 
     def _on_question(self, received: Received) -> WatchAnswer | None:
+        self._asked_until = trio.current_time() + ASKED_S
+        self._decide()
         answer = self._news_for(received.message)
         if answer is None:
             self._waiting.append(_Waiting(received, trio.current_time() + WAIT_S))
@@ -200,7 +247,7 @@
 
     def _news_for(self, question: WatchQuestion) -> WatchAnswer | None:
         """The answer; None if there is nothing to tell yet."""
-        if not self._settled or not all(each.watching for each in self._followers.values()):
+        if not self._settled:
             return NOT_WATCHING
         news = [
             changes
--- a/src/wagtailpoint/placement/cached_part.py
+++ b/src/wagtailpoint/placement/cached_part.py
@@ -33,6 +33,9 @@
 """The part changes by so much in an interval at most: each key that moves meets a cold cache, and a
 belief that is wrong for a moment must not move them all."""
 
+MOST_REGION_STEP: Final = 0.05
+"""The same of a region: a key that moves changes the region in which its requests run."""
+
 
 class _ServiceDemand:
     """The demand of this instance's callers for one service."""
@@ -114,11 +117,11 @@
         for entry, region in self._fleet.candidates(service):
             domains[entry.failure_domain] += entry.slots
             regions[region] += entry.slots
-        step = 1.0 if demand.updated_at == -math.inf else MOST_STEP
+        first = demand.updated_at == -math.inf
         in_domain = demand.slots * self._entries.in_domain / TARGET_UTILISATION
         in_region = demand.slots * self._entries.in_region / REGION_TARGET_UTILISATION
-        _approach(demand.parts, domains, in_domain, step)
-        _approach(demand.region_parts, regions, in_region, step)
+        _approach(demand.parts, domains, in_domain, 1.0 if first else MOST_STEP)
+        _approach(demand.region_parts, regions, in_region, 1.0 if first else MOST_REGION_STEP)
         demand.updated_at = now
 
 
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -246,6 +246,31 @@
 
         self.run_with(test)
 
+    def test_refused_watcher_is_replaced_by_one_and_not_by_all(self) -> None:
+        """Symptom: calls of the store double while it turns a third of the instances away.
+
+        Sequence: a watcher among them says that it has lost the store. Cause: each instance that it
+        told had one source left, and began to watch for itself, three kinds each.
+        """
+
+        async def test() -> None:
+            refused = self.watchers[0]
+            self.platforms[self.sharers.index(refused)].set_down(True)
+            await self.put("noticed")
+            for platform in self.platforms:
+                platform.counts.clear()
+            for number in range(8):
+                await self.put(f"new-{number}")
+                await trio.sleep(1.0)
+                told = [each for each in self.sharers if each is not refused]
+                for each in told:
+                    self.assertIn(f"new-{number}", each.follower.objects)
+            served = [each for each in self.platforms if not each.down]
+            watched = [each for each in served if each.counts["WATCH", KIND] > 2]
+            self.assertLessEqual(len(watched), watchers_among(COUNT) + 1)
+
+        self.run_with(test)
+
     def test_watcher_of_another_version_harms_nobody(self) -> None:
         """Symptom: instances end by themselves while the program is replaced by a newer one.
 
