--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -119,6 +119,8 @@
         self._membership = membership
         self._followers = followers
         self._answering = [False] * SOURCES
+        self._ordered_of: Sequence[Member] = ()
+        self._order: Sequence[Member] = ()
         self._began_at = math.inf
         self._lacking_since: float | None = None
         self._asked_until = -math.inf
@@ -224,17 +226,11 @@
 
     def _ordered(self) -> Sequence[Member]:
         """The live members of the region, the same order for all that see the same members."""
-        region = self._membership.own.region
-        live = [
-            member
-            for member in self._membership.members()
-            if member.region == region and member.state == "live" and not member.suspect
-        ]
-        # The most capable first: after a restart of all each watcher tells dozens everything.
-        live.sort(
-            key=lambda member: (-member.capacity, rendezvous_score("watcher", member.address))
-        )
-        return live
+        members = self._membership.members()
+        if members is not self._ordered_of:
+            self._ordered_of = members
+            self._order = _ordered(members, self._membership.own.region)
+        return self._order
 
     def _on_question(self, received: Received) -> WatchAnswer | None:
         self._asked_until = trio.current_time() + ASKED_S
@@ -275,3 +271,18 @@
     def _answer(self, waiting: _Waiting, answer: WatchAnswer) -> None:
         self._waiting.remove(waiting)
         self._peers.reply(waiting.received, answer)
+
+
+def _ordered(members: Sequence[Member], region: str) -> Sequence[Member]:
+    """The live members of a region in the order in which they are watchers.
+
+    The most capable come first: after a restart of all each watcher tells dozens everything.
+    """
+    live = [
+        member
+        for member in members
+        if member.region == region and member.state == "live" and not member.suspect
+    ]
+    return sorted(
+        live, key=lambda member: (-member.capacity, rendezvous_score("watcher", member.address))
+    )
