--- a/src/wagtailpoint/proxy/distance_probe.py
+++ b/src/wagtailpoint/proxy/distance_probe.py
@@ -49,10 +49,11 @@
     async def run(self) -> None:
         """Measure what is not known, until cancelled."""
         while True:
+            # Before the first look, too: who starts is an entry in its own eyes until it meets others.
+            await trio.sleep(LOOK_INTERVAL_S)
             async with trio.open_nursery() as nursery:
                 for entry in self._unmeasured() if self._is_entry() else ():
                     nursery.start_soon(self._pool.open_spare, entry, "distance")
-            await trio.sleep(LOOK_INTERVAL_S)
 
     def _unmeasured(self) -> Iterable[ServerEntry]:
         """One backend server of each failure domain that is not measured."""
--- a/src/wagtailpoint/proxy/warm_up.py
+++ b/src/wagtailpoint/proxy/warm_up.py
@@ -15,6 +15,10 @@
 """So long after the start connections are kept ready: callers may come at once, as after a restart,
 or within seconds, as when a whole deployment starts. Later requests themselves keep some open."""
 
+FIRST_LOOK_S: Final = 1.0
+"""So long after the start an instance has met the others. Until then each takes itself for the one
+that callers are told to use."""
+
 LOOK_INTERVAL_S: Final = 0.5
 
 MOST_WARM: Final = 64
@@ -57,6 +61,7 @@
     async def run(self) -> None:
         """Keep connections ready until some time after the start."""
         end = trio.current_time() + WARM_UP_S
+        await trio.sleep(FIRST_LOOK_S)
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
                 for entry in self._without_spare() if self._is_entry() else ():
