--- a/src/wagtailpoint/proxy/distance_probe.py
+++ b/src/wagtailpoint/proxy/distance_probe.py
@@ -49,7 +49,7 @@
     async def run(self) -> None:
         """Measure what is not known, until cancelled."""
         while True:
-            # Before the first look, too: who starts is an entry in its own eyes until it meets others.
+            # Before the first look, too: who starts is an entry to itself until it meets others.
             await trio.sleep(LOOK_INTERVAL_S)
             async with trio.open_nursery() as nursery:
                 for entry in self._unmeasured() if self._is_entry() else ():
