--- a/src/wagtailpoint/daemon/entry_role.py
+++ b/src/wagtailpoint/daemon/entry_role.py
@@ -29,20 +29,30 @@
         """
         self._membership = membership
         own = membership.own
-        self.choice = EntryChoice(members=membership.members)
-        self.around = EntriesAround(
-            choice=self.choice, region=own.region, failure_domain=own.failure_domain
+        self._choice = EntryChoice(members=membership.members)
+        self._around = EntriesAround(
+            choice=self._choice, region=own.region, failure_domain=own.failure_domain
         )
         self._address = own.address
         self._part = BoundPart(
             instances=instances,
-            entries=InstanceCount(alive=lambda: len(self.choice.all), registered=registered),
+            entries=InstanceCount(alive=lambda: len(self._choice.all), registered=registered),
             is_entry=self.is_entry,
         )
 
+    @property
+    def choice(self) -> EntryChoice:
+        """The entries of all failure domains."""
+        return self._choice
+
+    @property
+    def around(self) -> EntriesAround:
+        """How many there are around this instance."""
+        return self._around
+
     def is_entry(self) -> bool:
         """Whether callers are told to use this instance."""
-        return self.choice.includes(self._address)
+        return self._choice.includes(self._address)
 
     def bound_divisor(self) -> float:
         """What to divide a bound of all instances by for this one's part; at least 1."""
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -20,7 +20,6 @@
 from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.entry_counts import EntryCounts
-from wagtailpoint.placement.expectation import UNCACHED_FACTOR
 from wagtailpoint.placement.learned import Learned
 from wagtailpoint.placement.ranking import Ranked, Ranking, preferred_of
 from wagtailpoint.placement.region_mix import RegionMix
@@ -179,9 +178,6 @@
             return
         service_s = max(0.001, seen.latency_s - round_trip_s)
         expected_s = max(0.001, choice.expected.latency_s - round_trip_s)
-        if not self._learned.warm_of(entry).holds(demand.key, now):
-            # Not cached after all, perhaps: that says nothing of the backend server.
-            expected_s = max(expected_s, min(service_s, UNCACHED_FACTOR * expected_s))
         load.note_latency(service_s, expected_s, now)
         self._learned.warm_of(entry).note(demand.key, now)
         if choice.occupancy < entry.slots - 1:
