A change of one backend server costs one piece of work on each instance; watches begin later after a start

Each batch of changes of backend servers made every instance look at all entries and sort all candidates: 2.3 ms at 404 entries, several times a second, on 195 instances. And one second after the start 16 of 18 instances still saw themselves as watchers.

Ruled out: the caller library imported by the daemon (0.51 against 0.54 s of processor time a start, medians of 7 pairs: noise; not kept).

Change: only entries with a newer version are decoded, candidates are sorted when somebody asks for them. Test: a change among 400 entries decodes one and sorts nothing until a request comes.

--- a/src/wagtailpoint/daemon/store_state.py
+++ b/src/wagtailpoint/daemon/store_state.py
@@ -61,14 +61,25 @@
         return sum(each.found is None for each in self._decoded.values())
 
     def apply_servers(self, objects: Mapping[str, StoredObject]) -> None:
-        """Take in the entries of all backend servers; those that can't be read name none."""
-        self._decoded = {name: self._decode(stored) for name, stored in objects.items()}
-        entries = [
-            self._heartbeats.newest(each.found)
-            for each in self._decoded.values()
-            if each.found is not None
-        ]
-        for start in self._fleet.update(entries):
+        """Take in the entries of all backend servers; those that can't be read name none.
+
+        Only what has changed is looked at: one of hundreds does many times a second, and each time
+        all instances hear of it.
+        """
+        gone = self._decoded.keys() - objects.keys()
+        changed = [stored for stored in objects.values() if self._is_news(stored)]
+        for name in gone:
+            del self._decoded[name]
+        entries = []
+        for stored in changed:
+            found = self._decode(stored)
+            self._decoded[stored.name] = _Decoded(stored.version, found)
+            if found is None:
+                gone.add(stored.name)
+            else:
+                entries.append(self._heartbeats.newest(found))
+        known = self._fleet.entries
+        for start in self._fleet.change(entries, gone=[name for name in gone if name in known]):
             self._on_gone(start)
 
     def apply_evacuations(self, objects: Mapping[str, StoredObject]) -> None:
@@ -76,15 +87,16 @@
         services = self._table.services if self._table is not None else {}
         self._fleet.evacuate(frozenset(objects), services)
 
-    def _decode(self, stored: StoredObject) -> "_Decoded":
+    def _is_news(self, stored: StoredObject) -> bool:
         known = self._decoded.get(stored.name)
-        if known is not None and known.version == stored.version:
-            return known
+        return known is None or known.version != stored.version
+
+    def _decode(self, stored: StoredObject) -> RegisteredServer | None:
         decoded = decode_server(stored, failure_domains=self._fleet.known_domains)
         if isinstance(decoded, Err):
             log_event("server-unreadable", level="WARNING", error=decoded.err_value)
-            return _Decoded(stored.version, None)
-        return _Decoded(stored.version, decoded.ok_value)
+            return None
+        return decoded.ok_value
 
 
 class _Decoded(NamedTuple):
--- a/src/wagtailpoint/discovery/fleet.py
+++ b/src/wagtailpoint/discovery/fleet.py
@@ -40,6 +40,7 @@
         self._cold_until: dict[ServerStart, float] = {}
         self._candidates: dict[str, tuple[Candidate, ...]] = {}
         self._generation = 0
+        self._outdated = False
 
     @property
     def generation(self) -> int:
@@ -72,6 +73,9 @@
 
     def candidates(self, service: str) -> tuple[Candidate, ...]:
         """The backend servers of a service that may take new work."""
+        if self._outdated:
+            # Only now: an instance that gets no requests hears of hundreds of changes all the same.
+            self._rebuild()
         return self._candidates.get(service, ())
 
     def takes_work(self, entry: ServerEntry) -> bool:
@@ -101,34 +105,50 @@
     def update(self, entries: Iterable[ServerEntry]) -> list[ServerStart]:
         """Take in all entries; return those that are gone, or have started again."""
         found = {each.server_id: each for each in entries}
-        starts = {each.start for each in found.values()}
-        gone = [each.start for each in self._entries.values() if each.start not in starts]
-        for start in gone:
-            self._cold_until.pop(start, None)
-            log_event("server-gone", server=start.server_id, started_ms=start.started_ms)
-        for server_id, entry in found.items():
-            before = self._entries.get(server_id)
+        return self.change(found.values(), gone=self._entries.keys() - found.keys())
+
+    def change(self, entries: Iterable[ServerEntry], *, gone: Collection[str]) -> list[ServerStart]:
+        """Take in entries that are new or have changed, and the ids of those that are gone.
+
+        Returns:
+            The starts that have ended.
+        """
+        ended = [self._entries.pop(server_id).start for server_id in gone]
+        for start in ended:
+            self._forget(start)
+        for entry in entries:
+            before = self._entries.get(entry.server_id)
             if entry == before:
                 continue
-            if (
-                before is None
-                or entry.start != before.start
-                or entry.cold_left_s != before.cold_left_s
-            ):
-                self.note_cold(entry.start, entry.cold_left_s)
-            log_event(
-                "server-known",
-                server=server_id,
-                started_ms=entry.started_ms,
-                service=entry.service,
-                address=entry.address,
-                draining=entry.draining,
-                cold_left_s=entry.cold_left_s,
-                domain=entry.failure_domain,
-            )
-        self._entries = found
-        self._rebuild()
-        return gone
+            if before is not None and entry.start != before.start:
+                ended.append(before.start)
+                self._forget(before.start)
+            self._put(entry, before)
+        self._note_change()
+        return ended
+
+    def _forget(self, start: ServerStart) -> None:
+        self._cold_until.pop(start, None)
+        log_event("server-gone", server=start.server_id, started_ms=start.started_ms)
+
+    def _put(self, entry: ServerEntry, before: ServerEntry | None) -> None:
+        if before is None or entry.start != before.start or entry.cold_left_s != before.cold_left_s:
+            self.note_cold(entry.start, entry.cold_left_s)
+        log_event(
+            "server-known",
+            server=entry.server_id,
+            started_ms=entry.started_ms,
+            service=entry.service,
+            address=entry.address,
+            draining=entry.draining,
+            cold_left_s=entry.cold_left_s,
+            domain=entry.failure_domain,
+        )
+        self._entries[entry.server_id] = entry
+
+    def _note_change(self) -> None:
+        self._generation += 1
+        self._outdated = True
 
     def evacuate(
         self, failure_domains: frozenset[str], services: Mapping[str, ServicePolicy]
@@ -143,7 +163,7 @@
                 self.note_cold(entry.start, policy.cold_s if policy else EVACUATED_COLD_S)
         self._evacuated = failure_domains
         log_event("evacuations", domains=",".join(sorted(failure_domains)))
-        self._rebuild()
+        self._note_change()
 
     def _rebuild(self) -> None:
         by_service: dict[str, list[Candidate]] = {}
@@ -156,4 +176,4 @@
             service: tuple(sorted(found, key=lambda each: each.entry.server_id))
             for service, found in by_service.items()
         }
-        self._generation += 1
+        self._outdated = False
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -48,8 +48,8 @@
 
 LOOK_INTERVAL_S: Final = 0.5
 
-FIRST_WATCH_S: Final = 1.0
-FIRST_OWN_WATCH_S: Final = 3.0
+FIRST_WATCH_S: Final = 2.0
+FIRST_OWN_WATCH_S: Final = 4.0
 """So long after the start a watcher begins to watch, and anybody else whom none has answered. An
 instance that starts sees itself alone. When hundreds did at the same time, all of them watched
 until they had met, and each backend server that registered meanwhile cost a call of each."""
--- a/tests/cover/test_store_state.py
+++ b/tests/cover/test_store_state.py
@@ -1,6 +1,7 @@
 """What the store says, put in force: entries of others than backend servers disturb nothing."""
 
 import unittest
+from unittest.mock import patch
 
 import trio
 from loguru import logger
@@ -8,9 +9,11 @@
 
 from tests.common.node_settings_file import server_document
 from tests.common.steering_parts import REGION_OF
+from wagtailpoint.daemon import store_state
 from wagtailpoint.daemon.store_state import StoreState
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.platform.documents import decode_server
 from wagtailpoint.ports.platform import StoredObject
 
 
@@ -55,6 +58,36 @@
         self.assertEqual(self.apply(i_1=self.server(), i_2=self.server()), ["i_1", "i_2"])
         self.assertEqual(self.state.unusable_entries, 0)
 
+    def test_one_change_of_hundreds_is_one_piece_of_work(self) -> None:
+        """Symptom: a troubled day of 195 instances takes a fifth more processor time than it needs.
+
+        Sequence: backend servers come and go, several a second, and all instances hear of each.
+        Cause: each time all entries were looked at, and all candidates sorted, also by the
+        instances that get no requests.
+        """
+        documents = {f"i_{n}": self.server(Sequence=n) for n in range(400)}
+        objects = {
+            name: StoredObject("servers", name, 1, document) for name, document in documents.items()
+        }
+
+        async def test() -> None:
+            self.state.apply_servers(objects)
+            self.assertEqual(len(self.fleet.candidates("desk")), 400)
+            changed = StoredObject("servers", "i_7", 2, self.server(State="draining", Sequence=500))
+            with (
+                patch.object(store_state, "decode_server", wraps=decode_server) as decoded,
+                patch.object(Fleet, "_rebuild", autospec=True) as rebuilt,
+            ):
+                self.state.apply_servers({**objects, "i_7": changed})
+            self.assertEqual((decoded.call_count, rebuilt.call_count), (1, 0))
+            self.assertEqual(len(self.fleet.candidates("desk")), 399)
+            del objects["i_9"]
+            self.state.apply_servers({**objects, "i_7": changed})
+            self.assertEqual(len(self.fleet.candidates("desk")), 398)
+            self.assertEqual([each.server_id for each in self.gone], ["i_9"])
+
+        trio.run(test, clock=MockClock())
+
     def test_late_heartbeats(self) -> None:
         self.apply(i_1=self.server(Sequence=5, State="draining"))
         self.assertEqual(self.apply(i_1=self.server(Sequence=4)), [])
