Who is asked just after its start watches at once, since its answer says so

Being asked goes before the wait after a start now. The test was seen failing (the follower did not watch).

--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -191,10 +191,11 @@
 
     def _must_watch(self) -> bool:
         now = trio.current_time()
-        if self._is_watcher():
-            return not self._is_starting(FIRST_WATCH_S)
         if now < self._asked_until:
+            # Also just after the start: who asks is told that this instance watches.
             return True
+        if self._is_watcher():
+            return not self._is_starting(FIRST_WATCH_S)
         if self._is_starting(FIRST_OWN_WATCH_S) or self._lacking_since is None:
             return False
         return not any(self._answering) or now - self._lacking_since >= LONE_SOURCE_S
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -197,6 +197,29 @@
 
         self.run_with(test, settle_s=0.0)
 
+    def test_who_is_asked_just_after_its_start_watches(self) -> None:
+        """Symptom: changes reach nobody for two seconds after a watcher has started again.
+
+        Sequence: it is asked at once by who takes it for its source, and says that nothing is new.
+        Cause: it does not watch yet, but the answer says that it does.
+        """
+
+        async def test() -> None:
+            await trio.sleep(0.2)
+            first = next(each for each in self.sharers if each.sharing._is_watcher())
+            other = next(each for each in self.sharers if each is not first)
+            versions = [(KIND, first.follower.state.version)]
+            answered = await other.peers.request(
+                first.own, WatchQuestion(versions), timeout_s=BOUND_S
+            )
+            self.assertTrue(answered.unwrap().watches)
+            self.assertTrue(first.follower.watching)
+            await self.put("new")
+            await trio.sleep(AT_ONCE_S)
+            self.assertIn("new", first.follower.objects)
+
+        self.run_with(test, settle_s=0.0)
+
     def test_number_of_watchers(self) -> None:
         """Two sources are the least, and each watcher serves a few dozen instances at most."""
         watchers = [watchers_among(instances) for instances in (1, 3, 5, 6, 25, 64, 65, 122)]
