--- a/src/wagtailpoint/discovery/bound_part.py
+++ b/src/wagtailpoint/discovery/bound_part.py
@@ -13,8 +13,8 @@
 class BoundPart:
     """Divides a bound by who gets the requests.
 
-    Divided by all instances alike, most of it would lie with those that get none: of 195 instances
-    with a common bound of 430 repeated sends each could make two, and nine of ten made none.
+    Divided by all instances alike, most of it would lie with those that get none, and requests
+    would not be sent again although the bound is hardly touched.
     """
 
     def __init__(
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -14,7 +14,8 @@
 
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.history import KindChanges
-from wagtailpoint.membership import Member, Membership
+from wagtailpoint.membership import Membership
+from wagtailpoint.membership.member import Member, by_capacity
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
 from wagtailpoint.rendezvous import rendezvous_score
@@ -279,11 +280,5 @@
 
     The most capable come first: after a restart of all each watcher tells dozens everything.
     """
-    live = [
-        member
-        for member in members
-        if member.region == region and member.state == "live" and not member.suspect
-    ]
-    return sorted(
-        live, key=lambda member: (-member.capacity, rendezvous_score("watcher", member.address))
-    )
+    live = [member for member in members if member.region == region and member.serves]
+    return sorted(live, key=lambda member: by_capacity(member, "watcher"))
--- a/src/wagtailpoint/lookup/entry_choice.py
+++ b/src/wagtailpoint/lookup/entry_choice.py
@@ -7,8 +7,10 @@
 from collections.abc import Callable, Mapping, Sequence
 from typing import Final
 
-from wagtailpoint.membership.member import Member
-from wagtailpoint.rendezvous import rendezvous_score
+from wagtailpoint.membership.member import Member, by_capacity
+
+ORDER: Final = "entry"
+"""Names the order by hashing of instances that are equally capable."""
 
 LEAST_ENTRIES: Final = 3
 """In a failure domain: the loss of one leaves two thirds of the callers undisturbed."""
@@ -24,18 +26,13 @@
 """An instance with so much of its processor in use comes last. Where all are, all are entries."""
 
 
-def by_capacity(member: Member) -> tuple[float, int]:
-    """Orders members: the most capable first, equal ones by hashing."""
-    return (-member.capacity, rendezvous_score("entry", member.address))
-
-
 def entries_among(members: Sequence[Member]) -> list[Member]:
     """The entries among the live instances of one failure domain, the most capable first.
 
     All instances that see the same members choose the same ones, and a member that comes or goes
     changes the place of no other.
     """
-    ordered = sorted(members, key=lambda each: (each.load >= OVERLOADED, *by_capacity(each)))
+    ordered = sorted(members, key=lambda each: (each.load >= OVERLOADED, *by_capacity(each, ORDER)))
     total = sum(each.capacity for each in members)
     in_use = sum(each.load * each.capacity for each in members)
     wanted = max(LEAST_CAPACITY_PART * total, HEADROOM * in_use)
@@ -61,25 +58,31 @@
         self._members = members
         self._seen: tuple[Member, ...] = ()
         self._by_domain: Mapping[str, Sequence[Member]] = {}
+        self._all: Sequence[Member] = ()
 
     @property
     def by_domain(self) -> Mapping[str, Sequence[Member]]:
         """The entries of each failure domain that has any."""
-        members = self._members()
-        if members is not self._seen:
-            self._seen = members
-            self._by_domain = _entries_by_domain(members)
+        self._look()
         return self._by_domain
 
     @property
     def all(self) -> Sequence[Member]:
         """The entries of all failure domains."""
-        return [each for found in self.by_domain.values() for each in found]
+        self._look()
+        return self._all
 
     def includes(self, address: str) -> bool:
         """Whether an instance is one of them."""
         return any(each.address == address for each in self.all)
 
+    def _look(self) -> None:
+        members = self._members()
+        if members is not self._seen:
+            self._seen = members
+            self._by_domain = _entries_by_domain(members)
+            self._all = [each for found in self._by_domain.values() for each in found]
+
     def nearest(self, failure_domain: str, region: str) -> Sequence[Member]:
         """The entries for a caller: of its failure domain, else of its region, else all."""
         near = self.by_domain.get(failure_domain)
@@ -116,6 +119,6 @@
 def _entries_by_domain(members: Sequence[Member]) -> Mapping[str, Sequence[Member]]:
     live: dict[str, list[Member]] = {}
     for member in members:
-        if member.state == "live" and not member.suspect:
+        if member.serves:
             live.setdefault(member.failure_domain, []).append(member)
     return {domain: entries_among(found) for domain, found in live.items()}
--- a/src/wagtailpoint/membership/member.py
+++ b/src/wagtailpoint/membership/member.py
@@ -4,6 +4,7 @@
 from typing import Final, Literal, NamedTuple
 
 from wagtailpoint.ports.peers import PeerAddress
+from wagtailpoint.rendezvous import rendezvous_score
 
 MemberState = Literal["starting", "live", "leaving", "dead"]
 
@@ -98,12 +99,22 @@
     load: float
     capacity: float = 1.0
 
+    @property
+    def serves(self) -> bool:
+        """Whether it takes requests, and nobody doubts that it lives."""
+        return self.state == "live" and not self.suspect
+
     @property
     def peer_address(self) -> PeerAddress:
         """Where to send it messages."""
         return PeerAddress(self.address, self.peer_port, self.incarnation)
 
 
+def by_capacity(member: Member, purpose: str) -> tuple[float, int]:
+    """Orders members: the most capable first, equal ones by a hash for the purpose."""
+    return (-member.capacity, rendezvous_score(purpose, member.address))
+
+
 def make_member(fact: Fact, *, dead: bool) -> Member:
     """Combine what an instance said with this instance's own conclusion."""
     return Member(
--- a/src/wagtailpoint/placement/cached_part.py
+++ b/src/wagtailpoint/placement/cached_part.py
@@ -84,19 +84,18 @@
 
     def of(self, service: str, failure_domain: str) -> float:
         """The part of the keys, 0 to 1, that a failure domain holds."""
-        now = trio.current_time()
-        demand = self._demand(service, now)
-        if now - demand.updated_at >= UPDATE_INTERVAL_S:
-            self._update(service, demand, now)
-        return demand.parts.get(failure_domain, 1.0)
+        return self._updated(service).parts.get(failure_domain, 1.0)
 
     def of_region(self, service: str, region: str) -> float:
         """The part of the keys, 0 to 1, that a region holds for its own callers."""
+        return self._updated(service).region_parts.get(region, 1.0)
+
+    def _updated(self, service: str) -> _ServiceDemand:
         now = trio.current_time()
         demand = self._demand(service, now)
         if now - demand.updated_at >= UPDATE_INTERVAL_S:
             self._update(service, demand, now)
-        return demand.region_parts.get(region, 1.0)
+        return demand
 
     def _demand(self, service: str, now: float) -> _ServiceDemand:
         demand = self._demands.get(service)
--- a/src/wagtailpoint/placement/cold_senders.py
+++ b/src/wagtailpoint/placement/cold_senders.py
@@ -8,8 +8,8 @@
 
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.instance_count import REMEMBERED_S
-from wagtailpoint.lookup.entry_choice import LEAST_ENTRIES, by_capacity
-from wagtailpoint.membership import Member
+from wagtailpoint.lookup.entry_choice import LEAST_ENTRIES, ORDER
+from wagtailpoint.membership.member import Member, by_capacity
 from wagtailpoint.rendezvous import rendezvous_score
 
 LOOK_INTERVAL_S: Final = 0.1
@@ -101,7 +101,7 @@
         return frozenset(
             each.address
             for found in domains.values()
-            for each in sorted(found, key=by_capacity)[:LEAST_ENTRIES]
+            for each in sorted(found, key=lambda member: by_capacity(member, ORDER))[:LEAST_ENTRIES]
         )
 
 
--- a/src/wagtailpoint/placement/weighing.py
+++ b/src/wagtailpoint/placement/weighing.py
@@ -88,11 +88,12 @@
             if not self._cold.may_send(entry.start, region, cold_per_s(demand.policy)):
                 return Declined(entry, "cold", occupancy, report_age_s)
             service_s *= COLD_FACTOR
-        cached = self._cached_chance(demand, ranked, position, now)
+        agreed = self._is_agreed(demand, ranked, position)
+        cached = self._cached_chance(demand, ranked, agreed, now)
         prospect = Prospect(
             service_s=service_s,
             cached=cached,
-            uses=self._uses(demand, ranked, position, now),
+            uses=self._uses(demand, ranked, position, agreed, now),
             round_trip_s=round_trip_s,
             occupancy=occupancy,
             slots=entry.slots,
@@ -107,11 +108,11 @@
             return Declined(entry, "full", occupancy, report_age_s)
         return Choice(entry, region, ranked.rank, cached, expected, occupancy, report_age_s)
 
-    def _cached_chance(self, demand: Demand, ranked: Ranked, position: float, now: float) -> float:
+    def _cached_chance(self, demand: Demand, ranked: Ranked, agreed: bool, now: float) -> float:
         warm = self._learned.warm_of(ranked.candidate.entry)
         if not demand.route.sticky or warm.holds(demand.key, now):
             return KNOWN_CACHED
-        if self._is_agreed(demand, ranked, position):
+        if agreed:
             return FIRST_CACHED
         return LOCAL_CACHED if ranked.in_domain else OTHER_CACHED
 
@@ -121,10 +122,12 @@
             return ranked.first_of_region
         return ranked.rank == 0
 
-    def _uses(self, demand: Demand, ranked: Ranked, position: float, now: float) -> float:
+    def _uses(
+        self, demand: Demand, ranked: Ranked, position: float, agreed: bool, now: float
+    ) -> float:
         """How often the object would be used if it got cached there."""
         reuse = self._learned.reuse_of(demand.route)
-        if self._is_agreed(demand, ranked, position):
+        if agreed:
             entries = self._entries.in_region if ranked.in_region else self._entries.everywhere
             return reuse.uses(entries, now)
         domain = ranked.candidate.entry.failure_domain
