Observability for the configuration: versions by instance from logs, version of each request, overload

What could not be told from logs: which instance had which version since when (one line an instance and version, but no view of them), by which version a request was served, and whether an instance was so busy that requests waited before they were read.

Change: the command `versions` makes both tables from logs of any number of instances; `request` lines carry `config`; `overload-begins` and `overload-ends` mark 85 % of the event loop in use. No decision is changed.

--- a/src/wagtailpoint/cli/main.py
+++ b/src/wagtailpoint/cli/main.py
@@ -4,6 +4,7 @@
 
 from wagtailpoint.cli.config_commands import apply, check, delete, diff, get, history, revert
 from wagtailpoint.cli.entry_commands import lookup, status, timeline
+from wagtailpoint.cli.log_commands import versions
 from wagtailpoint.cli.move_commands import drain, move
 from wagtailpoint.cli.session import Tools
 from wagtailpoint.cli.workspace_commands import workspace
@@ -39,6 +40,7 @@
     revert,
     status,
     timeline,
+    versions,
     workspace,
 ):
     cli.add_command(_command)
--- a/src/wagtailpoint/daemon/entry_role.py
+++ b/src/wagtailpoint/daemon/entry_role.py
@@ -8,8 +8,9 @@
 from wagtailpoint.daemon.processor_load import ProcessorLoad
 from wagtailpoint.discovery.bound_part import BoundPart
 from wagtailpoint.discovery.instance_count import InstanceCount
-from wagtailpoint.lookup.entry_choice import EntriesAround, EntryChoice
+from wagtailpoint.lookup.entry_choice import OVERLOADED, EntriesAround, EntryChoice
 from wagtailpoint.membership import Membership
+from wagtailpoint.observe.log import log_event
 
 LOAD_INTERVAL_S: Final = 0.5
 
@@ -62,8 +63,13 @@
         """Tell the others how busy this instance is, until cancelled."""
         load = ProcessorLoad()
         trio.lowlevel.add_instrument(load)
+        overloaded = False
         while True:
             await trio.sleep(LOAD_INTERVAL_S)
             value = load.read()
+            if overloaded != (value >= OVERLOADED):
+                overloaded = not overloaded
+                event = "overload-begins" if overloaded else "overload-ends"
+                log_event(event, level="WARNING" if overloaded else "INFO", load=round(value, 3))
             if self._membership.own.state == "live":
                 self._membership.publish(load=value)
--- /dev/null
+++ b/src/wagtailpoint/observe/log_lines.py
@@ -0,0 +1,23 @@
+"""Reads log lines back: one line of key=value pairs for each event."""
+
+import re
+from collections.abc import Iterable, Iterator, Mapping
+
+_PAIR = re.compile(r'(\w+)=("(?:[^"\\]|\\.)*"|\S*)')
+
+
+def read_log_lines(lines: Iterable[str]) -> Iterator[Mapping[str, str]]:
+    """Yield the pairs of each line that tells an event, passing over all other lines.
+
+    Whatever stands before the first pair, such as the prefix of a log collector, is ignored.
+    """
+    for line in lines:
+        pairs = {name: _unquoted(value) for name, value in _PAIR.findall(line)}
+        if "event" in pairs:
+            yield pairs
+
+
+def _unquoted(value: str) -> str:
+    if not value.startswith('"'):
+        return value
+    return re.sub(r"\\(.)", r"\1", value[1:-1])
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -197,8 +197,9 @@
         self._metrics.record_latency(
             LatencyKey("request", "", route, "", outcome.verdict.value, outcome.result), elapsed_s
         )
-        fields: dict[str, Any] = {} if job is None else {"route": route, "service": job.service}
+        fields: dict[str, Any] = {}
         if job is not None:
+            fields |= {"route": route, "service": job.service, "config": job.table.version}
             fields["tried"] = ",".join(f"{each.server_id}:{each.reason}" for each in job.failures)
             fields["load"] = text(job.load)
             fields["declined"] = ",".join(map(_declined_text, job.declined))
