--- a/tests/common/fake_platform.py
+++ b/tests/common/fake_platform.py
@@ -36,6 +36,7 @@
         before_put: Runs before each put, for example to let another operator be first.
         after_put: Runs after each put took effect and before its answer.
         scripted_watches: Answers for the next watches, before real ones.
+        list_delay_s: How long the answer to a listing is on its way, in seconds.
         listed: The list of instances.
         counts: Calls by (method, kind); a waiting watch as one.
     """
@@ -52,6 +53,7 @@
         self.before_put: Callable[[str, str], Awaitable[None]] | None = None
         self.after_put: Callable[[str, str], Awaitable[None]] | None = None
         self.scripted_watches: deque[WatchAnswer] = deque()
+        self.list_delay_s = 0.0
         self.listed: Sequence[ListedInstance] = ()
         self.counts: Counter[tuple[str, str]] = Counter()
         self._late: list[tuple[str, str, Any, int]] = []
@@ -118,7 +120,9 @@
         refusal = await self._arrive("LIST-STALE" if may_be_stale else "LIST", kind)
         if refusal:
             return Err(refusal)
-        return Ok(Listing(self._readable.version, self._readable.list(kind)))
+        listing = Listing(self._readable.version, self._readable.list(kind))
+        await trio.sleep(self.list_delay_s)
+        return Ok(listing)
 
     async def put(
         self, *, kind: str, name: str, value: Any, if_version: int
--- a/tests/common/known_red.py
+++ b/tests/common/known_red.py
@@ -1,7 +1,7 @@
 """nose2 plugin: the tests in KNOWN-RED.txt may fail; every other failure fails the run.
 
 A test that shows a real fault may land before the fault is mended, but only by being listed. The
-plugin prints each listed test with its cause, so the list can't be forgotten, and fails the run
+plugin prints each listed test with its entry, so the list can't be forgotten, and fails the run
 when a listed test passes, so that the list can't go stale. It also prints one plain closing line.
 """
 
@@ -18,7 +18,7 @@
     """Read the listed tests.
 
     Returns:
-        The test id of each entry with its cause and issue.
+        The test id of each entry with its whole line.
     """
     lines = KNOWN_RED_FILE.read_text().splitlines()
     entries = [line for line in lines if line.strip() and not line.startswith("#")]
--- a/tests/cover/test_kind_follower.py
+++ b/tests/cover/test_kind_follower.py
@@ -213,6 +213,52 @@
         self.platform.down = True
         self.run_with(test)
 
+    def test_stale_listing_at_a_start_that_a_peer_overtook_changes_nothing(self) -> None:
+        """Guards against older objects under a newer version, which hide a change for good."""
+
+        async def test(follower: KindFollower) -> None:
+            self.assertFalse(follower.known)
+            self.platform.answer_stale()
+            self.platform.list_delay_s = 1.0
+            self.platform.set_down(False)
+            await trio.sleep(0.5)
+            newer = self.replace_in_store()
+            await trio.sleep(3.0)
+            self.assertEqual(follower.state, newer)
+
+        self.platform.store.put(KIND, "a", {}, 0)
+        self.platform.down = True
+        self.run_with(test)
+
+    def test_listing_after_lost_history_that_a_peer_overtook_changes_nothing(self) -> None:
+        """Guards against older objects under a newer version, which hide a change for good."""
+
+        async def test(follower: KindFollower) -> None:
+            self.platform.set_down(True)
+            await trio.sleep(0.1)
+            for number in range(10):
+                self.platform.store.put(KIND, f"s{number}", {}, 0)
+            self.platform.list_delay_s = 1.0
+            self.platform.set_down(False)
+            await trio.sleep(0.5)
+            newer = self.replace_in_store()
+            await trio.sleep(3.0)
+            self.assertEqual(follower.state, newer)
+
+        self.platform.store.put(KIND, "a", {}, 0)
+        self.run_with(test)
+
+    def replace_in_store(self) -> KindState:
+        """Delete ``a`` and put ``b``, and have a peer tell so."""
+        store = self.platform.store
+        stored = store.get(KIND, "a")
+        assert stored is not None
+        store.delete(KIND, "a", stored.version)
+        store.put(KIND, "b", {}, 0)
+        newer = KindState(store.version, {each.name: each for each in store.list(KIND)})
+        self.peers.told = PeerState(True, newer)
+        return newer
+
     def test_older_state_of_a_peer_changes_nothing(self) -> None:
         async def test(follower: KindFollower) -> None:
             await self.put("a")
