A listing older than what is known changes nothing: version and objects are taken over together

In memory: an instance at the newer version with older objects. Its watch goes on from there, so the change is never told again, and peers that lost the store take the old objects for the new version.

Cause: KindFollower kept the newer of two versions and the objects that came last. A class of fault: a value and its version that can change apart.

Ruled out: events of a watch that a peer overtook were already dropped; what peers tell is compared before it is taken.

Why it works: the version is raised only with the objects that belong to it; a listing that was overtaken is dropped and logged, and the watch goes on from what the peer told.

--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -230,6 +230,12 @@
             return listing.err_value
         self._note_reached()
         found = listing.ok_value
+        if found.version < self._version:
+            # A peer told something newer while the answer was on its way, or it was a stale read.
+            log_event(
+                "listing-outdated", kind=self._kind, version=found.version, known=self._version
+            )
+            return None
         state = KindState(found.version, {each.name: each for each in found.objects})
         self._replace(state, believe_removals=self._believes_removals())
         return None
@@ -291,12 +297,13 @@
         return not self._lapses or trio.current_time() >= self._trust_removals_at
 
     def _replace(self, state: KindState, *, believe_removals: bool) -> None:
+        """Take over a state that is not older than what is known; its version and objects at once."""
         for name in list(self._objects):
             if name not in state.objects:
                 self._remove(name, believed=believe_removals)
         for stored in state.objects.values():
             self._put(stored)
-        self._version = max(self._version, state.version)
+        self._version = state.version
         self._history.clear()
         self._on_change()
 
