A host that is listed twice keeps all its routes; a port in the host selects no other route

What callers would see: 404 for a route that the configuration in force has.

Cause: decoding kept the routes of a host's last entry only; the lookup took the host as it was written, with its port. Class: silent loss while decoding.

Evidence: both tests fail before (None is not a route; None for h:8144) and pass now.

--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -297,7 +297,7 @@
         return not self._lapses or trio.current_time() >= self._trust_removals_at
 
     def _replace(self, state: KindState, *, believe_removals: bool) -> None:
-        """Take over a state that is not older than what is known; its version and objects at once."""
+        """Take over a state that is not older than what is known, its version with its objects."""
         for name in list(self._objects):
             if name not in state.objects:
                 self._remove(name, believed=believe_removals)
--- a/src/wagtailpoint/platform/documents.py
+++ b/src/wagtailpoint/platform/documents.py
@@ -1,6 +1,6 @@
 """The documents in the platform's store, decoded into the product's types."""
 
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from typing import Annotated, Any, Literal
 
 import msgspec
@@ -108,15 +108,10 @@
         version = int(wire.Version, 16)
     except (msgspec.ValidationError, ValueError) as error:
         return Err(_unreadable(stored, error))
-    hosts: dict[str, tuple[HostRoute, ...]] = {}
-    for virtual_host in wire.VirtualHosts:
-        routes = [_route(each, virtual_host) for each in virtual_host.PathRoutes]
-        routes.sort(key=lambda route: -len(route.prefix))
-        hosts[virtual_host.Host.lower()] = tuple(routes)
     return Ok(
         RouteTable(
             version=version,
-            hosts=hosts,
+            hosts=_hosts(wire.VirtualHosts),
             services={
                 each.Name: ServicePolicy(
                     name=each.Name,
@@ -164,6 +159,18 @@
     return Ok(RegisteredServer(entry, wire.Sequence))
 
 
+def _hosts(wire: Sequence[_VirtualHost]) -> dict[str, tuple[HostRoute, ...]]:
+    """The routes of each host, whose routes may stand in several entries; longest prefix first."""
+    hosts: dict[str, list[HostRoute]] = {}
+    for virtual_host in wire:
+        routes = hosts.setdefault(virtual_host.Host.lower(), [])
+        routes += [_route(each, virtual_host) for each in virtual_host.PathRoutes]
+    return {
+        host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+        for host, routes in hosts.items()
+    }
+
+
 def _route(wire: _Route, virtual_host: _VirtualHost) -> HostRoute:
     if wire.Split:
         parts = tuple(SplitPart(each.Service, each.Weight) for each in wire.Split)
--- a/src/wagtailpoint/routing/table.py
+++ b/src/wagtailpoint/routing/table.py
@@ -1,8 +1,11 @@
 """The routes in force: found by host and longest path prefix."""
 
+import re
 from collections.abc import Mapping
 from enum import Enum
-from typing import NamedTuple
+from typing import Final, NamedTuple
+
+_PORT: Final = re.compile(r":[0-9]*$")
 
 
 class RouteKind(Enum):
@@ -115,8 +118,14 @@
     bounds: CallerBounds
 
     def find(self, host: str, path: str) -> HostRoute | None:
-        """Find the route with the longest prefix that begins the path."""
-        for route in self.hosts.get(host.lower(), ()):
+        """Find the route with the longest prefix that begins the path.
+
+        Args:
+            host: The name in the request's head, with or without a port.
+            path: Without the query.
+        """
+        name = _PORT.sub("", host.lower())
+        for route in self.hosts.get(name, ()):
             if path.startswith(route.prefix):
                 return route
         return None
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -47,6 +47,19 @@
         homes = {route.name: route.homes for route in table.hosts["ficu95.example"]}
         self.assertEqual(homes, {"r-1": {"a", "b"}, "r-2": {"a"}})
 
+    def test_host_that_is_listed_twice_keeps_all_its_routes(self) -> None:
+        """Guards against 404 for routes of a host that stands in a later entry too."""
+        document = config_document()
+        (host,) = document["VirtualHosts"]
+        added = {**host["PathRoutes"][0], "Name": "r-3", "PathPrefix": "/look/release/new/"}
+        document["VirtualHosts"].append({"Host": "FICU95.example", "PathRoutes": [added]})
+        table = decode_config(stored(document)).unwrap()
+        for path, name in (("/look/1", "r-1"), ("/look/release/1", "r-2")):
+            route = table.find("ficu95.example", path)
+            assert route is not None
+            self.assertEqual(route.name, name)
+        self.assertEqual(table.hosts["ficu95.example"][0].name, "r-3")
+
     def test_unreadable_configuration_says_where(self) -> None:
         for changes, expected in (
             ({"Version": "seven"}, "main"),
--- a/tests/cover/test_routing.py
+++ b/tests/cover/test_routing.py
@@ -22,6 +22,13 @@
         self.assertIsNotNone(table.find("H", "/a/"))
         self.assertIsNone(table.find("other", "/a/"))
 
+    def test_host_with_a_port(self) -> None:
+        """Guards against 404 for callers that name the port they connect to."""
+        table = make_table(make_route("a"))
+        self.assertIsNotNone(table.find("h:8144", "/a/"))
+        self.assertIsNone(table.find("h:", "/b/"))
+        self.assertIsNone(table.find("[::1]:80", "/a/"))
+
 
 class SplitChooserTest(unittest.TestCase):
     def test_each_part_gets_its_weight_after_few_requests(self) -> None:
