The queue ahead of a request is reckoned by what requests of its service take

What callers saw: under high load requests of routes that were added later were refused ("too late") where those of the first routes waited and were served.

Cause: the time in a backend server's queue was worked out from the service time of the request's own route, also for those ahead of it. For a route without samples that is a third of its objective, 333 ms where the service takes 72. Class: a default taken for evidence.

Change: what is ahead takes the mean of all routes of the service, if any were seen lately.

Evidence: the new test fails before (too late) and passes now. Whether it explains the report is open: the users' bound is a quarter of the first routes.

--- a/src/wagtailpoint/placement/expectation.py
+++ b/src/wagtailpoint/placement/expectation.py
@@ -54,6 +54,7 @@
 
     Attributes:
         service_s: Its service time with a cached object.
+        ahead_service_s: The mean service time of the requests that it would wait behind.
         cached: The chance that its object is cached.
         uses: How often the object will be used there if it gets cached now.
         round_trip_s: The way there and back.
@@ -67,6 +68,7 @@
     """
 
     service_s: float
+    ahead_service_s: float
     cached: float
     uses: float
     round_trip_s: float
@@ -103,8 +105,7 @@
     """
     warm_s, cold_s = prospect.service_s, prospect.service_s * UNCACHED_FACTOR
     service_s = prospect.cached * warm_s + (1 - prospect.cached) * cold_s
-    # What is ahead of the request is mostly cached, whether its own object is or not.
-    wait_s = _wait_s(prospect.occupancy, prospect.slots, warm_s)
+    wait_s = _wait_s(prospect.occupancy, prospect.slots, prospect.ahead_service_s)
     warm_loss = _loss(prospect, warm_s, wait_s, objective_s)
     cold_loss = _loss(prospect, cold_s, wait_s, objective_s)
     loss = warm_loss + (1 - prospect.cached) * (cold_loss - warm_loss) / prospect.uses
--- a/src/wagtailpoint/placement/learned.py
+++ b/src/wagtailpoint/placement/learned.py
@@ -4,7 +4,7 @@
 
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.placement.key_reuse import KeyReuse
-from wagtailpoint.placement.route_costs import RouteCost
+from wagtailpoint.placement.route_costs import MeanServiceTime, RouteCost
 from wagtailpoint.placement.server_load import ServerLoad
 from wagtailpoint.placement.warm_keys import WarmKeys
 from wagtailpoint.routing.table import HostRoute
@@ -20,6 +20,7 @@
         self._loads: dict[ServerStart, ServerLoad] = {}
         self._warm: dict[ServerStart, WarmKeys] = {}
         self._costs: dict[tuple[str, str], RouteCost] = {}
+        self._means: dict[str, MeanServiceTime] = {}
         self._reuse: dict[str, KeyReuse] = {}
 
     def load_of(self, entry: ServerEntry) -> ServerLoad:
@@ -45,6 +46,21 @@
             cost = self._costs[route.name, service] = RouteCost(objective_s=route.objective_s)
         return cost
 
+    def note_answer(
+        self, route: HostRoute, service: str, service_s: float, reply_bytes: int, now: float
+    ) -> None:
+        """Take note of what one request of a route took at a service."""
+        cost = self.cost_of(route, service)
+        cost.note(service_s, reply_bytes, now)
+        if len(self._means) >= MOST_ROUTES:
+            self._means.clear()
+        self._means.setdefault(service, MeanServiceTime()).note(cost.service_s(now), now)
+
+    def mean_service_s(self, service: str, now: float) -> float | None:
+        """The mean service time of all requests at a service; None if nothing is known of late."""
+        mean = self._means.get(service)
+        return None if mean is None else mean.value_s(now)
+
     def reuse_of(self, route: HostRoute) -> KeyReuse:
         """How often the affinity keys of a route come again."""
         reuse = self._reuse.get(route.name)
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -181,8 +181,9 @@
         load.note_latency(service_s, expected_s, now)
         self._learned.warm_of(entry).note(demand.key, now)
         if choice.occupancy < entry.slots - 1:
-            cost = self._learned.cost_of(demand.route, demand.service)
-            cost.note(service_s, seen.reply_bytes, now)
+            self._learned.note_answer(
+                demand.route, demand.service, service_s, seen.reply_bytes, now
+            )
 
     def _is_suspect(self, entry: ServerEntry, now: float) -> bool:
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
--- a/src/wagtailpoint/placement/route_costs.py
+++ b/src/wagtailpoint/placement/route_costs.py
@@ -28,6 +28,9 @@
 """Without a sample for a second the belief returns to the first one, by half in each second more.
 Who believes that all requests come too late sends none, and would learn nothing else for ever."""
 
+MEAN_KEPT_S: Final = 2.0
+"""Without a sample for so long, what is ahead of a request is taken to be like the request."""
+
 
 class RouteCost:
     """Means of one route on one service."""
@@ -67,3 +70,22 @@
             self._service_s = before + gain * (min(service_s, MOST_RATIO * before) - before)
         self._bytes += gain * (reply_bytes - self._bytes)
         self._sampled_at = now
+
+
+class MeanServiceTime:
+    """Mean service time of the requests of all routes at one service."""
+
+    def __init__(self) -> None:
+        self._value_s = 0.0
+        self._seen = 0
+        self._sampled_at = -math.inf
+
+    def value_s(self, now: float) -> float | None:
+        """The mean in seconds; None without a sample in the last ``MEAN_KEPT_S``."""
+        return self._value_s if now - self._sampled_at <= MEAN_KEPT_S else None
+
+    def note(self, service_s: float, now: float) -> None:
+        """Take note of one request, by what its route is believed to take."""
+        self._seen += 1
+        self._value_s += max(GAIN, 1 / self._seen) * (service_s - self._value_s)
+        self._sampled_at = now
--- a/src/wagtailpoint/placement/weighing.py
+++ b/src/wagtailpoint/placement/weighing.py
@@ -83,15 +83,18 @@
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
         occupancy = load.occupancy(now, round_trip_s)
         report_age_s = load.report_age_s(now)
-        service_s = cost.service_s(now) * load.slowness(now)
+        slowness = load.slowness(now)
         if self._fleet.is_cold(entry.start):
             if not self._cold.may_send(entry.start, region, cold_per_s(demand.policy)):
                 return Declined(entry, "cold", occupancy, report_age_s)
-            service_s *= COLD_FACTOR
+            slowness *= COLD_FACTOR
+        service_s = cost.service_s(now) * slowness
+        ahead_s = self._learned.mean_service_s(demand.service, now)
         agreed = self._is_agreed(demand, ranked, position)
         cached = self._cached_chance(demand, ranked, agreed, now)
         prospect = Prospect(
             service_s=service_s,
+            ahead_service_s=service_s if ahead_s is None else ahead_s * slowness,
             cached=cached,
             uses=self._uses(demand, ranked, position, agreed, now),
             round_trip_s=round_trip_s,
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -20,6 +20,7 @@
 from wagtailpoint.placement.entry_counts import FixedEntryCounts
 from wagtailpoint.placement.expectation import Prospect, expect
 from wagtailpoint.placement.placement import Placement
+from wagtailpoint.placement.server_load import LoadReport
 
 DOMAINS = ("a-1", "a-2", "b-1")
 
@@ -191,6 +192,25 @@
 
         self.run_with(test)
 
+    def test_route_added_under_load_waits_like_the_others(self) -> None:
+        """Guards against refusing a route's first requests behind queues that others wait in."""
+
+        async def test() -> None:
+            placement = self.twelve()
+            known = make_route("known", objective_s=0.25)
+            for number in range(120):
+                await trio.sleep(0.01)
+                demand = self.demand(str(number), route=known)
+                self.answer(placement, demand, self.choose(placement, demand))
+            for entry in self.fleet.entries.values():
+                placement.load_of(entry).note_report(LoadReport(3, 6, 3), trio.current_time(), 0.0)
+            for name, objective_s in (("known", 0.25), ("added", 1.0)):
+                route = make_route(name, objective_s=objective_s)
+                demand = self.demand(route=route, left_s=1.0, objective_left_s=objective_s)
+                self.assertIsInstance(placement.choose(demand), Choice, name)
+
+        self.run_with(test)
+
     def test_no_server_and_no_time(self) -> None:
         async def test() -> None:
             placement = make_placement(self.fleet)
@@ -248,6 +268,7 @@
 class ExpectationTest(unittest.TestCase):
     prospect = Prospect(
         service_s=0.08,
+        ahead_service_s=0.08,
         cached=0.95,
         uses=1.0,
         round_trip_s=0.001,
