An overloaded failure domain shares its callers with its region

Cause: lookups named the entries of the caller's own failure domain as long as one of them lived.

Ruled out: the bound on connections (no connection-refused), the backend servers (answered others of the region), the configuration (in force on all instances).

Change: when all entries of a failure domain are overloaded, lookups name those of the region that are not, too, until the mean load is below 0.4.

Evidence: the new test fails before and passes now.

--- a/src/wagtailpoint/lookup/entry_choice.py
+++ b/src/wagtailpoint/lookup/entry_choice.py
@@ -25,6 +25,10 @@
 OVERLOADED: Final = 0.85
 """An instance with so much of its processor in use comes last. Where all are, all are entries."""
 
+RELIEF_ENDS: Final = 0.4
+"""A failure domain whose entries were all overloaded has its callers to itself again at this mean
+load. Its load falls as soon as others share it."""
+
 
 def entries_among(members: Sequence[Member]) -> list[Member]:
     """The entries among the live instances of one failure domain, the most capable first.
@@ -59,6 +63,7 @@
         self._seen: tuple[Member, ...] = ()
         self._by_domain: Mapping[str, Sequence[Member]] = {}
         self._all: Sequence[Member] = ()
+        self._relieved: frozenset[str] = frozenset()
 
     @property
     def by_domain(self) -> Mapping[str, Sequence[Member]]:
@@ -82,13 +87,34 @@
             self._seen = members
             self._by_domain = _entries_by_domain(members)
             self._all = [each for found in self._by_domain.values() for each in found]
+            self._relieved = frozenset(
+                domain
+                for domain, found in self._by_domain.items()
+                if self._needs_relief(domain, found)
+            )
+
+    def _needs_relief(self, domain: str, entries: Sequence[Member]) -> bool:
+        """Whether the callers of a failure domain shall use others of its region, too."""
+        if domain in self._relieved:
+            return sum(each.load for each in entries) > RELIEF_ENDS * len(entries)
+        return all(each.load >= OVERLOADED for each in entries)
 
     def nearest(self, failure_domain: str, region: str) -> Sequence[Member]:
-        """The entries for a caller: of its failure domain, else of its region, else all."""
+        """The entries for a caller: of its failure domain, else of its region, else all.
+
+        While those of its failure domain are overloaded, others of its region that are not, too.
+        """
         near = self.by_domain.get(failure_domain)
-        if near:
-            return near
-        return [each for each in self.all if each.region == region] or self.all
+        beside = [
+            each
+            for each in self.all
+            if each.region == region and each.failure_domain != failure_domain
+        ]
+        if not near:
+            return beside or self.all
+        if failure_domain in self._relieved:
+            return [*near, *(each for each in beside if each.load < OVERLOADED)]
+        return near
 
 
 class EntriesAround:
--- a/tests/cover/test_entry_choice.py
+++ b/tests/cover/test_entry_choice.py
@@ -114,6 +114,25 @@
         around = EntriesAround(choice=choice, region="a", failure_domain="a-2")
         self.assertEqual((around.everywhere, around.in_region, around.in_domain), (3, 2, 1))
 
+    def test_overloaded_domain_shares_its_callers_with_the_region(self) -> None:
+        """Guards against a lone instance that answers seconds late beside idle ones."""
+        members = [
+            make_member(1, load=0.9),
+            make_member(2, failure_domain="a-2", load=0.3),
+            make_member(3, failure_domain="a-2", load=0.9),
+            make_member(4, failure_domain="b-1", region="b"),
+        ]
+        choice = EntryChoice(members=lambda: tuple(members))
+        lone, idle, _, _ = members
+        self.assertEqual(choice.nearest("a-1", "a"), [lone, idle])
+        self.assertEqual(choice.nearest("a-2", "a"), members[1:3])
+        self.assertEqual(choice.by_domain["a-1"], [lone])
+
+        for load, shared in ((0.6, True), (0.3, False), (0.6, False)):
+            members[0] = lone._replace(load=load)
+            expected = [members[0], idle] if shared else [members[0]]
+            self.assertEqual(choice.nearest("a-1", "a"), expected, load)
+
     def test_who_leaves_starts_or_is_suspect_is_no_entry(self) -> None:
         here = make_member(1)
         others = [
