Homes of a route and of its host without a common region allow none

What callers would see: a request run outside the homes of its route and its tenant (HOME).

Cause: an empty intersection was taken for "no homes". Class: one value with two meanings.

Change: None stands for no homes, an empty set for no region. Evidence: both new tests fail before and pass now.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -405,7 +405,7 @@
         priority=sent.priority,
         most_attempts=2,
         sticky=True,
-        homes=frozenset(),
+        homes=None,
         parts=(SplitPart(sent.service, 1.0),),
     )
 
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -66,10 +66,10 @@
         self._own_domain = own_domain
         self._own_region = own_region
         self._generation = -1
-        self._known: dict[tuple[str, str, frozenset[str]], KeyOrder] = {}
+        self._known: dict[tuple[str, str, frozenset[str] | None], KeyOrder] = {}
 
-    def of(self, service: str, key: str, homes: frozenset[str]) -> KeyOrder:
-        """The candidates for a key, in the regions ``homes`` only if there are any."""
+    def of(self, service: str, key: str, homes: frozenset[str] | None) -> KeyOrder:
+        """The candidates for a key, in the regions ``homes`` only, unless that is None."""
         if self._generation != self._fleet.generation or len(self._known) > MOST_REMEMBERED:
             self._known = {}
             self._generation = self._fleet.generation
@@ -80,9 +80,11 @@
             self._known[service, key, homes] = found
         return found
 
-    def _order(self, service: str, key: str, homes: frozenset[str]) -> list[Ranked]:
+    def _order(self, service: str, key: str, homes: frozenset[str] | None) -> list[Ranked]:
         allowed = [
-            each for each in self._fleet.candidates(service) if not homes or each.region in homes
+            each
+            for each in self._fleet.candidates(service)
+            if homes is None or each.region in homes
         ]
         allowed.sort(key=lambda each: -rendezvous_score(key, each.entry.server_id))
         first_here = next((each for each in allowed if each.region == self._own_region), None)
--- a/src/wagtailpoint/platform/documents.py
+++ b/src/wagtailpoint/platform/documents.py
@@ -190,10 +190,10 @@
     )
 
 
-def _homes(*given: list[str] | None) -> frozenset[str]:
-    """The regions in all of the lists that name any."""
+def _homes(*given: list[str] | None) -> frozenset[str] | None:
+    """The regions in all of the lists that name any, which may be none; None without such lists."""
     lists = [frozenset(each) for each in given if each]
-    return frozenset.intersection(*lists) if lists else frozenset()
+    return frozenset.intersection(*lists) if lists else None
 
 
 def _unreadable(stored: StoredObject, error: Any) -> InvalidInput:
--- a/src/wagtailpoint/routing/table.py
+++ b/src/wagtailpoint/routing/table.py
@@ -41,7 +41,7 @@
         priority: 0 is the most urgent.
         most_attempts: The most backend servers that one request may be sent to.
         sticky: Backend servers that handled the same affinity key lately are faster.
-        homes: The regions that may serve it; empty for all.
+        homes: The regions that may serve it; None for all.
         parts: The services, one or more.
     """
 
@@ -53,7 +53,7 @@
     priority: int
     most_attempts: int
     sticky: bool
-    homes: frozenset[str]
+    homes: frozenset[str] | None
     parts: tuple[SplitPart, ...]
 
     @property
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -48,7 +48,7 @@
         priority=1,
         most_attempts=2,
         sticky=True,
-        homes=frozenset(),
+        homes=None,
         parts=(SplitPart("desk", 1.0),),
     )
     return route._replace(**changes)
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -109,6 +109,17 @@
 
         self.run_with(test)
 
+    def test_without_an_allowed_region_nothing_is_sent(self) -> None:
+        """Guards against taking no home in common for no homes."""
+
+        async def test() -> None:
+            placement = self.twelve()
+            route = make_route(homes=frozenset())
+            chosen = placement.choose(self.demand(route=route))
+            self.assertEqual(chosen, NoRoom("no backend server"))
+
+        self.run_with(test)
+
     def test_server_that_was_tried_is_not_chosen_again(self) -> None:
         async def test() -> None:
             placement = self.twelve()
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -47,6 +47,16 @@
         homes = {route.name: route.homes for route in table.hosts["ficu95.example"]}
         self.assertEqual(homes, {"r-1": {"a", "b"}, "r-2": {"a"}})
 
+    def test_homes_without_a_common_region_allow_none(self) -> None:
+        """Guards against a route served everywhere since its homes and its host's are disjoint."""
+        document = config_document()
+        document["VirtualHosts"][0]["HomeRegions"] = ["b"]
+        table = decode_config(stored(document)).unwrap()
+        homes = {route.name: route.homes for route in table.hosts["ficu95.example"]}
+        self.assertEqual(homes, {"r-1": {"b"}, "r-2": set()})
+        without = decode_config(stored(config_document())).unwrap()
+        self.assertIsNone(without.hosts["ficu95.example"][1].homes)
+
     def test_host_that_is_listed_twice_keeps_all_its_routes(self) -> None:
         """Guards against 404 for routes of a host that stands in a later entry too."""
         document = config_document()
