A watch that the store never answers is noticed by what other calls tell

What callers would see: a confirmed configuration, or a backend server's leaving, that one instance does not know for up to 21 s, although it reaches the store and its peers.

Sequence: the store is silent for a moment, and takes a watch that it never answers. The cheap calls that show a silent store came every 0.56 to 0.84 s; between two of them the silence went unseen, all later ones were answered, and the watch waited for its whole time.

Cause: that other calls are answered was taken for proof that the watch would be.

Change: each of these calls reads a page of one kind in turn, at the same price as before; if the page shows what the watch has not told 0.4 s later, the watch is begun anew, and the store tells what was missed. With three kinds of one page each a configuration is so heard of within 2 s. A kind of many pages is compared page by page, so its watch may stay deaf longer.

Evidence: test_watch_lost_in_a_short_silence_delays_no_change fails before and passes now.

--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -2,16 +2,21 @@
 
 from collections.abc import Callable, Mapping
 from random import Random
-from typing import NamedTuple, Protocol
 
 import trio
 from result import Err, Result
 
 from wagtailpoint.discovery.history import ChangeHistory, KindChanges
+from wagtailpoint.discovery.kind_state import (
+    KindState,
+    PeerState,
+    PeerStates,
+    state_of,
+)
 from wagtailpoint.discovery.store_check import StoreCheck
 from wagtailpoint.errors import PlatformUnavailable, WatchTooOld
 from wagtailpoint.observe.log import log_event
-from wagtailpoint.ports.platform import Platform, StoredObject, WatchBatch
+from wagtailpoint.ports.platform import Page, Platform, StoredObject, WatchBatch
 
 WATCH_WAIT_S = 20.0
 """Longer waits cost fewer calls; keep-alive probes notice a connection that has gone silent."""
@@ -37,38 +42,6 @@
 """In a shorter outage nothing lapses: entries are written every 1.5 s and last for 4.5 s."""
 
 
-class KindState(NamedTuple):
-    """All objects of a kind at a version of the store.
-
-    Attributes:
-        version: The store's version; 0 if nothing is known.
-        objects: By name.
-    """
-
-    version: int
-    objects: Mapping[str, StoredObject]
-
-
-class PeerState(NamedTuple):
-    """What a peer says of a kind.
-
-    Attributes:
-        reached: The peer itself reaches the store.
-        newer: Its state, if that is newer than the one asked about.
-    """
-
-    reached: bool
-    newer: KindState | None
-
-
-class PeerStates(Protocol):
-    """What other instances know of a kind."""
-
-    async def ask(self, kind: str, newer_than: int) -> PeerState | None:
-        """Ask a peer; None if it does not answer."""
-        ...
-
-
 class KindFollower:
     """Keeps the objects of one kind up to date.
 
@@ -123,6 +96,7 @@
         self._watching = trio.Event()
         self._told_by_others = trio.Event()
         self.watching = watching
+        check.read(kind, self._compare)
 
     @property
     def objects(self) -> Mapping[str, StoredObject]:
@@ -192,6 +166,28 @@
         if changes.removed or objects:
             self._on_change()
 
+    def _compare(self, page: Page) -> None:
+        """Begin the watch anew if it should have told by now what a page of the store shows."""
+        if not self.watching or not self.settled or page.version <= self._version:
+            return
+        known = {
+            each.name: each.version for each in self._objects.values() if page.covers(each.name)
+        }
+        if known == {each.name: each.version for each in page.objects}:
+            return
+        log_event(
+            "watch-missed",
+            level="WARNING",
+            kind=self._kind,
+            version=page.version,
+            known=self._version,
+        )
+        self._end_watch()
+
+    def _end_watch(self) -> None:
+        self._told_by_others.set()
+        self._told_by_others = trio.Event()
+
     async def run(self) -> None:
         """Follow until cancelled."""
         async with trio.open_nursery() as nursery:
@@ -236,8 +232,7 @@
                 "listing-outdated", kind=self._kind, version=found.version, known=self._version
             )
             return None
-        state = KindState(found.version, {each.name: each for each in found.objects})
-        self._replace(state, believe_removals=self._believes_removals())
+        self._replace(state_of(found), believe_removals=self._believes_removals())
         return None
 
     async def _watch(self) -> WatchTooOld | PlatformUnavailable | None:
--- a/src/wagtailpoint/discovery/peer_states.py
+++ b/src/wagtailpoint/discovery/peer_states.py
@@ -6,7 +6,8 @@
 
 from result import Ok
 
-from wagtailpoint.discovery.follower import KindFollower, KindState, PeerState
+from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.kind_state import KindState, PeerState
 from wagtailpoint.membership import Membership
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
 from wagtailpoint.ports.platform import StoredObject
--- a/src/wagtailpoint/discovery/store_check.py
+++ b/src/wagtailpoint/discovery/store_check.py
@@ -1,53 +1,74 @@
-"""Asks the store now and then whether it still answers, for those who wait for it to speak."""
+"""Reads the store now and then for those who wait for it to speak."""
 
+from collections.abc import Callable
 from random import Random
 from typing import Final, Protocol
 
 import trio
+from result import Ok, Result
 
+from wagtailpoint.errors import PlatformUnavailable
 from wagtailpoint.observe.log import log_event
+from wagtailpoint.ports.platform import Page
 
-CHECK_INTERVAL_S: Final = 0.7
-CHECK_TIMEOUT_S: Final = 1.0
+CHECK_INTERVAL_S: Final = 0.4
+CHECK_TIMEOUT_S: Final = 0.8
 """The store answers in 4 ms, and 60 to 80 times slower when it is in trouble."""
 
 
-class AnsweringStore(Protocol):
-    """A store that can be asked whether it answers."""
+class PeekingStore(Protocol):
+    """A store that can be read cheaply."""
 
-    async def answers(self) -> bool:
-        """Ask something cheap; False if the store refuses or can't be reached."""
+    async def peek(self, *, kind: str, after: str) -> Result[Page, PlatformUnavailable]:
+        """Read some objects of a kind, from a name on; they may be some seconds old."""
         ...
 
 
+class _Kind:
+    """A kind that is read, page by page."""
+
+    def __init__(self, *, compare: Callable[[Page], None]) -> None:
+        self.compare = compare
+        self.after = ""
+
+
 class StoreCheck:
-    """Notices that the store has stopped to answer.
+    """Notices that the store has stopped to answer, or that a watch has.
 
     A store in trouble may take a watch and never answer it, also after it has recovered: the
     connection stays open, and its probes are answered by the machine. Whoever waits on it for 20 s
     hears nothing of what changes meanwhile, although the store is well again. So a watch is given
-    up as soon as another call gets no answer.
+    up as soon as another call gets no answer. After a silence that no other call met, only what
+    the other calls tell shows that a watch has missed it.
 
     Whoever has lost the store waits here for its return. A call that may be answered with old data
-    costs a tenth of a watch, and one call serves all kinds: an outage of 8 s cost 77 instances
-    1,800 refused calls when each kind tried its watch once a second, and 90 of that price this way
-    (calculated).
+    costs a tenth of a watch, and one call serves all kinds.
     """
 
-    def __init__(self, *, store: AnsweringStore, random: Random) -> None:
+    def __init__(self, *, store: PeekingStore, random: Random) -> None:
         """Make it.
 
         Args:
-            store: Is asked.
+            store: Is read.
             random: For the jitter.
         """
         self._store = store
         self._random = random
+        self._kinds: dict[str, _Kind] = {}
         self._waiting = 0
         self._failed = trio.Event()
         self._answered = trio.Event()
         self._answering = True
 
+    def read(self, kind: str, compare: Callable[[Page], None]) -> None:
+        """Read a kind in turn with the others.
+
+        Args:
+            kind: The kind.
+            compare: Given each page, when what it tells should have been heard by a watch, too.
+        """
+        self._kinds[kind] = _Kind(compare=compare)
+
     async def wait_failed(self) -> None:
         """Wait until the store does not answer; it is asked only while somebody waits."""
         await self._wait(self._failed)
@@ -64,22 +85,33 @@
             self._waiting -= 1
 
     async def run(self) -> None:
-        """Ask until cancelled."""
+        """Read until cancelled."""
         while True:
-            await trio.sleep(CHECK_INTERVAL_S * self._random.uniform(0.8, 1.2))
-            if not self._waiting:
-                continue
-            answering = False
-            with trio.move_on_after(CHECK_TIMEOUT_S):
-                answering = await self._store.answers()
-            if answering:
-                self._answered.set()
-                self._answered = trio.Event()
-            else:
-                self._failed.set()
-                self._failed = trio.Event()
-            if answering != self._answering:
-                log_event(
-                    "store-check", level="INFO" if answering else "WARNING", answers=answering
-                )
-            self._answering = answering
+            for name, kind in list(self._kinds.items()):
+                page = await self._peek(name, kind) if self._waiting else None
+                # An event may be on its way for some time after a page that has what it tells.
+                await trio.sleep(CHECK_INTERVAL_S * self._random.uniform(0.8, 1.2))
+                if page is not None:
+                    kind.compare(page)
+
+    async def _peek(self, name: str, kind: _Kind) -> Page | None:
+        peeked: Result[Page, PlatformUnavailable] | None = None
+        with trio.move_on_after(CHECK_TIMEOUT_S):
+            peeked = await self._store.peek(kind=name, after=kind.after)
+        answering = isinstance(peeked, Ok)
+        self._note(answering)
+        if not isinstance(peeked, Ok):
+            return None
+        kind.after = peeked.ok_value.last or ""
+        return peeked.ok_value
+
+    def _note(self, answering: bool) -> None:
+        if answering:
+            self._answered.set()
+            self._answered = trio.Event()
+        else:
+            self._failed.set()
+            self._failed = trio.Event()
+        if answering != self._answering:
+            log_event("store-check", level="INFO" if answering else "WARNING", answers=answering)
+        self._answering = answering
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -20,12 +20,12 @@
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
-from wagtailpoint.platform.documents import EVACUATIONS_KIND
 from wagtailpoint.ports.platform import (
     ABSENT,
     Conflict,
     ListedInstance,
     Listing,
+    Page,
     StoredObject,
     WatchBatch,
     WatchEvent,
@@ -91,12 +91,9 @@
             return Ok(None)
         return decoded(outcome.ok_value, _Object).map(lambda wire: _stored(kind, wire))
 
-    async def answers(self) -> bool:
-        """Ask something cheap; False if the store refuses or can't be reached."""
-        self._count("check", EVACUATIONS_KIND)
-        query = urlencode({"AllowStale": 1})
-        outcome = await self._calls.read(Call("GET", f"{_path(EVACUATIONS_KIND)}?{query}"))
-        return isinstance(outcome, Ok) and outcome.ok_value.status // 100 == 2
+    async def peek(self, *, kind: str, after: str) -> Result[Page, PlatformUnavailable]:
+        """Read one page cheaply, of names after ``after``; it may be some seconds old."""
+        return await self._page("check", kind, after, may_be_stale=True)
 
     async def list(
         self, *, kind: str, may_be_stale: bool = False
@@ -105,29 +102,37 @@
 
         A read that may be stale costs a tenth of another one, and does not count to the rate.
         """
+        operation = "list-stale" if may_be_stale else "list"
         found: dict[str, StoredObject] = {}
-        after = ""
+        # The lowest version of all pages: what changes while the others are read is then told
+        # again by the watch, where the version of the last page would miss it. A page that may
+        # be stale can be older than the one before.
         versions: list[int] = []
-        while True:
-            self._count("list-stale" if may_be_stale else "list", kind)
-            fields = {"AllowStale": "1"} if may_be_stale else {}
-            query = urlencode(fields | ({"after": after} if after else {}))
-            outcome = await self._calls.read(Call("GET", f"{_path(kind)}?{query}".rstrip("?")))
-            page = outcome.and_then(lambda answer: decoded(answer, _Items))
+        after: str | None = ""
+        while after is not None:
+            page = await self._page(operation, kind, after, may_be_stale=may_be_stale)
             if isinstance(page, Err):
                 return page
-            wire = page.ok_value
-            # The lowest version of all pages: what changes while the others are read is then told
-            # again by the watch, where the version of the last page would miss it. A page that may
-            # be stale can be older than the one before.
-            versions.append(wire.StoreRevision)
-            items = _readable(kind, wire.items, _Object)
-            for each in items:
-                found[each.Metadata.Name] = _stored(kind, each)
-            # A page of which nothing can be read can't be continued from.
-            if not wire.HasMore or not items:
-                return Ok(Listing(min(versions), list(found.values())))
-            after = items[-1].Metadata.Name
+            versions.append(page.ok_value.version)
+            found |= {each.name: each for each in page.ok_value.objects}
+            after = page.ok_value.last
+        return Ok(Listing(min(versions), list(found.values())))
+
+    async def _page(
+        self, operation: str, kind: str, after: str, *, may_be_stale: bool
+    ) -> Result[Page, PlatformUnavailable]:
+        self._count(operation, kind)
+        fields = {"AllowStale": "1"} if may_be_stale else {}
+        query = urlencode(fields | ({"after": after} if after else {}))
+        outcome = await self._calls.read(Call("GET", f"{_path(kind)}?{query}".rstrip("?")))
+        answered = outcome.and_then(lambda answer: decoded(answer, _Items))
+        if isinstance(answered, Err):
+            return answered
+        wire = answered.ok_value
+        items = _readable(kind, wire.items, _Object)
+        # A page of which nothing can be read can't be continued from.
+        last = items[-1].Metadata.Name if wire.HasMore and items else None
+        return Ok(Page(wire.StoreRevision, [_stored(kind, each) for each in items], after, last))
 
     async def put(
         self, *, kind: str, name: str, value: Any, if_version: int
--- a/src/wagtailpoint/ports/platform.py
+++ b/src/wagtailpoint/ports/platform.py
@@ -73,6 +73,26 @@
     objects: Sequence[StoredObject]
 
 
+class Page(NamedTuple):
+    """The objects of a kind in a range of names.
+
+    Attributes:
+        version: Store-wide version at which the page was made.
+        objects: The objects, by name.
+        after: The names in the range are greater than this.
+        last: The greatest name in the range; None if it has no end.
+    """
+
+    version: int
+    objects: Sequence[StoredObject]
+    after: str
+    last: str | None
+
+    def covers(self, name: str) -> bool:
+        """Whether an object of that name would be on the page."""
+        return name > self.after and (self.last is None or name <= self.last)
+
+
 class ListedInstance(NamedTuple):
     """One line of the platform's list of instances. The list lags: it is a hint."""
 
--- a/tests/common/fake_platform.py
+++ b/tests/common/fake_platform.py
@@ -13,6 +13,7 @@
     Conflict,
     ListedInstance,
     Listing,
+    Page,
     StoredObject,
     WatchBatch,
 )
@@ -36,6 +37,7 @@
         before_put: Runs before each put, for example to let another operator be first.
         after_put: Runs after each put took effect and before its answer.
         scripted_watches: Answers for the next watches, before real ones.
+        page_size: How many objects a page of a cheap read has.
         list_delay_s: How long the answer to a listing is on its way, in seconds.
         listed: The list of instances.
         counts: Calls by (method, kind); a waiting watch as one.
@@ -53,6 +55,7 @@
         self.before_put: Callable[[str, str], Awaitable[None]] | None = None
         self.after_put: Callable[[str, str], Awaitable[None]] | None = None
         self.scripted_watches: deque[WatchAnswer] = deque()
+        self.page_size = 50
         self.list_delay_s = 0.0
         self.listed: Sequence[ListedInstance] = ()
         self.counts: Counter[tuple[str, str]] = Counter()
@@ -86,9 +89,15 @@
         self.silent = silent
         self._wake()
 
-    async def answers(self) -> bool:
-        """Whether a call is answered; ``AnsweringStore``."""
-        return await self._arrive("CHECK", "") is None
+    async def peek(self, *, kind: str, after: str) -> Result[Page, PlatformUnavailable]:
+        """A page of ``page_size`` objects; ``PeekingStore``."""
+        refusal = await self._arrive("CHECK", kind)
+        if refusal:
+            return Err(refusal)
+        found = [each for each in self._readable.list(kind) if each.name > after]
+        page = found[: self.page_size]
+        last = page[-1].name if len(page) < len(found) else None
+        return Ok(Page(self._readable.version, page, after, last))
 
     def _wake(self) -> None:
         self._changed.set()
--- a/tests/cover/test_kind_follower.py
+++ b/tests/cover/test_kind_follower.py
@@ -13,9 +13,8 @@
     GATHER_S,
     RETURN_GRACE_S,
     KindFollower,
-    KindState,
-    PeerState,
 )
+from wagtailpoint.discovery.kind_state import KindState, PeerState
 from wagtailpoint.discovery.store_check import StoreCheck
 from wagtailpoint.ports.platform import StoredObject
 
@@ -202,6 +201,28 @@
 
         self.run_with(test)
 
+    def test_watch_lost_in_a_short_silence_delays_no_change(self) -> None:
+        """Guards against a watch that is never answered while all other calls are."""
+
+        async def test(follower: KindFollower) -> None:
+            await self.put("stays")
+            await self.put("left")
+            await trio.sleep(0.5)
+            for silent_at_s in (0.0, 0.1, 0.3, 0.5, 0.7):
+                await trio.sleep(silent_at_s)
+                self.platform.set_silent(True)
+                await trio.sleep(0.05)
+                self.platform.set_silent(False)
+                await trio.sleep(SETTLED_S)
+                await self.put(f"new-{silent_at_s}")
+                await trio.sleep(2.0)
+                self.assertIn(f"new-{silent_at_s}", follower.objects)
+            await self.delete("left")
+            await trio.sleep(2.0)
+            self.assertNotIn("left", follower.objects)
+
+        self.run_with(test, lapses=False)
+
     def test_fresh_start_without_the_store_learns_from_a_peer(self) -> None:
         async def test(follower: KindFollower) -> None:
             self.assertFalse(follower.known)
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -10,6 +10,7 @@
 
 from tests.common.fake_peers import FakeNetwork, FakePeers
 from tests.common.fake_platform import FakePlatform
+from tests.common.fixed_membership import FixedMembership
 from wagtailpoint.discovery.follower import WATCH_WAIT_S, KindFollower
 from wagtailpoint.discovery.history import ChangeHistory, KindChanges
 from wagtailpoint.discovery.store_check import StoreCheck
@@ -20,7 +21,6 @@
     WatchSharing,
     watchers_among,
 )
-from wagtailpoint.membership.member import Member
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import StoredObject, WatchEvent
 
@@ -33,32 +33,6 @@
 """Changes must be in force within 2.5 s, whatever becomes of the watchers."""
 
 
-class FixedMembership:
-    """All instances of one region, alive, as all of them see it."""
-
-    def __init__(self, *, places: list[PeerAddress], own: PeerAddress) -> None:
-        self._members = tuple(
-            Member(
-                address=place.address,
-                port=80,
-                peer_port=place.port,
-                region="a",
-                failure_domain="a-1",
-                incarnation=place.incarnation,
-                epoch=1,
-                state="live",
-                suspect=False,
-                config_version=1,
-                load=0.0,
-            )
-            for place in places
-        )
-        self.own = next(each for each in self._members if each.address == own.address)
-
-    def members(self) -> tuple[Member, ...]:
-        return self._members
-
-
 class Sharer:
     """One instance: it follows one kind, alone or by others."""
 
--- /dev/null
+++ b/tests/nocover/test_follower_faults.py
@@ -0,0 +1,250 @@
+"""Instances that follow a store which delays, refuses, forgets and answers stale."""
+
+import unittest
+from collections.abc import Mapping
+from random import Random
+from typing import Any
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from loguru import logger
+from result import Err, Ok, Result
+from trio.testing import MockClock
+
+from tests.common.fake_peers import FakeNetwork, FakePeers
+from tests.common.fake_platform import FakePlatform, WatchAnswer
+from tests.common.fixed_membership import FixedMembership
+from tests.common.object_store import ObjectStore
+from wagtailpoint.daemon.steering import STORE_TIMEOUT_S
+from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.peer_states import PeerStateExchange
+from wagtailpoint.discovery.store_check import StoreCheck
+from wagtailpoint.discovery.watch_sharing import ALL_WATCH, WatchSharing
+from wagtailpoint.errors import PlatformUnavailable
+from wagtailpoint.ports.peers import PeerAddress
+from wagtailpoint.ports.platform import Conflict, Listing, StoredObject
+
+KIND = "config"
+OTHER_KIND = "servers"
+NAMES = ("main", "a", "b", "c")
+
+STEPS = 60
+LONGEST_STEP_S = 0.5
+LONGEST_FAULT_S = 4.0
+LONGEST_DELAY_S = 0.6
+STALE_STEPS = 6
+SETTLE_WINDOW_S = 4.0
+"""So long after the last fault an instance is in touch with the store."""
+
+CONFIG_APPLY_S = 2.5
+
+
+class RecordingStore(ObjectStore):
+    """Remembers the objects of the followed kind at each version."""
+
+    def __init__(self) -> None:
+        super().__init__(most_events=6)
+        self.states: dict[int, Mapping[str, StoredObject]] = {0: {}}
+
+    def put(self, kind: str, name: str, value: Any, if_version: int) -> StoredObject | Conflict:
+        outcome = super().put(kind, name, value, if_version)
+        self._record()
+        return outcome
+
+    def delete(self, kind: str, name: str, if_version: int) -> Conflict | None:
+        outcome = super().delete(kind, name, if_version)
+        self._record()
+        return outcome
+
+    def _record(self) -> None:
+        self.states[self.version] = {each.name: each for each in self.list(KIND)}
+
+
+class DelayingPlatform(FakePlatform):
+    """The store as one instance reaches it: calls and answers take a while, some reads are old."""
+
+    def __init__(self, *, world: "World", random: Random) -> None:
+        super().__init__()
+        self.store = world.store
+        self.delay_s = 0.0
+        self.page_size = 2
+        self._world = world
+        self._random = random
+
+    async def _arrive(self, method: str, kind: str) -> PlatformUnavailable | None:
+        await self._wait()
+        return await super()._arrive(method, kind)
+
+    async def list(
+        self, *, kind: str, may_be_stale: bool = False
+    ) -> Result[Listing, PlatformUnavailable]:
+        outcome: Result[Listing, PlatformUnavailable]
+        outcome = Err(PlatformUnavailable("no answer in time"))
+        with trio.move_on_after(STORE_TIMEOUT_S):
+            store = self._world.older_store() if may_be_stale else self.store
+            refusal = await self._arrive("LIST", kind)
+            listing = Listing(store.version, store.list(kind))
+            await self._wait()
+            outcome = Err(refusal) if refusal else Ok(listing)
+        return outcome
+
+    async def watch(self, **arguments: Any) -> WatchAnswer:
+        outcome = await super().watch(**arguments)
+        await self._wait()
+        return outcome
+
+    async def _wait(self) -> None:
+        await trio.sleep(self._random.uniform(0.001, 0.004 + self.delay_s))
+
+
+class Instance:
+    """One process: follows the store by itself or by others, and answers its peers."""
+
+    def __init__(self, *, world: "World", own: PeerAddress, platform: FakePlatform) -> None:
+        random = Random(world.random.random())
+        membership: Any = FixedMembership(places=world.places, own=own)
+        self.peers = FakePeers(network=world.network, address=own)
+        self.check = StoreCheck(store=platform, random=random)
+        exchange = PeerStateExchange(
+            peers=self.peers, membership=membership, seeds=world.places, random=random
+        )
+        self.follower = KindFollower(
+            kind=KIND,
+            platform=platform,
+            peers=exchange,
+            check=self.check,
+            on_change=self._check_state,
+            random=random,
+            watching=False,
+        )
+        exchange.answer_for({KIND: self.follower})
+        self.sharing = WatchSharing(
+            peers=self.peers, membership=membership, followers={KIND: self.follower}
+        )
+        self.stopped = trio.CancelScope()
+        self.mistakes: list[str] = []
+        self._store = world.store
+        self._newest = 0
+
+    async def run(self) -> None:
+        with self.stopped:
+            async with trio.open_nursery() as nursery:
+                for task in (self.peers.run, self.check.run, self.follower.run, self.sharing.run):
+                    nursery.start_soon(task)
+
+    def _check_state(self) -> None:
+        state = self.follower.state
+        if state.version < self._newest:
+            self.mistakes.append(f"version {state.version} after {self._newest}")
+        if state.objects != self._store.states[state.version]:
+            self.mistakes.append(f"version {state.version} with other objects than the store's")
+        self._newest = state.version
+        self.sharing.note_change()
+
+
+class World:
+    """Instances, the store, and a schedule of changes and faults drawn from a seed."""
+
+    def __init__(self, *, seed: int, count: int) -> None:
+        self.random = Random(seed)
+        self.store = RecordingStore()
+        self.network = FakeNetwork()
+        self.places = [PeerAddress(f"127.9.0.{n}", 7000, n + 1) for n in range(count)]
+        self.mistakes: list[str] = []
+        self.platforms = [
+            DelayingPlatform(world=self, random=Random(seed + n)) for n in range(count)
+        ]
+        self._older = [self.store.copy()]
+        self._instances: list[Instance] = []
+
+    def older_store(self) -> ObjectStore:
+        """The store as it was up to some changes ago."""
+        return self.random.choice(self._older[-STALE_STEPS:])
+
+    async def run(self) -> None:
+        async with trio.open_nursery() as nursery:
+            self._instances = [self._make(n) for n in range(len(self.places))]
+            for each in self._instances:
+                nursery.start_soon(each.run)
+            for _ in range(STEPS):
+                await trio.sleep(self.random.uniform(0.0, LONGEST_STEP_S))
+                self._step(nursery)
+            await trio.sleep(LONGEST_FAULT_S + SETTLE_WINDOW_S)
+            self._change(KIND)
+            await trio.sleep(CONFIG_APPLY_S)
+            self._check_all()
+            nursery.cancel_scope.cancel()
+
+    def _make(self, number: int) -> Instance:
+        return Instance(world=self, own=self.places[number], platform=self.platforms[number])
+
+    def _step(self, nursery: trio.Nursery) -> None:
+        number = self.random.randrange(len(self.places))
+        draw = self.random.random()
+        if draw < 0.5:
+            self._change(KIND)
+        elif draw < 0.65:
+            self._change(OTHER_KIND)
+        elif draw < 0.75:
+            self._restart(number, nursery)
+        else:
+            nursery.start_soon(self._disturb, self.platforms[number])
+
+    def _change(self, kind: str) -> None:
+        name = self.random.choice(NAMES)
+        current = self.store.get(kind, name)
+        if current is not None and self.random.random() < 0.3:
+            self.store.delete(kind, name, current.version)
+        else:
+            self.store.put(kind, name, {}, current.version if current else 0)
+        self._older.append(self.store.copy())
+        for platform in self.platforms:
+            platform._wake()
+
+    def _restart(self, number: int, nursery: trio.Nursery) -> None:
+        self.mistakes += self._instances[number].mistakes
+        self._instances[number].stopped.cancel()
+        self._instances[number] = self._make(number)
+        nursery.start_soon(self._instances[number].run)
+
+    async def _disturb(self, platform: DelayingPlatform) -> None:
+        """Let an instance's calls be refused, unanswered or slow for a while."""
+        fault = self.random.choice(("down", "silent", "slow"))
+        for_s = self.random.uniform(0.1, LONGEST_FAULT_S)
+        if fault == "down":
+            platform.set_down(True)
+        elif fault == "silent":
+            platform.set_silent(True)
+        else:
+            platform.delay_s = LONGEST_DELAY_S
+        await trio.sleep(for_s)
+        platform.delay_s = 0.0
+        platform.set_silent(False)
+        platform.set_down(False)
+
+    def _check_all(self) -> None:
+        for each in self._instances:
+            self.mistakes += each.mistakes
+            if each.follower.objects != self.store.states[self.store.version]:
+                known = each.follower.state.version
+                self.mistakes.append(f"{each.peers.address}: {known} of {self.store.version}")
+
+
+class FollowersUnderFaultsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(
+        seed=st.integers(min_value=0, max_value=2**32 - 1),
+        count=st.sampled_from((3, ALL_WATCH, ALL_WATCH + 3)),
+    )
+    def test_versions_keep_their_objects_and_changes_arrive_in_time(
+        self, seed: int, count: int
+    ) -> None:
+        """Guards against a version known without its objects, and a change that is never heard."""
+        world = World(seed=seed, count=count)
+        trio.run(world.run, clock=MockClock(autojump_threshold=0))
+        self.assertEqual(world.mistakes, [])
