Comments without measured histories

The reasons stay.

No code is changed: the syntax trees without docstrings are equal before and after.

--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -1,8 +1,7 @@
 """A few instances of each region watch the store, and tell the others what it says.
 
-Each answer to a watch is a priced call. If every instance watched, the price of a change would grow
-with their number: at 77 instances 11,200 calls a day took a third of its worth. With a fixed number
-of watchers it does not grow.
+Each answer to a watch is a call that the store limits and charges. If every instance watched, a
+change would cost as many calls as there are instances; with a fixed number of watchers it does not.
 """
 
 import math
@@ -52,8 +51,8 @@
 FIRST_WATCH_S: Final = 2.0
 FIRST_OWN_WATCH_S: Final = 4.0
 """So long after the start a watcher begins to watch, and anybody else whom none has answered. An
-instance that starts sees itself alone. When hundreds did at the same time, all of them watched
-until they had met, and each backend server that registered meanwhile cost a call of each."""
+instance that starts sees itself alone. When hundreds start at the same time, all of them would
+watch until they have met, and each backend server that registers would cost a call of each."""
 
 EXPIRE_INTERVAL_S: Final = 0.1
 
--- a/src/wagtailpoint/placement/cold_senders.py
+++ b/src/wagtailpoint/placement/cold_senders.py
@@ -20,8 +20,7 @@
     """Chooses for each cold backend server the instances that share what it bears.
 
     Its bound, spread over all instances, leaves each of them less than a request a second, and
-    wastes what each keeps back for bursts: of 23 a second twelve instances used 6, and from
-    nineteen on none. A few that are the same in everybody's view use 15.
+    wastes what each keeps back for bursts. A few that are the same in everybody's view use most.
 
     Instances that are not heard of are counted for some minutes as if they lived: they may be cut
     off and go on, and the sum over both sides must keep the bound.
--- a/src/wagtailpoint/placement/expectation.py
+++ b/src/wagtailpoint/placement/expectation.py
@@ -12,7 +12,7 @@
 """A late answer is worth a fifth of one in time."""
 
 UNCACHED_FACTOR: Final = 3.3
-"""An object that is not cached takes so many times as long: 240 ms against 72 ms, measured."""
+"""An object that is not cached takes so many times as long."""
 
 COLD_FACTOR: Final = 2.0
 """A backend server that has just started takes so many times as long."""
@@ -34,19 +34,17 @@
 
 DOMAIN_LOSS_PER_KB: Final = 0.02
 REGION_LOSS_PER_KB: Final = 0.005
-"""The prices of bytes of answers worth 1 each, between failure domains of a region (4,500 to 40,000
-a gigabyte at three deployments) and between regions (9,600 to 93,000). The latter is the lower end:
-an answer of 90 KB from another region may cost half of its worth, but is better than none."""
+"""What bytes of an answer cost, as a part of its value, between failure domains of a region and
+between regions. The latter is low: a long answer from another region may cost half of its value,
+but is better than none."""
 
 MOST_DOMAIN_LOSS: Final = 0.8
 """However long an answer is, one from the failure domain beside is better than none, and than one
 that is late because its object is not cached."""
 
 REGION_LOSS: Final = 0.06
-"""What each request to another region costs, whatever its answer: headers alone are 0.01 to 0.11
-of an answer's worth at those prices, and links between regions are what fails first. In a model of
-the three deployments bytes cost 0.041 instead of 0.050, 0.016 of 0.017 and 0.049 of 0.048 with it,
-and as much was answered in time."""
+"""What each request to another region costs, whatever its answer: headers cross, too, and
+links between regions are what fails first."""
 
 
 class Prospect(NamedTuple):
--- a/src/wagtailpoint/placement/key_reuse.py
+++ b/src/wagtailpoint/placement/key_reuse.py
@@ -18,8 +18,7 @@
 
 HORIZON_S: Final = 8.0
 """An object is taken to be of use for so long. Longer, and each failure domain caches more by
-itself, where its first uses are slow: of a calm day's value 20 s lost 0.002 and 0.022 more than 8 s
-(one run on each site)."""
+itself, where its first uses are slow."""
 
 
 class KeyReuse:
@@ -28,9 +27,8 @@
     Keys are taken to be equally popular: the rate of one is the rate of the route divided by the
     number of keys. That is not the number of keys that came: an instance of many gets a few
     requests a second, nearly all for keys that it has not seen before. Taking those for all that
-    there are, it expected each of them again within the second, so that a copy in every failure
-    domain seemed to pay. In a model of 77 instances 0.69 of the value of the first eight seconds
-    was earned with that, 0.76 with the number estimated from the repeats.
+    there are, it would expect each of them again within the second, and a copy in every failure
+    domain would seem to pay. So the number is estimated from the repeats.
     """
 
     def __init__(self) -> None:
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -30,9 +30,8 @@
 SPILL_UTILISATION: Final = 0.3
 """Below this part of a service's slots in use a request goes on to another backend server when
 those that should have its key could not serve it. Its object is not cached there, and takes the
-time of three that are: under high load whoever went on took the room of others, who went on, too.
-In a model of twelve instances under high load 0.82 of the value was earned when none went on, 0.55
-when all did."""
+time of three that are: under high load whoever went on would take the room of others, who would go
+on, too."""
 
 
 class Placement:
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -109,8 +109,7 @@
 
     The first of all, of the own failure domain and of the own region. With one more of all every
     key was on most backend servers, their caches overflowed, and what an object that is not cached
-    takes three times as long for left no room for others: in a model of twelve instances under high
-    load 0.75 of the value was earned, with these 0.82.
+    takes three times as long for left no room for others.
     """
     first = usable[:1]
     nearest = [each for each in usable if each.in_domain][:1]
--- a/src/wagtailpoint/placement/region_mix.py
+++ b/src/wagtailpoint/placement/region_mix.py
@@ -27,8 +27,8 @@
     third of the requests of a region to another one within two seconds, that one's caches were cold
     for all of them, and its own callers had to wait.
 
-    Each instance keeps the bound by itself. In a model of 77 of them 0.15 of a region's requests
-    moved within a window when those with few requests were free to, 0.04 with a limit for all.
+    Each instance keeps the bound by itself, also one with few requests: hundreds of such instances
+    together can move a large part of a region.
     """
 
     def __init__(self, *, most_shift: Callable[[], float], random: Random) -> None:
--- a/src/wagtailpoint/placement/route_costs.py
+++ b/src/wagtailpoint/placement/route_costs.py
@@ -6,10 +6,8 @@
 GAIN: Final = 0.05
 FIRST_SERVICE_PART: Final = 1 / 3
 """Of the latency objective, as long as no service time is known. Routes whose requests take long
-have late objectives: of ten kinds of request cached objects take 0.14 to 0.44 of theirs, calculated
-from their work. With 0.1 s for all, an instance with three requests a second, which forgets as fast
-as it learns, took an object that is not cached to be in time where it was not. In a model of 77
-instances 0.76 of the value of the first eight seconds was earned with that, 0.85 with the part."""
+have late objectives. One time for all would make an instance with few requests, which forgets as
+fast as it learns, believe that an object that is not cached will be in time where it will not."""
 
 FIRST_BYTES: Final = 4096.0
 
--- a/src/wagtailpoint/placement/server_load.py
+++ b/src/wagtailpoint/placement/server_load.py
@@ -42,8 +42,8 @@
 SILENT_SLACK_S: Final = 0.1
 """A backend server that has answered nothing since a request was sent to it is taken for dead when
 that stays so many times as long as expected, or as others did lately, and the slack for pauses of
-either machine. One that has lost power gives no other sign: of 12 such servers 12 instances learned
-by 625 requests that all waited for their deadlines, a tenth of what was sent meanwhile."""
+either machine. One that has lost power gives no other sign: requests to it wait for their
+deadlines."""
 
 
 class LoadReport(NamedTuple):
--- a/src/wagtailpoint/placement/weighing.py
+++ b/src/wagtailpoint/placement/weighing.py
@@ -25,8 +25,7 @@
 """How long a request may be expected to wait at a backend server, for the urgent and the others: so
 many times what its objective leaves beside the service time. Short requests may so stand behind
 many, long ones behind few, and whoever is let in is answered in time or little later; the urgent
-find room behind the others. With 0.8 and 0.5 a third more were refused: mean worth
-of five days 0.693, with these 0.710."""
+find room behind the others."""
 
 LEAST_WAIT_PART: Final = 0.5
 """Of the service time: where the objective leaves less, a request may still be next in line."""
--- a/src/wagtailpoint/proxy/warm_up.py
+++ b/src/wagtailpoint/proxy/warm_up.py
@@ -29,9 +29,7 @@
 class WarmUp:
     """Keeps a connection ready to each far backend server for a while after the start.
 
-    A request that has to open its own waits a round trip more. Of the requests in the first two
-    seconds after a start 31 % did, and waited 90 ms for it in the mean, with objectives of 150 to
-    500 ms.
+    A request that has to open its own waits a round trip more, which may be most of its objective.
     """
 
     def __init__(
