A watch of the own configuration store waits 5 s, not 25

Cause: the same as on the users' platform, found by looking for it elsewhere: a watch that the platform took in a short silence is never answered, and nothing but its own time-out ends it.

Ruled out: comparing cheap reads, as on the users' platform, since this one has no cheap reads.

--- a/src/wagtailpoint/config/watcher.py
+++ b/src/wagtailpoint/config/watcher.py
@@ -17,7 +17,10 @@
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.platform import Platform, StoredObject
 
-WATCH_WAIT_S = 25.0
+WATCH_WAIT_S = 5.0
+"""The longest wait of a watch. One that is never answered hides changes for so long, and a change
+has to be in force everywhere within 11 s."""
+
 POLL_S = 30.0
 LEAST_BACKOFF_S = 0.2
 MOST_BACKOFF_S = 10.0
--- a/tests/cover/test_config_watcher.py
+++ b/tests/cover/test_config_watcher.py
@@ -10,13 +10,24 @@
 from result import Err, Ok
 from trio.testing import MockClock
 
-from tests.common.fake_platform import FakePlatform
+from tests.common.fake_platform import FakePlatform, WatchAnswer
 from wagtailpoint.config.manifest import HEAD_KIND, Snapshot
 from wagtailpoint.config.store import ConfigStore
 from wagtailpoint.config.watcher import ConfigWatcher
-from wagtailpoint.errors import WatchTooOld
+from wagtailpoint.errors import PlatformUnavailable, WatchTooOld
 
 LIMIT_S = 3600
+IN_FORCE_S = 11.0
+CALL_TIMEOUT_S = 2.0
+
+
+class TimingOutPlatform(FakePlatform):
+    """Gives up a watch that is never answered, as the client of the platform does."""
+
+    async def watch(self, *, wait_s: float, **arguments: Any) -> WatchAnswer:
+        with trio.move_on_after(wait_s + CALL_TIMEOUT_S):
+            return await super().watch(wait_s=wait_s, **arguments)
+        return Err(PlatformUnavailable("no answer in time"))
 
 
 class WatcherTest(unittest.TestCase):
@@ -194,3 +205,22 @@
             self.assertEqual(self.versions, [1, 2])
 
         self.run_with(test)
+
+    def test_watch_lost_in_a_short_silence_delays_no_change_beyond_its_bound(self) -> None:
+        """Guards against a watch that is never answered while all other calls are."""
+        self.platform = TimingOutPlatform(most_events=10)
+        self.store = ConfigStore(platform=self.platform, clock_wall=lambda: 0.0)
+
+        async def test(_: ConfigWatcher) -> None:
+            await self.change(1)
+            await self.until(1)
+            await trio.sleep(1.0)
+            self.platform.set_silent(True)
+            await trio.testing.wait_all_tasks_blocked()
+            self.platform.set_silent(False)
+            asked_s = trio.current_time()
+            await self.change(2)
+            await self.until(2)
+            self.assertLess(trio.current_time() - asked_s, IN_FORCE_S)
+
+        self.run_with(test)
