Tests with processes: all requests of their route go to the service that has a backend server

Traced by the log line of the request: service=vault, "no backend server".

Cause: the configuration of these tests sends a tenth of the requests of its route to a service without any backend server. They passed because every process began with the other part.

Change: these tests use the same configuration without the split; what they assert stays as it is. Tests of decoding keep the split.

--- a/tests/common/node_settings_file.py
+++ b/tests/common/node_settings_file.py
@@ -93,6 +93,16 @@
     return {**document, **changes}
 
 
+def unsplit_config_document(version: str = "00000007", **changes: Any) -> dict[str, Any]:
+    """The same with all requests of both routes for the service ``desk``."""
+    document = config_document(version, **changes)
+    for host in document["VirtualHosts"]:
+        for route in host["PathRoutes"]:
+            route.pop("Split", None)
+            route["Service"] = "desk"
+    return document
+
+
 def server_document(address: str, **changes: Any) -> dict[str, Any]:
     """The entry of a backend server."""
     document = {
--- a/tests/integration/test_steering_group.py
+++ b/tests/integration/test_steering_group.py
@@ -10,9 +10,9 @@
 import trio
 
 from tests.common.node_settings_file import (
-    config_document,
     node_settings_document,
     server_document,
+    unsplit_config_document,
 )
 from tests.common.processes import ModuleProcess
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
@@ -92,7 +92,7 @@
                 async with AsyncExitStack() as stack:
                     store = await stack.enter_async_context(self.store.serve())
                     server = await stack.enter_async_context(scripted_server(backend))
-                    self.store.put("config", "main", config_document())
+                    self.store.put("config", "main", unsplit_config_document())
                     self.store.put("servers", "i-1", server_document(str(server)))
                     folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
                     addresses = [loopback_address() for _ in range(INSTANCES)]
@@ -130,7 +130,7 @@
     def test_all_follow_what_two_are_told(self) -> None:
         async def test(instances: list[Instance]) -> None:
             calls = len(self.store.calls)
-            self.store.put("config", "main", config_document("00000009", VirtualHosts=[]))
+            self.store.put("config", "main", unsplit_config_document("00000009", VirtualHosts=[]))
             await until(lambda: all_serve(instances, 404), IN_FORCE_S, "the route is gone")
             watches = [each for each in self.store.calls[calls:] if "/config?Watch" in each]
             self.assertLessEqual(len(watches), 2 * watchers_among(INSTANCES))
@@ -174,7 +174,7 @@
             await trio.sleep(3.0)
             self.assertTrue(await all_serve(instances, 200))
             self.store.refuse = None
-            self.store.put("config", "main", config_document("00000009", VirtualHosts=[]))
+            self.store.put("config", "main", unsplit_config_document("00000009", VirtualHosts=[]))
             await until(lambda: all_serve(instances, 404), IN_FORCE_S, "the route is gone")
 
         self.run_with(test)
--- a/tests/integration/test_steering_process.py
+++ b/tests/integration/test_steering_process.py
@@ -11,9 +11,9 @@
 import trio
 
 from tests.common.node_settings_file import (
-    config_document,
     node_settings_document,
     server_document,
+    unsplit_config_document,
 )
 from tests.common.processes import ModuleProcess
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
@@ -66,7 +66,7 @@
                 async with AsyncExitStack() as stack:
                     endpoint = await stack.enter_async_context(self.store.serve())
                     server = await stack.enter_async_context(scripted_server(self.backend))
-                    self.store.put("config", "main", config_document())
+                    self.store.put("config", "main", unsplit_config_document())
                     self.store.put("servers", "i-1", server_document(str(server)))
                     self.address = loopback_address()
                     folder = stack.enter_context(tempfile.TemporaryDirectory())
@@ -113,10 +113,10 @@
     def test_changes_are_in_force_soon(self) -> None:
         async def test(process: ModuleProcess, address: str) -> None:
             self.assertEqual((await self.request())[0], 200)
-            self.store.put("config", "main", config_document("00000009", VirtualHosts=[]))
+            self.store.put("config", "main", unsplit_config_document("00000009", VirtualHosts=[]))
             with trio.fail_after(IN_FORCE_S):
                 await self.until(404, self.request)
-            self.store.put("config", "main", config_document("00000008"))
+            self.store.put("config", "main", unsplit_config_document("00000008"))
             await trio.sleep(0.3)
             self.assertEqual((await self.request())[0], 404)
 
