A soak of real processes: faults from outside, promises checked while it runs

bench/soak plays a schedule drawn from a seed: processes paused, killed, stopped and started again; the way to the store cut, frozen, slow; the store refusing all; backend servers that drain and come back; configurations that add routes. Checked by what callers and backend servers saw: answers are the caller's own, nothing runs that was not asked, once at most, refusals are true, nothing reaches a drained backend server late, changes are in force in time and never back, a planned stop cuts nothing. Stand-ins and proxies are those of the tests. Each check has a test that it can fail.

Not in it yet: connections between instances and to backend servers, clocks, the own interface, several regions, growth of memory and descriptors, dozens of processes.

--- /dev/null
+++ b/bench/soak/deployment.py
@@ -0,0 +1,170 @@
+"""The store, backend servers and instances of a soak."""
+
+import json
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from itertools import count
+from pathlib import Path
+from random import Random
+from typing import Any, Final
+
+import trio
+from tests.common.fault_proxy import Address, FaultProxy
+from tests.common.node_settings_file import (
+    node_settings_document,
+    server_document,
+    unsplit_config_document,
+)
+from tests.common.processes import ModuleProcess
+from tests.common.scripted_server import ScriptedStream, response, scripted_server
+from tests.common.sockets import loopback_address
+from tests.common.users_store import UsersStore
+
+from bench.soak.findings import Findings, Run
+from wagtailpoint.node_settings import Endpoint
+
+HOST: Final = "ficu95.example"
+CALLER_PORT: Final = 8144
+STORE_PORT: Final = 9100
+FIRST_VERSION: Final = 1
+BACKEND_SERVERS: Final = 6
+LONGEST_SERVICE_S: Final = 0.05
+
+
+class Instance:
+    """One place with a process, which reaches the store by a proxy of its own."""
+
+    def __init__(self, *, number: int, address: str, file: Path, proxy: FaultProxy) -> None:
+        self.number = number
+        self.address = address
+        self.proxy = proxy
+        self.processes = 0
+        self.lock = trio.Lock()
+        self.process = ModuleProcess(
+            module="wagtailpoint.daemon", environment={"WAGTAILPOINT_NODE_FILE": str(file)}
+        )
+
+    @property
+    def has_begun(self) -> bool:
+        """Whether the last process has said that it runs."""
+        return self.process.log.count("event=started ") == self.processes
+
+    def start(self) -> None:
+        """Start a process at this place."""
+        self.processes += 1
+        self.process.start()
+
+
+class Deployment:
+    """All that a soak runs, and the operator's and backend servers' writes to the store."""
+
+    def __init__(self, *, instances: int, findings: Findings, random: Random, folder: Path) -> None:
+        """Make it; ``serve`` starts it."""
+        self.store = UsersStore()
+        self.instances: list[Instance] = []
+        self.version = FIRST_VERSION
+        self._count = instances
+        self._findings = findings
+        self._random = random
+        self._folder = folder
+        self._server_numbers = count(1)
+        self._addresses: dict[str, str] = {}
+
+    @asynccontextmanager
+    async def serve(self) -> AsyncIterator[None]:
+        """Run the store, the proxies, the backend servers and the instances."""
+        async with trio.open_nursery() as nursery, self.store.serve() as store:
+            self._write_config()
+            for _ in range(BACKEND_SERVERS):
+                await nursery.start(self._serve_backend)
+            places = [loopback_address() for _ in range(self._count)]
+            for number, address in enumerate(places):
+                proxy = FaultProxy(
+                    listen=Address(address, STORE_PORT), target=Address(store.address, store.port)
+                )
+                await nursery.start(proxy.serve)
+                file = self._write_settings(number, places)
+                self.instances.append(
+                    Instance(number=number, address=address, file=file, proxy=proxy)
+                )
+            try:
+                for each in self.instances:
+                    each.start()
+                yield
+            finally:
+                for each in self.instances:
+                    each.process.kill()
+                nursery.cancel_scope.cancel()
+
+    def change_config(self) -> None:
+        """Write a version that adds a route."""
+        self.version += 1
+        self._write_config()
+
+    async def drain(self, for_s: float) -> None:
+        """Have a backend server drain, leave, and start again under another id."""
+        ready = [name for name in self._addresses if name not in self._findings.drained_s]
+        name = self._random.choice(ready)
+        address = self._addresses[name]
+        self.store.put("servers", name, server_document(address, State="draining"))
+        self._findings.drained_s[name] = trio.current_time()
+        await trio.sleep(for_s)
+        self.store.delete("servers", name)
+        del self._addresses[name]
+        self._register(address)
+
+    def _register(self, address: str) -> None:
+        name = f"i-{next(self._server_numbers)}"
+        self._addresses[name] = address
+        self.store.put("servers", name, server_document(address))
+
+    def _write_config(self) -> None:
+        document = unsplit_config_document(f"{self.version:08x}")
+        (host,) = document["VirtualHosts"]
+        read, write = host["PathRoutes"]
+        host["PathRoutes"] = [
+            _route(read, "read", "/read/"),
+            _route(write, "write", "/write/"),
+            *(
+                _route(read, f"added-{version}", f"/added-{version}/")
+                for version in range(FIRST_VERSION, self.version + 1)
+            ),
+        ]
+        self.store.put("config", "main", document)
+        self._findings.confirmed_s[self.version] = trio.current_time()
+
+    def _write_settings(self, number: int, places: list[str]) -> Path:
+        document = node_settings_document(
+            address=places[number],
+            name=f"e-{number}",
+            store=Endpoint(places[number], STORE_PORT),
+            seeds=tuple(f"{each}:8146" for each in places[:3]),
+        )
+        file = self._folder / f"{number}.json"
+        file.write_text(json.dumps(document))
+        return file
+
+    async def _serve_backend(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+        async with scripted_server(self._answer_all) as address:
+            self._register(str(address))
+            task_status.started()
+            await trio.sleep_forever()
+
+    async def _answer_all(self, stream: ScriptedStream) -> None:
+        while request := await stream.request():
+            head = request.partition(b"\r\n\r\n")[0].decode()
+            line, *headers = head.split("\r\n")
+            fields = dict(each.lower().split(": ", 1) for each in headers)
+            request_id, server_id = fields["x-attempt-id"], fields["x-expect-instance"]
+            if server_id not in self._addresses:
+                await stream.send(response(b"", status="421 Misdirected Request"))
+                continue
+            self._findings.runs.append(Run(request_id, server_id, trio.current_time()))
+            await trio.sleep(self._random.uniform(0.0, LONGEST_SERVICE_S))
+            target = line.split(" ")[1]
+            body = f"{request_id} {target}".encode()
+            await stream.send(response(body, f"X-Attempt-Id: {request_id}"))
+
+
+def _route(like: dict[str, Any], name: str, prefix: str) -> dict[str, Any]:
+    return {**like, "Name": name, "PathPrefix": prefix, "HomeRegions": []}
--- a/build.sh
+++ b/build.sh
@@ -40,6 +40,8 @@
 
 task_bench() { .venv/bin/python -m bench.run "${1:-full}"; }
 
+task_soak() { .venv/bin/python -m bench.soak "$@"; }
+
 task_demo() { .venv/bin/python -m examples.demo; }
 
 # Resolve the newest versions of what requirements/*.in name, and write the pins.
@@ -61,6 +63,7 @@
   test          formatter, linter, mypy, all tests, the short bench with its bounds
   demo          the whole path as separate processes, with small stand-ins
   bench         the full bench; tables and plots go to bench/results/
+  soak          real instances under faults drawn from a seed, for example: soak --seed 7 --for 300
   cover | nocover | integration [nose2 arguments]   one kind of test
   lint | format | pin
 HELP
@@ -70,6 +73,6 @@
 shift || true
 case "$task" in
     setup | help | pin) "task_$task" ;;
-    test | demo | bench | lint | format | cover | nocover | integration) task_setup; "task_$task" "$@" ;;
+    test | demo | bench | soak | lint | format | cover | nocover | integration) task_setup; "task_$task" "$@" ;;
     *) task_help; exit 2 ;;
 esac
--- /dev/null
+++ b/tests/cover/test_soak_findings.py
@@ -0,0 +1,93 @@
+"""The checks of the soak: each finds the broken promise that it is there for."""
+
+import unittest
+
+import trio
+from bench.soak.findings import CONFIG_APPLY_S, DRAIN_S, SETTLE_S, Asked, Findings, Run
+from bench.soak.schedule import FAULTS, draw_schedule
+from trio.testing import MockClock
+
+
+class ScheduleTest(unittest.TestCase):
+    def test_a_seed_says_it_all(self) -> None:
+        steps = draw_schedule(seed=3, seconds=200.0, instances=5)
+        self.assertEqual(steps, draw_schedule(seed=3, seconds=200.0, instances=5))
+        self.assertEqual({each.kind for each in steps}, {"config", *FAULTS})
+        self.assertTrue(all(each.at_s + each.for_s <= 200.0 for each in steps))
+
+
+class FindingsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.findings = Findings(instances=1, slack=1.0)
+
+    def ask(self, request_id: str, sent_s: float = 100.0, *, repeatable: bool = False) -> Asked:
+        asked = self.findings.asked[request_id] = Asked(0, 1, sent_s, repeatable)
+        return asked
+
+    def concluded(self) -> list[str]:
+        self.findings.conclude()
+        return self.findings.found
+
+    def run_at(self, request_id: str, at_s: float = 100.0) -> None:
+        self.findings.runs.append(Run(request_id, "i-1", at_s))
+
+    def test_request_that_nobody_asked(self) -> None:
+        self.run_at("a")
+        self.assertEqual(len(self.concluded()), 1)
+
+    def test_request_that_ran_twice(self) -> None:
+        self.ask("a")
+        self.ask("b", repeatable=True)
+        for request_id in ("a", "a", "b", "b"):
+            self.run_at(request_id)
+        (found,) = self.concluded()
+        self.assertIn("ran 2 times", found)
+
+    def test_refusal_of_a_request_that_ran(self) -> None:
+        self.ask("a")
+        self.run_at("a")
+        self.findings.refused.add("a")
+        self.assertEqual(len(self.concluded()), 1)
+
+    def test_drained_backend_server_gets_requests(self) -> None:
+        self.findings.drained_s["i-1"] = 100.0
+        for request_id, late_s in (("a", DRAIN_S - 0.1), ("b", DRAIN_S + 0.1)):
+            self.ask(request_id)
+            self.run_at(request_id, 100.0 + late_s)
+        (found,) = self.concluded()
+        self.assertIn("'b'", found)
+
+    def test_change_not_in_force_in_time(self) -> None:
+        self.findings.confirmed_s[2] = 100.0
+        for late_s, findings in ((CONFIG_APPLY_S - 0.1, 0), (CONFIG_APPLY_S + 0.1, 1)):
+            asked = self.ask("a", 100.0 + late_s)
+            self.findings.note_version(asked, 2, served=False, answered_s=asked.sent_s)
+            self.assertEqual(len(self.findings.found), findings)
+
+    def test_instance_out_of_touch_may_be_late(self) -> None:
+        self.findings.confirmed_s[2] = 100.0
+        self.findings.note_disturbed(0, 90.0, 100.0 + CONFIG_APPLY_S - SETTLE_S + 0.1)
+        asked = self.ask("a", 110.0)
+        self.findings.note_version(asked, 2, served=False, answered_s=110.0)
+        self.assertEqual(self.findings.found, [])
+
+    def test_older_configuration_after_a_newer_one(self) -> None:
+        self.findings.confirmed_s |= {2: 100.0, 3: 101.0}
+        self.findings.note_version(self.ask("a", 101.0), 3, served=True, answered_s=101.1)
+        self.findings.note_version(self.ask("b", 101.5), 2, served=False, answered_s=101.6)
+        (found,) = self.findings.found
+        self.assertIn("after 3 was in force", found)
+
+    def test_request_cut_by_a_planned_stop(self) -> None:
+        async def stop() -> None:
+            with self.findings.disturbed(0, planned=True):
+                await trio.sleep(1.0)
+
+        trio.run(stop, clock=MockClock(autojump_threshold=0))
+        for sent_s, findings in ((0.5, 1), (50.0, 0)):
+            self.findings.found.clear()
+            self.ask("a", sent_s)
+            self.run_at("a", sent_s)
+            self.findings.cut.add("a")
+            self.assertEqual(len(self.concluded()), findings, sent_s)
+            self.findings.runs.clear()
--- /dev/null
+++ b/tests/integration/test_soak.py
@@ -0,0 +1,26 @@
+"""A short run of the soak with a fixed seed."""
+
+import unittest
+
+import trio
+from bench.soak.schedule import draw_schedule
+from bench.soak.soak import run_soak
+
+SECONDS = 20.0
+INSTANCES = 3
+BUSY_MACHINE = 2.0
+"""Times the promised bounds, since the machine of a test may be busy."""
+
+
+class SoakTest(unittest.TestCase):
+    def test_promises_are_kept_under_faults(self) -> None:
+        steps = draw_schedule(seed=1, seconds=SECONDS, instances=INSTANCES)
+
+        async def run() -> list[str]:
+            report = await run_soak(
+                seed=1, steps=steps, seconds=SECONDS, instances=INSTANCES, slack=BUSY_MACHINE
+            )
+            self.assertGreater(report.statuses.get(200, 0), 100)
+            return report.found
+
+        self.assertEqual(trio.run(run), [])
