Names after a second reading: a watch is given up, not only told by others

What would stop a newcomer: the event named told-by-others also ends a watch that missed something; lookups listed the region's entries also where only the failure domain's are named; the check of the store would spin without a kind to read, and now says so.

--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -94,7 +94,7 @@
         self._trust_removals_at = 0.0
         self._history = ChangeHistory(kind=kind)
         self._watching = trio.Event()
-        self._told_by_others = trio.Event()
+        self._watch_given_up = trio.Event()
         self.watching = watching
         check.read(kind, self._compare)
 
@@ -128,13 +128,13 @@
         if watching == self._watching.is_set():
             return
         if watching:
-            self._told_by_others = trio.Event()
+            self._watch_given_up = trio.Event()
             self._watching.set()
         else:
             # A watch that waits is cut: as long as it waits, it has to be checked that the store
             # still answers, which soon costs more than another watch.
             self._watching = trio.Event()
-            self._told_by_others.set()
+            self._watch_given_up.set()
 
     @property
     def settled(self) -> bool:
@@ -185,8 +185,8 @@
         self._end_watch()
 
     def _end_watch(self) -> None:
-        self._told_by_others.set()
-        self._told_by_others = trio.Event()
+        self._watch_given_up.set()
+        self._watch_given_up = trio.Event()
 
     async def run(self) -> None:
         """Follow until cancelled."""
@@ -262,7 +262,7 @@
     async def _watch_while_it_answers(
         self, version: int
     ) -> Result[WatchBatch, WatchTooOld | PlatformUnavailable] | None:
-        """Watch until there is news, or the store has stopped to answer; None if others tell."""
+        """Watch until there is news, or the store has stopped to answer; None if it is given up."""
         # After a failure none that waits: a store that answers nothing would swallow it, too.
         wait_s = WATCH_WAIT_S if self._lost_at is None else 0.0
         batch: Result[WatchBatch, WatchTooOld | PlatformUnavailable] | None = None
@@ -284,7 +284,7 @@
 
             nursery.start_soon(watch)
             nursery.start_soon(check)
-            await self._told_by_others.wait()
+            await self._watch_given_up.wait()
             nursery.cancel_scope.cancel()
         return batch
 
--- a/src/wagtailpoint/discovery/store_check.py
+++ b/src/wagtailpoint/discovery/store_check.py
@@ -85,7 +85,13 @@
             self._waiting -= 1
 
     async def run(self) -> None:
-        """Read until cancelled."""
+        """Read until cancelled.
+
+        Raises:
+            ValueError: There is no kind to read.
+        """
+        if not self._kinds:
+            raise ValueError("kinds: given none, expected one at least from `read`")
         while True:
             for name, kind in list(self._kinds.items()):
                 page = await self._peek(name, kind) if self._waiting else None
--- a/src/wagtailpoint/lookup/entry_choice.py
+++ b/src/wagtailpoint/lookup/entry_choice.py
@@ -105,16 +105,13 @@
         While those of its failure domain are overloaded, others of its region that are not, too.
         """
         near = self.by_domain.get(failure_domain)
-        beside = [
-            each
-            for each in self.all
-            if each.region == region and each.failure_domain != failure_domain
-        ]
+        if near and failure_domain not in self._relieved:
+            return near
+        in_region = [each for each in self.all if each.region == region]
         if not near:
-            return beside or self.all
-        if failure_domain in self._relieved:
-            return [*near, *(each for each in beside if each.load < OVERLOADED)]
-        return near
+            return in_region or self.all
+        beside = (each for each in in_region if each.failure_domain != failure_domain)
+        return [*near, *(each for each in beside if each.load < OVERLOADED)]
 
 
 class EntriesAround:
