--- a/tests/nocover/test_follower_faults.py
+++ b/tests/nocover/test_follower_faults.py
@@ -200,7 +200,7 @@
             self.store.put(kind, name, {}, current.version if current else 0)
         self._older.append(self.store.copy())
         for platform in self.platforms:
-            platform._wake()
+            platform.answer_fresh()
 
     def _restart(self, number: int, nursery: trio.Nursery) -> None:
         self.mistakes += self._instances[number].mistakes
