--- a/tests/nocover/test_follower_faults.py
+++ b/tests/nocover/test_follower_faults.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 import trio
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 from loguru import logger
 from result import Err, Ok, Result
@@ -146,8 +146,9 @@
 class World:
     """Instances, the store, and a schedule of changes and faults drawn from a seed."""
 
-    def __init__(self, *, seed: int, count: int) -> None:
+    def __init__(self, *, seed: int, count: int, faulty_starts: bool = False) -> None:
         self.random = Random(seed)
+        self._faulty_starts = faulty_starts
         self.store = RecordingStore()
         self.network = FakeNetwork()
         self.places = [PeerAddress(f"127.9.0.{n}", 7000, n + 1) for n in range(count)]
@@ -207,6 +208,8 @@
         self._instances[number].stopped.cancel()
         self._instances[number] = self._make(number)
         nursery.start_soon(self._instances[number].run)
+        if self._faulty_starts:
+            nursery.start_soon(self._disturb, self.platforms[number])
 
     async def _disturb(self, platform: DelayingPlatform) -> None:
         """Let an instance's calls be refused, unanswered or slow for a while."""
@@ -231,20 +234,32 @@
                 self.mistakes.append(f"{each.peers.address}: {known} of {self.store.version}")
 
 
+SEEDS = st.integers(min_value=0, max_value=2**32 - 1)
+COUNTS = st.sampled_from((3, ALL_WATCH, ALL_WATCH + 3))
+
+
 class FollowersUnderFaultsTest(unittest.TestCase):
     def setUp(self) -> None:
         logger.disable("wagtailpoint")
         self.addCleanup(logger.enable, "wagtailpoint")
 
     @settings(max_examples=40, deadline=None, derandomize=True)
-    @given(
-        seed=st.integers(min_value=0, max_value=2**32 - 1),
-        count=st.sampled_from((3, ALL_WATCH, ALL_WATCH + 3)),
-    )
+    @given(seed=SEEDS, count=COUNTS)
+    @example(seed=917, count=8)
     def test_versions_keep_their_objects_and_changes_arrive_in_time(
         self, seed: int, count: int
     ) -> None:
         """Guards against a version known without its objects, and a change that is never heard."""
-        world = World(seed=seed, count=count)
+        self.check(World(seed=seed, count=count))
+
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(seed=SEEDS, count=COUNTS)
+    @example(seed=175, count=5)
+    @example(seed=226, count=5)
+    def test_starts_while_the_store_is_in_trouble(self, seed: int, count: int) -> None:
+        """Guards against a start that ends with older objects under a newer version."""
+        self.check(World(seed=seed, count=count, faulty_starts=True))
+
+    def check(self, world: World) -> None:
         trio.run(world.run, clock=MockClock(autojump_threshold=0))
         self.assertEqual(world.mistakes, [])
