--- a/bench/soak/caller.py
+++ b/bench/soak/caller.py
@@ -1,7 +1,7 @@
 """Callers that keep their connections open until the process is gone."""
 
 from random import Random
-from typing import Final
+from typing import Final, NamedTuple
 
 import h11
 import trio
@@ -10,6 +10,7 @@
 from bench.soak.findings import ANSWER_LIMIT_S, Asked, Findings
 
 PAUSE_S: Final = 0.05
+DEADLINE_MS: Final = "2000"
 WRITE_PART: Final = 0.3
 """The part of the requests that may run once at most."""
 
@@ -61,43 +62,58 @@
 
     async def _send_one(self, stream: trio.SocketStream, parser: h11.Connection) -> None:
         self._sent += 1
-        request_id = f"{self._name}-{self._sent}"
-        version: int | None = None
-        method, target = "GET", f"/read/{request_id}"
-        if self._random.random() < PROBE_PART:
-            age = self._random.randrange(PROBED_VERSIONS)
-            version = max(FIRST_VERSION, self._world.version - age)
-            target = f"/added-{version}/{request_id}"
-        elif self._random.random() < WRITE_PART:
-            method, target = "POST", f"/write/{request_id}"
+        drawn = self._draw(f"{self._name}-{self._sent}")
         instance = self._instance
-        asked = Asked(instance.number, instance.processes, trio.current_time(), method == "GET")
-        self._findings.asked[request_id] = asked
-        headers = [("Host", HOST), ("X-Attempt-Id", request_id), ("X-Deadline-Ms", "2000")]
-        if method == "POST":
-            headers.append(("Content-Length", "0"))
-        head = parser.send(h11.Request(method=method, target=target, headers=headers)) or b""
-        await stream.send_all(head + (parser.send(h11.EndOfMessage()) or b""))
+        repeatable = drawn.method == "GET"
+        asked = Asked(instance.number, instance.processes, trio.current_time(), repeatable)
+        self._findings.asked[drawn.request_id] = asked
+        await stream.send_all(_request(drawn, parser))
         try:
             with trio.fail_after(ANSWER_LIMIT_S):
                 status, body = await _answer(stream, parser)
         except trio.BrokenResourceError:
-            self._findings.cut.add(request_id)
+            self._findings.cut.add(drawn.request_id)
             raise
-        self._check(request_id, target, status, body)
-        if version is not None and status in (200, 404):
+        self._check(drawn, status, body)
+        if drawn.version is not None and status in (200, 404):
             self._findings.note_version(
-                asked, version, served=status == 200, answered_s=trio.current_time()
+                asked, drawn.version, served=status == 200, answered_s=trio.current_time()
             )
 
-    def _check(self, request_id: str, target: str, status: int, body: bytes) -> None:
+    def _draw(self, request_id: str) -> "_Drawn":
+        if self._random.random() < PROBE_PART:
+            age = self._random.randrange(PROBED_VERSIONS)
+            version = max(FIRST_VERSION, self._world.version - age)
+            return _Drawn(request_id, "GET", f"/added-{version}/{request_id}", version)
+        if self._random.random() < WRITE_PART:
+            return _Drawn(request_id, "POST", f"/write/{request_id}", None)
+        return _Drawn(request_id, "GET", f"/read/{request_id}", None)
+
+    def _check(self, drawn: "_Drawn", status: int, body: bytes) -> None:
         self._findings.statuses[status] += 1
-        if status == 200 and body != f"{request_id} {target}".encode():
-            self._findings.found.append(f"{request_id} got the answer {body!r}")
+        if status == 200 and body != f"{drawn.request_id} {drawn.target}".encode():
+            self._findings.found.append(f"{drawn.request_id} got the answer {body!r}")
         if status == 503:
-            self._findings.refused.add(request_id)
-        if status == 404 and not target.startswith("/added-"):
-            self._findings.found.append(f"{request_id}: 404 for {target}")
+            self._findings.refused.add(drawn.request_id)
+        if status == 404 and drawn.version is None:
+            self._findings.found.append(f"{drawn.request_id}: 404 for {drawn.target}")
+
+
+class _Drawn(NamedTuple):
+    """A request to send; with the version that added its route, if it is a probe of that."""
+
+    request_id: str
+    method: str
+    target: str
+    version: int | None
+
+
+def _request(drawn: _Drawn, parser: h11.Connection) -> bytes:
+    headers = [("Host", HOST), ("X-Attempt-Id", drawn.request_id), ("X-Deadline-Ms", DEADLINE_MS)]
+    if drawn.method == "POST":
+        headers.append(("Content-Length", "0"))
+    head = h11.Request(method=drawn.method, target=drawn.target, headers=headers)
+    return (parser.send(head) or b"") + (parser.send(h11.EndOfMessage()) or b"")
 
 
 async def _answer(stream: trio.SocketStream, parser: h11.Connection) -> tuple[int, bytes]:
