A watch that missed something is followed by a listing, not by another watch

Cause: one unanswered watch was replaced by another. Change: after watch-missed all objects are listed, by a read that is not stale.

Evidence: test_watches_that_are_all_unanswered_delay_no_change fails before and passes now.

--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -95,6 +95,7 @@
         self._history = ChangeHistory(kind=kind)
         self._watching = trio.Event()
         self._watch_given_up = trio.Event()
+        self._missed = False
         self.watching = watching
         check.read(kind, self._compare)
 
@@ -167,7 +168,10 @@
             self._on_change()
 
     def _compare(self, page: Page) -> None:
-        """Begin the watch anew if it should have told by now what a page of the store shows."""
+        """List anew if the watch should have told by now what a page of the store shows.
+
+        Another watch in its place might not be answered either.
+        """
         if not self.watching or not self.settled or page.version <= self._version:
             return
         known = {
@@ -182,9 +186,7 @@
             version=page.version,
             known=self._version,
         )
-        self._end_watch()
-
-    def _end_watch(self) -> None:
+        self._missed = True
         self._watch_given_up.set()
         self._watch_given_up = trio.Event()
 
@@ -204,7 +206,7 @@
             failed = await self._list() if must_list else await self._watch()
             if failed is None:
                 failures = 0
-                must_list = False
+                must_list, self._missed = self._missed, False
                 continue
             if isinstance(failed, WatchTooOld):
                 log_event("history-gone", kind=self._kind, version=self._version)
--- a/tests/common/fake_platform.py
+++ b/tests/common/fake_platform.py
@@ -37,6 +37,7 @@
         before_put: Runs before each put, for example to let another operator be first.
         after_put: Runs after each put took effect and before its answer.
         scripted_watches: Answers for the next watches, before real ones.
+        deaf: Watches that begin now are never answered; all other calls are.
         page_size: How many objects a page of a cheap read has.
         list_delay_s: How long the answer to a listing is on its way, in seconds.
         listed: The list of instances.
@@ -55,6 +56,7 @@
         self.before_put: Callable[[str, str], Awaitable[None]] | None = None
         self.after_put: Callable[[str, str], Awaitable[None]] | None = None
         self.scripted_watches: deque[WatchAnswer] = deque()
+        self.deaf = False
         self.page_size = 50
         self.list_delay_s = 0.0
         self.listed: Sequence[ListedInstance] = ()
@@ -180,6 +182,8 @@
         refusal = await self._arrive("WATCH", ",".join(kinds))
         if refusal:
             return Err(refusal)
+        if self.deaf:
+            await trio.sleep_forever()
         if self.scripted_watches:
             return self.scripted_watches.popleft()
         with trio.move_on_after(wait_s):
--- a/tests/cover/test_kind_follower.py
+++ b/tests/cover/test_kind_follower.py
@@ -223,6 +223,21 @@
 
         self.run_with(test, lapses=False)
 
+    def test_watches_that_are_all_unanswered_delay_no_change(self) -> None:
+        """Guards against one unanswered watch that is replaced by another."""
+
+        async def test(follower: KindFollower) -> None:
+            await self.put("first")
+            await trio.sleep(0.1)
+            self.platform.deaf = True
+            await trio.sleep(1.0)
+            for number in range(3):
+                await self.put(f"new-{number}")
+                await trio.sleep(2.0)
+                self.assertIn(f"new-{number}", follower.objects)
+
+        self.run_with(test, lapses=False)
+
     def test_fresh_start_without_the_store_learns_from_a_peer(self) -> None:
         async def test(follower: KindFollower) -> None:
             self.assertFalse(follower.known)
