The soak knows by the last process's own log whether it had begun

What could be missed: a process ended by the signal of a planned stop although it had begun. Cause: all starts in the log were counted against all processes, so one that was killed before it logged its start excused every later one at that place. Stricter now, never looser.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -39,6 +39,7 @@
         self.address = address
         self.proxy = proxy
         self.processes = 0
+        self._logged_before = 0
         self.lock = trio.Lock()
         self.process = ModuleProcess(
             module="wagtailpoint.daemon", environment={"WAGTAILPOINT_NODE_FILE": str(file)}
@@ -47,11 +48,12 @@
     @property
     def has_begun(self) -> bool:
         """Whether the last process has said that it runs."""
-        return self.process.log.count("event=started ") == self.processes
+        return "event=started " in self.process.log[self._logged_before :]
 
     def start(self) -> None:
         """Start a process at this place."""
         self.processes += 1
+        self._logged_before = len(self.process.log)
         self.process.start()
 
 
