Logs: a digest tells repeats of a request; a connection that ended is no garbled answer

On-call could not tell from logs whether two requests were the same: `request` lines bear the object (`key`), which many share, and an id that differs from send to send.

--- a/src/wagtailpoint/ports/backend.py
+++ b/src/wagtailpoint/ports/backend.py
@@ -59,7 +59,7 @@
     BAD_REQUEST = "bad-request"
     """The request breaks HTTP, for example a body that differs from its Content-Length."""
     RESET = "reset"
-    """The connection ended before a whole response head had come."""
+    """The connection ended before the whole response had come."""
     TIMEOUT = "timeout"
     SHED = "shed"
     CROSSED_ANSWER = "crossed-answer"
--- a/src/wagtailpoint/proxy/backend_connection.py
+++ b/src/wagtailpoint/proxy/backend_connection.py
@@ -114,6 +114,7 @@
         self._sent_whole = True
         self._fresh = True
         self._answered = True
+        self._ended = False
         self._idle_limit_s = DEFAULT_IDLE_S
         self._idle_since = trio.current_time()
 
@@ -218,6 +219,8 @@
                     return await self._reply(response)
                 await self._step_over(request)
         except h11.RemoteProtocolError as error:
+            if self._ended:
+                return _may_have_run(FailureReason.RESET, "closed before the end of the response")
             return _may_have_run(FailureReason.BAD_RESPONSE, str(error))
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
             return _may_have_run(FailureReason.RESET, str(error))
@@ -292,7 +295,9 @@
     async def _event(self) -> object:
         event: object = self._parser.next_event()
         while event is h11.NEED_DATA:
-            self._parser.receive_data(await self._stream.receive_some(READ_BYTES))
+            data = await self._stream.receive_some(READ_BYTES)
+            self._ended = not data
+            self._parser.receive_data(data)
             event = self._parser.next_event()
         return event
 
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -204,6 +204,7 @@
             fields["load"] = text(job.load)
             fields["declined"] = ",".join(map(_declined_text, job.declined))
             fields["connect_ms"] = round(1000 * job.connect_s, 1)
+            fields["digest"] = job.fingerprint
         log_event(
             "request",
             id=text(first(request.headers, self._names.request_id)),
--- a/src/wagtailpoint/proxy/job.py
+++ b/src/wagtailpoint/proxy/job.py
@@ -9,6 +9,8 @@
 from wagtailpoint.ports.backend import FailureReason
 from wagtailpoint.proxy.backend_connection import BackendReply
 from wagtailpoint.proxy.caller_exchange import IncomingRequest, ReadBody
+from wagtailpoint.proxy.headers import first, text
+from wagtailpoint.quarantine.fingerprint import fingerprint
 from wagtailpoint.routing.table import HostRoute, RouteTable
 from wagtailpoint.verdict import Verdict
 
@@ -67,6 +69,7 @@
         self.service = service
         self.deadline = 0.0
         self.body = ReadBody(b"", None)
+        self._fingerprint = ""
         self.tried: list[str] = []
         self.sends = 0
         self.failures: list[Failure] = []
@@ -76,6 +79,20 @@
         self.declined: Sequence[Declined] = ()
         self.connect_s = 0.0
 
+    @property
+    def fingerprint(self) -> str:
+        """The same for every repeat of the request; to be asked for once its body was read."""
+        if not self._fingerprint:
+            headers = self.request.headers
+            self._fingerprint = fingerprint(
+                method=self.request.method,
+                host=text(first(headers, b"host")),
+                target=self.request.target,
+                body=self.body.read,
+                credentials=first(headers, b"authorization") or b"",
+            )
+        return self._fingerprint
+
     @property
     def left_s(self) -> float:
         """Seconds left until the deadline."""
--- /dev/null
+++ b/src/wagtailpoint/quarantine/fingerprint.py
@@ -0,0 +1,28 @@
+"""Which requests are the same, whatever their ids and whoever sends them."""
+
+from hashlib import blake2b
+from typing import Final
+
+DIGEST_BYTES: Final = 10
+"""Short enough for log lines; 80 bits, so that no two requests of a day share one by chance."""
+
+
+def fingerprint(
+    *, method: str, host: str, target: str, body: bytes, credentials: bytes = b""
+) -> str:
+    """Tell a request by all that a backend server's code can depend on.
+
+    The id and the deadline are left out, as they differ from send to send, and so is the caller's
+    address, which a backend server does not see.
+
+    Args:
+        method: For example ``GET``.
+        host: The host that was asked for, in any case.
+        target: Path and query, as they were written.
+        body: The body, or what was read of a long one.
+        credentials: What the caller proves its identity by; empty if it does not.
+    """
+    digest = blake2b(digest_size=DIGEST_BYTES)
+    for part in (method.encode(), host.lower().encode(), target.encode(), credentials, body):
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
--- a/tests/cover/test_backend_connection.py
+++ b/tests/cover/test_backend_connection.py
@@ -130,6 +130,21 @@
         assert isinstance(failed, ExchangeFailed)
         self.assertIs(failed.reason, FailureReason.BAD_RESPONSE)
 
+    def test_connection_that_ends_without_an_answer_is_no_garbled_answer(self) -> None:
+        """Guards against crashes of backend servers that look like nonsense from them."""
+
+        async def closed(stream: ScriptedStream) -> None:
+            await stream.request()
+
+        async def reset(stream: ScriptedStream) -> None:
+            await stream.request()
+            await reset_connection(stream.stream)
+
+        for script in (closed, reset):
+            (failed,) = exchange_all(script, outgoing())
+            assert isinstance(failed, ExchangeFailed)
+            self.assertIs(failed.reason, FailureReason.RESET)
+
     def test_refusal_bears_its_mark(self) -> None:
         async def script(stream: ScriptedStream) -> None:
             await stream.request()
