--- /dev/null
+++ b/tests/common/steering_group.py
@@ -0,0 +1,101 @@
+"""Several instances on the users' platform as real processes, for tests."""
+
+import json
+import tempfile
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from contextlib import ExitStack, asynccontextmanager
+from pathlib import Path
+
+import trio
+
+from tests.common.node_settings_file import node_settings_document
+from tests.common.processes import ModuleProcess
+from tests.common.sockets import loopback_address
+from wagtailpoint.node_settings import Endpoint
+
+HOST = "ficu95.example"
+CALLER_PORT = 8144
+LOOKUP_PORT = 8143
+
+
+class Instance:
+    """One process and where it listens."""
+
+    def __init__(self, *, address: str, process: ModuleProcess) -> None:
+        self.address = address
+        self.process = process
+
+    @property
+    def watches(self) -> bool:
+        """Whether it watches the store itself, by its last word on that."""
+        said = [line for line in self.process.log.splitlines() if "event=watching " in line]
+        return bool(said) and "itself=True" in said[-1]
+
+    async def status_of(self, target: str) -> int:
+        """The status of a request; 0 if no connection could be made."""
+        return (await ask(self.address, CALLER_PORT, target, "X-Attempt-Id: a1"))[0]
+
+    async def serves(self) -> int:
+        """The status of a good request."""
+        return await self.status_of("/look/1")
+
+    async def named(self) -> set[str]:
+        """The entries that it names in a lookup."""
+        target = f"/api/resolve?Name={HOST}&Region=a&Zone=a-1"
+        _, body = await ask(self.address, LOOKUP_PORT, target)
+        return set(json.loads(body)["Addresses"]) if body.startswith(b"{") else set()
+
+
+async def ask(address: str, port: int, target: str, *headers: str) -> tuple[int, bytes]:
+    """Send one GET; status 0 if no connection could be made."""
+    try:
+        stream = await trio.open_tcp_stream(address, port)
+    except OSError:
+        return 0, b""
+    async with stream:
+        lines = [f"GET {target} HTTP/1.1", f"Host: {HOST}", "Connection: close", *headers]
+        await stream.send_all("\r\n".join(lines).encode() + b"\r\n\r\n")
+        data = b""
+        async for part in stream:
+            data += bytes(part)
+    return int(data.split(b" ")[1]), data.partition(b"\r\n\r\n")[2]
+
+
+async def until(holds: Callable[[], Awaitable[bool]], limit_s: float, what: str) -> None:
+    """Wait until something holds.
+
+    Raises:
+        AssertionError: It does not within ``limit_s`` seconds.
+    """
+    with trio.move_on_after(limit_s):
+        while not await holds():  # noqa: ASYNC110 - it is in other processes
+            await trio.sleep(0.05)
+        return
+    raise AssertionError(f"not within {limit_s} s: {what}")
+
+
+async def all_serve(instances: Sequence[Instance], status: int) -> bool:
+    """Whether each of the instances answers with this status."""
+    return all([await each.serves() == status for each in instances])
+
+
+@asynccontextmanager
+async def steering_group(store: Endpoint, count: int) -> AsyncIterator[list[Instance]]:
+    """Run so many instances of one failure domain, without waiting until they serve."""
+    with ExitStack() as stack:
+        folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
+        addresses = [loopback_address() for _ in range(count)]
+        seeds = tuple(f"{each}:8146" for each in addresses[:3])
+        instances = []
+        for number, address in enumerate(addresses):
+            file = folder / f"{number}.json"
+            document = node_settings_document(
+                address=address, name=f"e-{number}", store=store, seeds=seeds
+            )
+            file.write_text(json.dumps(document))
+            process = ModuleProcess(
+                module="wagtailpoint.daemon", environment={"WAGTAILPOINT_NODE_FILE": str(file)}
+            )
+            stack.enter_context(process)
+            instances.append(Instance(address=address, process=process))
+        yield instances
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -1,10 +1,11 @@
 """Requests that crash backend servers: which are the same, which are shut out."""
 
 import unittest
+from typing import Any
 
 from wagtailpoint.quarantine.fingerprint import fingerprint
 
-ASKED = {"method": "GET", "host": "h", "target": "/r/7/1", "body": b""}
+ASKED: dict[str, Any] = {"method": "GET", "host": "h", "target": "/r/7/1", "body": b""}
 
 
 class FingerprintTest(unittest.TestCase):
@@ -12,7 +13,7 @@
         self.assertEqual(fingerprint(**ASKED), fingerprint(**{**ASKED, "host": "H"}))
 
     def test_whatever_a_backend_server_sees_makes_another(self) -> None:
-        others = [
+        others: list[dict[str, Any]] = [
             {"method": "POST"},
             {"host": "g"},
             {"target": "/r/7/2"},
--- a/tests/integration/test_steering_group.py
+++ b/tests/integration/test_steering_group.py
@@ -1,24 +1,15 @@
 """Several instances of one region with the real program: few watch the store, all follow it."""
 
-import json
-import tempfile
 import unittest
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
-from pathlib import Path
 
 import trio
 
-from tests.common.node_settings_file import (
-    node_settings_document,
-    server_document,
-    unsplit_config_document,
-)
-from tests.common.processes import ModuleProcess
+from tests.common.node_settings_file import server_document, unsplit_config_document
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
-from tests.common.sockets import loopback_address
+from tests.common.steering_group import Instance, all_serve, steering_group, until
 from tests.common.users_store import UsersStore
-from tests.integration.test_steering_process import HOST, ask
 from wagtailpoint.discovery.watch_sharing import ALL_WATCH, watchers_among
 from wagtailpoint.lookup.entry_choice import LEAST_ENTRIES
 
@@ -31,29 +22,6 @@
 """An instance that was killed is in no lookup after that."""
 
 
-class Instance:
-    """One process and where it listens."""
-
-    def __init__(self, *, address: str, process: ModuleProcess) -> None:
-        self.address = address
-        self.process = process
-
-    @property
-    def watches(self) -> bool:
-        """Whether it watches the store itself, by its last word on that."""
-        said = [line for line in self.process.log.splitlines() if "event=watching " in line]
-        return bool(said) and "itself=True" in said[-1]
-
-    async def serves(self) -> int:
-        """The status of a request."""
-        return (await ask(self.address, 8144, "/look/1", "X-Attempt-Id: a1"))[0]
-
-    async def named(self) -> set[str]:
-        """The entries that it names in a lookup."""
-        _, body = await ask(self.address, 8143, f"/api/resolve?Name={HOST}&Region=a&Zone=a-1")
-        return set(json.loads(body)["Addresses"]) if body.startswith(b"{") else set()
-
-
 async def backend(stream: ScriptedStream) -> None:
     """Answer every request with ``ok``."""
     while request := await stream.request():
@@ -63,24 +31,6 @@
                 await stream.send(response(b"ok", f"X-Attempt-Id: {number}"))
 
 
-async def until(holds: Callable[[], Awaitable[bool]], limit_s: float, what: str) -> None:
-    """Wait until something holds.
-
-    Raises:
-        AssertionError: It does not within ``limit_s`` seconds.
-    """
-    with trio.move_on_after(limit_s):
-        while not await holds():  # noqa: ASYNC110 - it is in other processes
-            await trio.sleep(0.05)
-        return
-    raise AssertionError(f"not within {limit_s} s: {what}")
-
-
-async def all_serve(instances: Sequence[Instance], status: int) -> bool:
-    """Whether each of the instances answers with this status."""
-    return all([await each.serves() == status for each in instances])
-
-
 class SteeringGroupTest(unittest.TestCase):
     def setUp(self) -> None:
         self.store = UsersStore()
@@ -94,25 +44,7 @@
                     server = await stack.enter_async_context(scripted_server(backend))
                     self.store.put("config", "main", unsplit_config_document())
                     self.store.put("servers", "i-1", server_document(str(server)))
-                    folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
-                    addresses = [loopback_address() for _ in range(INSTANCES)]
-                    instances = []
-                    for number, address in enumerate(addresses):
-                        file = folder / f"{number}.json"
-                        seeds = tuple(f"{each}:8146" for each in addresses[:3])
-                        file.write_text(
-                            json.dumps(
-                                node_settings_document(
-                                    address=address, name=f"e-{number}", store=store, seeds=seeds
-                                )
-                            )
-                        )
-                        process = ModuleProcess(
-                            module="wagtailpoint.daemon",
-                            environment={"WAGTAILPOINT_NODE_FILE": str(file)},
-                        )
-                        stack.enter_context(process)
-                        instances.append(Instance(address=address, process=process))
+                    instances = await stack.enter_async_context(steering_group(store, INSTANCES))
                     await self.settle(instances)
                     await test(instances)
 
--- a/tests/integration/test_steering_process.py
+++ b/tests/integration/test_steering_process.py
@@ -18,29 +18,13 @@
 from tests.common.processes import ModuleProcess
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
 from tests.common.sockets import loopback_address
+from tests.common.steering_group import HOST, ask
 from tests.common.users_store import UsersStore
 
 LIMIT_S = 40
 IN_FORCE_S = 5.0
 """Well under the 20 s that a watch waits, also on a busy machine."""
 
-HOST = "ficu95.example"
-
-
-async def ask(address: str, port: int, target: str, *headers: str) -> tuple[int, bytes]:
-    """Send one GET; status 0 if no connection could be made."""
-    try:
-        stream = await trio.open_tcp_stream(address, port)
-    except OSError:
-        return 0, b""
-    async with stream:
-        lines = [f"GET {target} HTTP/1.1", f"Host: {HOST}", "Connection: close", *headers]
-        await stream.send_all("\r\n".join(lines).encode() + b"\r\n\r\n")
-        data = b""
-        async for part in stream:
-            data += bytes(part)
-    return int(data.split(b" ")[1]), data.partition(b"\r\n\r\n")[2]
-
 
 class SteeringProcessTest(unittest.TestCase):
     def setUp(self) -> None:
