A request that crashes backend servers is kept from them, by all instances

Cause: a crash was taken for a fault of the place where it happened, and the request given to the next one. Nothing outlived a request, so each attempt of a caller, on each instance, ended two more. Class: an input's fault taken for a fault of the place.

Now a request is told by its fingerprint. A connection that ends without the whole response makes a suspect of it if nobody listens at the backend server any more (one connection is tried; its refusal proves the end). An answer clears it. At three crashes, of different starts of backend servers, at all instances together, it is refused at once with 503, before any send. Peers are told at the second crash, or when the request is over without an answer; what is found is written to the store, which all follow, and which new processes read at their start. Sends under way of a suspect count as crashes to come, an instance repeats it once by itself, and it is not sent beside a silent one.

Ruled out: cut connections, planned stops and lost power as evidence (tests); bystanders (an answer clears them). A follower's kind is no longer always checked by cheap reads: a fourth kind would make the check of the configuration rarer.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -1,7 +1,7 @@
 """An instance of a deployment on an object store: all its parts, wired together, and its tasks."""
 
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -12,11 +12,12 @@
 from wagtailpoint.adapters.peers_nng import NngPeers
 from wagtailpoint.daemon.entry_pages import LOOKUP_TTL_S, EntryPages
 from wagtailpoint.daemon.entry_role import EntryRole
+from wagtailpoint.daemon.followers import make_followers
 from wagtailpoint.daemon.settings_file import SettingsFile
+from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.daemon.store_state import StoreState
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.fleet import Fleet
-from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.instance_count import InstanceCount
 from wagtailpoint.discovery.lost_registrations import LostRegistrations
 from wagtailpoint.discovery.peer_states import PeerStateExchange
@@ -36,12 +37,10 @@
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.region_mix import RegionMix
-from wagtailpoint.platform.documents import CONFIG_KIND, EVACUATIONS_KIND, SERVERS_KIND
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.platform.settings import read_node_settings
 from wagtailpoint.platform.store import ObjectStore
 from wagtailpoint.ports.peers import PeerAddress
-from wagtailpoint.ports.platform import StoredObject
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.caller_connection import RequestHandler
 from wagtailpoint.proxy.caller_server import CallerServer
@@ -135,6 +134,12 @@
         self._lost_registrations = LostRegistrations(
             platform=self._platform, membership=self._membership, random=self._random
         )
+        self._quarantine = SharedQuarantine(
+            peers=self._peers,
+            platform=self._platform,
+            membership=self._membership,
+            random=self._random,
+        )
         self._exchange = PeerStateExchange(
             peers=self._peers, membership=self._membership, seeds=seeds, random=self._random
         )
@@ -142,7 +147,15 @@
         self._gone: list[ServerStart] = []
         self._some_gone = trio.Event()
         self._state = StoreState(fleet=self._fleet, on_gone=self._note_gone)
-        self._followers = self._make_followers()
+        self._followers = make_followers(
+            platform=self._platform,
+            peers=self._exchange,
+            check=self._store_check,
+            random=self._random,
+            state=self._state,
+            quarantine=self._quarantine,
+            on_change=self._note_change,
+        )
         self._exchange.answer_for(self._followers)
         self._sharing = WatchSharing(
             peers=self._peers, membership=self._membership, followers=self._followers
@@ -191,6 +204,7 @@
                     *(follower.run for follower in self._followers.values()),
                     self._lost_registrations.run,
                     self._sharing.run,
+                    self._quarantine.run,
                     self._store_check.run,
                     self._pool.run,
                     self._make_distance_probe().run,
@@ -210,31 +224,6 @@
                 serving.cancel_scope.cancel()
             nursery.cancel_scope.cancel()
 
-    def _make_followers(self) -> Mapping[str, KindFollower]:
-        def follower(
-            kind: str,
-            apply: Callable[[Mapping[str, StoredObject]], None],
-            *,
-            lapses: bool = False,
-        ) -> KindFollower:
-            made: KindFollower = KindFollower(
-                kind=kind,
-                platform=self._platform,
-                peers=self._exchange,
-                check=self._store_check,
-                on_change=lambda: self._on_change(apply, made),
-                random=self._random,
-                lapses=lapses,
-                watching=False,
-            )
-            return made
-
-        return {
-            CONFIG_KIND: follower(CONFIG_KIND, self._state.apply_config),
-            SERVERS_KIND: follower(SERVERS_KIND, self._state.apply_servers, lapses=True),
-            EVACUATIONS_KIND: follower(EVACUATIONS_KIND, self._state.apply_evacuations),
-        }
-
     def _make_placement(self) -> Placement:
         return Placement(
             fleet=self._fleet,
@@ -279,11 +268,13 @@
             placement=self._placement,
             pool=self._pool,
             budget=RepeatBudget(bound=self._repeat_bound, divisor=self._role.bound_divisor),
+            quarantine=self._quarantine.local,
             names=HEADER_NAMES,
         )
         return Dispatcher(
             table=lambda: self._state.table,
             sender=sender,
+            quarantine=self._quarantine.local,
             names=HEADER_NAMES,
             metrics=self._metrics,
             random=self._random,
@@ -343,14 +334,12 @@
             "instances": self._instances(),
             "entries": len(self._role.choice.all),
             "load": self._membership.own.load,
+            **self._quarantine.gauges,
             "watching": all(each.watching for each in self._followers.values()),
             "config_version": self._state.table.version if self._state.table else 0,
         }
 
-    def _on_change(
-        self, apply: Callable[[Mapping[str, StoredObject]], None], follower: KindFollower
-    ) -> None:
-        apply(follower.objects)
+    def _note_change(self) -> None:
         self._sharing.note_change()
         if self._membership.own.state == "starting" and self._is_ready():
             self._membership.publish(state="live")
--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -63,6 +63,7 @@
         on_change: Callable[[], None],
         random: Random,
         lapses: bool = False,
+        checked: bool = True,
         watching: bool = True,
     ) -> None:
         """Make a follower that knows nothing yet.
@@ -75,6 +76,7 @@
             on_change: Called after every change of ``objects``; must not block.
             random: For the jitter.
             lapses: Objects of this kind are removed when they are not renewed.
+            checked: Compare what is known with cheap reads, in turn with other kinds.
             watching: Watch the store after the first listing; else wait to be told.
         """
         self._kind = kind
@@ -97,7 +99,13 @@
         self._watch_given_up = trio.Event()
         self._missed = False
         self.watching = watching
-        check.read(kind, self._compare)
+        if checked:
+            check.read(kind, self._compare)
+
+    @property
+    def kind(self) -> str:
+        """The kind of object."""
+        return self._kind
 
     @property
     def objects(self) -> Mapping[str, StoredObject]:
--- a/src/wagtailpoint/discovery/lost_registrations.py
+++ b/src/wagtailpoint/discovery/lost_registrations.py
@@ -9,9 +9,9 @@
 
 from wagtailpoint.discovery.registration import KIND, read_registered
 from wagtailpoint.membership import Membership
+from wagtailpoint.membership.duty import has_duty
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.platform import Platform
-from wagtailpoint.rendezvous import rendezvous_score
 
 LOST_S: Final = 120.0
 """Dead for so long is lost: a process that was killed starts again within seconds."""
@@ -45,7 +45,7 @@
         while True:
             await trio.sleep(LOOK_INTERVAL_S * self._random.uniform(0.8, 1.2))
             lost = self._lost()
-            if lost and self._is_responsible():
+            if lost and has_duty(self._membership, "cleaner"):
                 await self._remove(lost)
 
     def _lost(self) -> Collection[str]:
@@ -59,12 +59,6 @@
             if now - since >= LOST_S and address not in self._removed
         }
 
-    def _is_responsible(self) -> bool:
-        """Whether this instance removes them: one, for all that see the same members."""
-        live = [each.address for each in self._membership.members() if each.state == "live"]
-        own = self._membership.own.address
-        return max(live, key=lambda each: rendezvous_score("cleaner", each), default="") == own
-
     async def _remove(self, addresses: Collection[str]) -> None:
         listing = await self._platform.list(kind=KIND)
         if isinstance(listing, Err):
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -18,7 +18,7 @@
 from wagtailpoint.proxy.headers import HeaderNames
 from wagtailpoint.verdict import Verdict
 
-SparePurpose = Literal["next-request", "after-start", "distance", "after-failure"]
+SparePurpose = Literal["next-request", "after-start", "distance", "after-failure", "crash-check"]
 """What a connection is opened for that no request waits for."""
 
 KEPT_CONNECTIONS: Final = 8
@@ -112,19 +112,19 @@
             return True
         return any(not each.rested_too_long() for each in self._idle.get(entry.start, ()))
 
-    async def open_spare(self, entry: ServerEntry, purpose: SparePurpose) -> bool:
-        """Open a connection for the next request; False if that failed."""
+    async def open_spare(self, entry: ServerEntry, purpose: SparePurpose) -> FailureReason | None:
+        """Open a connection for the next request; return why that failed, None if it did not."""
         self._opening_spare.add(entry.start)
         try:
             connection = await self._open(entry, purpose)
         except ExchangeFailed as error:
             # Nobody waits for it: whoever needs a connection opens one, and learns what is wrong.
             log_event("spare-not-opened", server=entry.server_id, reason=error)
-            return False
+            return error.reason
         finally:
             self._opening_spare.discard(entry.start)
         await self._keep(entry.start, connection)
-        return True
+        return None
 
     def _note_acquired(self, entry: ServerEntry, *, reused: bool) -> None:
         """Have a spare connection opened where it takes long and none is idle, if they are used."""
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -23,6 +23,7 @@
 )
 from wagtailpoint.proxy.job import Job, Outcome
 from wagtailpoint.proxy.sender import LEAST_EXCHANGE_S, Sender
+from wagtailpoint.quarantine.quarantine import Admission, Quarantine
 from wagtailpoint.routing.split import SplitChooser
 from wagtailpoint.routing.table import HostRoute, RouteTable
 from wagtailpoint.verdict import Verdict
@@ -40,6 +41,9 @@
 
 STARTING_COME_BACK_S = 0.5
 
+QUARANTINED_COME_BACK_S = 60.0
+"""A request that crashes backend servers will not be served before somebody has mended them."""
+
 LONGEST_AGE_S = 999.0
 """In log lines, for reports that never came."""
 
@@ -52,6 +56,7 @@
         *,
         table: Callable[[], RouteTable | None],
         sender: Sender,
+        quarantine: Quarantine,
         names: HeaderNames,
         metrics: Metrics,
         random: Random,
@@ -61,12 +66,14 @@
         Args:
             table: The routes in force; None before there are any.
             sender: Sends requests to backend servers.
+            quarantine: Which requests must not be sent.
             names: The deployment's header names.
             metrics: Counts and latencies.
             random: Spreads the times to come back.
         """
         self._table = table
         self._sender = sender
+        self._quarantine = quarantine
         self._names = names
         self._metrics = metrics
         self._random = random
@@ -120,12 +127,16 @@
         service = self._split.choose(route)
         job = Job(request=request, table=table, route=route, service=service)
         job.deadline = request.arrived + self._timeout_s(request, route)
+        answered = False
         try:
             outcome = await self._serve(job, caller)
+            answered = outcome.verdict is Verdict.RAN
         except trio.Cancelled:
             self._metrics.count("request.abandoned")
             self._log(request, job, Outcome(0, "caller-gone", job.verdict), caller)
             raise
+        finally:
+            self._quarantine.note_over(job.fingerprint, answered=answered)
         self._log(request, job, outcome, caller)
 
     async def _serve(self, job: Job, caller: CallerExchange) -> Outcome:
@@ -137,6 +148,9 @@
             await caller.reply(HTTPStatus.REQUEST_TIMEOUT, (), b"the body came too slowly\n")
             return Outcome(HTTPStatus.REQUEST_TIMEOUT, "slow-body", Verdict.NOT_RUN)
         while True:
+            admission = self._quarantine.admission(job.fingerprint)
+            if admission is not Admission.ADMITTED:
+                return await self._give_up(job, caller, admission.value)
             chosen = self._sender.choose(job)
             if isinstance(chosen, NoRoom):
                 job.declined = chosen.declined
@@ -166,7 +180,7 @@
             )
             return Outcome(job.failed_reply.status, "answered", Verdict.RAN)
         if job.verdict is Verdict.NOT_RUN:
-            return await self._refuse(caller, reason, self._come_back_s(job))
+            return await self._refuse(caller, reason, self._come_back_s(job, reason))
         late = job.left_s < LEAST_EXCHANGE_S
         status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
         await caller.reply(status, (), b"no answer from a backend server\n")
@@ -174,10 +188,13 @@
 
     async def _refuse(self, caller: CallerExchange, reason: str, come_back_s: float) -> Outcome:
         headers: Headers = [(b"retry-after", f"{come_back_s:.3f}".encode())]
-        await caller.reply(HTTPStatus.SERVICE_UNAVAILABLE, headers, b"not run: no room\n")
+        body = f"not run: {reason}\n".encode()
+        await caller.reply(HTTPStatus.SERVICE_UNAVAILABLE, headers, body)
         return Outcome(HTTPStatus.SERVICE_UNAVAILABLE, reason, Verdict.NOT_RUN)
 
-    def _come_back_s(self, job: Job) -> float:
+    def _come_back_s(self, job: Job, reason: str) -> float:
+        if reason == Admission.QUARANTINED.value:
+            return QUARANTINED_COME_BACK_S
         wanted = COME_BACK_S * self._random.uniform(0.5, 1.5)
         return max(0.0, min(wanted, COME_BACK_PART * job.left_s))
 
--- a/src/wagtailpoint/proxy/job.py
+++ b/src/wagtailpoint/proxy/job.py
@@ -5,12 +5,14 @@
 
 import trio
 
+from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.placement.choice import Choice, Declined
 from wagtailpoint.ports.backend import FailureReason
 from wagtailpoint.proxy.backend_connection import BackendReply
 from wagtailpoint.proxy.caller_exchange import IncomingRequest, ReadBody
 from wagtailpoint.proxy.headers import first, text
 from wagtailpoint.quarantine.fingerprint import fingerprint
+from wagtailpoint.quarantine.quarantine import CrashReport
 from wagtailpoint.routing.table import HostRoute, RouteTable
 from wagtailpoint.verdict import Verdict
 
@@ -93,6 +95,16 @@
             )
         return self._fingerprint
 
+    def crash_report(self, start: ServerStart) -> CrashReport:
+        """What is told of a backend server that crashed while it had the request."""
+        return CrashReport(
+            fingerprint=self.fingerprint,
+            method=self.request.method,
+            host=text(first(self.request.headers, b"host")),
+            target=self.request.target,
+            starts=(start,),
+        )
+
     @property
     def left_s(self) -> float:
         """Seconds left until the deadline."""
--- a/src/wagtailpoint/proxy/reach_probe.py
+++ b/src/wagtailpoint/proxy/reach_probe.py
@@ -43,7 +43,7 @@
                 await trio.sleep(LOOK_INTERVAL_S * self._random.uniform(0.8, 1.2))
 
     async def _try(self, entry: ServerEntry) -> None:
-        reached = await self._pool.open_spare(entry, "after-failure")
+        reached = await self._pool.open_spare(entry, "after-failure") is None
         if reached:
             self._placement.note_reachable(entry)
         log_event("server-tried", server=entry.server_id, reached=reached)
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -28,6 +28,7 @@
 )
 from wagtailpoint.proxy.job import UNREACHED, Job, Outcome
 from wagtailpoint.proxy.repeat_budget import RepeatBudget
+from wagtailpoint.quarantine.quarantine import Quarantine
 from wagtailpoint.verdict import Verdict
 
 MOST_UNREACHED = 3
@@ -78,6 +79,7 @@
         placement: Placement,
         pool: BackendPool,
         budget: RepeatBudget,
+        quarantine: Quarantine,
         names: HeaderNames,
     ) -> None:
         """Make it.
@@ -87,12 +89,14 @@
             placement: Chooses backend servers.
             pool: The connections to them.
             budget: Repeated sends.
+            quarantine: Learns which requests met crashes, and bounds the sends of these.
             names: The deployment's header names.
         """
         self._takes_work = takes_work
         self._placement = placement
         self._pool = pool
         self._budget = budget
+        self._quarantine = quarantine
         self._names = names
 
     def note_request(self, job: Job) -> None:
@@ -127,6 +131,8 @@
             return False
         if job.sends == 0:
             return len(job.tried) < MOST_UNREACHED
+        if not self._quarantine.may_repeat(job.fingerprint):
+            return False
         return job.sends < job.route.most_attempts and self._budget.take(job.service)
 
     def _may_repeat(self, job: Job) -> bool:
@@ -135,6 +141,7 @@
             job.route.idempotent
             and job.sends < job.route.most_attempts
             and job.body.rest is None
+            and self._quarantine.crashes(job.fingerprint) == 0
             and self._budget.left(job.service) >= 1.0
         )
 
@@ -201,6 +208,7 @@
         job.tried.append(entry.server_id)
         job.sends += 1
         underway = self._placement.began(demand, choice)
+        self._quarantine.began(job.fingerprint)
         connection: BackendConnection | None = None
         began = trio.current_time()
         try:
@@ -217,8 +225,11 @@
                 return await self._stream(reply, reply.rest, caller)
         except ExchangeFailed as error:
             self._note_failed(job, choice, error)
+            if error.reason is FailureReason.RESET:
+                await self._note_if_crashed(job, entry)
             return None
         finally:
+            self._quarantine.ended(job.fingerprint)
             self._placement.ended(entry, underway)
             if connection is not None:
                 await self._pool.release(entry.start, connection)
@@ -268,6 +279,19 @@
             rests_s=rest_s,
         )
 
+    async def _note_if_crashed(self, job: Job, entry: ServerEntry) -> None:
+        """Take note of a crash if the backend server is gone with the connection.
+
+        A connection alone may end for many reasons; where nobody listens any more, all have.
+        """
+        if not self._takes_work(entry):
+            # It was leaving.
+            return
+        failure = await self._pool.open_spare(entry, "crash-check")
+        if failure is FailureReason.CONNECT_REFUSED:
+            self._placement.note_unreachable(entry)
+            self._quarantine.note_crash(job.crash_report(entry.start))
+
     def _outgoing(self, job: Job, server_id: str) -> OutgoingRequest:
         names = self._names
         request = job.request
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -23,6 +23,7 @@
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.repeat_budget import RepeatBound, RepeatBudget
 from wagtailpoint.proxy.sender import Sender
+from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
 from wagtailpoint.routing.table import (
     DEFAULT_CALLER_BOUNDS,
     HostRoute,
@@ -95,6 +96,27 @@
     )
 
 
+class Told:
+    """Keeps what an instance would tell the others of crashes.
+
+    Attributes:
+        reports: The crashes that requests have met.
+        cleared: The fingerprints of those that were answered after all.
+    """
+
+    def __init__(self) -> None:
+        self.reports: list[CrashReport] = []
+        self.cleared: list[str] = []
+
+    def tell(self, report: CrashReport) -> None:
+        """Keep a report."""
+        self.reports.append(report)
+
+    def tell_cleared(self, fingerprint: str) -> None:
+        """Keep the fingerprint."""
+        self.cleared.append(fingerprint)
+
+
 class SteeringParts:
     """A dispatcher with all that it needs, listening on loopback.
 
@@ -103,6 +125,8 @@
         table: The routes in force.
         budget: Of repeated sends.
         placement: The choice of backend servers.
+        quarantine: The requests that crash them.
+        told: What the others would be told of these.
     """
 
     def __init__(self, table: RouteTable | None) -> None:
@@ -110,6 +134,8 @@
         self.fleet = Fleet(region_of=REGION_OF)
         self.placement = make_placement(self.fleet)
         self.budget = RepeatBudget(bound=lambda: RepeatBound(0.2, 50.0), divisor=lambda: 1.0)
+        self.told = Told()
+        self.quarantine = Quarantine(others=self.told)
         self.dispatcher = Dispatcher(
             table=lambda: self.table,
             sender=Sender(
@@ -117,8 +143,10 @@
                 placement=self.placement,
                 pool=BackendPool(names=HEADER_NAMES, distances=make_distances(), metrics=Metrics()),
                 budget=self.budget,
+                quarantine=self.quarantine,
                 names=HEADER_NAMES,
             ),
+            quarantine=self.quarantine,
             names=HEADER_NAMES,
             metrics=Metrics(),
             random=Random(1),
--- a/tests/cover/test_reach_probe.py
+++ b/tests/cover/test_reach_probe.py
@@ -12,6 +12,7 @@
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.placement.placement import Placement
+from wagtailpoint.ports.backend import FailureReason
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.reach_probe import ReachProbe
 
@@ -23,10 +24,10 @@
         self.back = False
         self.tried_at: list[float] = []
 
-    async def open_spare(self, entry: ServerEntry, purpose: str) -> bool:
+    async def open_spare(self, entry: ServerEntry, purpose: str) -> FailureReason | None:
         self.tried_at.append(trio.current_time())
         await trio.sleep(0.3)
-        return self.back
+        return None if self.back else FailureReason.CONNECT_TIMEOUT
 
 
 class ReachProbeTest(unittest.TestCase):
--- a/tests/cover/test_warm_up.py
+++ b/tests/cover/test_warm_up.py
@@ -25,10 +25,9 @@
         at = self._opened_at.get(entry.server_id)
         return at is not None and trio.current_time() - at < self._lasts_s
 
-    async def open_spare(self, entry: ServerEntry, purpose: str) -> bool:
+    async def open_spare(self, entry: ServerEntry, purpose: str) -> None:
         self.opened.append(entry.server_id)
         self._opened_at[entry.server_id] = trio.current_time()
-        return True
 
 
 class WarmUpTest(unittest.TestCase):
