The product's own request path keeps crashing requests from backend servers, too

The same cause stood in entry/forwarding.py: a connection that ended was taken for the backend server's fault, and the request sent to the next one, by each attempt and at each entry. It uses the same quarantine, peers and store now; the load report's connection proves a crash (refused), and as the configuration names a backend server by its address, ends of one within a second are one crash. The refusal is `quarantined`, 503, not run. Streamed bodies are told by what was read ahead.

--- a/bench/hedging.py
+++ b/bench/hedging.py
@@ -15,6 +15,7 @@
 from result import Ok, Result
 from tests.common.fake_clock import TrioClock
 from tests.common.small_config import small_config, small_plan
+from tests.common.steering_parts import Told
 from trio.testing import MockClock
 
 from wagtailpoint.admission.slots import ServerChoice, SlotPool
@@ -28,6 +29,7 @@
     BackendRequest,
     BackendResponse,
 )
+from wagtailpoint.quarantine.quarantine import Quarantine
 from wagtailpoint.retries.budget import RetryBudget
 
 SERVERS: Final = 24
@@ -173,6 +175,7 @@
             slots=SlotPool(clock=clock, most_queued=500, random=Random(2)),
             servers=_Servers(),
             budget=lambda _plan: budget,
+            quarantine=Quarantine(others=Told()),
             observer=_Observer(),  # type: ignore[arg-type]
         )
         ends = trio.current_time() + self._until_s
@@ -188,7 +191,9 @@
     async def _request(self, forwarder: Forwarder, plan: Plan, target: str) -> None:
         began = trio.current_time()
         request = CallerRequest("GET", target, target, (), None, None, began)
-        forward = partial(forwarder.forward, plan, request, body=b"", stream=None)
+        forward = partial(
+            forwarder.forward, plan, request, body=b"", stream=None, fingerprint=target
+        )
         if isinstance(await forward(sink=_ignore), Ok):
             self.histogram.record_value(max(1, int(1e6 * (trio.current_time() - began))))
 
--- a/bench/keys.py
+++ b/bench/keys.py
@@ -7,8 +7,9 @@
 
 from wagtailpoint.adapters.clock import SystemClock
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.fingerprint import fingerprint
 from wagtailpoint.idempotency.binding import new_incarnation
-from wagtailpoint.idempotency.keys import KeyStore, RequestKey, Run, fingerprint
+from wagtailpoint.idempotency.keys import KeyStore, RequestKey, Run
 from wagtailpoint.idempotency.outcome import Answered, NotRun, Outcome
 from wagtailpoint.verdict import Verdict
 
@@ -44,7 +45,7 @@
 
 
 def _fill(store: KeyStore, count: int, outcome: Callable[[int], Outcome]) -> None:
-    mark = fingerprint(method="POST", target="/releases", body=BODY)
+    mark = fingerprint(method="POST", host="w", target="/releases", body=BODY)
     for number in range(count):
         key = RequestKey("surakkha", f"release-{number:032}")
         begun = store.begin(key, mark, store.binding)
@@ -79,7 +80,7 @@
 
 
 def _repeat(store: KeyStore, count: int) -> None:
-    mark = fingerprint(method="POST", target="/releases", body=BODY)
+    mark = fingerprint(method="POST", host="w", target="/releases", body=BODY)
     binding = store.binding
     for number in range(count):
         store.begin(RequestKey("surakkha", f"release-{number:032}"), mark, binding)
@@ -87,7 +88,7 @@
 
 def _fingerprints(count: int) -> None:
     for _ in range(count):
-        fingerprint(method="POST", target="/releases", body=BODY)
+        fingerprint(method="POST", host="w", target="/releases", body=BODY)
 
 
 def run(short: bool) -> list[str]:
--- a/src/wagtailpoint/admission/refusal.py
+++ b/src/wagtailpoint/admission/refusal.py
@@ -32,6 +32,7 @@
     DEADLINE_PASSED = "deadline-passed"
     NO_BACKEND_SERVER = "no-backend-server"
     BACKEND_FAILED = "backend-failed"
+    QUARANTINED = "quarantined"
     BAD_BINDING = "bad-binding"
     STALE_EPOCH = "stale-epoch"
     OTHER_INCARNATION = "other-incarnation"
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -26,6 +26,7 @@
 from wagtailpoint.daemon.pages import InstancePages
 from wagtailpoint.daemon.probing import BackendProber
 from wagtailpoint.daemon.servers import ConfiguredServers
+from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.daemon.stopping import GracefulStop
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
@@ -121,6 +122,9 @@
         self._backends = HttpBackends()
         self._health = HealthBoard(clock=self._clock)
         DrainNews(peers=self._peers, health=self._health, others=self._membership.others)
+        self._quarantine = SharedQuarantine(
+            peers=self._peers, platform=self._platform, membership=self._membership, random=Random()
+        )
         self._prober = BackendProber(
             backends=self._backends,
             health=self._health,
@@ -194,6 +198,8 @@
             self._spread.run,
             self._watcher.run,
             self._prober.run,
+            self._quarantine.run,
+            self._quarantine.read,
             self._moving.run,
             self._publish_facts,
             self._clean_claims,
@@ -308,6 +314,7 @@
                 slots=self._slots,
                 servers=servers,
                 budget=self._budget,
+                quarantine=self._quarantine.local,
                 observer=observer,
             ),
             keys=self._keys,
@@ -352,6 +359,7 @@
             keys=self._keys,
             health=self._health,
             moves=self._moves,
+            quarantine=self._quarantine,
             metrics=self._metrics,
             timelines=(self._timeline, self._requests),
         )
--- a/src/wagtailpoint/daemon/pages.py
+++ b/src/wagtailpoint/daemon/pages.py
@@ -14,6 +14,7 @@
 from wagtailpoint.daemon.draining import drain_status
 from wagtailpoint.daemon.lookups import Lookups
 from wagtailpoint.daemon.metrics_page import measure, metrics_json, metrics_text
+from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.idempotency.keys import KeyStore
@@ -43,6 +44,7 @@
         keys: KeyStore,
         health: HealthBoard,
         moves: MoveBoard,
+        quarantine: SharedQuarantine,
         metrics: Metrics,
         timelines: Sequence[Timeline],
     ) -> None:
@@ -55,6 +57,7 @@
         self._keys = keys
         self._health = health
         self._moves = moves
+        self._quarantine = quarantine
         self._metrics = metrics
         self._timelines = timelines
 
@@ -144,6 +147,7 @@
             "queued_requests": self._slots.queued,
             "slots_held": self._slots.in_flight,
             "keys_remembered": self._keys.size,
+            **self._quarantine.gauges,
         }
 
     def _backend_servers(self) -> list[dict[str, Any]]:
--- a/src/wagtailpoint/daemon/shared_quarantine.py
+++ b/src/wagtailpoint/daemon/shared_quarantine.py
@@ -1,16 +1,23 @@
 """The quarantine of an instance, with what shares it: the peers and the store."""
 
-from collections.abc import Sequence
 from random import Random
+from typing import Final
 
-from wagtailpoint.discovery.kind_state import KindState
+import trio
+from result import Ok
+
+from wagtailpoint.discovery.kind_state import KindState, state_of
 from wagtailpoint.membership import Membership
 from wagtailpoint.membership.duty import has_duty
-from wagtailpoint.ports.peers import PeerAddress, Peers
+from wagtailpoint.observe.log import log_event
+from wagtailpoint.ports.peers import Peers
 from wagtailpoint.ports.platform import Platform
 from wagtailpoint.quarantine.news import QuarantineNews
 from wagtailpoint.quarantine.quarantine import Quarantine
-from wagtailpoint.quarantine.stored import StoredQuarantine
+from wagtailpoint.quarantine.stored import KIND, StoredQuarantine
+
+READ_INTERVAL_S: Final = 15.0
+"""Peers tell at once what they find; the store is for what all of them have forgotten."""
 
 
 class SharedQuarantine:
@@ -27,8 +34,9 @@
             membership: Who is there.
             random: For the jitter.
         """
-        self._membership = membership
-        news = QuarantineNews(peers=peers, others=self._others)
+        self._platform = platform
+        self._random = random
+        news = QuarantineNews(peers=peers, others=membership.others)
         self._local = Quarantine(others=news)
         news.listen(self._local)
         self._stored = StoredQuarantine(
@@ -59,10 +67,12 @@
         """Keep the store up to date until cancelled."""
         await self._stored.run()
 
-    def _others(self) -> Sequence[PeerAddress]:
-        own = self._membership.own.address
-        return [
-            member.peer_address
-            for member in self._membership.members()
-            if member.state != "dead" and member.address != own
-        ]
+    async def read(self) -> None:
+        """Read the store now and then until cancelled, where nobody else follows it."""
+        while True:
+            listing = await self._platform.list(kind=KIND)
+            if isinstance(listing, Ok):
+                self.take_stored(state_of(listing.ok_value))
+            else:
+                log_event("quarantine-unread", level="WARNING", error=listing.err_value)
+            await trio.sleep(READ_INTERVAL_S * self._random.uniform(0.8, 1.2))
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -12,6 +12,7 @@
 from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
 from wagtailpoint.admission.slots import ServerChoice, Slot, SlotDemand, SlotPool
 from wagtailpoint.config.model import BackendServer
+from wagtailpoint.entry.crash_evidence import CrashEvidence
 from wagtailpoint.entry.hedging import BUDGET_KEPT, Copy, HedgeDelays, Race, may_hedge
 from wagtailpoint.entry.observer import EntryObserver
 from wagtailpoint.entry.plan import Plan
@@ -23,6 +24,7 @@
     Backends,
 )
 from wagtailpoint.ports.clock import Clock
+from wagtailpoint.quarantine.quarantine import Admission, Quarantine
 from wagtailpoint.retries.budget import RetryBudget
 from wagtailpoint.retries.policy import may_retry
 from wagtailpoint.verdict import Verdict
@@ -36,6 +38,7 @@
 )
 LEAST_EXCHANGE_S = 0.001
 FAILED_RETRY_AFTER_S = 1.0
+QUARANTINED_RETRY_AFTER_S = 60.0
 
 
 class ResponseSink(Protocol):
@@ -82,6 +85,7 @@
         slots: SlotPool,
         servers: ServerSource,
         budget: Callable[[Plan], RetryBudget],
+        quarantine: Quarantine,
         observer: EntryObserver,
     ) -> None:
         self._clock = clock
@@ -89,6 +93,8 @@
         self._slots = slots
         self._servers = servers
         self._budget = budget
+        self._quarantine = quarantine
+        self._evidence = CrashEvidence(backends=backends, quarantine=quarantine, clock=clock)
         self._delays = HedgeDelays()
         self._observer = observer
 
@@ -107,6 +113,7 @@
         *,
         body: bytes | None,
         stream: AsyncIterator[bytes] | None,
+        fingerprint: str,
         sink: ResponseSink,
     ) -> Result[None, Refusal]:
         """Forward a request.
@@ -116,27 +123,53 @@
             request: The request.
             body: Its whole body, when it was read before; then it may be sent again.
             stream: Else its body as it arrives, which can be sent just once.
+            fingerprint: Tells it, see ``wagtailpoint.fingerprint``.
             sink: Takes the response.
 
         Raises:
             BodyBroken: The response broke off after the sink had begun.
         """
+        answered = False
+        try:
+            outcome = await self._forward(plan, request, body, stream, fingerprint, sink)
+            answered = isinstance(outcome, Ok)
+            return outcome
+        finally:
+            self._quarantine.note_over(fingerprint, answered=answered)
+
+    async def _forward(
+        self,
+        plan: Plan,
+        request: CallerRequest,
+        body: bytes | None,
+        stream: AsyncIterator[bytes] | None,
+        fingerprint: str,
+        sink: ResponseSink,
+    ) -> Result[None, Refusal]:
         budget = self._budget(plan)
         budget.note_fresh()
         tried: list[Attempt] = []
         while True:
+            if self._quarantine.admission(fingerprint) is Admission.QUARANTINED:
+                return Err(_after_attempts(_quarantined(), tried))
             admitted = await self._slots.acquire(
                 self._demand(plan, [each.server for each in tried])
             )
             if isinstance(admitted, Err):
                 return Err(_after_attempts(admitted.err_value, tried))
             slot = admitted.ok_value
+            admission = self._quarantine.admission(fingerprint)
+            if admission is not Admission.ADMITTED:
+                # It may have waited for its slot while others like it crashed what they met.
+                self._slots.release(slot)
+                return Err(_after_attempts(_quarantined(), tried))
             if self.remaining(plan) < LEAST_EXCHANGE_S:
                 # Sent now, it would only be cut off, with an outcome that nobody knows.
                 self._slots.release(slot)
                 return Err(_after_attempts(_deadline_passed(), tried))
-            send = partial(self._send, plan, request, body, stream)
-            if tried or stream is not None or not self._is_hedged(plan, slot):
+            send = partial(self._send, plan, request, body, stream, fingerprint)
+            suspect = self._quarantine.crashes(fingerprint) > 0
+            if tried or suspect or stream is not None or not self._is_hedged(plan, slot):
                 attempts = await self._send_one(send, slot, sink)
             else:
                 attempts = await self._send_hedged(send, slot, sink, plan)
@@ -154,6 +187,7 @@
             )
             # A streamed body has been read in part by the first attempt: it can't be sent again.
             again = decision.allowed and stream is None
+            again = again and self._quarantine.may_repeat(fingerprint)
             for attempt in attempts:
                 self._observer.failed(request, attempt.server.address, attempt.failure, again=again)
             if not again:
@@ -198,13 +232,19 @@
         request: CallerRequest,
         body: bytes | None,
         stream: AsyncIterator[bytes] | None,
+        fingerprint: str,
         slot: Slot,
         sink: ResponseSink,
     ) -> BackendFailure | None:
+        self._quarantine.began(fingerprint)
         try:
             sent = _as_sent(plan, request, body, stream, self.remaining(plan))
-            return await self._exchange(slot, sent, sink)
+            failure = await self._exchange(slot, sent, sink)
+            if failure is not None:
+                await self._evidence.note(fingerprint, plan, request, slot.server, failure)
+            return failure
         finally:
+            self._quarantine.ended(fingerprint)
             self._slots.release(slot)
 
     async def _exchange(
@@ -260,6 +300,15 @@
     yield body
 
 
+def _quarantined() -> Refusal:
+    return refuse(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        RefusalCode.QUARANTINED,
+        "backend servers crashed while they ran this request; it is kept from them",
+        QUARANTINED_RETRY_AFTER_S,
+    )
+
+
 def _deadline_passed() -> Refusal:
     return refuse(
         HTTPStatus.GATEWAY_TIMEOUT,
--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -23,6 +23,7 @@
     ReplySink,
     header,
 )
+from wagtailpoint.fingerprint import fingerprint
 from wagtailpoint.idempotency.binding import Binding, parse_binding
 from wagtailpoint.idempotency.bound_entry import BoundEntries
 from wagtailpoint.idempotency.claims import Claimed, Claims, NotClaimed
@@ -34,7 +35,6 @@
     Replay,
     RequestKey,
     Run,
-    fingerprint,
 )
 from wagtailpoint.idempotency.outcome import Answered, MayHaveRun, NotRun, Outcome
 from wagtailpoint.observe.log import log_event
@@ -176,6 +176,7 @@
                     request,
                     body=body if rest is None else None,
                     stream=None if rest is None else _joined(body, rest),
+                    fingerprint=_fingerprint(plan, request, body),
                     sink=pass_on,
                 )
         except (BodyTooLarge, BodyTooSlow) as error:
@@ -200,7 +201,7 @@
         if isinstance(read, Err):
             return await self._refuse_keyed(key, binding, read.err_value, sink, plan)
         body, _ = read.ok_value
-        mark = fingerprint(method=request.method, target=request.target, body=body)
+        mark = _fingerprint(plan, request, body)
         begun = self._keys.begin(key, mark, binding)
         if isinstance(begun, Run):
             # The key is in flight from here on; every way out of the attempt finishes it.
@@ -292,7 +293,14 @@
         async def collect(response: BackendResponse) -> None:
             answers.append(await _collected(response))
 
-        outcome = await self._forwarder.forward(plan, request, body=body, stream=None, sink=collect)
+        outcome = await self._forwarder.forward(
+            plan,
+            request,
+            body=body,
+            stream=None,
+            fingerprint=_fingerprint(plan, request, body),
+            sink=collect,
+        )
         if isinstance(outcome, Ok):
             return answers[0]
         if binding is None and outcome.err_value.verdict is Verdict.NOT_RUN:
@@ -339,6 +347,12 @@
         return refusals.body_too_slow()
 
 
+def _fingerprint(plan: Plan, request: CallerRequest, body: bytes) -> str:
+    return fingerprint(
+        method=request.method, host=plan.workspace.name, target=request.target, body=body
+    )
+
+
 async def _joined(first: bytes, rest: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
     yield first
     async for part in rest:
--- a/src/wagtailpoint/quarantine/fingerprint.py
+++ b/src/wagtailpoint/fingerprint.py
@@ -17,12 +17,13 @@
 
     Args:
         method: For example ``GET``.
-        host: The host that was asked for, in any case.
+        host: The host or the workspace that was asked for, in any case.
         target: Path and query, as they were written.
         body: The body, or what was read of a long one.
         credentials: What the caller proves its identity by; empty if it does not.
     """
-    digest = blake2b(digest_size=DIGEST_BYTES)
-    for part in (method.encode(), host.lower().encode(), target.encode(), credentials, body):
-        digest.update(len(part).to_bytes(8, "big") + part)
+    # No line break can stand in what comes before the body, so no part can pass for the next one.
+    head = f"{method}\n{host.lower()}\n{target}\n{len(credentials)}\n".encode()
+    digest = blake2b(head + credentials, digest_size=DIGEST_BYTES)
+    digest.update(body)
     return digest.hexdigest()
--- a/src/wagtailpoint/idempotency/keys.py
+++ b/src/wagtailpoint/idempotency/keys.py
@@ -34,17 +34,10 @@
         return blake2b(text, digest_size=_DIGEST_BYTES).digest()
 
 
-def fingerprint(*, method: str, target: str, body: bytes) -> bytes:
-    """Return what tells one request from another that reuses its key."""
-    digest = blake2b(f"{method} {target} {len(body)}\n".encode(), digest_size=_DIGEST_BYTES)
-    digest.update(body)
-    return digest.digest()
-
-
 class InFlight:
     """An attempt that has begun and not finished."""
 
-    def __init__(self, *, fingerprint: bytes, binding: Binding, bound: bool) -> None:
+    def __init__(self, *, fingerprint: str, binding: Binding, bound: bool) -> None:
         self._fingerprint = fingerprint
         self._binding = binding
         self._bound = bound
@@ -52,7 +45,7 @@
         self._outcome: Outcome | None = None
 
     @property
-    def fingerprint(self) -> bytes:
+    def fingerprint(self) -> str:
         """What the key stands for."""
         return self._fingerprint
 
@@ -106,7 +99,7 @@
 
 
 class _Record(NamedTuple):
-    fingerprint: bytes
+    fingerprint: str
     attempt: int
     outcome: Outcome
 
@@ -182,12 +175,12 @@
         record = self._record(key.digest())
         return record.outcome if record is not None else None
 
-    def begin(self, key: RequestKey, fingerprint: bytes, binding: Binding | None) -> Begin:
+    def begin(self, key: RequestKey, fingerprint: str, binding: Binding | None) -> Begin:
         """Decide what happens to one copy of a keyed request.
 
         Args:
             key: The caller's key.
-            fingerprint: Of the whole request, see ``fingerprint``.
+            fingerprint: Of the whole request, see ``wagtailpoint.fingerprint``.
             binding: As the caller sent it; None means that the caller of this method claims the
                 key in the platform (see ``claims``) before it dispatches.
         """
@@ -245,7 +238,7 @@
         """
         if binding.incarnation != self._incarnation:
             return None
-        begun = self.begin(key, b"", binding)
+        begun = self.begin(key, "", binding)
         match begun:
             case Run():
                 refusal = _forbidden(self._left_s())
@@ -258,7 +251,7 @@
                 return record.outcome if record is not None else None
 
     def _begin_known(
-        self, key: RequestKey, fingerprint: bytes, under: Binding, record: _Record
+        self, key: RequestKey, fingerprint: str, under: Binding, record: _Record
     ) -> Begin | None:
         """Answer a finished key, or return None if a new attempt may run."""
         refused = isinstance(record.outcome, NotRun)
--- a/src/wagtailpoint/proxy/job.py
+++ b/src/wagtailpoint/proxy/job.py
@@ -6,12 +6,12 @@
 import trio
 
 from wagtailpoint.discovery.entries import ServerStart
+from wagtailpoint.fingerprint import fingerprint
 from wagtailpoint.placement.choice import Choice, Declined
 from wagtailpoint.ports.backend import FailureReason
 from wagtailpoint.proxy.backend_connection import BackendReply
 from wagtailpoint.proxy.caller_exchange import IncomingRequest, ReadBody
 from wagtailpoint.proxy.headers import first, text
-from wagtailpoint.quarantine.fingerprint import fingerprint
 from wagtailpoint.quarantine.quarantine import CrashReport
 from wagtailpoint.routing.table import HostRoute, RouteTable
 from wagtailpoint.verdict import Verdict
--- a/src/wagtailpoint/quarantine/news.py
+++ b/src/wagtailpoint/quarantine/news.py
@@ -6,9 +6,9 @@
 
 import trio
 
+from wagtailpoint.fingerprint import DIGEST_BYTES
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import Message, PeerAddress, Peers, Received, register_message
-from wagtailpoint.quarantine.fingerprint import DIGEST_BYTES
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
 
 MOST_A_SECOND: Final = 5.0
--- a/tests/cover/test_crashing_request.py
+++ b/tests/cover/test_crashing_request.py
@@ -9,9 +9,9 @@
 from tests.common.scripted_server import ScriptedStream
 from tests.common.sockets import loopback_address, reset_connection
 from tests.common.steering_parts import SteeringParts, make_route, make_server, make_table
+from wagtailpoint.fingerprint import fingerprint
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.ports.backend import BackendAddress
-from wagtailpoint.quarantine.fingerprint import fingerprint
 from wagtailpoint.quarantine.quarantine import Admission
 from wagtailpoint.routing.table import RouteKind
 
--- a/tests/cover/test_key_store.py
+++ b/tests/cover/test_key_store.py
@@ -7,6 +7,7 @@
 
 from tests.common.fake_clock import FakeClock
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
+from wagtailpoint.fingerprint import fingerprint
 from wagtailpoint.idempotency.binding import Binding
 from wagtailpoint.idempotency.keys import (
     Begin,
@@ -16,7 +17,6 @@
     Replay,
     RequestKey,
     Run,
-    fingerprint,
 )
 from wagtailpoint.idempotency.outcome import Answered, MayHaveRun, NotRun
 from wagtailpoint.verdict import Verdict
@@ -24,7 +24,7 @@
 OWN = "00c0ffee00c0ffee"
 EPOCH_S = 60.0
 KEY = RequestKey("surakkha", "release-1")
-PRINT = fingerprint(method="POST", target="/releases", body=b"1")
+PRINT = fingerprint(method="POST", host="w", target="/releases", body=b"1")
 ANSWER = Answered(201, [(b"x", b"y")], b"paid")
 SHED = NotRun(
     Refusal(HTTPStatus.SERVICE_UNAVAILABLE, RefusalCode.NO_SLOT, "full", Verdict.NOT_RUN, 1.0)
@@ -61,7 +61,7 @@
 
     def test_other_request_under_the_key(self) -> None:
         self.begin(self.store.binding)
-        begun = self.store.begin(KEY, b"other", self.store.binding)
+        begun = self.store.begin(KEY, "other", self.store.binding)
         self.check_rejected(begun, RefusalCode.KEY_REUSED, Verdict.MAY_HAVE_RUN)
 
     def test_same_key_of_another_workspace_runs(self) -> None:
--- a/tests/cover/test_quarantine.py
+++ b/tests/cover/test_quarantine.py
@@ -15,9 +15,9 @@
 from tests.common.steering_parts import Told
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.kind_state import KindState, state_of
+from wagtailpoint.fingerprint import fingerprint
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import StoredObject
-from wagtailpoint.quarantine.fingerprint import fingerprint
 from wagtailpoint.quarantine.news import QuarantineNews
 from wagtailpoint.quarantine.quarantine import (
     MOST_SUSPECTS,
--- a/tests/nocover/test_at_most_once.py
+++ b/tests/nocover/test_at_most_once.py
@@ -112,7 +112,7 @@
     def deliver(self, pick: int, lose: bool) -> None:
         copy = self.network.pop(pick % len(self.network))
         store = self.stores[copy.to]
-        begun = store.begin(RequestKey("w", str(copy.key)), b"same", copy.binding)
+        begun = store.begin(RequestKey("w", str(copy.key)), "same", copy.binding)
         match begun:
             case Run():
                 attempt = copy.binding.attempt
