The caller library does not repeat a quarantined request

Every entry refuses it, so a repeat at another failure domain, which did not wait for Retry-After, served nobody. The new test failed before: the second entry was asked.

--- a/src/wagtailpoint/caller/caller.py
+++ b/src/wagtailpoint/caller/caller.py
@@ -339,13 +339,19 @@
     verdict = read_verdict(result.headers)
     if result.status == HTTPStatus.CONFLICT:
         return verdict is Verdict.NOT_RUN or _knows_nothing(result)
+    if _code(result) == RefusalCode.QUARANTINED.value:
+        # All entries refuse it.
+        return False
     return result.status in _COME_BACK_STATUSES and verdict is not Verdict.RAN
 
 
 def _knows_nothing(result: OpenReply | Reply) -> bool:
     """Whether another entry than the bound one could not learn how the key ended."""
-    body = result.body if isinstance(result, Reply) else b""
-    return refusal_code(result.status, body) == RefusalCode.OTHER_INCARNATION.value
+    return _code(result) == RefusalCode.OTHER_INCARNATION.value
+
+
+def _code(result: OpenReply | Reply) -> str | None:
+    return refusal_code(result.status, result.body if isinstance(result, Reply) else b"")
 
 
 def _give_up(result: OpenReply | Reply | Broken) -> OpenReply | Reply:
--- a/tests/cover/test_caller.py
+++ b/tests/cover/test_caller.py
@@ -208,6 +208,16 @@
         refusal = refuse("no-slot", retry_after=60)
         self.run_with(says(refusal), says(refusal), scenario)
 
+    def test_quarantined_request_is_not_repeated(self) -> None:
+        """Guards against repeats, elsewhere, of a request that crashes backend servers."""
+
+        async def scenario(caller: Caller) -> None:
+            answer = await caller.request("GET", "/x", deadline_s=10.0)
+            self.assertEqual((answer.code, answer.verdict), ("quarantined", Verdict.NOT_RUN))
+
+        self.run_with(says(refuse("quarantined", retry_after=60)), says(Say(200)), scenario)
+        self.assertEqual((len(self.first.seen), len(self.second.seen)), (1, 0))
+
     def test_crossed_answer_is_dropped(self) -> None:
         """A workspace is shown another's certificate: the answer was meant for another request."""
 
