--- a/src/wagtailpoint/cli/main.py
+++ b/src/wagtailpoint/cli/main.py
@@ -6,6 +6,7 @@
 from wagtailpoint.cli.entry_commands import lookup, status, timeline
 from wagtailpoint.cli.log_commands import versions
 from wagtailpoint.cli.move_commands import drain, move
+from wagtailpoint.cli.quarantine_commands import quarantine
 from wagtailpoint.cli.session import Tools
 from wagtailpoint.cli.workspace_commands import workspace
 
@@ -37,6 +38,7 @@
     history,
     lookup,
     move,
+    quarantine,
     revert,
     status,
     timeline,
--- /dev/null
+++ b/src/wagtailpoint/cli/quarantine_commands.py
@@ -0,0 +1,110 @@
+"""Commands for requests that are kept from backend servers since they crash them."""
+
+from collections.abc import Mapping
+
+import click
+from result import Err, Ok, Result
+
+from wagtailpoint.cli.failures import CommandError, wrong_input
+from wagtailpoint.cli.options import run_command
+from wagtailpoint.cli.output import Report, format_table
+from wagtailpoint.cli.profile import AddressType, EntryAddress
+from wagtailpoint.cli.session import Session
+from wagtailpoint.errors import PlatformUnavailable
+from wagtailpoint.node_settings import Endpoint
+from wagtailpoint.ports.platform import Conflict, Platform, StoredObject
+from wagtailpoint.quarantine.quarantine import CrashReport
+from wagtailpoint.quarantine.stored import KIND, read_stored
+
+_store_option = click.option(
+    "--store",
+    type=AddressType(),
+    metavar="ADDRESS:PORT",
+    help="The object store of a deployment on the users' platform, in place of --platform.",
+)
+
+
+@click.group()
+def quarantine() -> None:
+    """Requests that crash backend servers, and are refused for that."""
+
+
+@quarantine.command("list")
+@_store_option
+@run_command
+async def list_quarantined(
+    session: Session, *, store: EntryAddress | None
+) -> Result[Report, CommandError]:
+    """Show which requests are refused, and which backend servers each has crashed."""
+    async with session.open_objects(_endpoint(store)) as opened:
+        if isinstance(opened, Err):
+            return opened
+        listed = await _listed(opened.ok_value)
+    if isinstance(listed, Err):
+        return listed
+    reports = [report for each in listed.ok_value.values() if (report := read_stored(each))]
+    data = {"quarantined": [_report_data(each) for each in reports]}
+    return Ok(Report(_format_reports(reports), data))
+
+
+@quarantine.command()
+@click.argument("digests", nargs=-1, required=True, metavar="DIGEST...")
+@_store_option
+@run_command
+async def lift(
+    session: Session, *, digests: tuple[str, ...], store: EntryAddress | None
+) -> Result[Report, CommandError]:
+    """Let requests pass again, for example since the service was mended.
+
+    They are named by their digests, as the list and the instances' logs show them.
+    """
+    async with session.open_objects(_endpoint(store)) as opened:
+        if isinstance(opened, Err):
+            return opened
+        listed = await _listed(opened.ok_value)
+        if isinstance(listed, Err):
+            return listed
+        unknown = [each for each in digests if each not in listed.ok_value]
+        if unknown:
+            expected = "a digest of `wagtailpoint quarantine list`"
+            return Err(wrong_input("DIGEST", ", ".join(unknown), expected))
+        for digest in digests:
+            version = listed.ok_value[digest].version
+            removed = await opened.ok_value.delete(kind=KIND, name=digest, if_version=version)
+            if isinstance(removed, Err) and not isinstance(removed.err_value, Conflict):
+                return Err(removed.err_value)
+    return Ok(Report(f"lifted {', '.join(digests)}", {"lifted": list(digests)}))
+
+
+def _endpoint(store: EntryAddress | None) -> Endpoint | None:
+    return Endpoint(store.address, store.port) if store is not None else None
+
+
+async def _listed(
+    platform: Platform,
+) -> Result[Mapping[str, StoredObject], PlatformUnavailable]:
+    listing = await platform.list(kind=KIND)
+    return listing.map(lambda found: {each.name: each for each in found.objects})
+
+
+def _format_reports(reports: list[CrashReport]) -> str:
+    if not reports:
+        return "no request is quarantined"
+    rows = [
+        [each.fingerprint, each.method, each.host, each.target, _servers(each)] for each in reports
+    ]
+    return format_table(["digest", "method", "host", "target", "crashed"], rows)
+
+
+def _report_data(report: CrashReport) -> dict[str, object]:
+    return {
+        "digest": report.fingerprint,
+        "method": report.method,
+        "host": report.host,
+        "target": report.target,
+        "crashed": [start.server_id for start in report.starts],
+    }
+
+
+def _servers(report: CrashReport) -> str:
+    return ",".join(start.server_id for start in report.starts)
--- a/src/wagtailpoint/cli/session.py
+++ b/src/wagtailpoint/cli/session.py
@@ -17,6 +17,9 @@
 from wagtailpoint.config.manifest import Snapshot
 from wagtailpoint.config.store import ConfigStore
 from wagtailpoint.errors import InvalidInput, PlatformUnavailable
+from wagtailpoint.node_settings import Endpoint
+from wagtailpoint.observe.metrics import Metrics
+from wagtailpoint.platform.store import ObjectStore
 from wagtailpoint.ports.platform import ListedInstance, Platform
 from wagtailpoint.settings import PlatformAddress
 
@@ -24,6 +27,7 @@
 ENTRY_TIMEOUT_S = 3.0
 _HTTP_OK = 200
 
+OpenStore = Callable[[Endpoint], AbstractAsyncContextManager[Platform]]
 OpenPlatform = Callable[[Sequence[PlatformAddress]], AbstractAsyncContextManager[Platform]]
 Fetch = Callable[[EntryAddress, str], Awaitable[Result[Any, EntryUnreachable]]]
 
@@ -35,6 +39,16 @@
     return HttpPlatform(addresses=addresses, timeout_s=PLATFORM_TIMEOUT_S)
 
 
+@asynccontextmanager
+async def open_object_store(address: Endpoint) -> AsyncIterator[Platform]:
+    """Connect to the object store of a deployment on the users' platform."""
+    store = ObjectStore(address=address, timeout_s=PLATFORM_TIMEOUT_S, metrics=Metrics())
+    try:
+        yield store
+    finally:
+        await store.aclose()
+
+
 async def fetch_json(entry: EntryAddress, target: str) -> Result[Any, EntryUnreachable]:
     """GET a JSON document from one entry instance."""
     address = f"[{entry.address}]" if ":" in entry.address else entry.address
@@ -63,12 +77,14 @@
 
     Attributes:
         open_platform: Connects to the platform.
+        open_store: Connects to the object store of a deployment on the users' platform.
         fetch: Gets a JSON document from an entry.
         clock_wall: Seconds since the epoch.
         settle_s: How long a write with a lost answer is looked for, in seconds.
     """
 
     open_platform: OpenPlatform = open_http_platform
+    open_store: OpenStore = open_object_store
     fetch: Fetch = fetch_json
     clock_wall: Callable[[], float] = time.time
     settle_s: float = 10.0
@@ -101,18 +117,35 @@
     @asynccontextmanager
     async def open_store(self) -> AsyncIterator[Result[ConfigStore, InvalidInput]]:
         """Connect to the platform's configuration."""
-        if not self._profile.platform:
+        async with self.open_objects() as opened:
+            yield opened.map(
+                lambda platform: ConfigStore(
+                    platform=platform,
+                    clock_wall=self._tools.clock_wall,
+                    settle_s=self._tools.settle_s,
+                    check=_check_merged,
+                )
+            )
+
+    @asynccontextmanager
+    async def open_objects(
+        self, store: Endpoint | None = None
+    ) -> AsyncIterator[Result[Platform, InvalidInput]]:
+        """Connect to the platform's objects.
+
+        Args:
+            store: The object store of a deployment on the users' platform, in place of the
+                profile's platform.
+        """
+        if store is not None:
+            async with self._tools.open_store(store) as objects:
+                yield Ok(objects)
+        elif self._profile.platform:
+            async with self._tools.open_platform(self._profile.platform) as platform:
+                yield Ok(platform)
+        else:
             expected = "--platform ADDRESS:PORT, or a profile that names it"
             yield Err(wrong_input("--platform", "nothing", expected))
-            return
-        async with self._tools.open_platform(self._profile.platform) as platform:
-            store = ConfigStore(
-                platform=platform,
-                clock_wall=self._tools.clock_wall,
-                settle_s=self._tools.settle_s,
-                check=_check_merged,
-            )
-            yield Ok(store)
 
     async def listed_instances(
         self,
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -79,6 +79,10 @@
         self._calls = ObjectCalls(addresses=[address], timeout_s=timeout_s)
         self._metrics = metrics
 
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._calls.aclose()
+
     async def get(
         self, *, kind: str, name: str
     ) -> Result[StoredObject | None, PlatformUnavailable]:
--- a/tests/common/users_store.py
+++ b/tests/common/users_store.py
@@ -55,6 +55,10 @@
         found = self._objects.get((kind, name))
         return None if found is None else found["Spec"]
 
+    def names(self, kind: str) -> list[str]:
+        """The names of all objects of a kind."""
+        return sorted(name for each, name in self._objects if each == kind)
+
     def end_watches(self) -> None:
         """Answer all waiting watches now."""
         changed, self._changed = self._changed, trio.Event()
@@ -98,7 +102,7 @@
         return self._write(method, kind, name, query, body)
 
     def _page(self, kind: str, after: str) -> dict[str, Any]:
-        names = sorted(name for each, name in self._objects if each == kind and name > after)
+        names = [name for name in self.names(kind) if name > after]
         items = [self._objects[kind, name] for name in names[:PAGE]]
         return {"items": items, "HasMore": len(names) > PAGE, "StoreRevision": self._revision}
 
--- a/tests/integration/test_crashing_requests.py
+++ b/tests/integration/test_crashing_requests.py
@@ -11,6 +11,7 @@
 from tests.common.node_settings_file import unsplit_config_document
 from tests.common.steering_group import Instance, all_serve, steering_group, until
 from tests.common.users_store import UsersStore
+from wagtailpoint.quarantine.stored import KIND
 
 LIMIT_S = 90
 INSTANCES = 3
@@ -19,6 +20,7 @@
 """So long after the third crash every instance has heard of it."""
 
 MOST_AFTER_THIRD = 3
+IN_FORCE_S = 5.0
 PAUSE_S = 0.15
 ASKS_S = 6.0
 POISON = "/look/7/dead"
@@ -93,6 +95,23 @@
 
         self.run_with(test)
 
+    def test_lifted_request_is_served_by_all(self) -> None:
+        """Guards against instances that go on refusing what an operator has lifted."""
+
+        async def test(instances: list[Instance]) -> None:
+            await self.ask_in_turn(instances, SETTLE_S)
+            self.servers.poison = "none"
+            (digest,) = self.store.names(KIND)
+            self.assertEqual([await each.status_of(POISON) for each in instances], [503] * 3)
+            self.store.delete(KIND, digest)
+
+            async def served() -> bool:
+                return all([await each.status_of(POISON) == 200 for each in instances])
+
+            await until(served, IN_FORCE_S, "all serve it")
+
+        self.run_with(test)
+
     def test_good_requests_are_answered_beside_it(self) -> None:
         """Guards against shutting out the requests that met a crash without causing it."""
         asked: list[Asked] = []
