--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -1,5 +1,6 @@
 """`python -m bench.soak`: runs soaks by hand."""
 
+import signal
 import sys
 import time
 
@@ -28,6 +29,8 @@
     show: bool,
 ) -> None:
     """Run real instances under faults drawn from a seed, and check what callers see."""
+    # The instances are ended on the way out, which a plain SIGTERM would not take.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     first = seed if seed is not None else time.time_ns() % 1_000_000
     failed = []
     for number in range(first, first + runs):
