What forwarding knows of a request is one value; the crash test runs under one clock

PlannedRequest takes the place of five arguments that went through four methods. The new test of forwarding failed once in three runs by hand: it ran each request by a trio.run of its own, whose clocks begin anywhere, so suspects looked old and were forgotten.

--- a/bench/hedging.py
+++ b/bench/hedging.py
@@ -6,7 +6,6 @@
 
 from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
-from functools import partial
 from random import Random
 from typing import Any, Final, NamedTuple
 
@@ -21,7 +20,7 @@
 from wagtailpoint.admission.slots import ServerChoice, SlotPool
 from wagtailpoint.config.model import BackendServer
 from wagtailpoint.entry.forwarding import Forwarder
-from wagtailpoint.entry.plan import Plan
+from wagtailpoint.entry.plan import Plan, PlannedRequest
 from wagtailpoint.entry.request import CallerRequest
 from wagtailpoint.ports.backend import (
     BackendAddress,
@@ -191,10 +190,8 @@
     async def _request(self, forwarder: Forwarder, plan: Plan, target: str) -> None:
         began = trio.current_time()
         request = CallerRequest("GET", target, target, (), None, None, began)
-        forward = partial(
-            forwarder.forward, plan, request, body=b"", stream=None, fingerprint=target
-        )
-        if isinstance(await forward(sink=_ignore), Ok):
+        planned = PlannedRequest(plan, request, b"", None, target)
+        if isinstance(await forwarder.forward(planned, sink=_ignore), Ok):
             self.histogram.record_value(max(1, int(1e6 * (trio.current_time() - began))))
 
 
--- a/src/wagtailpoint/cli/quarantine_commands.py
+++ b/src/wagtailpoint/cli/quarantine_commands.py
@@ -10,7 +10,7 @@
 from wagtailpoint.cli.output import Report, format_table
 from wagtailpoint.cli.profile import AddressType, EntryAddress
 from wagtailpoint.cli.session import Session
-from wagtailpoint.errors import PlatformUnavailable
+from wagtailpoint.errors import InvalidInput, PlatformUnavailable
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.ports.platform import Conflict, Platform, StoredObject
 from wagtailpoint.quarantine.quarantine import CrashReport
@@ -37,9 +37,7 @@
 ) -> Result[Report, CommandError]:
     """Show which requests are refused, and which backend servers each has crashed."""
     async with session.open_objects(_endpoint(store)) as opened:
-        if isinstance(opened, Err):
-            return opened
-        listed = await _listed(opened.ok_value)
+        listed = await _listed(opened)
     if isinstance(listed, Err):
         return listed
     reports = [report for each in listed.ok_value.values() if (report := read_stored(each))]
@@ -59,9 +57,7 @@
     They are named by their digests, as the list and the instances' logs show them.
     """
     async with session.open_objects(_endpoint(store)) as opened:
-        if isinstance(opened, Err):
-            return opened
-        listed = await _listed(opened.ok_value)
+        listed = await _listed(opened)
         if isinstance(listed, Err):
             return listed
         unknown = [each for each in digests if each not in listed.ok_value]
@@ -70,7 +66,7 @@
             return Err(wrong_input("DIGEST", ", ".join(unknown), expected))
         for digest in digests:
             version = listed.ok_value[digest].version
-            removed = await opened.ok_value.delete(kind=KIND, name=digest, if_version=version)
+            removed = await opened.unwrap().delete(kind=KIND, name=digest, if_version=version)
             if isinstance(removed, Err) and not isinstance(removed.err_value, Conflict):
                 return Err(removed.err_value)
     return Ok(Report(f"lifted {', '.join(digests)}", {"lifted": list(digests)}))
@@ -81,9 +77,12 @@
 
 
 async def _listed(
-    platform: Platform,
-) -> Result[Mapping[str, StoredObject], PlatformUnavailable]:
-    listing = await platform.list(kind=KIND)
+    opened: Result[Platform, InvalidInput],
+) -> Result[Mapping[str, StoredObject], InvalidInput | PlatformUnavailable]:
+    """What the platform lists by name, if it could be opened."""
+    if isinstance(opened, Err):
+        return opened
+    listing = await opened.ok_value.list(kind=KIND)
     return listing.map(lambda found: {each.name: each for each in found.objects})
 
 
--- a/src/wagtailpoint/entry/crash_evidence.py
+++ b/src/wagtailpoint/entry/crash_evidence.py
@@ -6,8 +6,7 @@
 
 from wagtailpoint.config.model import BackendServer
 from wagtailpoint.discovery.entries import ServerStart
-from wagtailpoint.entry.plan import Plan
-from wagtailpoint.entry.request import CallerRequest
+from wagtailpoint.entry.plan import PlannedRequest
 from wagtailpoint.ports.backend import BackendAddress, BackendFailure, Backends, FailureReason
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
@@ -39,22 +38,18 @@
         self._ended_at: dict[BackendAddress, float] = {}
 
     async def note(
-        self,
-        fingerprint: str,
-        plan: Plan,
-        request: CallerRequest,
-        server: BackendServer,
-        failure: BackendFailure,
+        self, planned: PlannedRequest, server: BackendServer, failure: BackendFailure
     ) -> None:
         """Take note of a crash if the backend server is gone with the connection."""
         if failure.reason != FailureReason.RESET:
             return
+        plan, request = planned.plan, planned.request
         asked = await self._backends.probe(
             server.address, timeout_s=CHECK_TIMEOUT_S, path=plan.service.report_path
         )
         if isinstance(asked, Err) and asked.err_value.reason == FailureReason.CONNECT_REFUSED:
             report = CrashReport(
-                fingerprint=fingerprint,
+                fingerprint=planned.fingerprint,
                 method=request.method,
                 host=plan.workspace.name,
                 target=request.target,
--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -15,8 +15,8 @@
 from wagtailpoint.entry.crash_evidence import CrashEvidence
 from wagtailpoint.entry.hedging import BUDGET_KEPT, Copy, HedgeDelays, Race, may_hedge
 from wagtailpoint.entry.observer import EntryObserver
-from wagtailpoint.entry.plan import Plan
-from wagtailpoint.entry.request import CallerRequest, without
+from wagtailpoint.entry.plan import Plan, PlannedRequest
+from wagtailpoint.entry.request import without
 from wagtailpoint.ports.backend import (
     BackendFailure,
     BackendRequest,
@@ -107,45 +107,23 @@
         return max(0.0, deadline - self._clock.monotonic())
 
     async def forward(
-        self,
-        plan: Plan,
-        request: CallerRequest,
-        *,
-        body: bytes | None,
-        stream: AsyncIterator[bytes] | None,
-        fingerprint: str,
-        sink: ResponseSink,
+        self, planned: PlannedRequest, *, sink: ResponseSink
     ) -> Result[None, Refusal]:
-        """Forward a request.
-
-        Args:
-            plan: Where it goes.
-            request: The request.
-            body: Its whole body, when it was read before; then it may be sent again.
-            stream: Else its body as it arrives, which can be sent just once.
-            fingerprint: Tells it, see ``wagtailpoint.fingerprint``.
-            sink: Takes the response.
+        """Forward a request; ``sink`` takes the response.
 
         Raises:
             BodyBroken: The response broke off after the sink had begun.
         """
         answered = False
         try:
-            outcome = await self._forward(plan, request, body, stream, fingerprint, sink)
+            outcome = await self._forward(planned, sink)
             answered = isinstance(outcome, Ok)
             return outcome
         finally:
-            self._quarantine.note_over(fingerprint, answered=answered)
+            self._quarantine.note_over(planned.fingerprint, answered=answered)
 
-    async def _forward(
-        self,
-        plan: Plan,
-        request: CallerRequest,
-        body: bytes | None,
-        stream: AsyncIterator[bytes] | None,
-        fingerprint: str,
-        sink: ResponseSink,
-    ) -> Result[None, Refusal]:
+    async def _forward(self, planned: PlannedRequest, sink: ResponseSink) -> Result[None, Refusal]:
+        plan, fingerprint = planned.plan, planned.fingerprint
         budget = self._budget(plan)
         budget.note_fresh()
         tried: list[Attempt] = []
@@ -167,9 +145,8 @@
                 # Sent now, it would only be cut off, with an outcome that nobody knows.
                 self._slots.release(slot)
                 return Err(_after_attempts(_deadline_passed(), tried))
-            send = partial(self._send, plan, request, body, stream, fingerprint)
-            suspect = self._quarantine.crashes(fingerprint) > 0
-            if tried or suspect or stream is not None or not self._is_hedged(plan, slot):
+            send = partial(self._send, planned)
+            if tried or not self._is_hedged(planned, slot):
                 attempts = await self._send_one(send, slot, sink)
             else:
                 attempts = await self._send_hedged(send, slot, sink, plan)
@@ -186,10 +163,12 @@
                 budget=budget,
             )
             # A streamed body has been read in part by the first attempt: it can't be sent again.
-            again = decision.allowed and stream is None
+            again = decision.allowed and planned.stream is None
             again = again and self._quarantine.may_repeat(fingerprint)
             for attempt in attempts:
-                self._observer.failed(request, attempt.server.address, attempt.failure, again=again)
+                self._observer.failed(
+                    planned.request, attempt.server.address, attempt.failure, again=again
+                )
             if not again:
                 return Err(_failed(failure, tried))
 
@@ -214,9 +193,11 @@
             return []
         return [Attempt(failed.server, failure) for failed, failure in race.failures]
 
-    def _is_hedged(self, plan: Plan, slot: Slot) -> bool:
+    def _is_hedged(self, planned: PlannedRequest, slot: Slot) -> bool:
+        if planned.stream is not None or self._quarantine.crashes(planned.fingerprint):
+            return False
         # Under overload no second copy would be sent; preparing for one costs processor time.
-        return may_hedge(plan) and self._slots.has_idle(slot.pool)
+        return may_hedge(planned.plan) and self._slots.has_idle(slot.pool)
 
     def _second_slot(self, plan: Plan, first: Slot) -> Slot | None:
         """A slot for a second copy; only an idle one, and out of the retry budget."""
@@ -227,24 +208,17 @@
         return self._slots.take_idle(self._demand(plan, [first.server]))
 
     async def _send(
-        self,
-        plan: Plan,
-        request: CallerRequest,
-        body: bytes | None,
-        stream: AsyncIterator[bytes] | None,
-        fingerprint: str,
-        slot: Slot,
-        sink: ResponseSink,
+        self, planned: PlannedRequest, slot: Slot, sink: ResponseSink
     ) -> BackendFailure | None:
-        self._quarantine.began(fingerprint)
+        self._quarantine.began(planned.fingerprint)
         try:
-            sent = _as_sent(plan, request, body, stream, self.remaining(plan))
+            sent = _as_sent(planned, self.remaining(planned.plan))
             failure = await self._exchange(slot, sent, sink)
             if failure is not None:
-                await self._evidence.note(fingerprint, plan, request, slot.server, failure)
+                await self._evidence.note(planned, slot.server, failure)
             return failure
         finally:
-            self._quarantine.ended(fingerprint)
+            self._quarantine.ended(planned.fingerprint)
             self._slots.release(slot)
 
     async def _exchange(
@@ -276,20 +250,15 @@
         )
 
 
-def _as_sent(
-    plan: Plan,
-    request: CallerRequest,
-    body: bytes | None,
-    stream: AsyncIterator[bytes] | None,
-    remaining_s: float,
-) -> BackendRequest:
+def _as_sent(planned: PlannedRequest, remaining_s: float) -> BackendRequest:
+    plan, request = planned.plan, planned.request
     return BackendRequest(
         request_id=secrets.token_hex(8),
         method=request.method,
         target=request.target,
         headers=without(request.headers, NOT_FORWARDED),
         # None and not an empty body: a GET would else be sent as chunked.
-        body=_once(body) if body else stream,
+        body=_once(planned.body) if planned.body else planned.stream,
         deadline_s=remaining_s,
         idempotent=plan.route.idempotent,
         echoes_request_id=plan.service.echoes_request_id,
--- a/src/wagtailpoint/entry/plan.py
+++ b/src/wagtailpoint/entry/plan.py
@@ -1,5 +1,6 @@
 """What the configuration says about one request, worked out before anything is spent on it."""
 
+from collections.abc import AsyncIterator
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -38,6 +39,24 @@
     affinity: str = ""
 
 
+class PlannedRequest(NamedTuple):
+    """A request on its way to a backend server.
+
+    Attributes:
+        plan: Where it goes.
+        request: The request.
+        body: Its whole body, when it was read before; then it may be sent again.
+        stream: Else its body as it arrives, which can be sent just once.
+        fingerprint: Tells it, see ``wagtailpoint.fingerprint``.
+    """
+
+    plan: Plan
+    request: CallerRequest
+    body: bytes | None
+    stream: AsyncIterator[bytes] | None
+    fingerprint: str
+
+
 def plan_request(config: EffectiveConfig, request: CallerRequest) -> Result[Plan, Refusal]:
     """Find the workspace, the route and the deadline of a request."""
     name = header(request.headers, names.WORKSPACE)
--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -14,7 +14,12 @@
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.entry.observer import Completed, EntryObserver
-from wagtailpoint.entry.plan import MISTAKE_RETRY_AFTER_S, Plan, plan_request
+from wagtailpoint.entry.plan import (
+    MISTAKE_RETRY_AFTER_S,
+    Plan,
+    PlannedRequest,
+    plan_request,
+)
 from wagtailpoint.entry.replies import send_answer, send_outcome, send_refusal
 from wagtailpoint.entry.request import (
     BodyTooLarge,
@@ -171,14 +176,14 @@
 
         try:
             with whole_reply:
-                outcome = await self._forwarder.forward(
-                    plan,
-                    request,
+                planned = PlannedRequest(
+                    plan=plan,
+                    request=request,
                     body=body if rest is None else None,
                     stream=None if rest is None else _joined(body, rest),
                     fingerprint=_fingerprint(plan, request, body),
-                    sink=pass_on,
                 )
+                outcome = await self._forwarder.forward(planned, sink=pass_on)
         except (BodyTooLarge, BodyTooSlow) as error:
             # A part of the body has gone to the backend server already.
             refusal = self._bad_body(error)._replace(verdict=Verdict.MAY_HAVE_RUN)
@@ -293,14 +298,9 @@
         async def collect(response: BackendResponse) -> None:
             answers.append(await _collected(response))
 
-        outcome = await self._forwarder.forward(
-            plan,
-            request,
-            body=body,
-            stream=None,
-            fingerprint=_fingerprint(plan, request, body),
-            sink=collect,
-        )
+        mark = _fingerprint(plan, request, body)
+        planned = PlannedRequest(plan, request, body, None, mark)
+        outcome = await self._forwarder.forward(planned, sink=collect)
         if isinstance(outcome, Ok):
             return answers[0]
         if binding is None and outcome.err_value.verdict is Verdict.NOT_RUN:
--- a/tests/cover/test_forwarding.py
+++ b/tests/cover/test_forwarding.py
@@ -15,6 +15,7 @@
 from wagtailpoint.admission.refusal import Refusal, RefusalCode
 from wagtailpoint.admission.slots import Slot
 from wagtailpoint.entry.forwarding import Forwarder
+from wagtailpoint.entry.plan import PlannedRequest
 from wagtailpoint.entry.request import CallerRequest
 from wagtailpoint.ports.backend import BackendFailure, FailureReason, LoadReport
 from wagtailpoint.quarantine.quarantine import Quarantine
@@ -163,8 +164,11 @@
         async def sink(_response: Any) -> None:
             raise AssertionError("there is no response")
 
-        outcomes = [trio.run(_forward, forwarder, plan, request, sink) for _ in range(times)]
-        return [each.err_value for each in outcomes]
+        async def run() -> list[Refusal]:
+            outcomes = [await _forward(forwarder, plan, request, sink) for _ in range(times)]
+            return [each.err_value for each in outcomes]
+
+        return trio.run(run)
 
     def test_request_that_crashed_three_is_refused_at_once(self) -> None:
         """Guards against a request that ends one backend server after the other."""
@@ -182,4 +186,5 @@
 
 
 async def _forward(forwarder: Forwarder, plan: Any, request: CallerRequest, sink: Any) -> Any:
-    return await forwarder.forward(plan, request, body=b"", stream=None, fingerprint="a", sink=sink)
+    planned = PlannedRequest(plan, request, b"", None, "a")
+    return await forwarder.forward(planned, sink=sink)
