The soak judges requests without an answer, and that all serve again at the end

Connections that an instance in touch refuses or cuts, and requests that it does not answer within three seconds, were counted and not judged; nothing checked that each place serves the newest version after the last fault. Each check was seen failing in its test.

--- a/bench/soak/caller.py
+++ b/bench/soak/caller.py
@@ -47,17 +47,19 @@
         self._findings = findings
         self._random = random
         self._sent = 0
+        self._began_s = 0.0
 
     async def run(self) -> None:
         """Connect and send until cancelled."""
         while True:
+            self._began_s = trio.current_time()
             try:
                 with trio.fail_after(ANSWER_LIMIT_S):
                     stream = await trio.open_tcp_stream(self._instance.address, CALLER_PORT)
                 async with stream:
                     await self._use(stream)
-            except (OSError, trio.TooSlowError, trio.BrokenResourceError):
-                self._findings.statuses[0] += 1
+            except (OSError, trio.TooSlowError, trio.BrokenResourceError) as error:
+                self._findings.note_unserved(self._instance.number, self._began_s, repr(error))
             await trio.sleep(PAUSE_S)
 
     async def _use(self, stream: trio.SocketStream) -> None:
@@ -71,10 +73,11 @@
 
     async def _send_one(self, stream: trio.SocketStream, parser: h11.Connection) -> None:
         self._sent += 1
+        self._began_s = trio.current_time()
         drawn = self._draw(f"{self._name}-{self._sent}")
         instance = self._instance
         repeatable = drawn.method == "GET"
-        asked = Asked(instance.number, instance.processes, trio.current_time(), repeatable)
+        asked = Asked(instance.number, instance.processes, self._began_s, repeatable)
         self._findings.asked[drawn.request_id] = asked
         await stream.send_all(encode_request(drawn, parser))
         try:
--- a/bench/soak/findings.py
+++ b/bench/soak/findings.py
@@ -123,6 +123,23 @@
             late_s = asked.sent_s - self.confirmed_s[version]
             self.found.append(f"{asked}: version {version} not in force after {late_s:.2f} s")
 
+    def note_unserved(self, instance: int, began_s: float, error: str) -> None:
+        """A connection was refused or cut, or a request got no answer within its limit."""
+        self.statuses[0] += 1
+        if self.in_touch(instance, began_s, trio.current_time()):
+            self.found.append(f"instance {instance} at {began_s:.2f} s: {error}")
+
+    def check_whole(self, version: int) -> None:
+        """Check at the end that the newest process at each place serves the newest version."""
+        newest = dict.fromkeys(range(len(self._disturbed)), 0)
+        for (instance, _), (served, _) in sorted(self._newest.items()):
+            newest[instance] = served
+        self.found += [
+            f"instance {instance} serves version {served} at the end, not {version}"
+            for instance, served in newest.items()
+            if served != version
+        ]
+
     def conclude(self) -> None:
         """Check what can only be told when all is over."""
         counts = Counter(each.request_id for each in self.runs)
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -94,6 +94,7 @@
             await trio.sleep((SETTLE_S + CONFIG_APPLY_S) * self._slack)
             self._world.change_config()
             await trio.sleep(2 * CONFIG_APPLY_S * self._slack)
+            self._findings.check_whole(self._world.version)
             nursery.cancel_scope.cancel()
 
     def _make_caller(self, instance: Instance, number: int) -> Caller:
--- a/tests/cover/test_soak_findings.py
+++ b/tests/cover/test_soak_findings.py
@@ -109,3 +109,20 @@
         self.findings.note_disturbed(0, 100.0, 120.0)
         self.crash_at(101.0, 102.0, 103.0, 110.0, 111.0, 112.0, 113.0, 114.0)
         self.assertEqual(self.concluded(), [])
+
+    def test_instance_that_does_not_answer(self) -> None:
+        async def run() -> None:
+            await trio.sleep(10.0)
+            self.findings.note_unserved(0, trio.current_time() - 1.0, "refused")
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+        self.assertEqual(len(self.findings.found), 1)
+
+    def test_instance_that_does_not_serve_again(self) -> None:
+        self.findings.confirmed_s[7] = 0.0
+        self.findings.note_version(Asked(0, 1, 1.0, True), 7, served=True, answered_s=1.1)
+        self.findings.check_whole(7)
+        self.assertEqual(self.findings.found, [])
+        self.findings.check_whole(8)
+        (found,) = self.findings.found
+        self.assertIn("serves version 7 at the end, not 8", found)
