The soak's backend servers reset connections, too

Ended connections to sound backend servers must not make a suspect of a request that comes again. They are drawn apart from the other steps, so that the schedule of a seed stays as it was.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -7,7 +7,13 @@
 import click
 import trio
 
-from bench.soak.schedule import FAULTS, FaultKind, Step, draw_schedule
+from bench.soak.schedule import (
+    FAULTS,
+    FaultKind,
+    Step,
+    draw_backend_faults,
+    draw_schedule,
+)
 from bench.soak.soak import Report, run_soak
 
 
@@ -37,6 +43,8 @@
         steps = draw_schedule(
             seed=number, seconds=seconds, instances=instances, faults=faults or FAULTS
         )
+        if not faults:
+            steps = sorted([*steps, *draw_backend_faults(seed=number, seconds=seconds)])
         if show:
             for step in steps:
                 click.echo(f"  {step}")
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -17,7 +17,7 @@
 )
 from tests.common.processes import ModuleProcess
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
-from tests.common.sockets import loopback_address
+from tests.common.sockets import loopback_address, reset_connection
 from tests.common.users_store import UsersStore
 
 from bench.soak.findings import Crash, Findings, Run
@@ -32,6 +32,9 @@
 DOWN_S: Final = 1.3
 """A backend server is away for so long after a crash."""
 
+RESET_PART: Final = 0.3
+"""The part of the requests whose connections are reset, while that goes on."""
+
 CRASHING: Final = "/crashing-"
 """Targets with this crash the backend server that runs them."""
 
@@ -76,6 +79,7 @@
         self._folder = folder
         self._server_numbers = count(1)
         self._addresses: dict[str, str] = {}
+        self._resetting = 0
 
     @asynccontextmanager
     async def serve(self) -> AsyncIterator[None]:
@@ -123,6 +127,12 @@
             self.store.delete("servers", name)
             self._register(address)
 
+    async def reset_connections(self, for_s: float) -> None:
+        """Have the backend servers reset some connections in place of an answer."""
+        self._resetting += 1
+        await trio.sleep(for_s)
+        self._resetting -= 1
+
     def _register(self, address: str) -> None:
         name = f"i-{next(self._server_numbers)}"
         self._addresses[name] = address
@@ -192,6 +202,9 @@
                 self._findings.crashes.append(crash)
                 crashed.set()
                 return
+            if self._resetting and self._random.random() < RESET_PART:
+                await reset_connection(stream.stream)
+                return
             body = f"{request_id} {target}".encode()
             await stream.send(response(body, f"X-Attempt-Id: {request_id}"))
 
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -8,6 +8,9 @@
 ]
 FAULTS: Final[tuple[FaultKind, ...]] = get_args(FaultKind)
 
+BACKEND_FAULT: Final[Literal["backend-reset"]] = "backend-reset"
+LONGEST_QUIET_S: Final = 8.0
+
 LONGEST_GAP_S: Final = 2.0
 LONGEST_FAULT_S: Final = 4.0
 CONFIG_PART: Final = 0.4
@@ -25,7 +28,7 @@
     """
 
     at_s: float
-    kind: FaultKind | Literal["config"]
+    kind: FaultKind | Literal["config", "backend-reset"]
     instance: int
     for_s: float
 
@@ -42,3 +45,14 @@
         for_s = min(random.uniform(0.05, LONGEST_FAULT_S), seconds - at_s)
         steps.append(Step(at_s, kind, random.randrange(instances), for_s))
     return steps
+
+
+def draw_backend_faults(*, seed: int, seconds: float) -> list[Step]:
+    """Draw when backend servers reset connections, apart from the other steps of the seed."""
+    random = Random(f"{seed}-{BACKEND_FAULT}")
+    steps = []
+    at_s = 0.0
+    while (at_s := at_s + random.uniform(1.0, LONGEST_QUIET_S)) < seconds:
+        for_s = min(random.uniform(0.05, LONGEST_FAULT_S), seconds - at_s)
+        steps.append(Step(at_s, BACKEND_FAULT, 0, for_s))
+    return steps
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -13,7 +13,7 @@
 from bench.soak.crashing import REQUESTS, CrashingCaller
 from bench.soak.deployment import Deployment, Instance
 from bench.soak.findings import CONFIG_APPLY_S, SETTLE_S, Findings
-from bench.soak.schedule import Step
+from bench.soak.schedule import BACKEND_FAULT, Step
 
 CALLERS_EACH: Final = 2
 WARM_UP_S: Final = 6.0
@@ -129,6 +129,8 @@
             self._world.change_config()
         elif step.kind == "drain":
             await self._world.drain(step.for_s)
+        elif step.kind == BACKEND_FAULT:
+            await self._world.reset_connections(step.for_s)
         elif step.kind == "store-refuses":
             await self._refuse(step.for_s)
         elif step.kind in ("pause", "kill", "stop"):
