A suspect that has to wait is not told that it is quarantined

On the product's own path a request that had crashed one backend server, while others like it were under way, was refused with the code quarantined and a minute to wait; it is no-slot and a second now. On the platform's path the time to come back was chosen by comparing the log's word.

--- a/src/wagtailpoint/entry/forwarding.py
+++ b/src/wagtailpoint/entry/forwarding.py
@@ -136,11 +136,12 @@
             if isinstance(admitted, Err):
                 return Err(_after_attempts(admitted.err_value, tried))
             slot = admitted.ok_value
+            # It may have waited for its slot while others like it crashed what they met.
             admission = self._quarantine.admission(fingerprint)
             if admission is not Admission.ADMITTED:
-                # It may have waited for its slot while others like it crashed what they met.
                 self._slots.release(slot)
-                return Err(_after_attempts(_quarantined(), tried))
+                late = admission is Admission.QUARANTINED
+                return Err(_after_attempts(_quarantined() if late else _suspect(), tried))
             if self.remaining(plan) < LEAST_EXCHANGE_S:
                 # Sent now, it would only be cut off, with an outcome that nobody knows.
                 self._slots.release(slot)
@@ -278,6 +279,15 @@
     )
 
 
+def _suspect() -> Refusal:
+    return refuse(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        RefusalCode.NO_SLOT,
+        "backend servers crashed while they ran this request, and others like it are under way",
+        FAILED_RETRY_AFTER_S,
+    )
+
+
 def _deadline_passed() -> Refusal:
     return refuse(
         HTTPStatus.GATEWAY_TIMEOUT,
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -151,6 +151,8 @@
             return Outcome(HTTPStatus.REQUEST_TIMEOUT, "slow-body", Verdict.NOT_RUN)
         while True:
             admission = self._quarantine.admission(job.fingerprint)
+            if admission is Admission.QUARANTINED:
+                return await self._give_up(job, caller, admission.value, QUARANTINED_COME_BACK_S)
             if admission is not Admission.ADMITTED:
                 return await self._give_up(job, caller, admission.value)
             chosen = self._sender.choose(job)
@@ -174,7 +176,9 @@
             return True
         return False
 
-    async def _give_up(self, job: Job, caller: CallerExchange, reason: str) -> Outcome:
+    async def _give_up(
+        self, job: Job, caller: CallerExchange, reason: str, come_back_s: float | None = None
+    ) -> Outcome:
         """The final answer, at once, of a request that got none from a backend server."""
         if job.failed_reply is not None:
             await caller.reply(
@@ -182,7 +186,7 @@
             )
             return Outcome(job.failed_reply.status, "answered", Verdict.RAN)
         if job.verdict is Verdict.NOT_RUN:
-            return await self._refuse(caller, reason, self._come_back_s(job, reason))
+            return await self._refuse(caller, reason, come_back_s or self._come_back_s(job))
         late = job.left_s < LEAST_EXCHANGE_S
         status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
         await caller.reply(status, (), b"no answer from a backend server\n")
@@ -194,9 +198,7 @@
         await caller.reply(HTTPStatus.SERVICE_UNAVAILABLE, headers, body)
         return Outcome(HTTPStatus.SERVICE_UNAVAILABLE, reason, Verdict.NOT_RUN)
 
-    def _come_back_s(self, job: Job, reason: str) -> float:
-        if reason == Admission.QUARANTINED.value:
-            return QUARANTINED_COME_BACK_S
+    def _come_back_s(self, job: Job) -> float:
         wanted = COME_BACK_S * self._random.uniform(0.5, 1.5)
         return max(0.0, min(wanted, COME_BACK_PART * job.left_s))
 
