--- a/src/wagtailpoint/quarantine/stored.py
+++ b/src/wagtailpoint/quarantine/stored.py
@@ -137,9 +137,10 @@
             await trio.sleep(CLEAN_INTERVAL_S * self._random.uniform(0.8, 1.2))
             if self._has_duty():
                 for stored in self._outdated():
-                    await self._platform.delete(
+                    removed = await self._platform.delete(
                         kind=KIND, name=stored.name, if_version=stored.version
                     )
+                    log_event("quarantine-removed", digest=stored.name, removed=removed.is_ok())
 
     def _outdated(self) -> list[StoredObject]:
         """Those that are too old, and the oldest of too many."""
