Messages about crashes are bounded at any size of the deployment

Five reports a second to 489 others were 2,400 messages a second from one instance (calculated); beyond 50 at once it is 200 messages a second now. docs/CAPACITY.md has what a report and the followed kind cost.

--- a/src/wagtailpoint/quarantine/news.py
+++ b/src/wagtailpoint/quarantine/news.py
@@ -11,11 +11,14 @@
 from wagtailpoint.ports.peers import Message, PeerAddress, Peers, Received, register_message
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
 
-MOST_A_SECOND: Final = 5.0
 MOST_AT_ONCE: Final = 50.0
 """Reports of one instance. When hundreds of backend servers end at the same moment, what ran there
 is suspect of a single crash, and most of it is answered elsewhere."""
 
+MOST_A_SECOND: Final = 5.0
+MOST_MESSAGES_A_SECOND: Final = 200.0
+"""What may go on for long: reports, and messages of them to however many other instances."""
+
 
 class CrashCleared(NamedTuple):
     """A request that met crashes was answered by a backend server that ran it."""
@@ -76,16 +79,17 @@
         self._send(CrashCleared(fingerprint), fingerprint)
 
     def _send(self, message: Message, fingerprint: str) -> None:
-        if not self._may_send():
+        others = self._others()
+        if not self._may_send(len(others)):
             log_event("crash-report-dropped", level="WARNING", digest=fingerprint)
             return
-        for peer in self._others():
+        for peer in others:
             self._peers.send(peer, message)
 
-    def _may_send(self) -> bool:
+    def _may_send(self, copies: int) -> bool:
         now = trio.current_time()
-        earned = MOST_A_SECOND * (now - self._left_at)
-        self._left = min(MOST_AT_ONCE, self._left + earned)
+        a_second = min(MOST_A_SECOND, MOST_MESSAGES_A_SECOND / max(1, copies))
+        self._left = min(MOST_AT_ONCE, self._left + a_second * (now - self._left_at))
         self._left_at = now
         if self._left < 1.0:
             return False
