--- a/src/wagtailpoint/adapters/object_calls.py
+++ b/src/wagtailpoint/adapters/object_calls.py
@@ -114,6 +114,13 @@
             return Err(PlatformUnavailable(str(outcome.err_value)))
         return cast("Result[Answer, PlatformUnavailable]", outcome)
 
+    async def write(self, call: Call) -> Result[Answer, Lost]:
+        """Make a call that changes something; an answer may still be a conflict."""
+        outcome = await self.send(call)
+        if isinstance(outcome, Ok) and outcome.ok_value.status in REFUSALS:
+            return Err(refused(outcome.ok_value))
+        return outcome
+
     async def send(self, call: Call) -> Result[Answer, Lost]:
         """Try the addresses in turn, from the last one that answered."""
         lost: Lost = PlatformUnavailable("the platform was not asked")
--- a/src/wagtailpoint/adapters/platform_http.py
+++ b/src/wagtailpoint/adapters/platform_http.py
@@ -10,7 +10,6 @@
 from result import Err, Ok, Result
 
 from wagtailpoint.adapters.object_calls import (
-    REFUSALS,
     Answer,
     Call,
     ObjectCalls,
@@ -163,12 +162,10 @@
     async def _write(
         self, call: Call, kind: str, name: str
     ) -> Result[_WireWritten, Conflict | OutcomeUnknown | PlatformUnavailable]:
-        outcome = await self._calls.send(call)
+        outcome = await self._calls.write(call)
         if isinstance(outcome, Err):
             return outcome
         answer = outcome.ok_value
-        if answer.status in REFUSALS:
-            return Err(refused(answer))
         if answer.status == HTTPStatus.CONFLICT:
             return _conflict(answer, kind, name)
         written = decoded(answer, _WireWritten)
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -9,12 +9,10 @@
 from result import Err, Ok, Result
 
 from wagtailpoint.adapters.object_calls import (
-    REFUSALS,
     Answer,
     Call,
     ObjectCalls,
     decoded,
-    refused,
 )
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
 from wagtailpoint.node_settings import Endpoint
@@ -203,12 +201,10 @@
         self, call: Call, kind: str
     ) -> Result[Answer, Conflict | OutcomeUnknown | PlatformUnavailable]:
         self._count(call.method.lower(), kind)
-        outcome = await self._calls.send(call)
+        outcome = await self._calls.write(call)
         if isinstance(outcome, Err):
             return outcome
         answer = outcome.ok_value
-        if answer.status in REFUSALS:
-            return Err(refused(answer))
         if answer.status == HTTPStatus.CONFLICT:
             return _conflict(answer, kind)
         if answer.status // 100 != 2:
