--- a/bench/soak/caller.py
+++ b/bench/soak/caller.py
@@ -86,7 +86,7 @@
         except trio.BrokenResourceError:
             self._findings.cut.add(drawn.request_id)
             raise
-        self._check(drawn, status, body)
+        self.check(drawn, status, body)
         if drawn.version is not None and status in (200, 404):
             self._findings.note_version(
                 asked, drawn.version, served=status == 200, answered_s=trio.current_time()
@@ -101,7 +101,8 @@
             return Drawn(request_id, "POST", f"/write/{request_id}", None)
         return Drawn(request_id, "GET", f"/read/{request_id}", None)
 
-    def _check(self, drawn: Drawn, status: int, body: bytes) -> None:
+    def check(self, drawn: Drawn, status: int, body: bytes) -> None:
+        """Take note of an answer, and of what in it breaks a promise."""
         self._findings.statuses[status] += 1
         if status == 200 and body != f"{drawn.request_id} {drawn.target}".encode():
             self._findings.found.append(f"{drawn.request_id} got the answer {body!r}")
--- a/tests/cover/test_soak_findings.py
+++ b/tests/cover/test_soak_findings.py
@@ -1,8 +1,12 @@
 """The checks of the soak: each finds the broken promise that it is there for."""
 
 import unittest
+from random import Random
+from typing import cast
 
 import trio
+from bench.soak.caller import Caller, Drawn
+from bench.soak.deployment import Deployment, Instance
 from bench.soak.findings import CONFIG_APPLY_S, DRAIN_S, SETTLE_S, Asked, Crash, Findings, Run
 from bench.soak.schedule import FAULTS, draw_schedule
 from trio.testing import MockClock
@@ -126,3 +130,26 @@
         self.findings.check_whole(8)
         (found,) = self.findings.found
         self.assertIn("serves version 7 at the end, not 8", found)
+
+
+class CallerCheckTest(unittest.TestCase):
+    def found(self, status: int, body: bytes) -> list[str]:
+        """What is found in an answer to a request."""
+        findings = Findings(instances=1, slack=1.0)
+        caller = Caller(
+            name="c",
+            instance=cast(Instance, None),
+            world=cast(Deployment, None),
+            findings=findings,
+            random=Random(1),
+        )
+        caller.check(Drawn("c-1", "GET", "/read/c-1", None), status, body)
+        return findings.found
+
+    def test_answer_of_another_request(self) -> None:
+        self.assertEqual(self.found(200, b"c-1 /read/c-1"), [])
+        self.assertEqual(len(self.found(200, b"c-2 /read/c-2")), 1)
+
+    def test_good_request_that_is_shut_out(self) -> None:
+        self.assertEqual(self.found(503, b"not run: no room\n"), [])
+        self.assertEqual(len(self.found(503, b"not run: quarantined\n")), 1)
