--- a/tests/common/crashing_servers.py
+++ b/tests/common/crashing_servers.py
@@ -82,7 +82,6 @@
         self._servers = servers
         self._server_id = server_id
         self._scope = trio.CancelScope()
-        self._streams: set[trio.SocketStream] = set()
 
     async def serve(self, listeners: list[trio.SocketListener]) -> None:
         """Serve until a request ends it; then nobody listens, and all connections are reset."""
