The replacement of all entries is tested without the example's second for balance checks

The test is for what a planned stop must not do (cut, lose, repeat), and its callers wait five seconds; the workspace's timeout is five seconds now, and every check stands as it was.

--- a/tests/integration/test_leaving.py
+++ b/tests/integration/test_leaving.py
@@ -24,6 +24,7 @@
 PERIOD_S = 1 / 60
 LEAVE_WITHIN_S = 3.0
 WATCHED_S = 2.0
+BALANCE_TIMEOUT_MS = 5000
 BULK_BYTES = 600_000
 BULK_MS = 7000
 CLIENTS = ("10.16.0.9", "10.24.0.9", "10.32.0.9", "10.17.3.4", "10.33.5.6", "10.16.8.8")
@@ -191,6 +192,15 @@
     ENTRIES = 9
     TIMINGS = {"lookup_ttl_s": 0.3}
 
+    @classmethod
+    def setUpClass(cls) -> None:
+        super().setUpClass()
+        # A stand-in on a busy machine may get no processor time for the second of the example.
+        patience = ("--set", f"balance_timeout_ms={BALANCE_TIMEOUT_MS}")
+        adjusted = cls.running.cli("workspace", "adjust", "surakkha", *patience, "--wait")
+        if adjusted.returncode != 0:
+            raise RuntimeError(f"adjust: {adjusted.stdout}{adjusted.stderr}")
+
     def test_all_entries_replaced_one_after_the_other_under_load(self) -> None:
         """Symptom: the weekly replacement of the instances cuts downloads and loses releases.
 
