A keyed request is told by its digest once

The whole body of a keyed request was hashed twice, once for its key and once more for the quarantine, and five values of it went through two methods. The key store's digest is the quarantine's, so the attempt carries it along.

--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -210,7 +210,8 @@
         begun = self._keys.begin(key, mark, binding)
         if isinstance(begun, Run):
             # The key is in flight from here on; every way out of the attempt finishes it.
-            self._nursery.start_soon(self._attempt, key, plan, request, body, binding)
+            attempted = PlannedRequest(plan, request, body, None, mark)
+            self._nursery.start_soon(self._attempt, key, attempted, binding)
             begun = self._keys.begin(key, mark, binding)
         if isinstance(begun, Reject) and begun.refusal.code is RefusalCode.OTHER_INCARNATION:
             assert binding is not None
@@ -261,36 +262,26 @@
                 return await send_outcome(sink, outcome, plan)
 
     async def _attempt(
-        self,
-        key: RequestKey,
-        plan: Plan,
-        request: CallerRequest,
-        body: bytes,
-        binding: Binding | None,
+        self, key: RequestKey, planned: PlannedRequest, binding: Binding | None
     ) -> None:
         """Run a keyed request to its end, whoever still waits for it."""
         outcome: Outcome = MayHaveRun("the attempt was cut off")
         try:
             with self._gate.counted():
-                outcome = await self._run_keyed(key, plan, request, body, binding)
+                outcome = await self._run_keyed(key, planned, binding)
         except BodyBroken:
             outcome = MayHaveRun("its answer broke off")
         except Exception as error:  # noqa: BLE001 - one request's fault must not end the process
             log_event("internal-error", level="ERROR", where="keyed attempt", error=repr(error))
         finally:
             self._keys.finish(key, outcome)
-            self._observer.attempt_ended(request, outcome)
+            self._observer.attempt_ended(planned.request, outcome)
 
     async def _run_keyed(
-        self,
-        key: RequestKey,
-        plan: Plan,
-        request: CallerRequest,
-        body: bytes,
-        binding: Binding | None,
+        self, key: RequestKey, planned: PlannedRequest, binding: Binding | None
     ) -> Outcome:
         if binding is None:
-            refused = await self._claim(key, plan)
+            refused = await self._claim(key, planned.plan)
             if refused is not None:
                 return refused
         answers: list[Answered] = []
@@ -298,8 +289,6 @@
         async def collect(response: BackendResponse) -> None:
             answers.append(await _collected(response))
 
-        mark = _fingerprint(plan, request, body)
-        planned = PlannedRequest(plan, request, body, None, mark)
         outcome = await self._forwarder.forward(planned, sink=collect)
         if isinstance(outcome, Ok):
             return answers[0]
