--- a/src/wagtailpoint/limits/lease.py
+++ b/src/wagtailpoint/limits/lease.py
@@ -44,6 +44,11 @@
     port: int
     incarnation: int
 
+    @property
+    def place(self) -> tuple[str, int]:
+        """Where it hears its peers; processes started one after the other share it."""
+        return (self.address, self.port)
+
 
 def holder_to_value(holder: Holder | None) -> HolderValue | None:
     """Return what is stored of a holder."""
@@ -209,7 +214,8 @@
             await self._write(self._own, stored.version)
             return
         self._counted_from = None
-        vacant = holder is None or holder == self._own
+        # Two processes can't listen at one place: whoever held it there is gone.
+        vacant = holder is None or holder.place == self._own.place
         if vacant or self._sightings.unchanged_s(self._name) >= self._lease_s:
             self._fence = 0
             await self._write(self._own, stored.version)
--- a/tests/cover/test_lease.py
+++ b/tests/cover/test_lease.py
@@ -42,6 +42,24 @@
         self.assertTrue(self.step(1))
         self.assertGreater(self.leases[1].fence, fence)
 
+    def test_process_started_again_at_the_place_of_the_holder_takes_it_at_once(self) -> None:
+        """Guards against a lease that nobody holds for its whole length after a restart."""
+        self.assertTrue(self.step(0))
+        fence = self.leases[0].fence
+        holder = self.processes[0].holder
+        self.processes[1] = SteppedProcess(
+            self.world, holder._replace(incarnation=99), rate=1.0, offset=0.0
+        )
+        self.leases[1] = Lease(
+            platform=self.processes[1].platform,
+            clock=self.processes[1].clock,
+            name="move",
+            own=self.processes[1].holder,
+            lease_s=LEASE_S,
+        )
+        self.assertTrue(self.step(1))
+        self.assertGreater(self.leases[1].fence, fence)
+
     def test_late_give_up_finds_no_holder(self) -> None:
         """Symptom: two processes write under one lease.
 
