Keys of callers: who may run, proved fresh, on every instance

Change: the configuration's workspaces are decoded with the digests of their keys. A request is admitted, and checked again in the step of each send, by the configuration in force, if that is proved: an answer of the store that shows no later change, counted from when it was asked, or a peer's proof, counted from the question plus its age; both by a clock that counts suspension, up to 0.9 of the bound. Watchers ask every 1.2 s with a watch that does not wait; the others are told with the answers to their questions for news, and whoever lost the store with the answers to its questions for newer states. Without proof a request with a key is refused at once with 503, also one with an unknown key: a 401 would be final. Keys are in no log line (the first digits of a digest are), and backend servers get the workspace's name only.

Ruled out: an open watch as proof (it may be silent), a proof told in one-way news (its way took unknown time), each instance asking the store (82 calls a second).

Evidence: generated schedules of a store that is down, silent, slow and stale check each proof against when each version was written; seen failing with the proof counted from the answer, and with a peer's age left out. Tests of the request path seen failing with the key passed on, and without the check at the send.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -1,7 +1,7 @@
 """An instance of a deployment on an object store: all its parts, wired together, and its tasks."""
 
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -16,7 +16,8 @@
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.daemon.store_state import StoreState
-from wagtailpoint.discovery.entries import ServerStart
+from wagtailpoint.daemon.workspace_rules import WorkspaceRules
+from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.instance_count import InstanceCount
 from wagtailpoint.discovery.lost_registrations import LostRegistrations
@@ -37,6 +38,7 @@
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.region_mix import RegionMix
+from wagtailpoint.platform.documents import CONFIG_KIND
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.platform.settings import read_node_settings
 from wagtailpoint.platform.store import ObjectStore
@@ -140,13 +142,27 @@
             membership=self._membership,
             random=self._random,
         )
-        self._exchange = PeerStateExchange(
-            peers=self._peers, membership=self._membership, seeds=seeds, random=self._random
-        )
         self._fleet = Fleet(region_of=settings.region_of)
         self._gone: list[ServerStart] = []
         self._some_gone = trio.Event()
         self._state = StoreState(fleet=self._fleet, on_gone=self._note_gone)
+        self._workspaces = WorkspaceRules(
+            state=self._state,
+            bounds=lambda: self._settings_file.bounds,
+            region_of=settings.region_of,
+            platform=self._platform,
+            peers=self._peers,
+            membership=self._membership,
+            clock=clock,
+            random=self._random,
+        )
+        self._exchange = PeerStateExchange(
+            peers=self._peers,
+            membership=self._membership,
+            seeds=seeds,
+            random=self._random,
+            proofs={CONFIG_KIND: self._workspaces.freshness},
+        )
         self._followers = make_followers(
             platform=self._platform,
             peers=self._exchange,
@@ -157,8 +173,12 @@
             on_change=self._note_change,
         )
         self._exchange.answer_for(self._followers)
+        self._workspaces.prove(self._followers[CONFIG_KIND])
         self._sharing = WatchSharing(
-            peers=self._peers, membership=self._membership, followers=self._followers
+            peers=self._peers,
+            membership=self._membership,
+            followers=self._followers,
+            freshness=self._workspaces.freshness,
         )
         self._distances = Distances(
             failure_domain=settings.failure_domain,
@@ -205,11 +225,10 @@
                     self._lost_registrations.run,
                     self._sharing.run,
                     self._quarantine.run,
+                    self._workspaces.run,
                     self._store_check.run,
                     self._pool.run,
-                    self._make_distance_probe().run,
-                    self._make_warm_up().run,
-                    ReachProbe(placement=self._placement, pool=self._pool, random=self._random).run,
+                    *self._make_probes(),
                     self._clean_gone,
                     self._role.report_load,
                     self._settings_file.run,
@@ -244,23 +263,26 @@
             entries=self._role.around,
         )
 
-    def _make_distance_probe(self) -> DistanceProbe:
-        return DistanceProbe(
-            entries=lambda: self._fleet.entries.values(),
+    def _make_probes(self) -> list[Callable[[], Awaitable[None]]]:
+        def entries() -> Iterable[ServerEntry]:
+            return self._fleet.entries.values()
+
+        distance_probe = DistanceProbe(
+            entries=entries,
             pool=self._pool,
             distances=self._distances,
             is_entry=self._role.is_entry,
             random=self._random,
         )
-
-    def _make_warm_up(self) -> WarmUp:
-        return WarmUp(
-            entries=lambda: self._fleet.entries.values(),
+        warm_up = WarmUp(
+            entries=entries,
             pool=self._pool,
             distances=self._distances,
             is_entry=self._role.is_entry,
             random=self._random,
         )
+        reach_probe = ReachProbe(placement=self._placement, pool=self._pool, random=self._random)
+        return [distance_probe.run, warm_up.run, reach_probe.run]
 
     def _make_dispatcher(self) -> Dispatcher:
         sender = Sender(
@@ -269,12 +291,15 @@
             pool=self._pool,
             budget=RepeatBudget(bound=self._repeat_bound, divisor=self._role.bound_divisor),
             quarantine=self._quarantine.local,
+            key_check=self._workspaces.key_check,
             names=HEADER_NAMES,
         )
         return Dispatcher(
             table=lambda: self._state.table,
             sender=sender,
             quarantine=self._quarantine.local,
+            key_check=self._workspaces.key_check,
+            allowances=self._workspaces.allowances,
             names=HEADER_NAMES,
             metrics=self._metrics,
             random=self._random,
@@ -335,6 +360,7 @@
             "entries": len(self._role.choice.all),
             "load": self._membership.own.load,
             **self._quarantine.gauges,
+            **self._workspaces.gauges,
             "watching": all(each.watching for each in self._followers.values()),
             "config_version": self._state.table.version if self._state.table else 0,
         }
@@ -367,6 +393,7 @@
         self._membership.leave()
         with trio.move_on_after(WITHDRAW_TIMEOUT_S):
             await self._registration.withdraw()
+            await self._workspaces.give_up()
         await trio.sleep_until(min(began + max(STOP_SERVES_S, 2 * LOOKUP_TTL_S), end - 1.0))
         for server in self._servers:
             server.stop_accepting()
--- a/src/wagtailpoint/daemon/store_state.py
+++ b/src/wagtailpoint/daemon/store_state.py
@@ -27,6 +27,7 @@
         self._fleet = fleet
         self._on_gone = on_gone
         self._table: RouteTable | None = None
+        self._config_read = True
         self._decoded: dict[str, _Decoded] = {}
         self._heartbeats = NewestHeartbeats()
 
@@ -35,12 +36,18 @@
         """The routes in force; None before the first configuration."""
         return self._table
 
+    @property
+    def config_read(self) -> bool:
+        """Whether the newest configuration could be read, and so is the one in force."""
+        return self._config_read
+
     def apply_config(self, objects: Mapping[str, StoredObject]) -> None:
         """Put a newer configuration in force; an older or an unreadable one changes nothing."""
         stored = objects.get(CONFIG_NAME)
         if stored is None:
             return
         decoded = decode_config(stored)
+        self._config_read = not isinstance(decoded, Err)
         if isinstance(decoded, Err):
             log_event("config-unreadable", level="ERROR", error=decoded.err_value)
             return
--- /dev/null
+++ b/src/wagtailpoint/daemon/workspace_rules.py
@@ -0,0 +1,140 @@
+"""What holds for workspaces on an instance: their keys, as far as proved, and their allowances."""
+
+from collections.abc import Callable, Mapping
+from random import Random
+
+import trio
+
+from wagtailpoint.daemon.store_state import StoreState
+from wagtailpoint.discovery.confirmation import Confirmation
+from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.freshness import Freshness
+from wagtailpoint.limits.allowance import Allowance
+from wagtailpoint.limits.allowance_sharing import AllowanceSharing
+from wagtailpoint.limits.allowance_slots import AllowanceSlots
+from wagtailpoint.limits.lease import Holder
+from wagtailpoint.membership import Membership
+from wagtailpoint.node_settings import ServiceBounds
+from wagtailpoint.ports.clock import Clock
+from wagtailpoint.ports.peers import Peers
+from wagtailpoint.ports.platform import Platform
+from wagtailpoint.proxy.key_check import KeyCheck
+from wagtailpoint.routing.table import RouteTable
+
+
+class WorkspaceRules:
+    """The proof of the configuration, the check of keys and the allowances, wired together."""
+
+    def __init__(
+        self,
+        *,
+        state: StoreState,
+        bounds: Callable[[], ServiceBounds],
+        region_of: Mapping[str, str],
+        platform: Platform,
+        peers: Peers,
+        membership: Membership,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        """Wire the parts.
+
+        Args:
+            state: The configuration in force.
+            bounds: What the operators demand.
+            region_of: The region of every failure domain.
+            platform: The store.
+            peers: The links to the others.
+            membership: Who is there.
+            clock: Must count suspension.
+            random: For the jitter.
+        """
+        self._state = state
+        self._bounds = bounds
+        self._platform = platform
+        self._random = random
+        self._follower: KindFollower | None = None
+        self.freshness = Freshness(
+            clock=clock, version=self._version, bound_s=lambda: bounds().key_lag_max_s
+        )
+        self.key_check = KeyCheck(
+            table=lambda: state.table, is_proved=lambda: self.freshness.is_proved
+        )
+        self._slots = AllowanceSlots(
+            platform=platform,
+            clock=clock,
+            membership=membership,
+            own=Holder(*peers.address),
+            is_needed=self._has_allowances,
+            random=random,
+        )
+        self.allowances = AllowanceSharing(
+            slots=self._slots,
+            peers=peers,
+            clock=clock,
+            own_region=membership.own.region,
+            regions=frozenset(region_of.values()),
+            allowances=self._allowances,
+            slack=lambda: bounds().allowance_slack,
+            random=random,
+        )
+        self._allowances_of: RouteTable | None = None
+        self._known_allowances: Mapping[str, Allowance | None] = {}
+
+    def prove(self, follower: KindFollower) -> None:
+        """Tell what follows the configuration."""
+        self._follower = follower
+
+    @property
+    def gauges(self) -> dict[str, float]:
+        """Values of this moment, for the metrics."""
+        return {
+            "config_age_seconds": min(self.freshness.age_s, 1e6),
+            "workspaces": len(self._allowances()),
+            "allowance_slots_held": self._slots.held_count,
+        }
+
+    async def run(self) -> None:
+        """Keep proof and slots until cancelled.
+
+        Raises:
+            ValueError: Nothing follows the configuration yet.
+        """
+        if self._follower is None:
+            raise ValueError("follower: given None, expected one from `prove`")
+        confirmation = Confirmation(
+            follower=self._follower,
+            platform=self._platform,
+            freshness=self.freshness,
+            is_needed=self._needs_proof,
+            random=self._random,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(confirmation.run)
+            nursery.start_soon(self._slots.run)
+
+    async def give_up(self) -> None:
+        """Let others have the slots, before this instance leaves."""
+        await self._slots.give_up()
+
+    def _version(self) -> int:
+        """The version of the configuration in force; 0 if the newest one could not be read."""
+        if self._follower is None or not self._state.config_read:
+            return 0
+        return self._follower.state.version
+
+    def _needs_proof(self) -> bool:
+        table = self._state.table
+        strict = self._bounds().key_lag_max_s < float("inf")
+        return strict and table is not None and table.workspaces is not None
+
+    def _allowances(self) -> Mapping[str, Allowance | None]:
+        table = self._state.table
+        if table is not self._allowances_of:
+            self._allowances_of = table
+            found = (table.workspaces or {}).values() if table is not None else ()
+            self._known_allowances = {each.name: each.allowance for each in found}
+        return self._known_allowances
+
+    def _has_allowances(self) -> bool:
+        return any(each is not None for each in self._allowances().values())
--- /dev/null
+++ b/src/wagtailpoint/discovery/confirmation.py
@@ -0,0 +1,107 @@
+"""Asks the store whether the state of a kind is still its newest."""
+
+from collections.abc import Callable
+from random import Random
+from typing import Final
+
+import trio
+from result import Err, Result
+
+from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.freshness import Freshness
+from wagtailpoint.discovery.history import KindChanges
+from wagtailpoint.errors import PlatformUnavailable, WatchTooOld
+from wagtailpoint.observe.log import log_event
+from wagtailpoint.ports.platform import Platform, WatchBatch
+
+CONFIRM_INTERVAL_S: Final = 1.2
+"""Between two questions of an instance that watches the store; the others are told by it."""
+
+LOOK_INTERVAL_S: Final = 0.2
+"""How often it is looked whether a question is due."""
+
+RETRY_S: Final = 0.5
+"""After a question without an answer."""
+
+ANSWER_TIMEOUT_S: Final = 1.0
+"""A store in trouble may swallow a question and never answer it, also after its return."""
+
+WatchResult = Result[WatchBatch, WatchTooOld | PlatformUnavailable]
+
+
+class Confirmation:
+    """Keeps the proof of a state fresh on instances that watch the store.
+
+    The question is a watch that does not wait: the answer is a few bytes, and has what changed. An
+    instance that has just started asks once, whether or not it watches: its first listing may be
+    some seconds old, and whoever will tell it the rest may take some seconds to be found.
+    """
+
+    def __init__(
+        self,
+        *,
+        follower: KindFollower,
+        platform: Platform,
+        freshness: Freshness,
+        is_needed: Callable[[], bool],
+        random: Random,
+    ) -> None:
+        """Make it.
+
+        Args:
+            follower: Has the state.
+            platform: The store.
+            freshness: Is told of the proof.
+            is_needed: Whether anything depends on a proof.
+            random: For the jitter.
+        """
+        self._follower = follower
+        self._platform = platform
+        self._freshness = freshness
+        self._is_needed = is_needed
+        self._random = random
+
+    async def run(self) -> None:
+        """Ask until cancelled."""
+        while True:
+            if not self._is_due():
+                await trio.sleep(LOOK_INTERVAL_S * self._random.uniform(0.8, 1.2))
+            elif not await self._confirm():
+                await trio.sleep(RETRY_S * self._random.uniform(0.7, 1.3))
+
+    def _is_due(self) -> bool:
+        follower = self._follower
+        if not follower.known or not self._is_needed() or follower.lost_for_s > 0.0:
+            return False
+        if self._freshness.age_s == float("inf"):
+            return True
+        return follower.watching and self._freshness.age_s >= CONFIRM_INTERVAL_S
+
+    async def _confirm(self) -> bool:
+        """Ask once; whether there was an answer."""
+        kind, version = self._follower.kind, self._follower.state.version
+        asked_at = self._freshness.now()
+        answered: WatchResult = Err(PlatformUnavailable("no answer in time"))
+        with trio.move_on_after(ANSWER_TIMEOUT_S):
+            answered = await self._platform.watch(kinds=[kind], from_version=version, wait_s=0.0)
+        if isinstance(answered, Err):
+            log_event("unconfirmed", kind=kind, version=version, error=answered.err_value)
+            return False
+        batch = answered.ok_value
+        if batch.events:
+            self._follower.take_changes(_changes(kind, batch))
+        self._freshness.note(batch.version if batch.events else version, asked_at)
+        return True
+
+
+def _changes(kind: str, batch: WatchBatch) -> KindChanges:
+    """The events of a batch as one change: only the last event of each object counts."""
+    last = {event.stored.name: event for event in batch.events}
+    put = [event.stored for event in last.values() if event.action == "put"]
+    return KindChanges(
+        kind=kind,
+        version=batch.version,
+        whole=False,
+        objects=[(each.name, each.version, each.value) for each in put],
+        removed=[name for name, event in last.items() if event.action == "delete"],
+    )
--- a/src/wagtailpoint/discovery/peer_states.py
+++ b/src/wagtailpoint/discovery/peer_states.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.freshness import Freshness, PeerProof
 from wagtailpoint.discovery.kind_state import KindState, PeerState
 from wagtailpoint.membership import Membership
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
@@ -30,15 +31,17 @@
         reached: Whether the answering instance reaches the store.
         version: The store's version.
         objects: Name, version and value of each object.
+        proof: Proves that state, or the one asked about if there is none newer.
     """
 
     reached: bool
     version: int
     objects: Sequence[tuple[str, int, Any]]
+    proof: PeerProof | None = None
 
 
 register_message("state-question", StateQuestion)
-register_message("state-answer", StateAnswer)
+register_message("proved-state-answer", StateAnswer)
 
 
 class PeerStateExchange:
@@ -51,6 +54,7 @@
         membership: Membership,
         seeds: Sequence[PeerAddress],
         random: Random,
+        proofs: Mapping[str, Freshness],
     ) -> None:
         """Make it, without any kind to answer for.
 
@@ -59,7 +63,9 @@
             membership: Who is there.
             seeds: Whom to ask while nobody is known to be there.
             random: Chooses whom to ask.
+            proofs: The kinds whose proof is passed on.
         """
+        self._proofs = proofs
         self._peers = peers
         self._membership = membership
         self._seeds = tuple(seeds)
@@ -76,12 +82,16 @@
         to = self._someone()
         if to is None:
             return None
+        proof = self._proofs.get(kind)
+        asked_at = proof.now() if proof is not None else 0.0
         answered = await self._peers.request(
             to, StateQuestion(kind, newer_than), timeout_s=REPLY_TIMEOUT_S
         )
         if not isinstance(answered, Ok) or not isinstance(answered.ok_value, StateAnswer):
             return None
         answer = answered.ok_value
+        if proof is not None and answer.proof is not None:
+            proof.note_peer(answer.proof, asked_at)
         if answer.version <= newer_than:
             return PeerState(answer.reached, None)
         objects = {
@@ -106,8 +116,10 @@
         if follower is None:
             return StateAnswer(False, 0, ())
         reached = follower.lost_for_s == 0.0
+        freshness = self._proofs.get(question.kind)
+        proof = freshness.tell(freshness.now()) if freshness is not None else None
         state = follower.state
         if state.version <= question.newer_than:
-            return StateAnswer(reached, 0, ())
+            return StateAnswer(reached, 0, (), proof)
         objects = [(each.name, each.version, each.value) for each in state.objects.values()]
-        return StateAnswer(reached, state.version, objects)
+        return StateAnswer(reached, state.version, objects, proof)
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -12,6 +12,7 @@
 from result import Ok
 
 from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.freshness import Freshness, PeerProof
 from wagtailpoint.discovery.history import KindChanges
 from wagtailpoint.membership import Membership
 from wagtailpoint.membership.member import Member, by_capacity
@@ -73,20 +74,23 @@
     Attributes:
         watches: Whether the answering instance watches the store and has no doubt of what it knows.
         changes: What is new, by kind.
+        config_proof: Proves the state of the configuration that the answer leads to.
     """
 
     watches: bool
     changes: Sequence[KindChanges]
+    config_proof: PeerProof | None = None
 
 
 register_message("watch-question", WatchQuestion)
-register_message("watch-answer", WatchAnswer)
+register_message("proved-watch-answer", WatchAnswer)
 
 NOT_WATCHING: Final = WatchAnswer(False, ())
 
 
 class _Waiting(NamedTuple):
     received: Received
+    arrived_at: float
     until: float
 
 
@@ -106,7 +110,12 @@
     """
 
     def __init__(
-        self, *, peers: Peers, membership: Membership, followers: Mapping[str, KindFollower]
+        self,
+        *,
+        peers: Peers,
+        membership: Membership,
+        followers: Mapping[str, KindFollower],
+        freshness: Freshness,
     ) -> None:
         """Make it.
 
@@ -114,7 +123,9 @@
             peers: The links to the others.
             membership: Who is there.
             followers: What is followed, by kind.
+            freshness: The proof of the configuration, which is passed on.
         """
+        self._freshness = freshness
         self._peers = peers
         self._membership = membership
         self._followers = followers
@@ -152,6 +163,7 @@
                 await trio.sleep(LOOK_INTERVAL_S)
                 continue
             versions = [(kind, each.state.version) for kind, each in self._followers.items()]
+            asked_at = self._freshness.now()
             answered = await self._peers.request(
                 source, WatchQuestion(versions), timeout_s=WAIT_S + REPLY_TIMEOUT_S
             )
@@ -163,6 +175,8 @@
                 follower = self._followers.get(changes.kind)
                 if follower is not None:
                     follower.take_changes(changes)
+            if answer.config_proof is not None:
+                self._freshness.note_peer(answer.config_proof, asked_at)
             if not answer.watches:
                 self._declined_until[source.address] = trio.current_time() + DECLINED_S
             self._set_answering(number, answer.watches)
@@ -236,11 +250,14 @@
     def _on_question(self, received: Received) -> WatchAnswer | None:
         self._asked_until = trio.current_time() + ASKED_S
         self._decide()
+        arrived_at = self._freshness.now()
         answer = self._news_for(received.message)
         if answer is None:
-            self._waiting.append(_Waiting(received, trio.current_time() + WAIT_S))
+            until = trio.current_time() + WAIT_S
+            self._waiting.append(_Waiting(received, arrived_at, until))
             self._asked.set()
-        return answer
+            return None
+        return self._proved(answer, arrived_at)
 
     def _news_for(self, question: WatchQuestion) -> WatchAnswer | None:
         """The answer; None if there is nothing to tell yet."""
@@ -271,7 +288,10 @@
 
     def _answer(self, waiting: _Waiting, answer: WatchAnswer) -> None:
         self._waiting.remove(waiting)
-        self._peers.reply(waiting.received, answer)
+        self._peers.reply(waiting.received, self._proved(answer, waiting.arrived_at))
+
+    def _proved(self, answer: WatchAnswer, arrived_at: float) -> WatchAnswer:
+        return answer._replace(config_proof=self._freshness.tell(arrived_at))
 
 
 def _ordered(members: Sequence[Member], region: str) -> Sequence[Member]:
--- a/src/wagtailpoint/node_settings.py
+++ b/src/wagtailpoint/node_settings.py
@@ -1,5 +1,6 @@
 """What one instance of a deployment on an object store is told at its start."""
 
+import math
 import re
 from collections.abc import Mapping
 from ipaddress import IPv4Address
@@ -41,6 +42,9 @@
         region_shift_max: The part of a region's requests, 0 to 1, that may change the region in
             which they run from one two seconds to the next.
         lookup_ttl_max_s: Callers keep the answer to a lookup no longer than this, in seconds.
+        key_lag_max_s: A key that was taken away lets nothing run after so many seconds, on any
+            instance; infinite if instances that are cut off may go on.
+        allowance_slack: Requests that a workspace may send beyond its allowance in a window.
     """
 
     grace_s: float
@@ -51,6 +55,8 @@
     cold_slack: float
     region_shift_max: float
     lookup_ttl_max_s: float
+    key_lag_max_s: float = math.inf
+    allowance_slack: float = 0.0
 
 
 class NodeSettings(NamedTuple):
--- a/src/wagtailpoint/platform/documents.py
+++ b/src/wagtailpoint/platform/documents.py
@@ -8,6 +8,7 @@
 
 from wagtailpoint.discovery.entries import RegisteredServer, ServerEntry
 from wagtailpoint.errors import InvalidInput, Mistake
+from wagtailpoint.limits.allowance import Allowance
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.ports.backend import BackendAddress
 from wagtailpoint.ports.platform import StoredObject
@@ -19,6 +20,7 @@
     ServicePolicy,
     SplitPart,
 )
+from wagtailpoint.routing.workspaces import WorkspacePolicy, WorkspacesByKey, key_digest
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
@@ -29,6 +31,9 @@
 LONGEST_COLD_S = 24 * 3600.0
 """Entries with more than this were not written by a backend server."""
 
+_HEADER_TEXT = "^[!-~]+$"
+"""The name of a workspace is sent in a header."""
+
 _KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
@@ -51,6 +56,8 @@
     Priority: int = 0
     Sticky: bool = False
     HomeRegions: list[str] | None = None
+    # Callers need no key.
+    Public: bool = False
     Service: str | None = None
     Split: list[_Part] | None = None
 
@@ -70,6 +77,18 @@
     ColdPerS: float = 0.0
 
 
+class _Tenant(msgspec.Struct):
+    """A workspace."""
+
+    Name: Annotated[str, msgspec.Meta(min_length=1, pattern=_HEADER_TEXT)]
+    ApiKeys: list[str] = []
+    # Requests a second, over all instances; 0 for no limit.
+    RatePerS: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    Burst: Annotated[float, msgspec.Meta(ge=0)] = 0.0
+    Priority: int | None = None
+    HomeRegions: list[str] | None = None
+
+
 class _Limits(msgspec.Struct):
     MaxHeaderBytes: int
     MaxBodyBytes: int
@@ -82,6 +101,7 @@
     Services: list[_Service]
     Limits: _Limits
     VirtualHosts: list[_VirtualHost]
+    Tenants: list[_Tenant] | None = None
 
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -128,6 +148,7 @@
                 header_timeout_s=wire.Limits.HeaderTimeoutS,
                 idle_timeout_s=wire.Limits.IdleTimeoutS,
             ),
+            workspaces=_workspaces(wire.Tenants) if wire.Tenants else None,
         )
     )
 
@@ -187,9 +208,24 @@
         sticky=wire.Sticky,
         homes=_homes(wire.HomeRegions, virtual_host.HomeRegions),
         parts=parts,
+        public=wire.Public,
     )
 
 
+def _workspaces(wire: Sequence[_Tenant]) -> WorkspacesByKey:
+    """The workspaces by the digests of their keys."""
+    by_key: dict[bytes, WorkspacePolicy] = {}
+    for each in wire:
+        policy = WorkspacePolicy(
+            name=each.Name,
+            priority=each.Priority,
+            homes=_homes(each.HomeRegions),
+            allowance=Allowance(each.RatePerS, each.Burst) if each.RatePerS else None,
+        )
+        by_key |= {key_digest(key.encode()): policy for key in each.ApiKeys}
+    return by_key
+
+
 def _homes(*given: list[str] | None) -> frozenset[str] | None:
     """The regions in all of the lists that name any, which may be none; None without such lists."""
     lists = [frozenset(each) for each in given if each]
--- a/src/wagtailpoint/platform/header_names.py
+++ b/src/wagtailpoint/platform/header_names.py
@@ -12,5 +12,6 @@
     load=b"x-server-load",
     not_run=b"x-not-executed",
     cold_ms=b"x-cold-ms",
+    workspace=b"x-tenant",
 )
 """The id is one of a caller's sends: when a caller repeats a request, it sends another id."""
--- a/src/wagtailpoint/platform/settings.py
+++ b/src/wagtailpoint/platform/settings.py
@@ -1,5 +1,6 @@
 """The settings file that the platform writes for each process."""
 
+import math
 from pathlib import Path
 from typing import Annotated, Any, Final
 
@@ -66,6 +67,11 @@
     ColdSlack: float
     MaxShift: float = 1.0
     ttl_max_s: float = 5.0
+    # A key that was taken away counts no more after so many seconds, and, if strict, also on
+    # instances that are cut off.
+    RevokeS: Annotated[float, msgspec.Meta(gt=0)] | None = None
+    RevokeStrict: bool = False
+    QuotaSlack: Annotated[float, msgspec.Meta(ge=0)] = 0.0
 
 
 class _Terms(msgspec.Struct):
@@ -145,10 +151,18 @@
             cold_slack=bounds.ColdSlack,
             region_shift_max=bounds.MaxShift,
             lookup_ttl_max_s=bounds.ttl_max_s,
+            key_lag_max_s=_key_lag_max_s(bounds),
+            allowance_slack=bounds.QuotaSlack,
         ),
     )
 
 
+def _key_lag_max_s(bounds: _Bounds) -> float:
+    if bounds.RevokeS is None or not bounds.RevokeStrict:
+        return math.inf
+    return bounds.RevokeS
+
+
 def _capacity(limits: _Limits) -> float:
     """What an instance can do, in cores; the link may allow less than the processor."""
     cores = limits.CpuShare * limits.CpuCores
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from random import Random
-from typing import Any
+from typing import Any, Protocol
 from urllib.parse import urlsplit
 
 import trio
 
+from wagtailpoint.limits.allowance_sharing import Spent
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import LatencyKey, Metrics
 from wagtailpoint.placement.choice import Choice, Declined, NoRoom
-from wagtailpoint.ports.backend import Headers
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
 from wagtailpoint.proxy.headers import (
     HeaderNames,
@@ -22,10 +22,14 @@
     text,
 )
 from wagtailpoint.proxy.job import Job, Outcome
+from wagtailpoint.proxy.key_check import KeyCheck
+from wagtailpoint.proxy.refusal import Refusal, Refusals
 from wagtailpoint.proxy.sender import LEAST_EXCHANGE_S, Sender
 from wagtailpoint.quarantine.quarantine import Admission, Quarantine
+from wagtailpoint.routing.access import AccessRefusal
 from wagtailpoint.routing.split import SplitChooser
 from wagtailpoint.routing.table import HostRoute, RouteTable
+from wagtailpoint.routing.workspaces import logged_digest, sent_key_digest
 from wagtailpoint.verdict import Verdict
 
 READ_AHEAD_BYTES = 256 * 1024
@@ -33,19 +37,19 @@
 
 DEADLINE_FORM = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,6})?")
 
-COME_BACK_S = 0.2
-"""When a refused caller may come back: about two service times later some slots have changed."""
+ALLOWANCE_WAIT_PART = 0.1
+"""A request waits for the next token of its workspace up to this part of its objective."""
 
-COME_BACK_PART = 1 / 3
-"""Callers honour a time to come back up to this part of what they have left."""
+LONGEST_AGE_S = 999.0
+"""In log lines, for reports that never came."""
 
-STARTING_COME_BACK_S = 0.5
 
-QUARANTINED_COME_BACK_S = 60.0
-"""A request that crashes backend servers will not be served before somebody has mended them."""
+class Allowances(Protocol):
+    """What workspaces may send, over all instances."""
 
-LONGEST_AGE_S = 999.0
-"""In log lines, for reports that never came."""
+    async def spend(self, workspace: str) -> Spent:
+        """Count a request."""
+        ...
 
 
 class Dispatcher:
@@ -57,6 +61,8 @@
         table: Callable[[], RouteTable | None],
         sender: Sender,
         quarantine: Quarantine,
+        key_check: KeyCheck,
+        allowances: Allowances,
         names: HeaderNames,
         metrics: Metrics,
         random: Random,
@@ -67,6 +73,8 @@
             table: The routes in force; None before there are any.
             sender: Sends requests to backend servers.
             quarantine: Which requests must not be sent.
+            key_check: Whose a request is, and whether it may run.
+            allowances: What workspaces may send.
             names: The deployment's header names.
             metrics: Counts and latencies.
             random: Spreads the times to come back.
@@ -74,9 +82,11 @@
         self._table = table
         self._sender = sender
         self._quarantine = quarantine
+        self._key_check = key_check
+        self._allowances = allowances
         self._names = names
         self._metrics = metrics
-        self._random = random
+        self._refusals = Refusals(random=random)
         self._split = SplitChooser(random=random)
         self._open = 0
         self._idle = trio.Event()
@@ -105,7 +115,7 @@
     async def _handle(self, request: IncomingRequest, caller: CallerExchange) -> None:
         table = self._table()
         if table is None:
-            outcome = await self._refuse(caller, "starting", STARTING_COME_BACK_S)
+            outcome = await self._refusals.starting().send(caller)
             self._log(request, None, outcome, caller)
             return
         host = (first(request.headers, b"host") or b"").decode("latin-1")
@@ -120,12 +130,23 @@
                 version=table.version,
             )
             return
+        key = sent_key_digest(request.headers)
+        found = self._key_check.access(table, route, key)
+        if isinstance(found, AccessRefusal):
+            self._log_key_refused(request, found, key)
+            outcome = await self._refusals.no_access(found).send(caller)
+            self._log(request, None, outcome, caller)
+            return
+        if found is not None:
+            route = route.for_workspace(found)
         length = content_length(request.headers)
         if length is not None and length > table.bounds.body_bytes:
             await caller.reply(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, (), b"body too long\n")
             return
         service = self._split.choose(route)
-        job = Job(request=request, table=table, route=route, service=service)
+        job = Job(
+            request=request, table=table, route=route, service=service, key=key, workspace=found
+        )
         job.deadline = request.arrived + self._timeout_s(request, route)
         answered = False
         try:
@@ -149,23 +170,72 @@
         if not await self._read_body(job, caller):
             await caller.reply(HTTPStatus.REQUEST_TIMEOUT, (), b"the body came too slowly\n")
             return Outcome(HTTPStatus.REQUEST_TIMEOUT, "slow-body", Verdict.NOT_RUN)
+        return await self._send_until_answered(job, caller)
+
+    async def _send_until_answered(self, job: Job, caller: CallerExchange) -> Outcome:
         while True:
-            admission = self._quarantine.admission(job.fingerprint)
-            if admission is Admission.QUARANTINED:
-                return await self._give_up(job, caller, admission.value, QUARANTINED_COME_BACK_S)
-            if admission is not Admission.ADMITTED:
-                return await self._give_up(job, caller, admission.value)
+            refusal = self._refusal(job)
+            if refusal is not None:
+                return await self._give_up(job, caller, refusal)
             chosen = self._sender.choose(job)
             if isinstance(chosen, NoRoom):
                 job.declined = chosen.declined
-                return await self._give_up(job, caller, chosen.reason)
+                return await self._give_up(job, caller, self._no_room(job, chosen.reason))
             if job.left_s < LEAST_EXCHANGE_S:
-                return await self._give_up(job, caller, "deadline")
+                return await self._give_up(job, caller, self._no_room(job, "deadline"))
+            if not job.allowed:
+                refusal = await self._spend(job)
+                if refusal is not None:
+                    return await self._give_up(job, caller, refusal)
+                # What was chosen may have changed since.
+                continue
             outcome = await self._sender.send(job, chosen, caller)
             if outcome is not None:
                 return outcome
             if not self._sender.may_go_on(job):
-                return await self._give_up(job, caller, "failed")
+                return await self._give_up(job, caller, self._no_room(job, "failed"))
+
+    def _refusal(self, job: Job) -> Refusal | None:
+        """Why a request must not be sent now; None if it may."""
+        admission = self._quarantine.admission(job.fingerprint)
+        if admission is not Admission.ADMITTED:
+            return self._refusals.crashing(admission, job.left_s)
+        no_access = self._key_check.refusal(job)
+        if no_access is not None:
+            self._log_key_refused(job.request, no_access, job.key)
+            return self._refusals.no_access(no_access)
+        return None
+
+    def _no_room(self, job: Job, reason: str) -> Refusal:
+        return self._refusals.no_room(reason, job.left_s)
+
+    async def _spend(self, job: Job) -> Refusal | None:
+        """Count a request against its workspace's allowance; it may wait a little for that."""
+        spent = await self._allowances.spend(job.workspace_name)
+        if not spent.granted and spent.wait_s <= ALLOWANCE_WAIT_PART * job.route.objective_s:
+            await trio.sleep(spent.wait_s)
+            spent = await self._allowances.spend(job.workspace_name)
+        job.allowed = spent.granted
+        if spent.granted:
+            return None
+        log_event(
+            "allowance-refused",
+            id=text(first(job.request.headers, self._names.request_id)),
+            workspace=job.workspace_name,
+            told=spent.told,
+            config=job.table.version,
+        )
+        return self._refusals.over_allowance(spent, job.left_s)
+
+    def _log_key_refused(
+        self, request: IncomingRequest, refusal: AccessRefusal, key: bytes | None
+    ) -> None:
+        log_event(
+            "key-refused",
+            id=text(first(request.headers, self._names.request_id)),
+            reason=refusal.value,
+            key_digest=logged_digest(key),
+        )
 
     async def _read_body(self, job: Job, caller: CallerExchange) -> bool:
         """Read the body ahead; False if the caller does not send it within the deadline."""
@@ -176,9 +246,7 @@
             return True
         return False
 
-    async def _give_up(
-        self, job: Job, caller: CallerExchange, reason: str, come_back_s: float | None = None
-    ) -> Outcome:
+    async def _give_up(self, job: Job, caller: CallerExchange, refusal: Refusal) -> Outcome:
         """The final answer, at once, of a request that got none from a backend server."""
         if job.failed_reply is not None:
             await caller.reply(
@@ -186,21 +254,11 @@
             )
             return Outcome(job.failed_reply.status, "answered", Verdict.RAN)
         if job.verdict is Verdict.NOT_RUN:
-            return await self._refuse(caller, reason, come_back_s or self._come_back_s(job))
+            return await refusal.send(caller)
         late = job.left_s < LEAST_EXCHANGE_S
         status = HTTPStatus.GATEWAY_TIMEOUT if late else HTTPStatus.BAD_GATEWAY
         await caller.reply(status, (), b"no answer from a backend server\n")
-        return Outcome(status, reason, job.verdict)
-
-    async def _refuse(self, caller: CallerExchange, reason: str, come_back_s: float) -> Outcome:
-        headers: Headers = [(b"retry-after", f"{come_back_s:.3f}".encode())]
-        body = f"not run: {reason}\n".encode()
-        await caller.reply(HTTPStatus.SERVICE_UNAVAILABLE, headers, body)
-        return Outcome(HTTPStatus.SERVICE_UNAVAILABLE, reason, Verdict.NOT_RUN)
-
-    def _come_back_s(self, job: Job) -> float:
-        wanted = COME_BACK_S * self._random.uniform(0.5, 1.5)
-        return max(0.0, min(wanted, COME_BACK_PART * job.left_s))
+        return Outcome(status, refusal.reason, job.verdict)
 
     def _timeout_s(self, request: IncomingRequest, route: HostRoute) -> float:
         """The shorter of the caller's remaining time and the route's timeout, in seconds."""
@@ -221,6 +279,7 @@
         fields: dict[str, Any] = {}
         if job is not None:
             fields |= {"route": route, "service": job.service, "config": job.table.version}
+            fields["workspace"] = job.workspace_name
             fields["tried"] = ",".join(f"{each.server_id}:{each.reason}" for each in job.failures)
             fields["load"] = text(job.load)
             fields["declined"] = ",".join(map(_declined_text, job.declined))
--- a/src/wagtailpoint/proxy/headers.py
+++ b/src/wagtailpoint/proxy/headers.py
@@ -32,6 +32,7 @@
         load: A backend server's running and waiting requests and its slots.
         not_run: In a response: the backend server did not run the request.
         cold_ms: How much longer a backend server stays cold, in milliseconds.
+        workspace: Tells a backend server whose request it is; what a caller sends there is dropped.
     """
 
     request_id: bytes
@@ -41,6 +42,7 @@
     load: bytes
     not_run: bytes
     cold_ms: bytes
+    workspace: bytes
 
 
 def first(headers: Headers, name: bytes) -> bytes | None:
--- a/src/wagtailpoint/proxy/job.py
+++ b/src/wagtailpoint/proxy/job.py
@@ -14,6 +14,7 @@
 from wagtailpoint.proxy.headers import first, text
 from wagtailpoint.quarantine.quarantine import CrashReport
 from wagtailpoint.routing.table import HostRoute, RouteTable
+from wagtailpoint.routing.workspaces import AUTHORIZATION, WorkspacePolicy
 from wagtailpoint.verdict import Verdict
 
 UNREACHED: Final = frozenset(
@@ -52,6 +53,9 @@
     """A request on its way, with what was tried.
 
     Attributes:
+        key: The digest of the caller's key; None if it sent none.
+        workspace: Whose request it is; None if callers need no key.
+        allowed: It was counted against the workspace's allowance.
         tried: Backend servers that it was given to, by id.
         sends: Of these, how many may have seen it.
         failures: The sends that gave no answer to pass on.
@@ -63,12 +67,22 @@
     """
 
     def __init__(
-        self, *, request: IncomingRequest, table: RouteTable, route: HostRoute, service: str
+        self,
+        *,
+        request: IncomingRequest,
+        table: RouteTable,
+        route: HostRoute,
+        service: str,
+        key: bytes | None,
+        workspace: WorkspacePolicy | None,
     ) -> None:
         self.request = request
         self.table = table
         self.route = route
         self.service = service
+        self.key = key
+        self.workspace = workspace
+        self.allowed = workspace is None or workspace.allowance is None
         self.deadline = 0.0
         self.body = ReadBody(b"", None)
         self._fingerprint = ""
@@ -81,6 +95,11 @@
         self.declined: Sequence[Declined] = ()
         self.connect_s = 0.0
 
+    @property
+    def workspace_name(self) -> str:
+        """The name of the workspace; empty if callers need no key."""
+        return self.workspace.name if self.workspace is not None else ""
+
     @property
     def fingerprint(self) -> str:
         """The same for every repeat of the request; to be asked for once its body was read."""
@@ -91,7 +110,7 @@
                 host=text(first(headers, b"host")),
                 target=self.request.target,
                 body=self.body.read,
-                credentials=first(headers, b"authorization") or b"",
+                credentials=self.workspace_name.encode() or first(headers, AUTHORIZATION) or b"",
             )
         return self._fingerprint
 
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -27,8 +27,10 @@
     text,
 )
 from wagtailpoint.proxy.job import UNREACHED, Job, Outcome
+from wagtailpoint.proxy.key_check import KeyCheck
 from wagtailpoint.proxy.repeat_budget import RepeatBudget
 from wagtailpoint.quarantine.quarantine import Quarantine
+from wagtailpoint.routing.workspaces import AUTHORIZATION
 from wagtailpoint.verdict import Verdict
 
 MOST_UNREACHED = 3
@@ -80,6 +82,7 @@
         pool: BackendPool,
         budget: RepeatBudget,
         quarantine: Quarantine,
+        key_check: KeyCheck,
         names: HeaderNames,
     ) -> None:
         """Make it.
@@ -90,6 +93,7 @@
             pool: The connections to them.
             budget: Repeated sends.
             quarantine: Learns which requests met crashes, and bounds the sends of these.
+            key_check: Whether a request may still run.
             names: The deployment's header names.
         """
         self._takes_work = takes_work
@@ -97,6 +101,7 @@
         self._pool = pool
         self._budget = budget
         self._quarantine = quarantine
+        self._key_check = key_check
         self._names = names
 
     def note_request(self, job: Job) -> None:
@@ -216,6 +221,11 @@
             job.connect_s += trio.current_time() - began
             if not self._takes_work(entry):
                 raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_FAILED, "leaving")
+            if self._key_check.refusal(job) is not None:
+                # The key was taken away, or can't be vouched for any more, since the choice.
+                job.sends -= 1
+                job.fail(entry.server_id, Verdict.NOT_RUN, "withheld")
+                return None
             reply = await self._exchange(job, choice, connection)
             self._note(demand, choice, reply, trio.current_time() - began)
             job.load = first(reply.headers, self._names.load) or b""
@@ -295,10 +305,15 @@
     def _outgoing(self, job: Job, server_id: str) -> OutgoingRequest:
         names = self._names
         request = job.request
-        headers = end_to_end(request.headers, (names.deadline_ms, names.expected_server, b"expect"))
+        dropped = [names.deadline_ms, names.expected_server, names.workspace, b"expect"]
+        if job.table.workspaces is not None:
+            dropped.append(AUTHORIZATION)
+        headers = end_to_end(request.headers, dropped)
         left_ms = max(1, int((job.left_s - RETURN_ALLOWANCE_S) * 1000))
         headers.append((names.deadline_ms, str(left_ms).encode()))
         headers.append((names.expected_server, server_id.encode()))
+        if job.workspace is not None:
+            headers.append((names.workspace, job.workspace.name.encode()))
         return OutgoingRequest(
             request_id=first(request.headers, names.request_id) or b"",
             method=request.method,
--- a/src/wagtailpoint/routing/table.py
+++ b/src/wagtailpoint/routing/table.py
@@ -5,6 +5,8 @@
 from enum import Enum
 from typing import Final, NamedTuple
 
+from wagtailpoint.routing.workspaces import WorkspacePolicy, WorkspacesByKey
+
 _PORT: Final = re.compile(r":[0-9]*$")
 
 
@@ -43,6 +45,7 @@
         sticky: Backend servers that handled the same affinity key lately are faster.
         homes: The regions that may serve it; None for all.
         parts: The services, one or more.
+        public: Callers need no key.
     """
 
     name: str
@@ -55,12 +58,23 @@
     sticky: bool
     homes: frozenset[str] | None
     parts: tuple[SplitPart, ...]
+    public: bool = False
 
     @property
     def idempotent(self) -> bool:
         """Whether the request may run more than once."""
         return self.kind is not RouteKind.NON_IDEMPOTENT
 
+    def for_workspace(self, workspace: WorkspacePolicy) -> "HostRoute":
+        """The route as it holds for a workspace: its priority goes first, both their homes bind."""
+        homes = self.homes
+        if workspace.homes is not None:
+            homes = workspace.homes if homes is None else homes & workspace.homes
+        priority = self.priority if workspace.priority is None else workspace.priority
+        if homes == self.homes and priority == self.priority:
+            return self
+        return self._replace(priority=priority, homes=homes)
+
 
 class ServicePolicy(NamedTuple):
     """What the configuration says of a service.
@@ -110,12 +124,14 @@
         hosts: The routes of each host, its name in lower case; the longest prefix first.
         services: By name.
         bounds: What callers may send.
+        workspaces: By the digests of their keys; None if callers need no keys.
     """
 
     version: int
     hosts: Mapping[str, tuple[HostRoute, ...]]
     services: Mapping[str, ServicePolicy]
     bounds: CallerBounds
+    workspaces: WorkspacesByKey | None = None
 
     def find(self, host: str, path: str) -> HostRoute | None:
         """Find the route with the longest prefix that begins the path.
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -5,9 +5,13 @@
 
 import trio
 
+from tests.common.fake_clock import TrioClock
 from tests.common.sockets import loopback_address
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.freshness import Freshness
+from wagtailpoint.limits.allowance_sharing import Spent
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.cached_part import CachedPart
@@ -21,6 +25,7 @@
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
+from wagtailpoint.proxy.key_check import KeyCheck
 from wagtailpoint.proxy.repeat_budget import RepeatBound, RepeatBudget
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
@@ -96,6 +101,13 @@
     )
 
 
+def make_freshness(follower: KindFollower, bound_s: float = 5.0) -> Freshness:
+    """The freshness of what a follower knows, by trio's clock."""
+    return Freshness(
+        clock=TrioClock(), version=lambda: follower.state.version, bound_s=lambda: bound_s
+    )
+
+
 class Told:
     """Keeps what an instance would tell the others of crashes.
 
@@ -117,6 +129,30 @@
         self.cleared.append(fingerprint)
 
 
+class ScriptedAllowances:
+    """Has as many tokens as a test gives.
+
+    Attributes:
+        tokens: What is left, for all workspaces together.
+        wait_s: What is said when there is none.
+        spent: The workspaces of the requests that were counted.
+    """
+
+    def __init__(self) -> None:
+        self.tokens = 1000
+        self.wait_s = 2.0
+        self.spent: list[str] = []
+
+    async def spend(self, workspace: str) -> Spent:
+        """Count a request."""
+        await trio.lowlevel.checkpoint()
+        if not self.tokens:
+            return Spent(False, self.wait_s, "scripted")
+        self.tokens -= 1
+        self.spent.append(workspace)
+        return Spent(True, 0.0, "scripted")
+
+
 class SteeringParts:
     """A dispatcher with all that it needs, listening on loopback.
 
@@ -127,6 +163,8 @@
         placement: The choice of backend servers.
         quarantine: The requests that crash them.
         told: What the others would be told of these.
+        proved: Whether the configuration is known to be the newest.
+        allowances: What workspaces may send.
     """
 
     def __init__(self, table: RouteTable | None) -> None:
@@ -136,6 +174,9 @@
         self.budget = RepeatBudget(bound=lambda: RepeatBound(0.2, 50.0), divisor=lambda: 1.0)
         self.told = Told()
         self.quarantine = Quarantine(others=self.told)
+        self.proved = True
+        self.allowances = ScriptedAllowances()
+        self.key_check = KeyCheck(table=lambda: self.table, is_proved=lambda: self.proved)
         self.dispatcher = Dispatcher(
             table=lambda: self.table,
             sender=Sender(
@@ -144,9 +185,12 @@
                 pool=BackendPool(names=HEADER_NAMES, distances=make_distances(), metrics=Metrics()),
                 budget=self.budget,
                 quarantine=self.quarantine,
+                key_check=self.key_check,
                 names=HEADER_NAMES,
             ),
             quarantine=self.quarantine,
+            key_check=self.key_check,
+            allowances=self.allowances,
             names=HEADER_NAMES,
             metrics=Metrics(),
             random=Random(1),
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -11,6 +11,7 @@
 from tests.common.fake_peers import FakeNetwork, FakePeers
 from tests.common.fake_platform import FakePlatform
 from tests.common.fixed_membership import FixedMembership
+from tests.common.steering_parts import make_freshness
 from wagtailpoint.discovery.follower import WATCH_WAIT_S, KindFollower
 from wagtailpoint.discovery.history import ChangeHistory, KindChanges
 from wagtailpoint.discovery.store_check import StoreCheck
@@ -61,6 +62,7 @@
             peers=self.peers,
             membership=FixedMembership(places=places, own=own),  # type: ignore[arg-type]
             followers={KIND: self.follower},
+            freshness=make_freshness(self.follower),
         )
 
     async def ask(self, kind: str, newer_than: int) -> None:
--- a/tests/nocover/test_follower_faults.py
+++ b/tests/nocover/test_follower_faults.py
@@ -1,7 +1,7 @@
 """Instances that follow a store which delays, refuses, forgets and answers stale."""
 
 import unittest
-from collections.abc import Mapping
+from collections.abc import Mapping, Sequence
 from random import Random
 from typing import Any
 
@@ -12,12 +12,15 @@
 from result import Err, Ok, Result
 from trio.testing import MockClock
 
+from tests.common.fake_clock import TrioClock
 from tests.common.fake_peers import FakeNetwork, FakePeers
 from tests.common.fake_platform import FakePlatform, WatchAnswer
 from tests.common.fixed_membership import FixedMembership
 from tests.common.object_store import ObjectStore
 from wagtailpoint.daemon.steering import STORE_TIMEOUT_S
+from wagtailpoint.discovery.confirmation import Confirmation
 from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.freshness import Freshness
 from wagtailpoint.discovery.peer_states import PeerStateExchange
 from wagtailpoint.discovery.store_check import StoreCheck
 from wagtailpoint.discovery.watch_sharing import ALL_WATCH, WatchSharing
@@ -38,6 +41,7 @@
 """So long after the last fault an instance is in touch with the store."""
 
 CONFIG_APPLY_S = 2.5
+FRESH_BOUND_S = 5.0
 
 
 class RecordingStore(ObjectStore):
@@ -106,8 +110,17 @@
         membership: Any = FixedMembership(places=world.places, own=own)
         self.peers = FakePeers(network=world.network, address=own)
         self.check = StoreCheck(store=platform, random=random)
+        self.freshness = Freshness(
+            clock=TrioClock(),
+            version=lambda: self.follower.state.version,
+            bound_s=lambda: FRESH_BOUND_S,
+        )
         exchange = PeerStateExchange(
-            peers=self.peers, membership=membership, seeds=world.places, random=random
+            peers=self.peers,
+            membership=membership,
+            seeds=world.places,
+            random=random,
+            proofs={KIND: self.freshness},
         )
         self.follower = KindFollower(
             kind=KIND,
@@ -120,7 +133,17 @@
         )
         exchange.answer_for({KIND: self.follower})
         self.sharing = WatchSharing(
-            peers=self.peers, membership=membership, followers={KIND: self.follower}
+            peers=self.peers,
+            membership=membership,
+            followers={KIND: self.follower},
+            freshness=self.freshness,
+        )
+        self.confirmation = Confirmation(
+            follower=self.follower,
+            platform=platform,
+            freshness=self.freshness,
+            is_needed=lambda: True,
+            random=random,
         )
         self.stopped = trio.CancelScope()
         self.mistakes: list[str] = []
@@ -130,9 +153,23 @@
     async def run(self) -> None:
         with self.stopped:
             async with trio.open_nursery() as nursery:
-                for task in (self.peers.run, self.check.run, self.follower.run, self.sharing.run):
+                for task in (
+                    self.peers.run,
+                    self.check.run,
+                    self.follower.run,
+                    self.sharing.run,
+                    self.confirmation.run,
+                ):
                     nursery.start_soon(task)
 
+    def check_proof(self, changed_at: Sequence[tuple[float, int]]) -> None:
+        """What is proved must have been the newest, by when each version was written."""
+        proved_at = trio.current_time() - self.freshness.age_s
+        newest = max((version for at, version in changed_at if at < proved_at), default=0)
+        if self.follower.state.version < newest:
+            known = self.follower.state.version
+            self.mistakes.append(f"version {known} proved for {proved_at}, when it was {newest}")
+
     def _check_state(self) -> None:
         state = self.follower.state
         if state.version < self._newest:
@@ -158,6 +195,7 @@
         ]
         self._older = [self.store.copy()]
         self._instances: list[Instance] = []
+        self._changed_at: list[tuple[float, int]] = []
 
     def older_store(self) -> ObjectStore:
         """The store as it was up to some changes ago."""
@@ -171,10 +209,14 @@
             for _ in range(STEPS):
                 await trio.sleep(self.random.uniform(0.0, LONGEST_STEP_S))
                 self._step(nursery)
+                for each in self._instances:
+                    each.check_proof(self._changed_at)
             await trio.sleep(LONGEST_FAULT_S + SETTLE_WINDOW_S)
             self._change(KIND)
             await trio.sleep(CONFIG_APPLY_S)
             self._check_all()
+            if not all(each.freshness.is_proved for each in self._instances):
+                self.mistakes.append("a state without proof long after the last fault")
             nursery.cancel_scope.cancel()
 
     def _make(self, number: int) -> Instance:
@@ -199,6 +241,8 @@
             self.store.delete(kind, name, current.version)
         else:
             self.store.put(kind, name, {}, current.version if current else 0)
+        if kind == KIND:
+            self._changed_at.append((trio.current_time(), self.store.version))
         self._older.append(self.store.copy())
         for platform in self.platforms:
             platform.answer_fresh()
@@ -249,7 +293,7 @@
     def test_versions_keep_their_objects_and_changes_arrive_in_time(
         self, seed: int, count: int
     ) -> None:
-        """Guards against a version known without its objects, and a change that is never heard."""
+        """Guards against a version without its objects, a change not heard, and a false proof."""
         self.check(World(seed=seed, count=count))
 
     @settings(max_examples=40, deadline=None, derandomize=True)
