Proof is told at once to who lacks it, and slots are taken as soon as the configuration is known

What callers would see: an instance that was frozen or cut off refuses requests with keys for up to 0.8 s after it is back, since the watcher it asks waits for news before it answers; after a restart of all, slots are looked for up to a second late. Found by reading. The probes of backend servers are wired in a module of their own.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -1,7 +1,7 @@
 """An instance of a deployment on an object store: all its parts, wired together, and its tasks."""
 
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable, Iterable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -13,11 +13,12 @@
 from wagtailpoint.daemon.entry_pages import LOOKUP_TTL_S, EntryPages
 from wagtailpoint.daemon.entry_role import EntryRole
 from wagtailpoint.daemon.followers import make_followers
+from wagtailpoint.daemon.probes import make_probes
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.daemon.store_state import StoreState
 from wagtailpoint.daemon.workspace_rules import WorkspaceRules
-from wagtailpoint.discovery.entries import ServerEntry, ServerStart
+from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.instance_count import InstanceCount
 from wagtailpoint.discovery.lost_registrations import LostRegistrations
@@ -47,11 +48,8 @@
 from wagtailpoint.proxy.caller_connection import RequestHandler
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
-from wagtailpoint.proxy.distance_probe import DistanceProbe
-from wagtailpoint.proxy.reach_probe import ReachProbe
 from wagtailpoint.proxy.repeat_budget import RepeatBound, RepeatBudget
 from wagtailpoint.proxy.sender import Sender
-from wagtailpoint.proxy.warm_up import WarmUp
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
 
 STORE_TIMEOUT_S = 1.2
@@ -228,7 +226,14 @@
                     self._workspaces.run,
                     self._store_check.run,
                     self._pool.run,
-                    *self._make_probes(),
+                    *make_probes(
+                        fleet=self._fleet,
+                        placement=self._placement,
+                        pool=self._pool,
+                        distances=self._distances,
+                        is_entry=self._role.is_entry,
+                        random=self._random,
+                    ),
                     self._clean_gone,
                     self._role.report_load,
                     self._settings_file.run,
@@ -263,27 +268,6 @@
             entries=self._role.around,
         )
 
-    def _make_probes(self) -> list[Callable[[], Awaitable[None]]]:
-        def entries() -> Iterable[ServerEntry]:
-            return self._fleet.entries.values()
-
-        distance_probe = DistanceProbe(
-            entries=entries,
-            pool=self._pool,
-            distances=self._distances,
-            is_entry=self._role.is_entry,
-            random=self._random,
-        )
-        warm_up = WarmUp(
-            entries=entries,
-            pool=self._pool,
-            distances=self._distances,
-            is_entry=self._role.is_entry,
-            random=self._random,
-        )
-        reach_probe = ReachProbe(placement=self._placement, pool=self._pool, random=self._random)
-        return [distance_probe.run, warm_up.run, reach_probe.run]
-
     def _make_dispatcher(self) -> Dispatcher:
         sender = Sender(
             takes_work=self._fleet.takes_work,
@@ -367,6 +351,7 @@
 
     def _note_change(self) -> None:
         self._sharing.note_change()
+        self._workspaces.note_change()
         if self._membership.own.state == "starting" and self._is_ready():
             self._membership.publish(state="live")
             log_event("ready", backend_servers=len(self._fleet.entries))
--- a/src/wagtailpoint/daemon/workspace_rules.py
+++ b/src/wagtailpoint/daemon/workspace_rules.py
@@ -113,6 +113,10 @@
             nursery.start_soon(confirmation.run)
             nursery.start_soon(self._slots.run)
 
+    def note_change(self) -> None:
+        """What the store says has changed."""
+        self._slots.note_change()
+
     async def give_up(self) -> None:
         """Let others have the slots, before this instance leaves."""
         await self._slots.give_up()
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -63,9 +63,11 @@
 
     Attributes:
         versions: The kinds, each with the version that the asking instance has.
+        lacks_proof: It can't serve before it has a proof, and shall be told one without any news.
     """
 
     versions: Sequence[tuple[str, int]]
+    lacks_proof: bool = False
 
 
 class WatchAnswer(NamedTuple):
@@ -82,7 +84,7 @@
     config_proof: PeerProof | None = None
 
 
-register_message("watch-question", WatchQuestion)
+register_message("proved-watch-question", WatchQuestion)
 register_message("proved-watch-answer", WatchAnswer)
 
 NOT_WATCHING: Final = WatchAnswer(False, ())
@@ -164,8 +166,9 @@
                 continue
             versions = [(kind, each.state.version) for kind, each in self._followers.items()]
             asked_at = self._freshness.now()
+            question = WatchQuestion(versions, not self._freshness.is_proved)
             answered = await self._peers.request(
-                source, WatchQuestion(versions), timeout_s=WAIT_S + REPLY_TIMEOUT_S
+                source, question, timeout_s=WAIT_S + REPLY_TIMEOUT_S
             )
             answer = NOT_WATCHING
             if isinstance(answered, Ok) and isinstance(answered.ok_value, WatchAnswer):
@@ -252,6 +255,8 @@
         self._decide()
         arrived_at = self._freshness.now()
         answer = self._news_for(received.message)
+        if answer is None and received.message.lacks_proof and self._freshness.is_proved:
+            answer = WatchAnswer(True, ())
         if answer is None:
             until = trio.current_time() + WAIT_S
             self._waiting.append(_Waiting(received, arrived_at, until))
--- a/src/wagtailpoint/limits/allowance_slots.py
+++ b/src/wagtailpoint/limits/allowance_slots.py
@@ -106,6 +106,7 @@
         self._taken: dict[Slot, _Taken] = {}
         self._held_before: dict[str, str] = {}
         self._settled = False
+        self._changed = trio.Event()
         self._members_seen: Sequence[Member] = ()
         self._candidates: dict[Slot, Member | None] = {}
 
@@ -144,14 +145,19 @@
 
     async def run(self) -> None:
         """Keep the leases until cancelled."""
-        while not self._is_needed():  # noqa: ASYNC110 - the configuration tells nobody
-            await trio.sleep(TRY_INTERVAL_S)
+        while not self._is_needed():
+            await self._changed.wait()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._settle)
             await self._read_held_before()
             for slot, lease in self._leases.items():
                 nursery.start_soon(self._keep, slot, lease)
 
+    def note_change(self) -> None:
+        """The configuration has changed."""
+        self._changed.set()
+        self._changed = trio.Event()
+
     async def give_up(self) -> None:
         """Let others have the slots at once."""
         for slot, lease in self._leases.items():
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -1,5 +1,6 @@
 """The users' documents and settings, decoded; and that nothing else knows their names."""
 
+import math
 import re
 import unittest
 from pathlib import Path
@@ -12,11 +13,13 @@
     node_settings_document,
     server_document,
 )
+from wagtailpoint.limits.allowance import Allowance
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.platform.documents import decode_config, decode_server
 from wagtailpoint.platform.settings import decode_node_settings
 from wagtailpoint.ports.platform import StoredObject
 from wagtailpoint.routing.table import RouteKind, SplitPart
+from wagtailpoint.routing.workspaces import WorkspacePolicy, key_digest
 
 SOURCES = Path(__file__).parents[2] / "src" / "wagtailpoint"
 
@@ -57,6 +60,42 @@
         without = decode_config(stored(config_document())).unwrap()
         self.assertIsNone(without.hosts["ficu95.example"][1].homes)
 
+    def test_workspaces_by_the_digests_of_their_keys(self) -> None:
+        tenant = {
+            "Name": "huka270",
+            "ApiKeys": ["first", "second"],
+            "Priority": 1,
+            "RatePerS": 214,
+            "Burst": 30,
+            "HomeRegions": ["a"],
+        }
+        free = {"Name": "free", "ApiKeys": ["third"], "RatePerS": 0, "Burst": 5}
+        without_key = {"Name": "closed", "ApiKeys": []}
+        document = config_document(Tenants=[tenant, free, without_key])
+        document["VirtualHosts"][0]["PathRoutes"][0]["Public"] = True
+        table = decode_config(stored(document)).unwrap()
+        assert table.workspaces is not None
+        whole = WorkspacePolicy("huka270", 1, frozenset("a"), Allowance(214.0, 30.0))
+        for key in (b"first", b"second"):
+            self.assertEqual(table.workspaces[key_digest(key)], whole)
+        self.assertEqual(table.workspaces[key_digest(b"third")], WorkspacePolicy("free"))
+        self.assertEqual(len(table.workspaces), 3)
+        public = {route.name: route.public for route in table.hosts["ficu95.example"]}
+        self.assertEqual(public, {"r-1": True, "r-2": False})
+
+    def test_without_workspaces_callers_need_no_key(self) -> None:
+        for document in (config_document(), config_document(Tenants=[])):
+            self.assertIsNone(decode_config(stored(document)).unwrap().workspaces)
+
+    def test_keys_are_in_no_text_of_a_configuration(self) -> None:
+        """Guards against a key in a log line or an error."""
+        tenant = {"Name": "w", "ApiKeys": ["secret-key"]}
+        table = decode_config(stored(config_document(Tenants=[tenant]))).unwrap()
+        self.assertNotIn("secret-key", repr(table))
+        wrong = {"Name": "two words", "ApiKeys": ["secret-key"]}
+        error = decode_config(stored(config_document(Tenants=[wrong]))).unwrap_err()
+        self.assertNotIn("secret-key", str(error))
+
     def test_host_that_is_listed_twice_keeps_all_its_routes(self) -> None:
         """Guards against 404 for routes of a host that stands in a later entry too."""
         document = config_document()
@@ -147,6 +186,17 @@
         self.assertEqual(settings.seeds, (Endpoint("10.1.0.1", 8146),))
         self.assertEqual(settings.bounds.repeat_slack, 58)
 
+    def test_keys_count_on_cut_instances_only_where_that_is_not_strict(self) -> None:
+        def lag_s(**bounds: Any) -> float:
+            document = self.document()
+            document["Terms"]["Bounds"].update(bounds)
+            settings = decode_node_settings(msgspec.json.encode(document)).unwrap()
+            return settings.bounds.key_lag_max_s
+
+        self.assertEqual(lag_s(RevokeS=5, RevokeStrict=True), 5.0)
+        self.assertEqual(lag_s(RevokeS=5, RevokeStrict=False), math.inf)
+        self.assertEqual(lag_s(), math.inf)
+
     def test_capacity_by_processor_and_link(self) -> None:
         def capacity(**limits: Any) -> float:
             document = self.document()
