Far holders of allowances are asked on links that are open

Cause: the first question to a holder in another region has to open a link, and its answer another one: 550 ms at 110 ms a round trip, more than a question waits. Two such questions at the same time closed the link as mute, so the next had to open it again. Ruled out: a holder without its slot (the same holders answered others at that time).

Change: a link is not taken for mute in its first two seconds; instances that callers use ask each holder now and then, so that the links are open; a question waits 0.5 s, and one without an answer is asked again after 0.5 s. The test of the young link fails on the links as they were.

--- a/src/wagtailpoint/adapters/peers_nng.py
+++ b/src/wagtailpoint/adapters/peers_nng.py
@@ -16,6 +16,10 @@
 LINK_BUFFER_MESSAGES = 64
 LINK_IDLE_S = 30.0
 UNANSWERED_BEFORE_REDIAL = 2
+DIALLING_S = 2.0
+"""A link so young may still be opening, and that of the answer after it: several round trips.
+Closed for the questions that were asked meanwhile, it would never open."""
+
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1000
 
@@ -38,12 +42,13 @@
 class _Link:
     """A push socket to one address."""
 
-    def __init__(self, *, to: PeerAddress) -> None:
+    def __init__(self, *, to: PeerAddress, now: float) -> None:
         self._socket = pynng.Push0(send_buffer_size=LINK_BUFFER_MESSAGES)
         self._socket.reconnect_time_min = RECONNECT_MIN_MS
         self._socket.reconnect_time_max = RECONNECT_MAX_MS
         self._socket.dial(f"tcp://{to.address}:{to.port}", block=False)
-        self.used_at = 0.0
+        self.opened_at = now
+        self.used_at = now
         self.unanswered = 0
 
     def send(self, data: bytes) -> bool:
@@ -98,7 +103,7 @@
         link = self._links.get(key)
         if link is None:
             limit_threads()
-            link = _Link(to=to)
+            link = _Link(to=to, now=self._monotonic())
             self._links[key] = link
         link.used_at = self._monotonic()
         return link.send(data)
@@ -114,7 +119,7 @@
         # than the cut. A fresh connection finds out at once.
         key = (to.address, to.port)
         link = self._links.get(key)
-        if link is None:
+        if link is None or self._monotonic() - link.opened_at < DIALLING_S:
             return
         link.unanswered += 1
         if link.unanswered >= UNANSWERED_BEFORE_REDIAL:
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -151,6 +151,7 @@
             platform=self._platform,
             peers=self._peers,
             membership=self._membership,
+            is_entry=self._role.is_entry,
             clock=clock,
             random=self._random,
         )
--- a/src/wagtailpoint/daemon/workspace_rules.py
+++ b/src/wagtailpoint/daemon/workspace_rules.py
@@ -34,6 +34,7 @@
         platform: Platform,
         peers: Peers,
         membership: Membership,
+        is_entry: Callable[[], bool],
         clock: Clock,
         random: Random,
     ) -> None:
@@ -46,6 +47,7 @@
             platform: The store.
             peers: The links to the others.
             membership: Who is there.
+            is_entry: Whether callers are told to use this instance.
             clock: Must count suspension.
             random: For the jitter.
         """
@@ -76,6 +78,7 @@
             regions=frozenset(region_of.values()),
             allowances=self._allowances,
             slack=lambda: bounds().allowance_slack,
+            is_entry=is_entry,
             random=random,
         )
         self._allowances_of: RouteTable | None = None
@@ -112,6 +115,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(confirmation.run)
             nursery.start_soon(self._slots.run)
+            nursery.start_soon(self.allowances.run)
 
     def note_change(self) -> None:
         """What the store says has changed."""
--- a/src/wagtailpoint/limits/allowance_sharing.py
+++ b/src/wagtailpoint/limits/allowance_sharing.py
@@ -8,21 +8,25 @@
 from random import Random
 from typing import Final, NamedTuple
 
+import trio
 from result import Ok
 
 from wagtailpoint.limits.allowance import Allowance, AllowanceBucket
-from wagtailpoint.limits.allowance_slots import AllowanceSlots, Slot, slots_of
+from wagtailpoint.limits.allowance_slots import AllowanceSlots, Slot, all_slots, slots_of
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.peers import Peers, Received, register_message
 
-GRANT_S: Final = 0.3
+GRANT_S: Final = 0.5
 """A token is spent so soon after it was asked for, or not at all; above a round trip between the
 regions that are furthest apart."""
 
+KEEP_LINKS_INTERVAL_S: Final = 10.0
+"""A link to a far holder takes several round trips to open, and is closed when it is not used."""
+
 LEAST_EMPTY_S: Final = 0.05
 """An empty bucket is not asked again earlier: one that is pressed would be asked by all at once."""
 
-UNANSWERED_S: Final = 1.0
+UNANSWERED_S: Final = 0.5
 """Who did not answer, or does not hold the slot, is not asked again earlier."""
 
 
@@ -49,6 +53,9 @@
 register_message("allowance-question", AllowanceQuestion)
 register_message("allowance-answer", AllowanceAnswer)
 
+NO_WORKSPACE: Final = ""
+"""Asked for only to hear any answer."""
+
 NOT_HELD: Final = AllowanceAnswer(False, 0.0)
 
 
@@ -86,6 +93,7 @@
         regions: frozenset[str],
         allowances: Callable[[], Mapping[str, Allowance | None]],
         slack: Callable[[], float],
+        is_entry: Callable[[], bool],
         random: Random,
     ) -> None:
         """Make it.
@@ -98,6 +106,7 @@
             regions: All regions; each has the same part.
             allowances: Those of all workspaces, by the configuration in force; None: not limited.
             slack: Requests in a window that all may let through beside an allowance.
+            is_entry: Whether callers are told to use this instance.
             random: The order in which the other regions are asked.
         """
         self._slots = slots
@@ -107,12 +116,22 @@
         self._regions = regions
         self._allowances = allowances
         self._slack = slack
+        self._is_entry = is_entry
         self._random = random
         self._held: dict[Slot, _Held] = {}
         self._empty_until: dict[tuple[str, Slot], float] = {}
         self._unanswered_until: dict[Slot, float] = {}
         peers.handle(AllowanceQuestion, self._answer)
 
+    async def run(self) -> None:
+        """Keep the links to the holders open until cancelled, if requests will need them."""
+        while True:
+            if self._is_entry() and any(self._allowances().values()):
+                async with trio.open_nursery() as nursery:
+                    for slot in all_slots(self._regions):
+                        nursery.start_soon(self._answer_of, NO_WORKSPACE, slot)
+            await trio.sleep(KEEP_LINKS_INTERVAL_S * self._random.uniform(0.8, 1.2))
+
     async def spend(self, workspace: str) -> Spent:
         """Spend a token of a workspace that has an allowance."""
         least_wait_s = math.inf
--- a/src/wagtailpoint/limits/allowance_slots.py
+++ b/src/wagtailpoint/limits/allowance_slots.py
@@ -69,6 +69,11 @@
     return [Slot(region, number) for region in sorted(regions)]
 
 
+def all_slots(regions: Collection[str]) -> Sequence[Slot]:
+    """The slots of all regions."""
+    return [Slot(region, number) for region in regions for number in range(SLOTS_OF_A_REGION)]
+
+
 class AllowanceSlots:
     """The leases of one instance, and whom the others are believed to be held by."""
 
--- a/tests/common/allowance_group.py
+++ b/tests/common/allowance_group.py
@@ -79,6 +79,7 @@
             regions=frozenset(REGIONS),
             allowances=lambda: group.allowances,
             slack=lambda: group.slack,
+            is_entry=lambda: True,
             random=random,
         )
 
@@ -100,6 +101,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.peers.run)
                 nursery.start_soon(self._slots.run)
+                nursery.start_soon(self.sharing.run)
 
 
 class AllowanceGroup:
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -8,10 +8,12 @@
 import trio.testing
 from result import Err, Ok
 
+from tests.common.fake_clock import FakeClock
 from tests.common.fake_peers import FakeNetwork, FakePeers
 from wagtailpoint.adapters.clock import SystemClock
-from wagtailpoint.adapters.peers_nng import NngPeers
+from wagtailpoint.adapters.peers_nng import DIALLING_S, UNANSWERED_BEFORE_REDIAL, NngPeers
 from wagtailpoint.observe.hlc import HybridClock
+from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.peers import (
     MOST_MESSAGE_BYTES,
     PeerAddress,
@@ -140,8 +142,8 @@
         random = Random()
         self.prefix = f"127.{random.randint(1, 250)}.{random.randint(1, 250)}"
 
-    def make(self, number: int, *, incarnation: int = 0) -> NngPeers:
-        clock = SystemClock()
+    def make(self, number: int, *, incarnation: int = 0, clock: Clock | None = None) -> NngPeers:
+        clock = clock or SystemClock()
         return NngPeers(
             address=PeerAddress(f"{self.prefix}.{number}", 7400, incarnation or number),
             hybrid_clock=HybridClock(wall=clock.wall),
@@ -164,6 +166,26 @@
 
         trio.run(main)
 
+    def test_young_link_is_kept_and_a_mute_one_is_dialled_anew(self) -> None:
+        """Guards against a link to a far peer that is closed each time before it has opened."""
+
+        async def main() -> None:
+            clock = FakeClock()
+            one = self.make(1, clock=clock)
+            nobody = PeerAddress(f"{self.prefix}.9", 7400)
+
+            async def ask() -> None:
+                await one.request(nobody, Question("x"), timeout_s=0.01)
+
+            for left in (1, 0):
+                async with trio.open_nursery() as nursery:
+                    for _ in range(UNANSWERED_BEFORE_REDIAL):
+                        nursery.start_soon(ask)
+                self.assertEqual(one.open_links, left)
+                clock.now += DIALLING_S
+
+        trio.run(main)
+
     def test_full_link_drops_and_never_blocks(self) -> None:
         """A sender stands still because one of its peers does.
 
