Keys and allowances with the real program: seven processes, a key taken away, the store away

The parts had tests without processes only. One key taken away on seven instances, the store away for longer than the bound, its return; no key in any log line or at a backend server; an allowance that holds over all of them. The settings of the tests' processes have the bounds of the shifted deployment.

--- a/tests/common/node_settings_file.py
+++ b/tests/common/node_settings_file.py
@@ -14,6 +14,9 @@
     "ColdSlack": 5,
     "MaxShift": 0.15,
     "ttl_max_s": 5,
+    "RevokeS": 5,
+    "RevokeStrict": True,
+    "QuotaSlack": 20,
 }
 
 
--- /dev/null
+++ b/tests/integration/test_workspace_keys.py
@@ -0,0 +1,110 @@
+"""Keys and allowances of workspaces on several instances with the real program."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from contextlib import AsyncExitStack
+from typing import Any
+
+import trio
+
+from tests.common.node_settings_file import server_document, unsplit_config_document
+from tests.common.scripted_server import ScriptedStream, response, scripted_server
+from tests.common.steering_group import CALLER_PORT, Instance, ask, steering_group, until
+from tests.common.users_store import UsersStore
+
+LIMIT_S = 90
+INSTANCES = 7
+REVOKE_S = 5.0
+BACK_S = 10.0
+"""After the store's return all serve again; the machine of a test may be busy."""
+
+KEY = "3fgfwrz56aw63is47qdq"
+OTHER_KEY = "iqrh4jcda9rgy35ieisp"
+
+
+def config(version: str, *keys: str, **limits: float) -> dict[str, Any]:
+    """A configuration with one workspace."""
+    tenant = {"Name": "huka270", "ApiKeys": list(keys), "HomeRegions": [], **limits}
+    return unsplit_config_document(version, Tenants=[tenant])
+
+
+class WorkspaceKeysTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = UsersStore()
+        self.seen: list[bytes] = []
+
+    async def backend(self, stream: ScriptedStream) -> None:
+        while request := await stream.request():
+            self.seen.append(request)
+            for line in request.split(b"\r\n"):
+                if line.startswith(b"x-attempt-id: "):
+                    number = line.partition(b": ")[2].decode()
+                    await stream.send(response(b"ok", f"X-Attempt-Id: {number}"))
+
+    def run_with(
+        self, first: dict[str, Any], test: Callable[[list[Instance]], Awaitable[None]]
+    ) -> None:
+        async def run() -> None:
+            with trio.fail_after(LIMIT_S):
+                async with AsyncExitStack() as stack:
+                    store = await stack.enter_async_context(self.store.serve())
+                    server = await stack.enter_async_context(scripted_server(self.backend))
+                    self.store.put("config", "main", first)
+                    self.store.put("servers", "i-1", server_document(str(server)))
+                    instances = await stack.enter_async_context(steering_group(store, INSTANCES))
+                    await test(instances)
+
+        trio.run(run)
+
+    async def status(self, instance: Instance, key: str) -> int:
+        sent = (f"Authorization: Bearer {key}", "X-Attempt-Id: a1")
+        return (await ask(instance.address, CALLER_PORT, "/look/1", *sent))[0]
+
+    async def all_answer(self, instances: list[Instance], status: int, key: str = KEY) -> bool:
+        return all([await self.status(each, key) == status for each in instances])
+
+    def test_key_that_is_taken_away_and_a_store_that_is_away(self) -> None:
+        """Guards against a key served after its bound, and refusals that outlast their reason."""
+
+        async def test(instances: list[Instance]) -> None:
+            await until(lambda: self.all_answer(instances, 200), BACK_S * 3, "all serve the key")
+            self.assertTrue(await self.all_answer(instances, 401, "unknown"))
+            self.store.put("config", "main", config("00000009", OTHER_KEY))
+            await until(lambda: self.all_answer(instances, 401), REVOKE_S, "the key is gone")
+            self.assertTrue(await self.all_answer(instances, 200, OTHER_KEY))
+            self.store.refuse = 503
+            self.store.end_watches()
+            await trio.sleep(REVOKE_S)
+            self.assertTrue(await self.all_answer(instances, 503, OTHER_KEY))
+            self.store.refuse = None
+            await until(
+                lambda: self.all_answer(instances, 200, OTHER_KEY), BACK_S, "all serve again"
+            )
+            self.assertFalse(any(OTHER_KEY.encode() in each for each in self.seen))
+            self.assertTrue(all(b"x-tenant: huka270" in each for each in self.seen))
+            logs = "".join(each.process.log for each in instances)
+            self.assertNotIn(KEY, logs)
+            self.assertNotIn(OTHER_KEY, logs)
+
+        self.run_with(config("00000007", KEY), test)
+
+    def test_an_allowance_holds_over_all_instances(self) -> None:
+        """Guards against an allowance that each instance grants by itself."""
+        rate, burst, slack = 4.0, 4.0, 20.0
+
+        async def test(instances: list[Instance]) -> None:
+            await until(lambda: self.all_answer(instances[:1], 200), BACK_S * 3, "a token")
+            began, before = trio.current_time(), len(self.seen)
+            statuses = set()
+            for number in range(100):
+                statuses.add(await self.status(instances[number % INSTANCES], KEY))
+            passed_s = trio.current_time() - began
+            self.assertIn(429, statuses)
+            most = 1.1 * (rate * passed_s + burst) + slack
+            self.assertLessEqual(len(self.seen) - before, most)
+
+        self.run_with(config("00000007", KEY, RatePerS=rate, Burst=burst), test)
+
+
+if __name__ == "__main__":
+    unittest.main()
