Instances that watch in place of the watchers ask for the proof seldom

They are told the proof all the while, with the answers of the watchers that decline.

Change: who is not a watcher of its region asks at an age of 3 s. Tests of proofs and of the questions, one by one; that of this case fails with one interval for all.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -172,13 +172,13 @@
             on_change=self._note_change,
         )
         self._exchange.answer_for(self._followers)
-        self._workspaces.prove(self._followers[CONFIG_KIND])
         self._sharing = WatchSharing(
             peers=self._peers,
             membership=self._membership,
             followers=self._followers,
             freshness=self._workspaces.freshness,
         )
+        self._workspaces.prove(self._followers[CONFIG_KIND], is_watcher=self._sharing.is_watcher)
         self._distances = Distances(
             failure_domain=settings.failure_domain,
             region=settings.region,
--- a/src/wagtailpoint/daemon/workspace_rules.py
+++ b/src/wagtailpoint/daemon/workspace_rules.py
@@ -56,6 +56,7 @@
         self._platform = platform
         self._random = random
         self._follower: KindFollower | None = None
+        self._is_watcher: Callable[[], bool] = lambda: True
         self.freshness = Freshness(
             clock=clock, version=self._version, bound_s=lambda: bounds().key_lag_max_s
         )
@@ -84,9 +85,10 @@
         self._allowances_of: RouteTable | None = None
         self._known_allowances: Mapping[str, Allowance | None] = {}
 
-    def prove(self, follower: KindFollower) -> None:
-        """Tell what follows the configuration."""
+    def prove(self, follower: KindFollower, *, is_watcher: Callable[[], bool]) -> None:
+        """Tell what follows the configuration, and whether the others of the region ask here."""
         self._follower = follower
+        self._is_watcher = is_watcher
 
     @property
     def gauges(self) -> dict[str, float]:
@@ -110,6 +112,7 @@
             platform=self._platform,
             freshness=self.freshness,
             is_needed=self._needs_proof,
+            is_watcher=self._is_watcher,
             random=self._random,
         )
         async with trio.open_nursery() as nursery:
--- a/src/wagtailpoint/discovery/confirmation.py
+++ b/src/wagtailpoint/discovery/confirmation.py
@@ -1,5 +1,6 @@
 """Asks the store whether the state of a kind is still its newest."""
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Final
@@ -15,7 +16,12 @@
 from wagtailpoint.ports.platform import Platform, WatchBatch
 
 CONFIRM_INTERVAL_S: Final = 1.5
-"""Between two questions of an instance that watches the store; the others are told by it."""
+"""Between two questions of a watcher of the region; the others are told by it."""
+
+FORSAKEN_S: Final = 3.0
+"""The age of a proof at which another instance that watches asks by itself. When the watchers lose
+their watches all others begin to watch, and are still told the proof: their questions would be many
+times those of the watchers."""
 
 LOOK_INTERVAL_S: Final = 0.2
 """How often it is looked whether a question is due."""
@@ -44,6 +50,7 @@
         platform: Platform,
         freshness: Freshness,
         is_needed: Callable[[], bool],
+        is_watcher: Callable[[], bool],
         random: Random,
     ) -> None:
         """Make it.
@@ -53,12 +60,14 @@
             platform: The store.
             freshness: Is told of the proof.
             is_needed: Whether anything depends on a proof.
+            is_watcher: Whether the others of the region ask this instance.
             random: For the jitter.
         """
         self._follower = follower
         self._platform = platform
         self._freshness = freshness
         self._is_needed = is_needed
+        self._is_watcher = is_watcher
         self._random = random
 
     async def run(self) -> None:
@@ -73,9 +82,11 @@
         follower = self._follower
         if not follower.known or not self._is_needed() or follower.lost_for_s > 0.0:
             return False
-        if self._freshness.age_s == float("inf"):
+        age_s = self._freshness.age_s
+        if age_s == math.inf:
             return True
-        return follower.watching and self._freshness.age_s >= CONFIRM_INTERVAL_S
+        due_s = CONFIRM_INTERVAL_S if self._is_watcher() else FORSAKEN_S
+        return follower.watching and age_s >= due_s
 
     async def _confirm(self) -> bool:
         """Ask once; whether there was an answer."""
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -211,7 +211,7 @@
         if now < self._asked_until:
             # Also just after the start: who asks is told that this instance watches.
             return True
-        if self._is_watcher():
+        if self.is_watcher():
             return not self._is_starting(FIRST_WATCH_S)
         if self._is_starting(FIRST_OWN_WATCH_S) or self._lacking_since is None:
             return False
@@ -220,7 +220,8 @@
     def _is_starting(self, for_s: float) -> bool:
         return trio.current_time() - self._began_at < for_s
 
-    def _is_watcher(self) -> bool:
+    def is_watcher(self) -> bool:
+        """Whether this instance is one of those of the region that watch the store for all."""
         own = self._membership.own.address
         live = self._ordered()
         return any(each.address == own for each in live[: watchers_among(len(live))])
@@ -228,7 +229,7 @@
     def _source(self, number: int) -> PeerAddress | None:
         """The watcher that this instance asks; None if it is one itself, or there is none."""
         now = trio.current_time()
-        if self._is_watcher() or now < self._asked_until:
+        if self.is_watcher() or now < self._asked_until:
             return None
         own = self._membership.own.address
         live = self._ordered()
--- /dev/null
+++ b/tests/cover/test_freshness.py
@@ -0,0 +1,194 @@
+"""Proof that a state of the store was its newest a short time ago."""
+
+import math
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+from loguru import logger
+from trio.testing import MockClock
+
+from tests.common.fake_clock import FakeClock
+from tests.common.fake_platform import FakePlatform
+from tests.common.steering_parts import make_freshness
+from wagtailpoint.discovery.confirmation import CONFIRM_INTERVAL_S, FORSAKEN_S, Confirmation
+from wagtailpoint.discovery.follower import KindFollower
+from wagtailpoint.discovery.freshness import PROVED_PART, Freshness, PeerProof
+from wagtailpoint.discovery.store_check import StoreCheck
+
+KIND = "config"
+BOUND_S = 5.0
+
+
+class FreshnessTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+        self.clock = FakeClock()
+        self.version = 3
+        self.freshness = Freshness(
+            clock=self.clock, version=lambda: self.version, bound_s=lambda: BOUND_S
+        )
+
+    def test_nothing_is_proved_at_first(self) -> None:
+        self.assertFalse(self.freshness.is_proved)
+        self.assertEqual(self.freshness.age_s, math.inf)
+        self.assertIsNone(self.freshness.tell(self.clock.now))
+
+    def test_a_proof_ends(self) -> None:
+        """Guards against a proof that outlives a pause of the process."""
+        self.freshness.note(3, self.clock.now)
+        self.clock.now += PROVED_PART * BOUND_S - 0.01
+        self.assertTrue(self.freshness.is_proved)
+        self.clock.now += 0.01
+        self.assertFalse(self.freshness.is_proved)
+
+    def test_a_proof_of_a_newer_state_counts_once_that_is_in_force(self) -> None:
+        """Guards against a proof of a configuration that this instance does not have."""
+        self.freshness.note(4, self.clock.now)
+        self.assertFalse(self.freshness.is_proved)
+        self.version = 4
+        self.assertTrue(self.freshness.is_proved)
+
+    def test_an_older_proof_changes_nothing(self) -> None:
+        self.freshness.note(3, self.clock.now)
+        self.freshness.note(3, self.clock.now - 2.0)
+        self.assertEqual(self.freshness.age_s, 0.0)
+
+    def test_a_peers_proof_counts_from_the_question(self) -> None:
+        """Guards against the time that an answer was on its way, left out of the age."""
+        asked_at = self.clock.now
+        self.clock.now += 0.7
+        self.freshness.note_peer(PeerProof(3, 1.5), asked_at)
+        self.assertAlmostEqual(self.freshness.age_s, 2.2)
+
+    def test_a_proof_from_after_the_question_is_told_as_such(self) -> None:
+        asked_at = self.clock.now
+        self.clock.now += 0.5
+        self.freshness.note(3, self.clock.now)
+        self.assertEqual(self.freshness.tell(asked_at), PeerProof(3, -0.5))
+
+    def test_without_a_bound_nothing_has_to_be_proved(self) -> None:
+        free = Freshness(clock=self.clock, version=lambda: 0, bound_s=lambda: math.inf)
+        self.assertTrue(free.is_proved)
+
+
+class ConfirmationTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+
+    def run_with(
+        self,
+        test: Callable[[FakePlatform, KindFollower, Freshness], Awaitable[None]],
+        *,
+        watching: bool = True,
+        is_watcher: bool = True,
+    ) -> None:
+        async def run() -> None:
+            platform = FakePlatform()
+            platform.store.put(KIND, "main", {"n": 1}, 0)
+            check = StoreCheck(store=platform, random=random.Random(1))
+            follower = KindFollower(
+                kind=KIND,
+                platform=platform,
+                peers=NoPeers(),
+                check=check,
+                on_change=lambda: None,
+                random=random.Random(1),
+                watching=watching,
+            )
+            freshness = make_freshness(follower, BOUND_S)
+            confirmation = Confirmation(
+                follower=follower,
+                platform=platform,
+                freshness=freshness,
+                is_needed=lambda: True,
+                is_watcher=lambda: is_watcher,
+                random=random.Random(1),
+            )
+            async with trio.open_nursery() as nursery:
+                for task in (check.run, follower.run, confirmation.run):
+                    nursery.start_soon(task)
+                await trio.sleep(1.0)
+                await test(platform, follower, freshness)
+                nursery.cancel_scope.cancel()
+
+        trio.run(run, clock=MockClock(autojump_threshold=0))
+
+    def test_a_watcher_keeps_its_proof_young(self) -> None:
+        async def test(
+            platform: FakePlatform, follower: KindFollower, freshness: Freshness
+        ) -> None:
+            platform.counts.clear()
+            oldest = 0.0
+            for _ in range(100):
+                await trio.sleep(0.15)
+                oldest = max(oldest, freshness.age_s)
+            self.assertLess(oldest, CONFIRM_INTERVAL_S + 0.5)
+            self.assertLessEqual(platform.counts["WATCH", KIND], 15 / CONFIRM_INTERVAL_S + 2)
+
+        self.run_with(test)
+
+    def test_another_that_watches_asks_seldom(self) -> None:
+        """Guards against a question of each instance when the watchers have lost their watches."""
+
+        async def test(
+            platform: FakePlatform, follower: KindFollower, freshness: Freshness
+        ) -> None:
+            platform.counts.clear()
+            await trio.sleep(10 * FORSAKEN_S)
+            self.assertTrue(freshness.is_proved)
+            self.assertLessEqual(platform.counts["WATCH", KIND], 10 + 3)
+
+        self.run_with(test, is_watcher=False)
+
+    def test_a_start_asks_once_and_takes_what_its_listing_lacked(self) -> None:
+        """Guards against a start that serves a key by a listing that was some seconds old."""
+
+        async def test(
+            platform: FakePlatform, follower: KindFollower, freshness: Freshness
+        ) -> None:
+            self.assertTrue(freshness.is_proved)
+            self.assertEqual(platform.counts["WATCH", KIND], 1)
+            await trio.sleep(2 * BOUND_S)
+            self.assertFalse(freshness.is_proved)
+            self.assertEqual(platform.counts["WATCH", KIND], 1)
+
+        self.run_with(test, watching=False)
+
+    def test_a_store_that_is_away_ends_the_proof_and_its_return_begins_it(self) -> None:
+        async def test(
+            platform: FakePlatform, follower: KindFollower, freshness: Freshness
+        ) -> None:
+            platform.set_down(True)
+            await trio.sleep(BOUND_S)
+            self.assertFalse(freshness.is_proved)
+            platform.set_down(False)
+            await trio.sleep(2.0)
+            self.assertTrue(freshness.is_proved)
+
+        self.run_with(test)
+
+    def test_a_change_that_the_answer_shows_is_in_force_with_the_proof(self) -> None:
+        async def test(
+            platform: FakePlatform, follower: KindFollower, freshness: Freshness
+        ) -> None:
+            # Written behind the fake's back: the watch that waits does not hear of it.
+            platform.store.put(KIND, "main", {"n": 2}, 1)
+            await trio.sleep(2 * CONFIRM_INTERVAL_S)
+            self.assertEqual(follower.objects["main"].value, {"n": 2})
+
+        self.run_with(test)
+
+
+class NoPeers:
+    """No other instance answers; ``PeerStates``."""
+
+    async def ask(self, kind: str, newer_than: int) -> None:
+        """Nobody knows anything."""
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -182,7 +182,7 @@
 
         async def test() -> None:
             await trio.sleep(0.2)
-            first = next(each for each in self.sharers if each.sharing._is_watcher())
+            first = next(each for each in self.sharers if each.sharing.is_watcher())
             other = next(each for each in self.sharers if each is not first)
             versions = [(KIND, first.follower.state.version)]
             answered = await other.peers.request(
--- a/tests/nocover/test_follower_faults.py
+++ b/tests/nocover/test_follower_faults.py
@@ -143,6 +143,7 @@
             platform=platform,
             freshness=self.freshness,
             is_needed=lambda: True,
+            is_watcher=self.sharing.is_watcher,
             random=random,
         )
         self.stopped = trio.CancelScope()
