--- a/bench/placement.py
+++ b/bench/placement.py
@@ -184,6 +184,40 @@
 """Hundreds of backend servers that remember few objects each: behind three entries in each failure
 domain, and behind all instances."""
 
+SHIFTED = SURAKKHA._replace(
+    instances=dict.fromkeys(SURAKKHA.region_of, 3),
+    servers={
+        "deposit-desk": {
+            "salt-lake": 8,
+            "new-town": 8,
+            "matigara": 32,
+            "sevoke-road": 32,
+            "bidhannagar": 39,
+            "city-centre": 38,
+        },
+        "records-vault": {
+            "salt-lake": 1,
+            "new-town": 1,
+            "matigara": 5,
+            "sevoke-road": 5,
+            "bidhannagar": 6,
+            "city-centre": 6,
+        },
+    },
+    cache={"deposit-desk": 14, "records-vault": 37},
+    slots={"deposit-desk": 6, "records-vault": 6},
+    classes=(
+        RequestClass("balance", "deposit-desk", 50.0, 1.4, 1.112, 3.0, 1.0, 149, 5000, 2),
+        RequestClass("release", "deposit-desk", 69.2, 1.8, 1.323, 4.0, 2.0, 207, 400, 1),
+        RequestClass("certificate", "records-vault", 7.1, 1.12, 1.124, 3.0, 1.0, 24, 90000, 2),
+        RequestClass("lookup", "records-vault", 40.3, 0.56, 0.62, 2.0, 2.0, 120, 1500, 1),
+    ),
+    swing=0.55,
+)
+SHIFTED_LOADED = SHIFTED._replace(load=1.8)
+"""Long requests, which are in time only where their objects are cached; the load of a calm day, and
+of one of high load."""
+
 DEPLOYMENTS: Mapping[str, Deployment] = {
     "surakkha": SURAKKHA,
     "heather-isles": HEATHER_ISLES,
@@ -192,7 +226,12 @@
     "vitamins-overloaded": VITAMINS_OVERLOADED,
 }
 
-WARMING_DEPLOYMENTS: Mapping[str, Deployment] = {"large": LARGE, "large-spread": LARGE_SPREAD}
+WARMING_DEPLOYMENTS: Mapping[str, Deployment] = {
+    "large": LARGE,
+    "large-spread": LARGE_SPREAD,
+    "shifted": SHIFTED,
+    "shifted-loaded": SHIFTED_LOADED,
+}
 """In these most objects are asked for once in some seconds: they are still met for the first time
 when those of the others have been cached, so the bounds of a short run say nothing of them."""
 
