--- a/src/wagtailpoint/limits/allowance_slots.py
+++ b/src/wagtailpoint/limits/allowance_slots.py
@@ -208,7 +208,9 @@
             self._taken[slot] = _Taken(lease.fence, self._clock.monotonic())
 
     def _shall_hold(self, slot: Slot) -> bool:
-        if not self._is_needed() or self._membership.own.state != "live":
+        # Also while it starts: what a process before it held must not wait until it is ready.
+        leaves = self._membership.own.state in ("leaving", "dead")
+        if leaves or not self._is_needed():
             return False
         if not self._settled and slot.name in self._held_before:
             return self._held_before[slot.name] == self._own.address
--- a/tests/common/allowance_group.py
+++ b/tests/common/allowance_group.py
@@ -166,6 +166,7 @@
         for side in sides:
             seen = tuple(each.member for each in side if not each.stopped.cancel_called)
             for each in side:
+                each.membership.own = each.member
                 each.membership.seen = seen
 
     def kill(self, number: int) -> None:
@@ -174,8 +175,9 @@
 
     def restart(self, number: int, nursery: trio.Nursery) -> None:
         """Start a process in place of one that was killed; it sees itself at first."""
-        self.instances[number] = self._make(number)
-        nursery.start_soon(self.instances[number].run)
+        started = self.instances[number] = self._make(number)
+        started.membership.own = started.member._replace(state="starting")
+        nursery.start_soon(started.run)
 
     async def request(self, number: int, workspace: str) -> Spent:
         """Spend a token for a request that arrives at an instance."""
