After the loss of all processes requests with keys are served sooner

Change: who has just started asks the holder that the store names, heard of or not; the proof is asked for as soon as the configuration is known; callers are told to come back after about a second. The test of the restart asks before anybody is known; it fails on the sources before.

--- a/src/wagtailpoint/daemon/workspace_rules.py
+++ b/src/wagtailpoint/daemon/workspace_rules.py
@@ -56,6 +56,7 @@
         self._platform = platform
         self._random = random
         self._follower: KindFollower | None = None
+        self._confirmation: Confirmation | None = None
         self._is_watcher: Callable[[], bool] = lambda: True
         self.freshness = Freshness(
             clock=clock, version=self._version, bound_s=lambda: bounds().key_lag_max_s
@@ -107,7 +108,7 @@
         """
         if self._follower is None:
             raise ValueError("follower: given None, expected one from `prove`")
-        confirmation = Confirmation(
+        confirmation = self._confirmation = Confirmation(
             follower=self._follower,
             platform=self._platform,
             freshness=self.freshness,
@@ -123,6 +124,8 @@
     def note_change(self) -> None:
         """What the store says has changed."""
         self._slots.note_change()
+        if self._confirmation is not None:
+            self._confirmation.note_change()
 
     async def give_up(self) -> None:
         """Let others have the slots, before this instance leaves."""
--- a/src/wagtailpoint/discovery/confirmation.py
+++ b/src/wagtailpoint/discovery/confirmation.py
@@ -68,16 +68,23 @@
         self._freshness = freshness
         self._is_needed = is_needed
         self._is_watcher = is_watcher
+        self._changed = trio.Event()
         self._random = random
 
     async def run(self) -> None:
         """Ask until cancelled."""
         while True:
             if not self._is_due():
-                await trio.sleep(LOOK_INTERVAL_S * self._random.uniform(0.8, 1.2))
+                with trio.move_on_after(LOOK_INTERVAL_S * self._random.uniform(0.8, 1.2)):
+                    await self._changed.wait()
             elif not await self._confirm():
                 await trio.sleep(RETRY_S * self._random.uniform(0.7, 1.3))
 
+    def note_change(self) -> None:
+        """The configuration has changed: a start need not wait to ask."""
+        self._changed.set()
+        self._changed = trio.Event()
+
     def _is_due(self) -> bool:
         follower = self._follower
         if not follower.known or not self._is_needed() or follower.lost_for_s > 0.0:
--- a/src/wagtailpoint/limits/allowance_slots.py
+++ b/src/wagtailpoint/limits/allowance_slots.py
@@ -109,11 +109,11 @@
             for slot in (Slot(region, number) for number in range(SLOTS_OF_A_REGION))
         }
         self._taken: dict[Slot, _Taken] = {}
-        self._held_before: dict[str, str] = {}
+        self._held_before: dict[str, PeerAddress] = {}
         self._settled = False
         self._changed = trio.Event()
         self._members_seen: Sequence[Member] = ()
-        self._candidates: dict[Slot, Member | None] = {}
+        self._candidates: dict[Slot, PeerAddress | None] = {}
 
     def held(self, slot: Slot) -> bool:
         """Whether this instance surely holds a slot now."""
@@ -137,16 +137,15 @@
             self._candidates = {}
         if slot not in self._candidates:
             self._candidates[slot] = self._candidate(slot, members)
-        candidate = self._candidates[slot]
-        return candidate.peer_address if candidate is not None else None
+        return self._candidates[slot]
 
-    def _candidate(self, slot: Slot, members: Sequence[Member]) -> Member | None:
-        serving = [each for each in members if each.serves]
+    def _candidate(self, slot: Slot, members: Sequence[Member]) -> PeerAddress | None:
         if not self._settled and slot.name in self._held_before:
-            before = self._held_before[slot.name]
-            return next((each for each in serving if each.address == before), None)
-        in_region = (each for each in serving if each.region == slot.region)
-        return min(in_region, key=lambda each: by_capacity(each, slot.name), default=None)
+            # Asked before the others are known: after a restart of all it is back about now.
+            return self._held_before[slot.name]
+        in_region = (each for each in members if each.serves and each.region == slot.region)
+        best = min(in_region, key=lambda each: by_capacity(each, slot.name), default=None)
+        return best.peer_address if best is not None else None
 
     async def run(self) -> None:
         """Keep the leases until cancelled."""
@@ -184,7 +183,7 @@
         for stored in listing.ok_value.objects:
             holder = holder_from_value(stored.value["holder"])
             if holder is not None:
-                self._held_before[stored.name] = holder.address
+                self._held_before[stored.name] = PeerAddress(holder.address, holder.port)
         self._candidates = {}
 
     async def _keep(self, slot: Slot, lease: Lease) -> None:
@@ -213,6 +212,6 @@
         if leaves or not self._is_needed():
             return False
         if not self._settled and slot.name in self._held_before:
-            return self._held_before[slot.name] == self._own.address
+            return self._held_before[slot.name].address == self._own.address
         holder = self.holder(slot)
         return holder is not None and holder.address == self._own.address and self._settled
--- a/src/wagtailpoint/proxy/refusal.py
+++ b/src/wagtailpoint/proxy/refusal.py
@@ -18,9 +18,9 @@
 
 STARTING_S: Final = 0.5
 
-SOON_S: Final = 0.5
+SOON_S: Final = 1.0
 """The same for one whose key can't be vouched for, or whose workspace is over its allowance: what
-it waits for comes within about a second."""
+it waits for comes within about a second, and most callers come back only once."""
 
 QUARANTINED_S: Final = 60.0
 """A request that crashes backend servers will not be served before somebody has mended them."""
--- a/tests/cover/test_allowances.py
+++ b/tests/cover/test_allowances.py
@@ -153,6 +153,10 @@
             self.assertEqual(
                 sum(each.slots_held for each in group.instances), 3 * SLOTS_OF_A_REGION
             )
+            # None of them has heard of any other one yet.
+            await trio.sleep(1.0)
+            spent = [(await group.request(number, "w")).granted for number in range(3)]
+            self.assertEqual(spent, [True] * 3)
 
         self.play({"w": Allowance(5.0, 5.0)}, test)
 
