Two able entries of a failure domain are enough where the third is weak

Change: an instance with less than half of the strongest one's capacity is an entry only if fewer than two are, or the load needs it. Where all are alike nothing changes.

The test fails on the choice before (three entries).

--- a/src/wagtailpoint/lookup/entry_choice.py
+++ b/src/wagtailpoint/lookup/entry_choice.py
@@ -15,6 +15,12 @@
 LEAST_ENTRIES: Final = 3
 """In a failure domain: the loss of one leaves two thirds of the callers undisturbed."""
 
+LEAST_ABLE_ENTRIES: Final = 2
+ABLE_PART: Final = 0.5
+"""Of the capacity of the most capable one. So many that have it will do instead: callers choose
+among the entries at random, and one that can do much less than the others answers late all that
+come to it. It is named where the load needs it."""
+
 LEAST_CAPACITY_PART: Final = 0.25
 """Of a failure domain's capacity. The load of a burst is known to all some seconds after it
 begins; until then the entries must bear it."""
@@ -43,7 +49,9 @@
     chosen: list[Member] = []
     capacity = 0.0
     for each in ordered:
-        if len(chosen) >= LEAST_ENTRIES and capacity >= wanted:
+        able = each.capacity >= ABLE_PART * ordered[0].capacity
+        least = LEAST_ENTRIES if able else LEAST_ABLE_ENTRIES
+        if len(chosen) >= least and capacity >= wanted:
             break
         chosen.append(each)
         capacity += each.capacity
--- a/tests/cover/test_entry_choice.py
+++ b/tests/cover/test_entry_choice.py
@@ -6,6 +6,7 @@
 
 from wagtailpoint.lookup.entry_choice import (
     HEADROOM,
+    LEAST_ABLE_ENTRIES,
     LEAST_ENTRIES,
     OVERLOADED,
     EntriesAround,
@@ -50,6 +51,16 @@
         self.assertEqual({each.capacity for each in chosen}, {LARGE})
         self.assertEqual(len(chosen), LEAST_ENTRIES)
 
+    def test_a_weak_third_is_not_named_beside_two_able_ones(self) -> None:
+        """Guards against a third of the callers who are all answered late by the weakest entry."""
+        chosen = entries_among(unequal(2, 10))
+        self.assertEqual([each.capacity for each in chosen], [LARGE] * LEAST_ABLE_ENTRIES)
+        self.assertEqual(len(entries_among(unequal(1, 2))), LEAST_ABLE_ENTRIES)
+
+    def test_weak_ones_are_named_when_the_load_needs_them(self) -> None:
+        busy = [each._replace(load=0.5) for each in unequal(2, 10)]
+        self.assertGreater(len(entries_among(busy)), LEAST_ENTRIES)
+
     def test_small_deployments_use_all(self) -> None:
         members = unequal(0, LEAST_ENTRIES)
         self.assertCountEqual(entries_among(members), members)
