--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -9,7 +9,7 @@
 from typing import Final, NamedTuple
 
 import trio
-from result import Ok
+from result import Err
 
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.freshness import Freshness, PeerProof
@@ -136,6 +136,7 @@
         self._membership = membership
         self._followers = followers
         self._answering = [False] * SOURCE_COUNT
+        self._sources: list[PeerAddress | None] = [None] * SOURCE_COUNT
         self._ordered_members: Sequence[Member] = ()
         self._watch_order: Sequence[Member] = ()
         self._started_at = math.inf
@@ -164,34 +165,56 @@
     async def _poll_source(self, number: int) -> None:
         while True:
             source = self._choose_source(number)
-            if source is None or not self._is_settled or self._is_starting(WATCHER_START_DELAY_S):
-                self._set_answering(number, False)
-                await trio.sleep(RETRY_DELAY_S)
-                continue
-            versions = [
-                (kind, follower.state.version) for kind, follower in self._followers.items()
-            ]
-            asked_at = self._freshness.now()
-            question = WatchQuestion(versions, not self._freshness.is_proved)
-            answered = await self._peers.request(
-                source, question, timeout_s=QUESTION_WAIT_S + REPLY_MARGIN_S
-            )
-            answer = NOT_WATCHING
-            if isinstance(answered, Ok) and isinstance(answered.ok_value, WatchAnswer):
-                answer = answered.ok_value
-            for changes in answer.changes:
-                # During an upgrade an instance of another version may follow more kinds.
-                follower = self._followers.get(changes.kind)
-                if follower is not None:
-                    follower.apply_changes(changes)
-            if answer.config_proof is not None:
-                self._freshness.record_peer_proof(answer.config_proof, asked_at)
-            if not answer.watches:
-                self._declined_until[source.address] = trio.current_time() + DECLINED_RETRY_DELAY_S
+            if not self._is_settled or self._is_starting(WATCHER_START_DELAY_S):
+                source = None
+            self._record_source(number, source)
+            answer = NOT_WATCHING if source is None else await self._ask(source)
             self._set_answering(number, answer.watches)
             if not answer.watches:
                 await trio.sleep(RETRY_DELAY_S)
 
+    async def _ask(self, source: PeerAddress) -> WatchAnswer:
+        """Ask another instance for changes and apply them."""
+        versions = [(kind, follower.state.version) for kind, follower in self._followers.items()]
+        asked_at = self._freshness.now()
+        question = WatchQuestion(versions, not self._freshness.is_proved)
+        answered = await self._peers.request(
+            source, question, timeout_s=QUESTION_WAIT_S + REPLY_MARGIN_S
+        )
+        answer = NOT_WATCHING
+        failure = "not-watching"
+        if isinstance(answered, Err):
+            failure = answered.err_value.value
+        elif isinstance(answered.ok_value, WatchAnswer):
+            answer = answered.ok_value
+        for changes in answer.changes:
+            # During an upgrade an instance of another version may follow more kinds.
+            follower = self._followers.get(changes.kind)
+            if follower is not None:
+                follower.apply_changes(changes)
+        if answer.config_proof is not None:
+            self._freshness.record_peer_proof(answer.config_proof, asked_at)
+        if not answer.watches:
+            log_event("watch-source-failed", source=source, reason=failure)
+            self._declined_until[source.address] = trio.current_time() + DECLINED_RETRY_DELAY_S
+        return answer
+
+    def _record_source(self, number: int, source: PeerAddress | None) -> None:
+        if source == self._sources[number]:
+            return
+        self._sources[number] = source
+        log_event(
+            "watch-source",
+            number=number,
+            source=source or "",
+            settled=self._is_settled,
+            watches=self._watches_itself,
+        )
+
+    @property
+    def _watches_itself(self) -> bool:
+        return all(follower.is_watching for follower in self._followers.values())
+
     @property
     def _is_settled(self) -> bool:
         return all(follower.is_settled for follower in self._followers.values())
