Failing tests: watches that are neither answered nor ended

The stand-in store can now do the same: cut the watches, leave those unanswered that begin at this moment, and keep answering stale reads.

Seen on the current code, 5 s after the change: - all watches cut: the two watchers know the change, the ten other instances do not; - one watcher with such a watch: it lacks the change that the other eleven know; - both watchers of one of two regions with such a watch: its six instances lack the change.

--- a/tests/common/fake_platform.py
+++ b/tests/common/fake_platform.py
@@ -39,6 +39,7 @@
         after_put: Called after each put took effect and before its answer.
         scripted_watches: The answers to the next watches, which precede real answers.
         deaf: Whether watches that begin are never answered; other calls are answered.
+        stale_reads: What reads that may be stale return; None for the current objects.
         page_size: The number of objects on a page of ``peek``.
         list_delay_s: The delay of the answer to a listing, in seconds.
         listed: The list of instances.
@@ -58,12 +59,14 @@
         self.after_put: Callable[[str, str], Awaitable[None]] | None = None
         self.scripted_watches: deque[WatchAnswer] = deque()
         self.deaf = False
+        self.stale_reads: ObjectStore | None = None
         self.page_size = 50
         self.list_delay_s = 0.0
         self.listed: Sequence[ListedInstance] = ()
         self.counts: Counter[tuple[str, str]] = Counter()
         self._late: list[tuple[str, str, Any, int]] = []
         self._stale: ObjectStore | None = None
+        self._cuts = 0
         self._changed = trio.Event()
 
     def answer_stale(self, replica: ObjectStore | None = None) -> None:
@@ -92,15 +95,21 @@
         self.silent = silent
         self._wake()
 
+    def cut_watches(self) -> None:
+        """End all watches that wait; watches that are never answered are not ended."""
+        self._cuts += 1
+        self._wake()
+
     async def peek(self, *, kind: str, after: str) -> Result[Page, PlatformUnavailable]:
         """Return a page of ``page_size`` objects; implements ``PeekingStore``."""
         refusal = await self._arrive("CHECK", kind)
         if refusal:
             return Err(refusal)
-        found = [each for each in self._readable.list(kind) if each.name > after]
+        store = self.stale_reads or self._readable
+        found = [each for each in store.list(kind) if each.name > after]
         page = found[: self.page_size]
         last = page[-1].name if len(page) < len(found) else None
-        return Ok(Page(self._readable.version, page, after, last))
+        return Ok(Page(store.version, page, after, last))
 
     def _wake(self) -> None:
         self._changed.set()
@@ -132,7 +141,8 @@
         refusal = await self._arrive("LIST-STALE" if may_be_stale else "LIST", kind)
         if refusal:
             return Err(refusal)
-        listing = Listing(self._readable.version, self._readable.list(kind))
+        store = (may_be_stale and self.stale_reads) or self._readable
+        listing = Listing(store.version, store.list(kind))
         await trio.sleep(self.list_delay_s)
         return Ok(listing)
 
@@ -187,8 +197,9 @@
             await trio.sleep_forever()
         if self.scripted_watches:
             return self.scripted_watches.popleft()
+        cuts = self._cuts
         with trio.move_on_after(wait_s):
-            while not self.down:
+            while not self.down and self._cuts == cuts:
                 batch = self._readable.events_since(kinds, from_version)
                 if batch is None:
                     return Err(WatchTooOld(f"no events since {from_version}"))
@@ -197,7 +208,7 @@
                 await self._changed.wait()
                 if self.silent:
                     await trio.sleep_forever()
-            return Err(PlatformUnavailable("the fake is down"))
+            return Err(PlatformUnavailable("the fake is down or has cut the watch"))
         return Ok(WatchBatch(from_version, []))
 
     async def instances(self) -> Result[Sequence[ListedInstance], PlatformUnavailable]:
--- a/tests/common/object_store.py
+++ b/tests/common/object_store.py
@@ -76,6 +76,11 @@
         self._append_event("delete", current._replace(version=self._version))
         return None
 
+    def forget_events(self) -> None:
+        """Discard the whole history."""
+        self._history.clear()
+        self._last_discarded_version = self._version
+
     def _append_event(self, action: Literal["put", "delete"], stored: StoredObject) -> None:
         self._history.append(_Record(self._monotonic(), WatchEvent(action, stored)))
         if len(self._history) > self._max_events:
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -2,7 +2,7 @@
 
 import random
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 from loguru import logger
@@ -12,7 +12,7 @@
 from tests.common.fake_platform import FakePlatform
 from tests.common.fixed_membership import FixedMembership
 from tests.common.steering_parts import make_freshness
-from wagtailpoint.discovery.follower import WATCH_WAIT_S, KindFollower
+from wagtailpoint.discovery.follower import BATCH_DELAY_S, WATCH_WAIT_S, KindFollower
 from wagtailpoint.discovery.history import ChangeHistory, KindChanges
 from wagtailpoint.discovery.store_check import StoreCheck
 from wagtailpoint.discovery.watch_sharing import (
@@ -33,6 +33,12 @@
 BOUND_S = 2.0
 """Changes must arrive this soon even if watchers fail; they must be in force within 2.5 s."""
 
+UNHEARD_S = 1.0
+"""Time in which a store that is about to discard its history answers no watch."""
+
+DISCARDING_S = 0.12
+"""Time in which watches that begin are never answered: instances begin their own within it."""
+
 
 class Sharer:
     """An instance that follows one kind, by its own watch or through watchers."""
@@ -44,8 +50,10 @@
         network: FakeNetwork,
         own: PeerAddress,
         places: list[PeerAddress],
+        region_of: Callable[[str], str],
     ) -> None:
         self.own = own
+        self.region = region_of(own.address)
         self.peers = FakePeers(network=network, address=own)
         self.check = StoreCheck(store=platform, random=random.Random(1))
         self.follower = KindFollower(
@@ -60,7 +68,9 @@
         )
         self.sharing = WatchSharing(
             peers=self.peers,
-            membership=FixedMembership(addresses=places, own=own),  # type: ignore[arg-type]
+            membership=FixedMembership(  # type: ignore[arg-type]
+                addresses=places, own=own, region_of=region_of
+            ),
             followers={KIND: self.follower},
             freshness=make_freshness(self.follower),
         )
@@ -87,9 +97,19 @@
         self.operator = FakePlatform()
         for platform in self.platforms:
             platform.store = self.operator.store
+        self.start_in(lambda _: "a")
+
+    def start_in(self, region_of: Callable[[str], str]) -> None:
+        """Make the instances, each in its region."""
         places = [PeerAddress(f"127.9.0.{number}", 7000, number + 1) for number in range(COUNT)]
         self.sharers = [
-            Sharer(platform=platform, network=self.network, own=place, places=places)
+            Sharer(
+                platform=platform,
+                network=self.network,
+                own=place,
+                places=places,
+                region_of=region_of,
+            )
             for platform, place in zip(self.platforms, places, strict=True)
         ]
 
@@ -112,9 +132,13 @@
         trio.run(run, clock=MockClock(autojump_threshold=0))
 
     async def put(self, name: str) -> None:
-        (await self.operator.put(kind=KIND, name=name, value={}, if_version=0)).unwrap()
+        await self.put_unheard(name)
         self.answer_watches()
 
+    async def put_unheard(self, name: str) -> None:
+        """Store an object without answering the watches that wait."""
+        (await self.operator.put(kind=KIND, name=name, value={}, if_version=0)).unwrap()
+
     async def delete(self, name: str) -> None:
         stored = self.operator.store.get(KIND, name)
         assert stored is not None
@@ -315,6 +339,76 @@
         self.assertGreater(SOURCE_COUNT, 1)
         self.run_with(test)
 
+    def test_watches_begun_while_the_store_discards_its_history(self) -> None:
+        """Guards against a dropped route that a whole region serves for five more seconds.
+
+        The store cuts all watches. Watches that begin at this moment are never answered, and reads
+        that may be stale stay behind. Who is asked instead of a watcher must not hide the change.
+        """
+
+        async def test() -> None:
+            before = self.operator.store.copy()
+            for platform in self.platforms:
+                platform.answer_stale(before)
+            await self.put_unheard("new")
+            await trio.sleep(UNHEARD_S)
+            self.operator.store.forget_events()
+            for platform in self.platforms:
+                platform.stale_reads = before
+                platform.deaf = True
+                platform.cut_watches()
+            await trio.sleep(DISCARDING_S)
+            for platform in self.platforms:
+                platform.deaf = False
+                platform.answer_fresh()
+            await trio.sleep(BOUND_S)
+            self.assertEqual(self.known(), [{"first", "new"}] * COUNT)
+
+        self.run_with(test)
+
+    async def deafen(self, sharers: Sequence[Sharer]) -> None:
+        """Make watches of these instances hear nothing, while their other calls are answered."""
+        before = self.operator.store.copy()
+        for sharer in sharers:
+            platform = self.platforms[self.sharers.index(sharer)]
+            platform.deaf = True
+            platform.stale_reads = before
+        # An answered watch is followed by another one, which is never answered.
+        await self.put("noticed")
+        await trio.sleep(2 * BATCH_DELAY_S)
+        for sharer in sharers:
+            platform = self.platforms[self.sharers.index(sharer)]
+            platform.deaf = False
+
+    def test_watcher_whose_watch_is_never_answered(self) -> None:
+        """Guards against a watcher that serves an outdated state while all others know the newest.
+
+        A watch may be neither answered nor ended. A watcher must not have it as its only source.
+        """
+
+        async def test() -> None:
+            await self.deafen(self.watchers[:1])
+            await self.put("new")
+            await trio.sleep(BOUND_S)
+            self.assertEqual(self.known(), [{"first", "noticed", "new"}] * COUNT)
+
+        self.run_with(test)
+
+    def test_region_whose_watches_are_never_answered(self) -> None:
+        """Guards against a region that serves an outdated state while the others know the newest.
+
+        Watches that begin at the same bad moment may all be neither answered nor ended.
+        """
+        self.start_in(lambda address: "a" if int(address.rpartition(".")[2]) % 2 else "b")
+
+        async def test() -> None:
+            await self.deafen([each for each in self.watchers if each.region == "a"])
+            await self.put("new")
+            await trio.sleep(BOUND_S)
+            self.assertEqual(self.known(), [{"first", "noticed", "new"}] * COUNT)
+
+        self.run_with(test)
+
 
 def event(action: str, name: str, version: int) -> WatchEvent:
     return WatchEvent(action, StoredObject(KIND, name, version, {}))  # type: ignore[arg-type]
