Watchers of the store ask each other, in their region and in another one

Cause: an instance on which others rely, as a watcher of its region or asked in the place of one, had its own watch as its only source. A watch that begins while the store discards its history is neither answered nor ended, and the reads with which a missed change is found are seconds old at this time. Such an instance answered 'I watch, nothing new' and kept the old state, and with it all that asked it. Class: a source that can't tell that it hears nothing, without a second one.

Change: watchers ask, too: one fellow of their region and one of another region, since the watches of a region begin for the same reason at the same time. Nobody becomes a watcher by these questions. The order of the watchers is a module of its own (discovery/watch_order.py).

A watcher now often learns an event from a fellow while its own answer is under way. The own answer still counts if it is newer, as applying events again changes nothing, and it is followed by the usual delay; changes from peers are kept in the history. Otherwise each event would cost another call of the store and the whole state for each instance that asks.

test_watcher_whose_watch_is_never_answered failed before with the watcher's own state, and test_region_whose_watches_are_never_answered with six of twelve instances; both pass. The generated schedules of faults compare objects and versions at each change, and pass.

--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -172,7 +172,7 @@
             self._remove(name, is_trusted=True)
         for stored in objects.values():
             self._put(stored)
-        self._history.clear()
+        self._history.record_changes(changes, before=self._version)
         self._version = changes.version
         if changes.removed or objects:
             self._on_change()
@@ -254,23 +254,26 @@
         if isinstance(batch, Err):
             return batch.err_value
         self._record_reached()
-        if self._version > start_version:
-            # A peer sent a newer state meanwhile; these events may be older than it.
-            return None
+        events = batch.ok_value.events
+        # A peer may have sent a newer state meanwhile, which already has the events up to its
+        # version. To apply them again changes nothing, as long as the last ones are newer.
+        if batch.ok_value.version > self._version or self._version == start_version:
+            self._apply_batch(batch.ok_value, start_version)
+        if events:
+            await trio.sleep(BATCH_DELAY_S)
+        return None
+
+    def _apply_batch(self, batch: WatchBatch, start_version: int) -> None:
         is_trusted = self._trusts_removals()
-        for event in batch.ok_value.events:
+        for event in batch.events:
             if event.action == "delete":
                 self._remove(event.stored.name, is_trusted=is_trusted)
             else:
                 self._put(event.stored)
-        self._version = max(self._version, batch.ok_value.version)
-        self._history.record(
-            before=start_version, after=self._version, events=batch.ok_value.events
-        )
-        if batch.ok_value.events:
+        self._version = max(self._version, batch.version)
+        self._history.record(before=start_version, after=self._version, events=batch.events)
+        if batch.events:
             self._on_change()
-            await trio.sleep(BATCH_DELAY_S)
-        return None
 
     async def _watch_with_check(
         self, version: int
--- a/src/wagtailpoint/discovery/history.py
+++ b/src/wagtailpoint/discovery/history.py
@@ -45,11 +45,22 @@
         self._batches: deque[_Batch] = deque(maxlen=MAX_BATCHES)
 
     def record(self, *, before: int, after: int, events: Sequence[WatchEvent]) -> None:
-        """Record the events that led from version ``before`` to ``after``."""
-        if self._batches and self._batches[-1].after != before:
+        """Record the events that led from version ``before`` to ``after``.
+
+        They may begin earlier than the last batch ends, since a peer may have sent some of them.
+        """
+        if self._batches and self._batches[-1].after < before:
             self.clear()
         self._batches.append(_Batch(before, after, tuple(events)))
 
+    def record_changes(self, changes: KindChanges, *, before: int) -> None:
+        """Record the changes that a peer has sent, which led from version ``before`` on."""
+        put = [StoredObject(changes.kind, *stored) for stored in changes.objects]
+        gone = [StoredObject(changes.kind, name, changes.version, None) for name in changes.removed]
+        events = [WatchEvent("put", stored) for stored in put]
+        events += [WatchEvent("delete", stored) for stored in gone]
+        self.record(before=before, after=changes.version, events=events)
+
     def clear(self) -> None:
         """Discard all batches: the state was replaced, and the events in between are unknown."""
         self._batches.clear()
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -14,15 +14,13 @@
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.freshness import Freshness, PeerProof
 from wagtailpoint.discovery.history import KindChanges
+from wagtailpoint.discovery.watch_order import WatchOrder, watcher_count
 from wagtailpoint.membership import Membership
-from wagtailpoint.membership.member import Member, capacity_sort_key
+from wagtailpoint.membership.member import Member
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import PeerAddress, Peers, Received, register_message
 from wagtailpoint.rendezvous import rendezvous_score
 
-MAX_ALL_WATCHING: Final = 5
-"""In a region with at most this many instances all of them watch: fewer would save little."""
-
 SOURCE_COUNT: Final = 2
 """Number of watchers that an instance asks at the same time. A watcher that is cut off from the
 store may not notice for up to 3 s; changes must be in force within 2 to 4 s."""
@@ -38,10 +36,6 @@
 ASKED_WATCH_TTL_S: Final = 5.0
 """How long an instance that is asked in place of a watcher watches after the last question."""
 
-INSTANCES_PER_WATCHER: Final = 32
-"""An instance asks twice in 0.8 s and gets a copy of each change; each further watcher costs one
-call of the store for each change."""
-
 QUESTION_WAIT_S: Final = 0.8
 """How long a watcher holds a question while there are no changes."""
 
@@ -105,16 +99,11 @@
     until: float
 
 
-def watcher_count(instances: int) -> int:
-    """Return how many of a region's instances watch the store."""
-    if instances <= MAX_ALL_WATCHING:
-        return instances
-    return max(SOURCE_COUNT, math.ceil(instances / INSTANCES_PER_WATCHER))
-
-
 class WatchSharing:
     """Asks the watchers of the region for changes, and answers questions as one of them.
 
+    Watchers ask each other, too, as a watch may be neither answered nor ended.
+
     If a watcher does not answer or has lost the store, instances ask the next one in the region's
     order, which begins to watch because it is asked. An instance watches the store itself,
     from the version that it has, when no source answers, or only one for some time.
@@ -142,8 +131,7 @@
         self._followers = followers
         self._answering = [False] * SOURCE_COUNT
         self._sources: list[PeerAddress | None] = [None] * SOURCE_COUNT
-        self._ordered_members: Sequence[Member] = ()
-        self._watch_order: Sequence[Member] = ()
+        self._order = WatchOrder(membership=membership)
         self._started_at = math.inf
         self._source_missing_since: float | None = None
         self._asked_until = -math.inf
@@ -266,34 +254,41 @@
 
     def is_watcher(self) -> bool:
         """Return whether this instance is among the watchers of its region."""
-        own = self._membership.own.address
-        live = self._live_in_order()
-        return any(member.address == own for member in live[: watcher_count(len(live))])
+        return self._order.is_watcher()
 
     def _choose_source(self, number: int) -> PeerAddress | None:
-        """Return the watcher to ask; None if this instance is one, or there is none."""
+        """Return the instance to ask, one for each number; None if there is none."""
+        if self.is_watcher() or trio.current_time() < self._asked_until:
+            sources = self._choose_fellow_watchers(number)
+        else:
+            live = self._order.live(self._membership.own.region)
+            sources = self._usable(live)[: watcher_count(len(live))]
+        # Instances ask different pairs of watchers, so that the questions are spread.
+        offset = rendezvous_score("source", self._membership.own.address)
+        return sources[(offset + number) % len(sources)].peer_address if sources else None
+
+    def _choose_fellow_watchers(self, number: int) -> Sequence[Member]:
+        """Return the watchers that an instance asks on which others rely.
+
+        Its own watch may never be answered, and so may those of its whole region, which began for
+        the same reason at the same time. The first source is in its region, the second in another.
+        """
+        regions = self._order.regions
+        for region in regions if number == 0 else [*regions[1:], regions[0]]:
+            sources = self._usable(self._order.watchers(region))
+            if sources:
+                return sources
+        return ()
+
+    def _usable(self, members: Sequence[Member]) -> Sequence[Member]:
+        """Return the members other than this one that have not failed to answer lately."""
         now = trio.current_time()
-        if self.is_watcher() or now < self._asked_until:
-            return None
         own = self._membership.own.address
-        live = self._live_in_order()
-        candidates = [
+        return [
             member
-            for member in live
+            for member in members
             if member.address != own and self._declined_until.get(member.address, 0.0) <= now
         ]
-        sources = candidates[: watcher_count(len(live))]
-        # Instances ask different pairs of watchers, so that the questions are spread.
-        offset = rendezvous_score("source", own)
-        return sources[(offset + number) % len(sources)].peer_address if sources else None
-
-    def _live_in_order(self) -> Sequence[Member]:
-        """Return the region's live members, in the same order for the same view of the members."""
-        members = self._membership.members()
-        if members is not self._ordered_members:
-            self._ordered_members = members
-            self._watch_order = _sort_by_watch_order(members, self._membership.own.region)
-        return self._watch_order
 
     def _on_question(self, received: Received) -> WatchAnswer | None:
         self._asked_until = trio.current_time() + ASKED_WATCH_TTL_S
@@ -342,13 +337,3 @@
 
     def _with_proof(self, answer: WatchAnswer, arrived_at: float) -> WatchAnswer:
         return answer._replace(config_proof=self._freshness.proof_for_peer(arrived_at))
-
-
-def _sort_by_watch_order(members: Sequence[Member], region: str) -> Sequence[Member]:
-    """Return the live members of a region in the order in which they become watchers.
-
-    The instances with the highest capacity come first: after a restart of all instances each
-    watcher sends the whole state to dozens of them.
-    """
-    live = [member for member in members if member.region == region and member.is_serving]
-    return sorted(live, key=lambda member: capacity_sort_key(member, "watcher"))
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -15,12 +15,12 @@
 from wagtailpoint.discovery.follower import BATCH_DELAY_S, WATCH_WAIT_S, KindFollower
 from wagtailpoint.discovery.history import ChangeHistory, KindChanges
 from wagtailpoint.discovery.store_check import StoreCheck
+from wagtailpoint.discovery.watch_order import watcher_count
 from wagtailpoint.discovery.watch_sharing import (
     SOURCE_COUNT,
     WatchAnswer,
     WatchQuestion,
     WatchSharing,
-    watcher_count,
 )
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import StoredObject, WatchEvent
--- a/tests/integration/test_steering_group.py
+++ b/tests/integration/test_steering_group.py
@@ -10,7 +10,7 @@
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
 from tests.common.steering_group import Instance, all_return_status, steering_group, wait_until
 from tests.common.users_store import UsersStore
-from wagtailpoint.discovery.watch_sharing import MAX_ALL_WATCHING, watcher_count
+from wagtailpoint.discovery.watch_order import MAX_ALL_WATCHING, watcher_count
 from wagtailpoint.lookup.entry_choice import MIN_ENTRIES
 
 LIMIT_S = 90
--- a/tests/nocover/test_follower_faults.py
+++ b/tests/nocover/test_follower_faults.py
@@ -23,7 +23,8 @@
 from wagtailpoint.discovery.freshness import Freshness
 from wagtailpoint.discovery.peer_states import PeerStateExchange
 from wagtailpoint.discovery.store_check import StoreCheck
-from wagtailpoint.discovery.watch_sharing import MAX_ALL_WATCHING, WatchSharing
+from wagtailpoint.discovery.watch_order import MAX_ALL_WATCHING
+from wagtailpoint.discovery.watch_sharing import WatchSharing
 from wagtailpoint.errors import PlatformUnavailable
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import Conflict, Listing, StoredObject
