Failing tests: backend servers that state a limit

The stand-in backend servers state a limit in their answers. A caller of the tests no longer fails when an instance is killed during its request.

--- a/tests/common/steering_group.py
+++ b/tests/common/steering_group.py
@@ -54,10 +54,15 @@
         return 0, b""
     async with stream:
         lines = [f"GET {target} HTTP/1.1", f"Host: {HOST}", "Connection: close", *headers]
-        await stream.send_all("\r\n".join(lines).encode() + b"\r\n\r\n")
         data = b""
-        async for part in stream:
-            data += bytes(part)
+        try:
+            await stream.send_all("\r\n".join(lines).encode() + b"\r\n\r\n")
+            async for part in stream:
+                data += bytes(part)
+        except trio.BrokenResourceError:
+            return 0, b""
+    if not data:
+        return 0, b""
     return int(data.split(b" ")[1]), data.partition(b"\r\n\r\n")[2]
 
 
--- /dev/null
+++ b/tests/integration/test_stated_limits.py
@@ -0,0 +1,122 @@
+"""Tests of backend servers that state a limit, with several instance processes."""
+
+import unittest
+from collections.abc import Awaitable, Callable, Sequence
+from itertools import count
+
+import trio
+
+from tests.common.limited_servers import LimitedServers
+from tests.common.node_settings_file import unsplit_config_document
+from tests.common.steering_group import (
+    CALLER_PORT,
+    Instance,
+    all_return_status,
+    send_get,
+    steering_group,
+    wait_until,
+)
+from tests.common.users_store import UsersStore
+
+LIMIT_S = 90
+INSTANCES = 4
+SERVERS = 5
+CALLERS_PER_INSTANCE = 6
+REQUEST_INTERVAL_S = 0.02
+KEYS = 20
+
+STATED_PER_S = 2.5
+SETTLE_S = 4.0
+"""Time after the first statement from which the limit holds."""
+
+WINDOW_S = 4.0
+OVERAGE = 1.5
+SLACK = 5
+"""The users' bound on the requests in a window: the overage times what the limit allows, and the
+slack."""
+
+MEASURED_S = 6.0
+
+
+class StatedLimitsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.store = UsersStore()
+        self.servers = LimitedServers(store=self.store, header="Server-Limit", runs_s=0.02)
+        self.statuses: list[int] = []
+        self.numbers = count(1)
+
+    def run_with(self, test: Callable[[list[Instance]], Awaitable[None]]) -> None:
+        async def run() -> None:
+            with trio.fail_after(LIMIT_S):
+                async with trio.open_nursery() as nursery, self.store.serve() as store:
+                    self.store.put("config", "main", unsplit_config_document())
+                    nursery.start_soon(self.servers.run, SERVERS)
+                    async with steering_group(store, INSTANCES) as instances:
+                        await wait_until(
+                            lambda: all_return_status(instances, 200), LIMIT_S / 2, "all serve"
+                        )
+                        for instance in instances:
+                            for _ in range(CALLERS_PER_INSTANCE):
+                                nursery.start_soon(self.call, instance)
+                        await test(instances)
+                        nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    async def call(self, instance: Instance) -> None:
+        """Send requests one after the other until cancelled."""
+        while True:
+            number = next(self.numbers)
+            target = f"/look/{number % KEYS}/"
+            status, _ = await send_get(
+                instance.address, CALLER_PORT, target, f"X-Attempt-Id: a{number}"
+            )
+            self.statuses.append(status)
+            await trio.sleep(REQUEST_INTERVAL_S)
+
+    def assert_kept(self, stated_per_s: float, *, after: float) -> None:
+        """Assert that no backend server got more than its limit allows in any window."""
+        allowed = OVERAGE * stated_per_s * WINDOW_S + SLACK
+        most = self.servers.most_in_window(WINDOW_S, after=after)
+        over = {name: got for name, got in most.items() if got > allowed}
+        self.assertEqual(over, {}, f"allowed {allowed} in {WINDOW_S} s")
+
+    async def state(self, *values: str) -> float:
+        """Make all backend servers state a limit; return the time from which it holds."""
+        self.servers.stated = values
+        await trio.sleep(SETTLE_S)
+        return trio.current_time()
+
+    def test_requests_of_all_instances_keep_a_stated_limit(self) -> None:
+        """Guards against a backend server that gets more than the limit that it states."""
+
+        async def test(_instances: Sequence[Instance]) -> None:
+            stated_at = await self.state(str(STATED_PER_S))
+            await trio.sleep(MEASURED_S)
+            self.assert_kept(STATED_PER_S, after=stated_at)
+
+        self.run_with(test)
+
+    def test_instance_that_starts_later_keeps_a_stated_limit(self) -> None:
+        """Guards against a limit that the instances forget which start after it was stated."""
+
+        async def test(instances: Sequence[Instance]) -> None:
+            await self.state(str(STATED_PER_S))
+            for instance in instances[:2]:
+                instance.process.kill()
+                instance.process.start()
+            await wait_until(lambda: all_return_alive(instances), LIMIT_S / 2, "all answer again")
+            restarted_at = trio.current_time()
+            await trio.sleep(SETTLE_S + MEASURED_S)
+            self.assert_kept(STATED_PER_S, after=restarted_at + SETTLE_S)
+
+        self.run_with(test)
+
+
+async def all_return_alive(instances: Sequence[Instance]) -> bool:
+    """Return whether all instances answer a request, served or refused for lack of room."""
+    return all([await instance.status_of_valid_request() in (200, 503) for instance in instances])
+
+
+if __name__ == "__main__":
+    unittest.main()
