The instances that share a bound on a backend server are chosen in limits/

The choice of the senders of a cold backend server moves from placement/ to limits/bound_senders.py, and takes the server's id instead of its start, so that other bounds on one backend server can be shared in the same way. No change of behaviour: 27 tests of shared bounds and placement pass.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -330,7 +330,7 @@
             distances=distances,
             cold=ColdPacing(
                 bound=lambda: ColdBound(1.5, 5.0),
-                count_senders=lambda start, region, wanted: instances,
+                count_senders=lambda server, region, wanted: instances,
             ),
             cached_fraction=CachedFraction(fleet=fleet, entries=entries),
             mix=RegionMix(max_shift=lambda: MAX_SHIFT_FRACTION, random=self._random),
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -27,6 +27,7 @@
 from wagtailpoint.discovery.store_check import StoreCheck
 from wagtailpoint.discovery.watch_sharing import WatchSharing
 from wagtailpoint.idempotency.binding import new_incarnation
+from wagtailpoint.limits.bound_senders import BoundSenders
 from wagtailpoint.membership import Membership, MembershipSettings
 from wagtailpoint.membership.member import Fact
 from wagtailpoint.node_settings import Endpoint, NodeSettings
@@ -35,7 +36,6 @@
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.cached_fraction import CachedFraction
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
-from wagtailpoint.placement.cold_senders import ColdSenders
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.region_mix import RegionMix
@@ -257,7 +257,7 @@
             distances=self._distances,
             cold=ColdPacing(
                 bound=self._cold_bound,
-                count_senders=ColdSenders(
+                count_senders=BoundSenders(
                     own=self._settings.callers.address,
                     members=self._membership.members,
                     instances=self._count_instances,
--- a/src/wagtailpoint/placement/cold_senders.py
+++ b/src/wagtailpoint/limits/bound_senders.py
@@ -1,4 +1,4 @@
-"""The instances that send to a cold backend server: a few, agreed on without messages."""
+"""The instances that share a bound on a backend server: a few, agreed on without messages."""
 
 import math
 from collections.abc import Callable, Iterable, Mapping
@@ -6,7 +6,6 @@
 
 import trio
 
-from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.instance_count import PEAK_RETENTION_S
 from wagtailpoint.lookup.entry_choice import ENTRY_ORDER, MIN_ENTRIES
 from wagtailpoint.membership.member import Member, capacity_sort_key
@@ -16,8 +15,8 @@
 """Interval between updates of the set of live instances."""
 
 
-class ColdSenders:
-    """Selects the instances that share the bound of each cold backend server.
+class BoundSenders:
+    """Selects the instances that share a bound on the requests to one backend server.
 
     If the bound were spread over all instances, each would get less than one request a second, and
     most of the bound would be reserved for bursts. A few senders, which all instances derive from
@@ -49,11 +48,11 @@
         self._members_by_address: dict[str, Member] = {}
         self._most_capable: frozenset[str] = frozenset()
 
-    def count_senders(self, start: ServerStart, region: str, max_senders: int) -> int:
+    def count_senders(self, server: str, region: str, max_senders: int) -> int:
         """Return how many instances send to a backend server, 0 if this one is not among them.
 
         Args:
-            start: The backend server.
+            server: Identifies the backend server, in the same way on all instances.
             region: The region of the backend server; instances there are preferred, so that its
                 cache is filled for the callers of that region first.
             max_senders: The maximum number of senders.
@@ -69,7 +68,7 @@
             key=lambda address: (
                 self._members_by_address[address].region != region,
                 address not in self._most_capable,
-                -rendezvous_score(start.server_id, address),
+                -rendezvous_score(server, address),
             ),
         )
         return max_senders if self._own in senders[:max_senders] else 0
--- a/src/wagtailpoint/placement/cold_pacing.py
+++ b/src/wagtailpoint/placement/cold_pacing.py
@@ -52,14 +52,14 @@
         self,
         *,
         bound: Callable[[], ColdBound],
-        count_senders: Callable[[ServerStart, str, int], int],
+        count_senders: Callable[[str, str, int], int],
     ) -> None:
         """Initialise the buckets.
 
         Args:
             bound: Returns the current bound of all instances together.
             count_senders: Returns how many instances send to a backend server, 0 if this one is
-                not among them, given its start, its region and the maximum number of senders.
+                not among them, given its id, its region and the maximum number of senders.
         """
         self._bound = bound
         self._count_senders = count_senders
@@ -83,7 +83,9 @@
         if bucket is None:
             bucket = self._buckets[start] = _Bucket(now)
         bound = SAFETY_FRACTION * self._bound().per_second(cold_per_s)
-        senders = self._count_senders(start, region, max(1, int(bound / SENDER_RATE_PER_S)))
+        senders = self._count_senders(
+            start.server_id, region, max(1, int(bound / SENDER_RATE_PER_S))
+        )
         # A sender with a share below one burst must not send: all bursts could come in one second.
         rate = bound / senders - BURST_REQUESTS if senders else -1.0
         burst = BURST_REQUESTS if rate >= 0 else 0.0
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -93,7 +93,7 @@
         fleet=fleet,
         distances=make_distances(),
         cold=ColdPacing(
-            bound=lambda: ColdBound(1.5, 5.0), count_senders=lambda start, region, wanted: instances
+            bound=lambda: ColdBound(1.5, 5.0), count_senders=lambda server, region, wanted: instances
         ),
         cached_fraction=CachedFraction(fleet=fleet, entries=entries),
         mix=RegionMix(max_shift=lambda: MAX_SHIFT, random=Random(1)),
--- a/tests/cover/test_shared_bounds.py
+++ b/tests/cover/test_shared_bounds.py
@@ -8,9 +8,9 @@
 from wagtailpoint.discovery.bound_share import BoundShare
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.instance_count import InstanceCount
+from wagtailpoint.limits.bound_senders import BoundSenders
 from wagtailpoint.membership import Member
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
-from wagtailpoint.placement.cold_senders import ColdSenders
 from wagtailpoint.proxy.shared_retry_budget import RetryBound, SharedRetryBudget
 
 START = ServerStart("i-1", 0)
@@ -100,7 +100,7 @@
         def pacing(number: int) -> ColdPacing:
             first, last = (0, size - unseen) if number < size - unseen else (size - unseen, size)
             seen = [make_member(index) for index in range(first, last)]
-            sharing = ColdSenders(
+            sharing = BoundSenders(
                 own=seen[number - first].address,
                 members=lambda: seen,
                 instances=lambda: size if unseen else len(seen),
@@ -161,16 +161,16 @@
         async def test() -> None:
             members = [make_member(number) for number in range(12)]
             sharing = [
-                ColdSenders(
+                BoundSenders(
                     own=member.address, members=lambda: members, instances=lambda: 12
                 ).count_senders
                 for member in members
             ]
-            before = [get_sharing(START, "a", 3) for get_sharing in sharing]
+            before = [get_sharing(START.server_id, "a", 3) for get_sharing in sharing]
             self.assertEqual(sum(map(bool, before)), 3)
             await trio.sleep(1.0)
             members[:] = [member._replace(state="dead") for member in members]
-            self.assertEqual([get_sharing(START, "a", 3) for get_sharing in sharing], before)
+            self.assertEqual([get_sharing(START.server_id, "a", 3) for get_sharing in sharing], before)
 
         trio.run(test, clock=MockClock(autojump_threshold=0))
 
@@ -178,10 +178,10 @@
         async def test() -> None:
             members = [make_member(n, region="a" if n % 4 == 0 else "b") for n in range(12)]
             for member in members:
-                senders = ColdSenders(
+                senders = BoundSenders(
                     own=member.address, members=lambda: members, instances=lambda: 12
                 )
-                chosen = senders.count_senders(START, "a", 3) > 0
+                chosen = senders.count_senders(START.server_id, "a", 3) > 0
                 self.assertEqual(chosen, member.region == "a")
 
         trio.run(test, clock=MockClock(autojump_threshold=0))
