Instances keep the limits that backend servers state, all together

Cause: nothing read the header; this is a rule to build. Class: a bound of the backend server that each instance may exceed alone, and all together by as much as there are instances.

Change: limits/stated_limit.py keeps the newest statement of each start of a backend server, limits/limit_exchange.py tells it to the others and compares with peers, limits/limit_pacing.py gives each instance its part. A few senders share a limit, chosen like those of cold backend servers. The placement treats a server without a token like a failing one: others replace it; without any, the request is refused at once. The token is taken in the step that sends, so concurrent requests, retries and hedged copies count. Metrics and log lines show a limit stated, in force and lifted.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -15,6 +15,7 @@
 
 import trio
 from loguru import logger
+from tests.common.steering_parts import make_limit_pacing, make_stated_limits
 from trio.testing import MockClock
 
 from wagtailpoint.discovery.entries import ServerEntry
@@ -332,6 +333,7 @@
                 bound=lambda: ColdBound(1.5, 5.0),
                 count_senders=lambda server, region, wanted: instances,
             ),
+            limits=make_limit_pacing(make_stated_limits(fleet)),
             cached_fraction=CachedFraction(fleet=fleet, entries=entries),
             mix=RegionMix(max_shift=lambda: MAX_SHIFT_FRACTION, random=self._random),
             entries=entries,
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -14,6 +14,8 @@
 from wagtailpoint.daemon.entry_role import EntryRole
 from wagtailpoint.daemon.followers import make_followers
 from wagtailpoint.daemon.probes import make_probes
+from wagtailpoint.daemon.removed_servers import RemovedServers
+from wagtailpoint.daemon.server_limits import ServerLimits
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.daemon.store_state import StoreState
@@ -141,9 +143,8 @@
             random=self._random,
         )
         self._fleet = Fleet(region_of=settings.region_of)
-        self._removed: list[ServerStart] = []
-        self._some_removed = trio.Event()
-        self._state = StoreState(fleet=self._fleet, on_removed=self._record_removed)
+        self._removed = RemovedServers(discard=self._discard_server)
+        self._state = StoreState(fleet=self._fleet, on_removed=self._removed.record)
         self._workspaces = WorkspaceRules(
             state=self._state,
             bounds=lambda: self._settings_file.bounds,
@@ -181,6 +182,19 @@
         self._workspaces.set_follower(
             self._followers[CONFIG_KIND], is_watcher=self._sharing.is_watcher
         )
+        self._senders = BoundSenders(
+            own=settings.callers.address,
+            members=self._membership.members,
+            instances=self._count_instances,
+        )
+        self._limits = ServerLimits(
+            peers=self._peers,
+            membership=self._membership,
+            is_known=self._fleet.knows_start,
+            count_senders=self._senders.count_senders,
+            metrics=self._metrics,
+            random=self._random,
+        )
         self._distances = Distances(
             failure_domain=settings.failure_domain,
             region=settings.region,
@@ -221,11 +235,12 @@
                 tasks: list[Callable[[], Awaitable[None]]] = [
                     self._peers.run,
                     self._membership.run,
-                    partial(self._registration.run, self._is_alone),
+                    partial(self._registration.run, lambda: self._count_alive() <= 1),
                     *(follower.run for follower in self._followers.values()),
                     self._lost_registrations.run,
                     self._sharing.run,
                     self._quarantine.run,
+                    self._limits.run,
                     self._workspaces.run,
                     self._store_check.run,
                     self._pool.run,
@@ -237,7 +252,7 @@
                         is_entry=self._role.is_entry,
                         random=self._random,
                     ),
-                    self._clean_removed,
+                    self._removed.run,
                     self._role.report_load,
                     self._settings_file.run,
                 ]
@@ -255,14 +270,8 @@
         return Placement(
             fleet=self._fleet,
             distances=self._distances,
-            cold=ColdPacing(
-                bound=self._cold_bound,
-                count_senders=BoundSenders(
-                    own=self._settings.callers.address,
-                    members=self._membership.members,
-                    instances=self._count_instances,
-                ).count_senders,
-            ),
+            cold=ColdPacing(bound=self._cold_bound, count_senders=self._senders.count_senders),
+            limits=self._limits.pacing,
             cached_fraction=CachedFraction(fleet=self._fleet, entries=self._role.nearby_counts),
             mix=RegionMix(
                 max_shift=lambda: self._settings_file.bounds.region_shift_max,
@@ -279,6 +288,7 @@
             budget=SharedRetryBudget(bound=self._retry_bound, divisor=self._role.bound_divisor),
             quarantine=self._quarantine.local,
             key_check=self._workspaces.key_check,
+            limits=self._limits.stated,
             names=HEADER_NAMES,
         )
         return Dispatcher(
@@ -330,9 +340,6 @@
         """Return how many instances share the common bounds."""
         return self._instance_count.value
 
-    def _is_alone(self) -> bool:
-        return self._count_alive() <= 1
-
     def _is_ready(self) -> bool:
         known = all(follower.has_state for follower in self._followers.values())
         return known and self._state.table is not None and not self._leaving
@@ -346,6 +353,7 @@
             "instances": self._count_instances(),
             "entries": len(self._role.choice.all),
             "load": self._membership.own.load,
+            **self._limits.gauges,
             **self._quarantine.gauges,
             **self._workspaces.gauges,
             "watching": all(follower.is_watching for follower in self._followers.values()),
@@ -359,19 +367,10 @@
             self._membership.publish(state="live")
             log_event("ready", backend_servers=len(self._fleet.entries))
 
-    def _record_removed(self, start: ServerStart) -> None:
-        self._removed.append(start)
-        self._some_removed.set()
-
-    async def _clean_removed(self) -> None:
-        while True:
-            if not self._removed:
-                self._some_removed = trio.Event()
-                await self._some_removed.wait()
-            removed, self._removed[:] = list(self._removed), []
-            for start in removed:
-                self._placement.remove(start)
-                await self._pool.close(start)
+    async def _discard_server(self, start: ServerStart) -> None:
+        self._placement.remove(start)
+        self._limits.forget(start.key)
+        await self._pool.close(start)
 
     async def _stop(self) -> None:
         """Leave the lookups, serve callers with a cached lookup, then wait for open requests."""
--- a/src/wagtailpoint/discovery/entries.py
+++ b/src/wagtailpoint/discovery/entries.py
@@ -16,6 +16,11 @@
     server_id: str
     started_ms: int
 
+    @property
+    def key(self) -> str:
+        """The start as one word, the same on all instances."""
+        return f"{self.server_id}/{self.started_ms}"
+
 
 class ServerEntry(NamedTuple):
     """A backend server as described by its registration.
--- a/src/wagtailpoint/discovery/fleet.py
+++ b/src/wagtailpoint/discovery/fleet.py
@@ -79,6 +79,11 @@
             self._rebuild()
         return self._candidates.get(service, ())
 
+    def knows_start(self, key: str) -> bool:
+        """Return whether a start, given as ``ServerStart.key``, is that of a registered server."""
+        entry = self._entries.get(key.rpartition("/")[0])
+        return entry is not None and entry.start.key == key
+
     def takes_work(self, entry: ServerEntry) -> bool:
         """Return whether the backend server may take new requests and has not restarted since."""
         known = self._entries.get(entry.server_id)
--- a/src/wagtailpoint/limits/bound_senders.py
+++ b/src/wagtailpoint/limits/bound_senders.py
@@ -14,6 +14,9 @@
 POLL_INTERVAL_S: Final = 0.1
 """Interval between updates of the set of live instances."""
 
+MAX_CACHED_RANKS: Final = 4096
+"""Maximum number of backend servers with a cached order of senders."""
+
 
 class BoundSenders:
     """Selects the instances that share a bound on the requests to one backend server.
@@ -47,6 +50,7 @@
         self._last_alive_at: dict[str, float] = {}
         self._members_by_address: dict[str, Member] = {}
         self._most_capable: frozenset[str] = frozenset()
+        self._own_ranks: dict[tuple[str, str], int] = {}
 
     def count_senders(self, server: str, region: str, max_senders: int) -> int:
         """Return how many instances send to a backend server, 0 if this one is not among them.
@@ -63,15 +67,23 @@
             # Instances that are not known yet may select other senders, so all instances share.
             return instances
         max_senders = min(max_senders, len(self._last_alive_at))
-        senders = sorted(
-            self._last_alive_at,
-            key=lambda address: (
-                self._members_by_address[address].region != region,
-                address not in self._most_capable,
-                -rendezvous_score(server, address),
-            ),
-        )
-        return max_senders if self._own in senders[:max_senders] else 0
+        return max_senders if self._own_rank(server, region) < max_senders else 0
+
+    def _own_rank(self, server: str, region: str) -> int:
+        """Return how many instances are senders of a backend server before this one is."""
+        rank = self._own_ranks.get((server, region))
+        if rank is None:
+            senders = sorted(
+                self._last_alive_at,
+                key=lambda address: (
+                    self._members_by_address[address].region != region,
+                    address not in self._most_capable,
+                    -rendezvous_score(server, address),
+                ),
+            )
+            rank = senders.index(self._own) if self._own in senders else len(senders)
+            self._own_ranks[server, region] = rank
+        return rank
 
     def _poll_members(self) -> None:
         now = trio.current_time()
@@ -85,8 +97,9 @@
             if member.state != "dead":
                 alive_at[member.address] = now
         self._last_alive_at = _filter_recent(alive_at, now - PEAK_RETENTION_S)
-        if self._last_alive_at.keys() != previous:
+        if self._last_alive_at.keys() != previous or len(self._own_ranks) > MAX_CACHED_RANKS:
             self._most_capable = self._find_most_capable()
+            self._own_ranks.clear()
 
     def _find_most_capable(self) -> frozenset[str]:
         """Return the instances with the most capacity of each failure domain.
--- a/src/wagtailpoint/placement/choice.py
+++ b/src/wagtailpoint/placement/choice.py
@@ -63,7 +63,8 @@
 
     Attributes:
         entry: The backend server.
-        reason: ``full``, or ``cold`` if its slow start allows no further request at the moment.
+        reason: ``full``; ``cold`` or ``limited`` if its slow start, or the limit that it states,
+            allows no further request at the moment.
         occupancy: The estimated number of requests there.
         report_age_s: The age of the backend server's newest load report, in seconds.
     """
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -7,6 +7,7 @@
 
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.placement.cached_fraction import CachedFraction
 from wagtailpoint.placement.choice import (
     Choice,
@@ -43,6 +44,7 @@
         fleet: Fleet,
         distances: Distances,
         cold: ColdPacing,
+        limits: LimitPacing,
         cached_fraction: CachedFraction,
         mix: RegionMix,
         entries: EntryCounts,
@@ -53,6 +55,7 @@
             fleet: The backend servers.
             distances: The round-trip times to them.
             cold: Limits the requests to cold backend servers.
+            limits: Limits the requests to backend servers that state a limit.
             cached_fraction: The fraction of keys to cache in each failure domain.
             mix: Limits how fast requests shift between regions.
             entries: The numbers of instances that share the callers.
@@ -60,6 +63,7 @@
         self._fleet = fleet
         self._distances = distances
         self._cold = cold
+        self._limits = limits
         self._cached_fraction = cached_fraction
         self._mix = mix
         self._estimates = Estimates()
@@ -71,6 +75,7 @@
             fleet=fleet,
             distances=distances,
             cold=cold,
+            limits=limits,
             cached_fraction=cached_fraction,
             estimates=self._estimates,
             entries=entries,
@@ -130,16 +135,23 @@
         preferred = set(select_preferred(ranked)).intersection(reachable)
         if not preferred:
             return set(select_preferred(reachable))
-        failing = {
-            option for option in preferred if self.load_of(option.candidate.entry).is_failing(now)
+        replaced = {
+            option
+            for option in preferred
+            if self.load_of(option.candidate.entry).is_failing(now)
+            or not self._may_send_by_limit(option.candidate.entry)
         }
-        if failing:
+        if replaced:
             # Failing servers stay candidates: they are weighed against servers without the object.
             preferred.update(
-                select_preferred([option for option in reachable if option not in failing])
+                select_preferred([option for option in reachable if option not in replaced])
             )
         return preferred
 
+    def _may_send_by_limit(self, entry: ServerEntry) -> bool:
+        region = self._fleet.region_of(entry.failure_domain)
+        return self._limits.may_send(entry.start.key, region)
+
     def _choose_least_loss(
         self, choices: Sequence[Choice], remaining_s: float, now: float
     ) -> Choice:
@@ -160,6 +172,14 @@
         ]
         return min(alternatives, key=expected_loss, default=best)
 
+    def take_by_limit(self, entry: ServerEntry) -> bool:
+        """Count a request that is about to be sent against the limit that the server states.
+
+        Returns:
+            Whether the limit allows it.
+        """
+        return self._limits.take(entry.start.key, self._fleet.region_of(entry.failure_domain))
+
     def record_send(self, demand: Demand, choice: Choice) -> InFlightRequest:
         """Record that a request is sent; return its record for ``record_end``."""
         entry = choice.entry
--- a/src/wagtailpoint/placement/weigher.py
+++ b/src/wagtailpoint/placement/weigher.py
@@ -3,6 +3,7 @@
 from typing import Final
 
 from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.placement.cached_fraction import CachedFraction
 from wagtailpoint.placement.choice import Choice, Declined, Demand
 from wagtailpoint.placement.cold_pacing import ColdPacing
@@ -47,6 +48,7 @@
         fleet: Fleet,
         distances: Distances,
         cold: ColdPacing,
+        limits: LimitPacing,
         cached_fraction: CachedFraction,
         estimates: Estimates,
         entries: EntryCounts,
@@ -57,6 +59,7 @@
             fleet: The backend servers.
             distances: The round-trip times to them.
             cold: Limits the requests to cold backend servers.
+            limits: Limits the requests to backend servers that state a limit.
             cached_fraction: The fraction of keys to cache in each failure domain.
             estimates: This instance's estimates of backend servers and routes.
             entries: The numbers of instances that share the callers.
@@ -64,6 +67,7 @@
         self._fleet = fleet
         self._distances = distances
         self._cold = cold
+        self._limits = limits
         self._cached_fraction = cached_fraction
         self._estimates = estimates
         self._entries = entries
@@ -87,6 +91,8 @@
         occupancy = load.occupancy(now, round_trip_s)
         report_age_s = load.report_age_s(now)
         slowness = load.slowness(now)
+        if not self._limits.may_send(entry.start.key, region):
+            return Declined(entry, "limited", occupancy, report_age_s)
         if self._fleet.is_cold(entry.start):
             if not self._cold.may_send(entry.start, region, cold_per_s(demand.policy)):
                 return Declined(entry, "cold", occupancy, report_age_s)
--- a/src/wagtailpoint/platform/header_names.py
+++ b/src/wagtailpoint/platform/header_names.py
@@ -10,6 +10,7 @@
     affinity=b"x-affinity-key",
     expected_server=b"x-expect-instance",
     load=b"x-server-load",
+    limit=b"server-limit",
     not_run=b"x-not-executed",
     cold_ms=b"x-cold-ms",
     workspace=b"x-tenant",
--- a/src/wagtailpoint/proxy/headers.py
+++ b/src/wagtailpoint/proxy/headers.py
@@ -30,6 +30,7 @@
         affinity: The affinity key, equal for requests that concern the same object.
         expected_server: The id of the backend server to which a request is sent.
         load: A backend server's load report: running requests, waiting requests and slots.
+        limit: The requests a second that a backend server takes from all instances together.
         not_run: Present in a response if the backend server did not run the request.
         cold_ms: The time for which a backend server stays cold, in milliseconds.
         workspace: The workspace of a request, for backend servers; a caller's value is dropped.
@@ -40,6 +41,7 @@
     affinity: bytes
     expected_server: bytes
     load: bytes
+    limit: bytes
     not_run: bytes
     cold_ms: bytes
     workspace: bytes
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -6,6 +6,7 @@
 import trio
 
 from wagtailpoint.discovery.entries import ServerEntry
+from wagtailpoint.limits.stated_limit import StatedLimits
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.placement.choice import Choice, Demand, NotPlaced, Observation
 from wagtailpoint.placement.placement import Placement
@@ -26,6 +27,7 @@
     header_text,
     header_value,
 )
+from wagtailpoint.proxy.hedged_exchange import HedgedExchange
 from wagtailpoint.proxy.key_check import KeyCheck
 from wagtailpoint.proxy.request_context import CONNECT_FAILURES, Outcome, RequestContext
 from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
@@ -51,27 +53,6 @@
 MIN_HEDGE_DELAY_S = 0.15
 
 
-class _HedgedExchange:
-    """The concurrent sends of one request, of which the first usable response is forwarded."""
-
-    def __init__(self) -> None:
-        self.outcome: Outcome | None = None
-        self.error: Exception | None = None
-        self.answered_by: str | None = None
-        self.scopes: dict[str, trio.CancelScope] = {}
-        self.all_ended = trio.Event()
-
-    def claim(self, server_id: str) -> bool:
-        """Claim the reply and cancel the other sends; return False if it was already claimed."""
-        if self.answered_by is not None:
-            return False
-        self.answered_by = server_id
-        for other_id, scope in self.scopes.items():
-            if other_id != server_id:
-                scope.cancel()
-        return True
-
-
 class Sender:
     """Sends requests to backend servers and records the results."""
 
@@ -84,6 +65,7 @@
         budget: SharedRetryBudget,
         quarantine: Quarantine,
         key_check: KeyCheck,
+        limits: StatedLimits,
         names: HeaderNames,
     ) -> None:
         """Initialise the sender.
@@ -95,6 +77,7 @@
             budget: The budget for retries and hedged requests.
             quarantine: Records crashes of backend servers and limits the sends of suspect requests.
             key_check: Checks whether a request may still run.
+            limits: Receives the limits that backend servers state.
             names: The deployment's header names.
         """
         self._takes_work = takes_work
@@ -103,6 +86,7 @@
         self._budget = budget
         self._quarantine = quarantine
         self._key_check = key_check
+        self._limits = limits
         self._names = names
 
     def record_request(self, context: RequestContext) -> None:
@@ -167,7 +151,7 @@
         Returns:
             The outcome, or None if no send gave a response to forward.
         """
-        hedged = _HedgedExchange()
+        hedged = HedgedExchange()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._run_attempt, hedged, context, choice, caller)
             sent_at = trio.current_time()
@@ -182,7 +166,7 @@
         return hedged.outcome
 
     def _choose_hedge(
-        self, hedged: _HedgedExchange, context: RequestContext, choice: Choice, sent_at: float
+        self, hedged: HedgedExchange, context: RequestContext, choice: Choice, sent_at: float
     ) -> Choice | None:
         """Choose a second backend server if the first is silent and budget and room are left."""
         silent = self._placement.load_of(choice.entry).heard_at < sent_at
@@ -208,7 +192,7 @@
 
     async def _run_attempt(
         self,
-        hedged: _HedgedExchange,
+        hedged: HedgedExchange,
         context: RequestContext,
         choice: Choice,
         caller: CallerExchange,
@@ -236,7 +220,7 @@
 
     async def _send_once(
         self,
-        hedged: _HedgedExchange,
+        hedged: HedgedExchange,
         context: RequestContext,
         choice: Choice,
         caller: CallerExchange,
@@ -260,7 +244,17 @@
                 context.send_count -= 1
                 context.record_failure(entry.server_id, Verdict.NOT_RUN, "withheld")
                 return None
+            if not self._placement.take_by_limit(entry):
+                # Since the choice, the server has stated a limit, or other requests were sent.
+                context.send_count -= 1
+                context.record_failure(entry.server_id, Verdict.NOT_RUN, "limited")
+                return None
+            sent_at = trio.current_time()
             reply = await self._exchange(context, choice, connection)
+            if reply.status != HTTPStatus.MISDIRECTED_REQUEST:
+                self._limits.record_answer(
+                    entry.start.key, reply.headers, self._names.limit, sent_at
+                )
             self._record_answer(demand, choice, reply, trio.current_time() - began)
             context.load_report = header_value(reply.headers, self._names.load) or b""
             if not self._is_final(context, entry.server_id, reply) or not hedged.claim(
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -12,6 +12,8 @@
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.freshness import Freshness
 from wagtailpoint.limits.allowance_sharing import SpendResult
+from wagtailpoint.limits.limit_pacing import LimitPacing
+from wagtailpoint.limits.stated_limit import StatedLimits
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.cached_fraction import CachedFraction
@@ -86,15 +88,31 @@
     return Distances(failure_domain="a-1", region="a", region_of=REGION_OF)
 
 
-def make_placement(fleet: Fleet, *, instances: int = 1) -> Placement:
+def make_stated_limits(fleet: Fleet) -> StatedLimits:
+    """Return stated limits of a fleet's backend servers, none of which is stated yet."""
+    return StatedLimits(is_known=fleet.knows_start, metrics=Metrics())
+
+
+def make_limit_pacing(limits: StatedLimits, *, senders: int = 1) -> LimitPacing:
+    """Return the pacing of one of ``senders`` instances that send to each backend server."""
+    return LimitPacing(
+        limits=limits, count_senders=lambda server, region, wanted: senders, metrics=Metrics()
+    )
+
+
+def make_placement(
+    fleet: Fleet, *, instances: int = 1, limits: LimitPacing | None = None
+) -> Placement:
     """Return the placement of an instance in the failure domain ``a-1``."""
     entries = FixedEntryCounts(everywhere=instances, in_region=instances, in_domain=1)
     return Placement(
         fleet=fleet,
         distances=make_distances(),
         cold=ColdPacing(
-            bound=lambda: ColdBound(1.5, 5.0), count_senders=lambda server, region, wanted: instances
+            bound=lambda: ColdBound(1.5, 5.0),
+            count_senders=lambda server, region, wanted: instances,
         ),
+        limits=limits or make_limit_pacing(make_stated_limits(fleet)),
         cached_fraction=CachedFraction(fleet=fleet, entries=entries),
         mix=RegionMix(max_shift=lambda: MAX_SHIFT, random=Random(1)),
         entries=entries,
@@ -160,6 +178,7 @@
         fleet: The backend servers.
         table: The route table in force.
         budget: The shared retry budget.
+        limits: The limits that backend servers state.
         placement: Chooses backend servers.
         quarantine: The requests that crash backend servers.
         crash_reports: Records the crash reports sent to other instances.
@@ -170,7 +189,8 @@
     def __init__(self, table: RouteTable | None) -> None:
         self.table = table
         self.fleet = Fleet(region_of=REGION_OF)
-        self.placement = make_placement(self.fleet)
+        self.limits = make_stated_limits(self.fleet)
+        self.placement = make_placement(self.fleet, limits=make_limit_pacing(self.limits))
         self.budget = SharedRetryBudget(bound=lambda: RetryBound(0.2, 50.0), divisor=lambda: 1.0)
         self.crash_reports = CrashReportRecorder()
         self.quarantine = Quarantine(others=self.crash_reports)
@@ -186,6 +206,7 @@
                 budget=self.budget,
                 quarantine=self.quarantine,
                 key_check=self.key_check,
+                limits=self.limits,
                 names=HEADER_NAMES,
             ),
             quarantine=self.quarantine,
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -9,12 +9,15 @@
 
 from tests.common.steering_parts import (
     REGION_OF,
+    make_limit_pacing,
     make_placement,
     make_route,
     make_server,
+    make_stated_limits,
     make_table,
 )
 from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.limits.stated_limit import StatedLimit
 from wagtailpoint.placement.cached_fraction import CachedFraction
 from wagtailpoint.placement.choice import Choice, Demand, NotPlaced, Observation
 from wagtailpoint.placement.entry_counts import FixedEntryCounts
@@ -226,6 +229,39 @@
 
         self.run_with(test)
 
+    def test_server_at_its_stated_limit_is_replaced(self) -> None:
+        """Guards against refusals while other backend servers have free slots."""
+
+        async def test() -> None:
+            self.fleet.update(make_server(f"i-{number}") for number in range(6))
+            limits = make_stated_limits(self.fleet)
+            placement = make_placement(self.fleet, limits=make_limit_pacing(limits))
+            first = self.choose(placement, self.demand()).entry
+            limits.apply([StatedLimit(first.start.key, 1, 1.0)])
+            other = self.choose(placement, self.demand()).entry
+            self.assertNotEqual(other, first)
+            await trio.sleep(1.1)
+            self.assertEqual(self.choose(placement, self.demand()).entry, first)
+            self.assertTrue(placement.take_by_limit(first))
+            self.assertFalse(placement.take_by_limit(first))
+            self.assertTrue(placement.take_by_limit(other))
+
+        self.run_with(test)
+
+    def test_all_servers_at_their_stated_limits(self) -> None:
+        async def test() -> None:
+            self.fleet.update(make_server(f"i-{number}") for number in range(4))
+            limits = make_stated_limits(self.fleet)
+            placement = make_placement(self.fleet, limits=make_limit_pacing(limits))
+            limits.apply(
+                [StatedLimit(entry.start.key, 1, 1.0) for entry in self.fleet.entries.values()]
+            )
+            placed = placement.choose(self.demand())
+            assert isinstance(placed, NotPlaced)
+            self.assertEqual({declined.reason for declined in placed.declined}, {"limited"})
+
+        self.run_with(test)
+
     def test_no_server_and_no_time(self) -> None:
         async def test() -> None:
             placement = make_placement(self.fleet)
--- a/tests/cover/test_shared_bounds.py
+++ b/tests/cover/test_shared_bounds.py
@@ -170,7 +170,9 @@
             self.assertEqual(sum(map(bool, before)), 3)
             await trio.sleep(1.0)
             members[:] = [member._replace(state="dead") for member in members]
-            self.assertEqual([get_sharing(START.server_id, "a", 3) for get_sharing in sharing], before)
+            self.assertEqual(
+                [get_sharing(START.server_id, "a", 3) for get_sharing in sharing], before
+            )
 
         trio.run(test, clock=MockClock(autojump_threshold=0))
 
