Entries keep the limits that backend servers state on the product's own interface

The product's own interface has what the platform's has: a backend server states in Wagtailpoint-Limit how many requests a second it takes from all instances together. Answers and refusals that bear the request's id count. A server without a token is no candidate; the token is taken in the step that takes the slot, so hedged copies and retries count. Without a candidate the request is refused at once, with Retry-After.

--- a/bench/locality.py
+++ b/bench/locality.py
@@ -17,6 +17,7 @@
 from result import Err
 from tests.common.fake_clock import TrioClock
 from tests.common.small_config import idle_board, small_config, small_plan
+from tests.common.unlimited import unlimited
 from trio.testing import MockClock
 
 from wagtailpoint.admission.slots import ServerChoice, SlotDemand, SlotPool
@@ -105,6 +106,7 @@
             health=HealthBoard(clock=clock),
             metrics=Metrics(),
             moves=idle_board(clock),
+            **unlimited(),
             failure_domain=failure_domain,
         )
         pool = SlotPool(clock=clock, max_queued=500)
--- a/bench/moves.py
+++ b/bench/moves.py
@@ -19,6 +19,7 @@
 from tests.common.fake_clock import TrioClock
 from tests.common.fake_platform import FakePlatform
 from tests.common.small_config import idle_board, small_config, small_move, small_plan
+from tests.common.unlimited import unlimited
 from trio.testing import MockClock
 
 from wagtailpoint.admission.slots import SlotDemand, SlotPool
@@ -106,6 +107,7 @@
             health=HealthBoard(clock=clock),
             metrics=Metrics(),
             moves=self.board,
+            **unlimited(),
             failure_domain=f"region-{number}-a",
         )
         self.pool = SlotPool(clock=clock, max_queued=500)
--- a/src/wagtailpoint/adapters/backend_headers.py
+++ b/src/wagtailpoint/adapters/backend_headers.py
@@ -9,6 +9,7 @@
 DEADLINE_HEADER = b"wagtailpoint-deadline-ms"
 SHED_HEADER = b"wagtailpoint-shed"
 DRAINING_HEADER = b"wagtailpoint-draining"
+LIMIT_HEADER = b"wagtailpoint-limit"
 SHED_NOT_RUN = b"not-run"
 
 RESPONSE_MARGIN_S = 0.005
--- a/src/wagtailpoint/adapters/backend_http.py
+++ b/src/wagtailpoint/adapters/backend_http.py
@@ -273,6 +273,7 @@
                 shed=True,
                 retry_after_s=backend_headers.retry_after_s(headers),
                 draining=backend_headers.is_draining(headers),
+                headers=headers if bears_own_id else (),
             )
         )
     if not backend_headers.has_delimited_body(request.method, response.status, headers):
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -26,7 +26,8 @@
 from wagtailpoint.daemon.move_tasks import MoveTasks
 from wagtailpoint.daemon.pages import InstancePages
 from wagtailpoint.daemon.request_observer import RequestObserver
-from wagtailpoint.daemon.servers import ConfiguredServers
+from wagtailpoint.daemon.server_limits import ServerLimits, make_bound_senders
+from wagtailpoint.daemon.servers import ConfiguredServers, has_server
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
@@ -128,6 +129,17 @@
         self._quarantine = SharedQuarantine(
             peers=self._peers, platform=self._platform, membership=self._membership, random=Random()
         )
+        self._limits = ServerLimits(
+            peers=self._peers,
+            membership=self._membership,
+            is_known=lambda server: has_server(self._config.effective, server),
+            count_senders=make_bound_senders(
+                membership=self._membership,
+                listed=lambda: len(self._instance_list.addresses()),
+            ).count_senders,
+            metrics=self._metrics,
+            random=Random(),
+        )
         self._prober = BackendProber(
             backends=self._backends,
             health=self._health,
@@ -203,6 +215,7 @@
             self._prober.run,
             self._quarantine.run,
             self._quarantine.poll,
+            self._limits.run,
             self._move_tasks.run,
             self._publish_facts,
             self._clean_claims,
@@ -227,6 +240,7 @@
     def _apply_config(self, config: EffectiveConfig) -> None:
         self._lookups.apply(config)
         self._prober.apply(config)
+        self._limits.stated.forget_unknown()
         self._move_tasks.apply(config)
         state = self._membership.own.state
         self._membership.publish(
@@ -304,6 +318,8 @@
             health=self._health,
             metrics=self._metrics,
             moves=self._moves,
+            stated_limits=self._limits.stated,
+            pacing=self._limits.pacing,
             failure_domain=self._settings.failure_domain,
         )
         observer = RequestObserver(
@@ -363,6 +379,7 @@
             health=self._health,
             moves=self._moves,
             quarantine=self._quarantine,
+            limits=self._limits,
             metrics=self._metrics,
             timelines=(self._timeline, self._request_timeline),
         )
--- a/src/wagtailpoint/daemon/pages.py
+++ b/src/wagtailpoint/daemon/pages.py
@@ -21,6 +21,7 @@
 from wagtailpoint.daemon.draining import drain_status
 from wagtailpoint.daemon.lookups import Lookups
 from wagtailpoint.daemon.metrics_page import collect_metrics, metrics_json, metrics_text
+from wagtailpoint.daemon.server_limits import ServerLimits
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.health.board import HealthBoard
@@ -52,6 +53,7 @@
         health: HealthBoard,
         moves: MoveBoard,
         quarantine: SharedQuarantine,
+        limits: ServerLimits,
         metrics: Metrics,
         timelines: Sequence[Timeline],
     ) -> None:
@@ -65,6 +67,7 @@
         self._health = health
         self._moves = moves
         self._quarantine = quarantine
+        self._limits = limits
         self._metrics = metrics
         self._timelines = timelines
 
@@ -155,6 +158,7 @@
             "slots_held": self._slots.in_flight,
             "keys_remembered": self._keys.size,
             **self._quarantine.gauges,
+            **self._limits.gauges,
         }
 
     def _backend_servers(self) -> list[dict[str, Any]]:
--- a/src/wagtailpoint/daemon/server_limits.py
+++ b/src/wagtailpoint/daemon/server_limits.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 from random import Random
 
+from wagtailpoint.discovery.instance_count import InstanceCount
+from wagtailpoint.limits.bound_senders import BoundSenders
 from wagtailpoint.limits.limit_exchange import LimitExchange
 from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.limits.stated_limit import StatedLimits
@@ -54,3 +56,21 @@
     async def run(self) -> None:
         """Exchange limits with the other instances until cancelled."""
         await self._exchange.run()
+
+
+def make_bound_senders(*, membership: Membership, listed: Callable[[], int]) -> BoundSenders:
+    """Return the choice of the instances that share a bound on a backend server.
+
+    Args:
+        membership: The known instances.
+        listed: Returns how many instances the platform lists; used until membership knows all.
+    """
+    instances = InstanceCount(
+        alive=lambda: sum(member.state != "dead" for member in membership.members()),
+        registered=listed,
+    )
+    return BoundSenders(
+        own=membership.own.address,
+        members=membership.members,
+        instances=lambda: instances.value,
+    )
--- a/src/wagtailpoint/daemon/servers.py
+++ b/src/wagtailpoint/daemon/servers.py
@@ -1,13 +1,18 @@
 """Selects the backend servers for new requests by group, drains, health and nearness."""
 
 import itertools
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+import trio
+
+from wagtailpoint.adapters.backend_headers import LIMIT_HEADER
 from wagtailpoint.config.model import BackendServer, Drain, EffectiveConfig
 from wagtailpoint.entry.plan import Plan
 from wagtailpoint.health.board import HealthBoard
 from wagtailpoint.health.evidence import outcome_of
+from wagtailpoint.limits.limit_pacing import LimitPacing
+from wagtailpoint.limits.stated_limit import StatedLimits
 from wagtailpoint.locality import Nearness
 from wagtailpoint.moves.board import MoveBoard, MoveRoute
 from wagtailpoint.observe.metrics import LatencyKey, Metrics
@@ -31,8 +36,12 @@
         health: HealthBoard,
         metrics: Metrics,
         moves: MoveBoard,
+        stated_limits: StatedLimits,
+        pacing: LimitPacing,
         failure_domain: str,
     ) -> None:
+        self._stated_limits = stated_limits
+        self._pacing = pacing
         self._config = config
         self._moves = moves
         self._health = health
@@ -40,6 +49,7 @@
         self._failure_domain = failure_domain
         self._groups: dict[tuple[str, str], _Group] = {}
         self._groups_config: EffectiveConfig | None = None
+        self._regions_by_domain: Mapping[str, str] = {}
         self._rotations = itertools.count()
 
     def pool(self, plan: Plan) -> str:
@@ -98,6 +108,13 @@
         self, server: BackendServer, answered: BackendResponse | BackendFailure, latency_s: float
     ) -> None:
         """Record how an exchange ended and how many seconds it took."""
+        if answered.headers or isinstance(answered, BackendResponse):
+            self._stated_limits.record_answer(
+                str(server.address),
+                answered.headers,
+                LIMIT_HEADER,
+                trio.current_time() - latency_s,
+            )
         self._health.observe_outcome(server.address, outcome_of(answered), latency_s)
         self._moves.record_exchange(server.address, answered, latency_s)
         name = str(server.address)
@@ -106,11 +123,22 @@
         else:
             self._metrics.record_latency(LatencyKey("backend", "", "", name), latency_s)
 
+    def record_taken(self, server: BackendServer) -> None:
+        """Count a request against the limit that its backend server states."""
+        self._pacing.take(str(server.address), self._region_of(server))
+
+    def _region_of(self, server: BackendServer) -> str:
+        return self._regions_by_domain.get(server.failure_domain, "")
+
     def _tiers_of_group(
         self, config: EffectiveConfig, service: str, name: str
     ) -> dict[BackendServer, int]:
         group = self._group(config, service, name)
-        usable = self._health.usable(group.undrained)
+        usable = [
+            server
+            for server in self._health.usable(group.undrained)
+            if self._pacing.may_send(str(server.address), self._region_of(server))
+        ]
         if not usable:
             return {}
         # The first of several equal servers is chosen. Without rotation an idle entry would send
@@ -121,6 +149,11 @@
     def _group(self, config: EffectiveConfig, service: str, name: str) -> _Group:
         if config is not self._groups_config:
             self._groups, self._groups_config = {}, config
+            self._regions_by_domain = {
+                domain: region.name
+                for region in config.regions.values()
+                for domain in region.failure_domains
+            }
         group = self._groups.get((service, name))
         if group is None:
             servers = config.services[service].groups.get(name, ())
@@ -161,7 +194,11 @@
         return self._tiers[server]
 
     def record_taken(self, server: BackendServer) -> None:
-        """Count the request against the cap of its move; called in the step that takes the slot."""
+        """Count the request against the limit of its backend server and the cap of its move.
+
+        Called in the step that takes the slot.
+        """
+        self._servers.record_taken(server)
         if self._route is not None:
             self._route.record_slot_taken(server.address)
 
@@ -172,3 +209,13 @@
         server.address == drain.backend_server or server.failure_domain == drain.failure_domain
         for drain in drains
     )
+
+
+def has_server(config: EffectiveConfig | None, address: str) -> bool:
+    """Return whether a configuration has a backend server at an address."""
+    return config is not None and any(
+        str(server.address) == address
+        for service in config.services.values()
+        for servers in service.groups.values()
+        for server in servers
+    )
--- a/src/wagtailpoint/limits/stated_limit.py
+++ b/src/wagtailpoint/limits/stated_limit.py
@@ -158,6 +158,11 @@
         """Remove the statement of a backend server that is gone or has restarted."""
         self._known.pop(server, None)
 
+    def forget_unknown(self) -> None:
+        """Remove the statements of backend servers that are not registered any more."""
+        for server in [server for server in self._known if not self._is_known(server)]:
+            del self._known[server]
+
     def _set(self, limit: StatedLimit, *, source: str) -> None:
         before = self.per_s(limit.server)
         self._known[limit.server] = _Known(limit, trio.current_time())
--- a/src/wagtailpoint/ports/backend.py
+++ b/src/wagtailpoint/ports/backend.py
@@ -79,6 +79,8 @@
         retry_after_s: Delay in seconds after which the backend server asked for a retry; None if
             not given.
         draining: Whether the backend server reported that it is draining.
+        headers: The headers of the response by which it refused the request; empty if there was
+            none.
     """
 
     verdict: Verdict
@@ -86,6 +88,7 @@
     shed: bool = False
     retry_after_s: float | None = None
     draining: bool = False
+    headers: Headers = ()
 
 
 class BackendResponse(NamedTuple):
--- a/tests/common/backend_standin.py
+++ b/tests/common/backend_standin.py
@@ -199,7 +199,9 @@
 
     async def _start(self, status: int, length: int, headers: list[tuple[bytes, bytes]]) -> None:
         framing = [(b"content-length", str(length).encode())]
-        headers = framing + self._echoed() + headers
+        limit = self._worker.mode.get("limit")
+        stated = [(b"wagtailpoint-limit", limit.encode())] if limit else []
+        headers = framing + self._echoed() + stated + headers
         await self._send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def _stream(self, chunks: Any, length: int, pause_s: float = 0.0) -> None:
--- a/tests/common/backend_worker.py
+++ b/tests/common/backend_worker.py
@@ -31,6 +31,7 @@
     draining: bool
     report: dict[str, object]  # wrong values for fields of the load report
     report_lag_s: float  # age of the state in the load report, in seconds
+    limit: str  # the requests a second that its answers state
     idle_close_s: float | None  # close a connection after this idle time, in seconds
 
 
--- a/tests/cover/test_locality.py
+++ b/tests/cover/test_locality.py
@@ -6,6 +6,7 @@
 
 from tests.common.fake_clock import FakeClock
 from tests.common.small_config import idle_board, small_config, small_plan
+from tests.common.unlimited import unlimited
 from wagtailpoint.config.model import BackendServer, Drain
 from wagtailpoint.daemon.servers import ConfiguredServers
 from wagtailpoint.health import HealthBoard, Outcome
@@ -45,6 +46,7 @@
             health=self.health,
             metrics=Metrics(),
             moves=idle_board(FakeClock()),
+            **unlimited(),
             failure_domain="region-1-a",
         )
 
--- a/tests/cover/test_moves.py
+++ b/tests/cover/test_moves.py
@@ -9,6 +9,7 @@
 
 from tests.common.fake_clock import FakeClock
 from tests.common.small_config import idle_board, small_config, small_move, small_plan
+from tests.common.unlimited import unlimited
 from wagtailpoint.admission.slots import SlotDemand, SlotPool
 from wagtailpoint.config.model import EffectiveConfig, Move
 from wagtailpoint.daemon.servers import ConfiguredServers
@@ -145,6 +146,7 @@
             health=HealthBoard(clock=self.clock),
             metrics=Metrics(),
             moves=self.board,
+            **unlimited(),
             failure_domain="region-0-a",
         )
 
--- a/tests/integration/test_stated_limits.py
+++ b/tests/integration/test_stated_limits.py
@@ -1,11 +1,13 @@
 """Tests of backend servers that state a limit, with several instance processes."""
 
 import unittest
+from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from itertools import count
 
 import trio
 
+from tests.common.deployment_case import DeploymentCase
 from tests.common.limited_servers import LimitedServers
 from tests.common.node_settings_file import unsplit_config_document
 from tests.common.steering_group import (
@@ -113,6 +115,71 @@
         self.run_with(test)
 
 
+class OwnInterfaceTest(DeploymentCase):
+    """Backend servers of the product's own interface, which state limits by its own header."""
+
+    ENTRIES = 3
+    AT_MOST_ONCE = False
+    numbers = count()
+
+    def tearDown(self) -> None:
+        self.set_backends()
+
+    def arrivals(self) -> Counter[str]:
+        """Return how many requests each backend server got so far."""
+        return Counter(
+            {
+                str(server): len(record["arrivals"])
+                for backends in self.running.backends.values()
+                for server, record in backends.records().items()
+            }
+        )
+
+    async def flood(self, for_s: float) -> None:
+        """Send requests through all entries for some seconds."""
+        until = trio.current_time() + for_s
+
+        async def call(place: tuple[str, int]) -> None:
+            while trio.current_time() < until:
+                await self.raw.send(place, f"/certificates/{next(self.numbers)}", method="GET")
+                await trio.sleep(REQUEST_INTERVAL_S)
+
+        async with trio.open_nursery() as nursery:
+            for entry in self.running.entries:
+                for _ in range(CALLERS_PER_INSTANCE):
+                    nursery.start_soon(call, entry.place)
+
+    def test_requests_of_all_entries_keep_a_stated_limit(self) -> None:
+        """Guards against a backend server that gets more than the limit that it states."""
+
+        async def test() -> None:
+            self.set_backends(limit=str(STATED_PER_S))
+            await self.flood(SETTLE_S)
+            before = self.arrivals()
+            await self.flood(WINDOW_S)
+            got = self.arrivals() - before
+            allowed = OVERAGE * STATED_PER_S * WINDOW_S + SLACK
+            self.assertEqual({name: new for name, new in got.items() if new > allowed}, {})
+            refused = [heard for heard in self.raw.heard if heard.status == 503]
+            self.assertGreater(len(refused), 0)
+            self.assertTrue(all(heard.retry_after_s for heard in refused))
+
+        self.run_trio(test)
+
+    def test_lifted_limit_ends_on_all_entries(self) -> None:
+        async def test() -> None:
+            self.set_backends(limit=str(STATED_PER_S))
+            await self.flood(SETTLE_S)
+            self.set_backends(limit="")
+            await self.flood(SETTLE_S)
+            heard = len(self.raw.heard)
+            await self.flood(1.0)
+            refused = [each for each in self.raw.heard[heard:] if each.status == 503]
+            self.assertEqual(refused, [])
+
+        self.run_trio(test)
+
+
 async def all_return_alive(instances: Sequence[Instance]) -> bool:
     """Return whether all instances answer a request, served or refused for lack of room."""
     return all([await instance.status_of_valid_request() in (200, 503) for instance in instances])
