--- a/tests/integration/test_stated_limits.py
+++ b/tests/integration/test_stated_limits.py
@@ -114,6 +114,57 @@
 
         self.run_with(test)
 
+    def test_lowered_and_lifted_limit(self) -> None:
+        """Guards against a former limit that is kept, or one that outlives its statement."""
+
+        async def test(_instances: Sequence[Instance]) -> None:
+            await self.state("40")
+            lowered_at = await self.state(str(STATED_PER_S))
+            await trio.sleep(WINDOW_S)
+            self.assert_kept(STATED_PER_S, after=lowered_at)
+            await self.state()
+            before = len(self.statuses)
+            await trio.sleep(1.0)
+            self.assertEqual(set(self.statuses[before:]), {200})
+
+        self.run_with(test)
+
+    def test_malformed_limit_changes_nothing(self) -> None:
+        async def test(_instances: Sequence[Instance]) -> None:
+            await self.state(str(STATED_PER_S))
+            malformed_at = await self.state("a few")
+            await trio.sleep(WINDOW_S)
+            self.assert_kept(STATED_PER_S, after=malformed_at)
+
+        self.run_with(test)
+
+    def test_server_that_starts_again_has_no_limit(self) -> None:
+        """Guards against a limit of a former start that keeps requests from the next one."""
+
+        async def test(_instances: Sequence[Instance]) -> None:
+            await self.state(str(STATED_PER_S))
+            former = set(self.servers.server_ids)
+            self.servers.stated = ()
+            self.servers.restart_all()
+            await trio.sleep(SETTLE_S)
+            self.assertEqual(former & set(self.servers.server_ids), set())
+            before = len(self.statuses)
+            await trio.sleep(1.0)
+            self.assertEqual(set(self.statuses[before:]), {200})
+
+        self.run_with(test)
+
+    def test_refusals_of_full_servers_state_a_limit(self) -> None:
+        """Guards against retries that exceed a limit which only refusals state."""
+
+        async def test(_instances: Sequence[Instance]) -> None:
+            self.servers.sheds = True
+            stated_at = await self.state(str(STATED_PER_S))
+            await trio.sleep(WINDOW_S)
+            self.assert_kept(STATED_PER_S, after=stated_at)
+
+        self.run_with(test)
+
 
 class OwnInterfaceTest(DeploymentCase):
     """Backend servers of the product's own interface, which state limits by its own header."""
