What a stated limit keeps from a server finds room elsewhere

Change: the senders of a server together may save two seconds' requests, and more of them share a higher limit; all instances agree on the next server by rank as the substitute, and count on its cache; if limits keep a request from all preferred servers, any candidate with room takes it.

--- a/src/wagtailpoint/limits/limit_pacing.py
+++ b/src/wagtailpoint/limits/limit_pacing.py
@@ -10,16 +10,12 @@
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
 
-MAX_SENDERS: Final = 4
-"""Maximum number of instances that send to a backend server with a low limit. Each may save a
-request, and the saved requests of all may arrive at the same time. Fewer senders may save as many
-together."""
+MAX_SAVED_S: Final = 2.0
+"""Duration, in seconds, whose requests all senders of a backend server may save together; they may
+arrive at the same time. Each sender saves one request at least, which bounds their number."""
 
-SENDER_RATE_PER_S: Final = 5.0
-"""Rate of one sender, in requests a second, from which a higher limit is shared by more senders."""
-
-BURST_S: Final = 0.1
-"""Duration in which a sender with a high rate may send its requests at once."""
+LOW_LIMIT_SENDERS: Final = 4
+"""Maximum number of senders of a backend server with a low limit."""
 
 MIN_PER_S: Final = 0.2
 """Rate at which a backend server gets requests that states a lower limit, or zero. Only an answer
@@ -70,6 +66,10 @@
         self._metrics = metrics
         self._buckets: dict[str, _Bucket] = {}
 
+    def has_limit(self, server: str) -> bool:
+        """Return whether a backend server states a limit."""
+        return self._limits.per_s(server) is not None
+
     def may_send(self, server: str, region: str) -> bool:
         """Return whether a request may be sent to a backend server at the moment."""
         per_s = self._limits.per_s(server)
@@ -96,8 +96,8 @@
         bucket = self._buckets.get(server)
         if bucket is None:
             bucket = self._buckets[server] = _Bucket(filled_at=self._limits.heard_at(server))
-        # With a low limit the single requests of several senders would add up to more than it.
-        max_senders = max(MAX_SENDERS, int(per_s / SENDER_RATE_PER_S)) if per_s >= 1.0 else 1
+        # With a very low limit the saved requests of several senders would add up to more than it.
+        max_senders = max(LOW_LIMIT_SENDERS, int(MAX_SAVED_S * per_s)) if per_s >= 1.0 else 1
         senders = self._count_senders(server, region, max_senders)
         # While not all instances are known, they may all count as senders: too many to send.
         rate_per_s = per_s / senders if 0 < senders <= max_senders else 0.0
@@ -109,12 +109,10 @@
                 senders=senders,
                 part_per_s=round(rate_per_s, 3),
             )
-        bucket.refill(rate_per_s, _depth(rate_per_s, senders), trio.current_time())
+        bucket.refill(rate_per_s, _depth(rate_per_s), trio.current_time())
         return bucket
 
 
-def _depth(rate_per_s: float, senders: int) -> float:
-    """Return how many requests one of the senders may save; at most one second's, but for one."""
-    if rate_per_s == 0.0:
-        return 0.0
-    return max(1.0, min(MAX_SENDERS / senders, rate_per_s), BURST_S * rate_per_s)
+def _depth(rate_per_s: float) -> float:
+    """Return how many requests a sender may save."""
+    return max(1.0, MAX_SAVED_S * rate_per_s) if rate_per_s else 0.0
--- a/src/wagtailpoint/placement/choice.py
+++ b/src/wagtailpoint/placement/choice.py
@@ -12,6 +12,9 @@
 """At a free slot a request may turn out faster than expected by this fraction of its service
 time."""
 
+LIMITED: Final = "limited"
+"""The reason why a backend server is declined whose stated limit allows no further request."""
+
 
 class Demand(NamedTuple):
     """The requirements of a request that is to be placed.
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -10,6 +10,7 @@
 from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.placement.cached_fraction import CachedFraction
 from wagtailpoint.placement.choice import (
+    LIMITED,
     Choice,
     Declined,
     Demand,
@@ -98,17 +99,18 @@
         order = self._ranking.order_candidates(
             demand.service, demand.key, demand.route.home_regions
         )
+        ranked = self._promote_substitutes(order.ranked)
         # If all backend servers are suspect, the fault may be at this instance: ignore the
         # suspicion.
         reachable = [
-            option for option in order.ranked if not self._is_suspect(option.candidate.entry, now)
-        ] or order.ranked
+            option for option in ranked if not self._is_suspect(option.candidate.entry, now)
+        ] or ranked
         untried = [
             option for option in reachable if option.candidate.entry.server_id not in demand.tried
         ]
         if not untried:
             return NotPlaced("no backend server")
-        preferred = self._preferred_servers(order.ranked, reachable, now)
+        preferred = self._preferred_servers(ranked, reachable, now)
         utilisation = self._utilisation.estimate(demand.service, now)
 
         def weigh(option: Ranked) -> Choice | Declined:
@@ -118,6 +120,8 @@
         if not weighable and utilisation < MAX_SPILLOVER_UTILISATION:
             weighable = untried[:1]
         weighed = [weigh(option) for option in weighable]
+        if _are_kept_back_by_limits(weighed):
+            weighed += [weigh(option) for option in untried if option not in weighable]
         choices = [option for option in weighed if isinstance(option, Choice)]
         if not choices:
             return NotPlaced(
@@ -128,6 +132,29 @@
             return NotPlaced("too late")
         return best
 
+    def _promote_substitutes(self, ranked: Sequence[Ranked]) -> Sequence[Ranked]:
+        """Give the next candidates the ranks of those that state a limit.
+
+        All instances know the limits, so they agree on the substitutes, which soon have the objects
+        cached.
+        """
+        unlimited = [
+            option
+            for option in ranked
+            if not self._limits.has_limit(option.candidate.entry.start.key)
+        ]
+        if len(unlimited) in (0, len(ranked)):
+            return ranked
+        first = unlimited[0]
+        near = next((option for option in unlimited if option.in_region), None)
+        return [
+            option._replace(
+                rank=0 if option is first else option.rank,
+                is_first_in_region=option.is_first_in_region or option is near,
+            )
+            for option in ranked
+        ]
+
     def _preferred_servers(
         self, ranked: Sequence[Ranked], reachable: Sequence[Ranked], now: float
     ) -> set[Ranked]:
@@ -246,3 +273,13 @@
         """Remove a backend server that is gone or has restarted."""
         self._estimates.remove(start)
         self._cold.remove(start)
+
+
+def _are_kept_back_by_limits(weighed: Sequence[Choice | Declined]) -> bool:
+    """Return whether no server can take a request, and a stated limit is a reason.
+
+    The limits, and not the load, then keep the request from its servers, and others may have room.
+    """
+    if any(isinstance(option, Choice) for option in weighed):
+        return False
+    return any(isinstance(option, Declined) and option.reason == LIMITED for option in weighed)
--- a/src/wagtailpoint/placement/weigher.py
+++ b/src/wagtailpoint/placement/weigher.py
@@ -5,7 +5,7 @@
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.placement.cached_fraction import CachedFraction
-from wagtailpoint.placement.choice import Choice, Declined, Demand
+from wagtailpoint.placement.choice import LIMITED, Choice, Declined, Demand
 from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.entry_counts import EntryCounts
@@ -92,7 +92,7 @@
         report_age_s = load.report_age_s(now)
         slowness = load.slowness(now)
         if not self._limits.may_send(entry.start.key, region):
-            return Declined(entry, "limited", occupancy, report_age_s)
+            return Declined(entry, LIMITED, occupancy, report_age_s)
         if self._fleet.is_cold(entry.start):
             if not self._cold.may_send(entry.start, region, cold_per_s(demand.policy)):
                 return Declined(entry, "cold", occupancy, report_age_s)
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -248,6 +248,42 @@
 
         self.run_with(test)
 
+    def test_server_beyond_the_preferred_ones_is_used_when_those_state_limits(self) -> None:
+        """Guards against refusals while backend servers without a limit are idle."""
+
+        async def test() -> None:
+            self.fleet.update(make_server(f"i-{number}") for number in range(5))
+            limits = make_stated_limits(self.fleet)
+            placement = make_placement(self.fleet, limits=make_limit_pacing(limits))
+            for _ in range(4):
+                entry = self.choose(placement, self.demand()).entry
+                limits.apply([StatedLimit(entry.start.key, 1, 1.0)])
+            for _ in range(3):
+                self.assertIsNone(
+                    limits.per_s(self.choose(placement, self.demand()).entry.start.key)
+                )
+
+        self.run_with(test)
+
+    def test_substitutes_are_the_same_on_all_instances(self) -> None:
+        """Guards against an object that each instance moves to another backend server."""
+
+        async def test() -> None:
+            chosen = set()
+            for _ in range(4):
+                fleet = Fleet(region_of=REGION_OF)
+                fleet.update(make_server(f"i-{number}") for number in range(12))
+                limits = make_stated_limits(fleet)
+                placement = make_placement(fleet, limits=make_limit_pacing(limits))
+                first = self.choose(placement, self.demand()).entry
+                limits.apply([StatedLimit(first.start.key, 1, 0.0)])
+                choice = self.choose(placement, self.demand())
+                chosen.add(choice.entry.server_id)
+                self.assertGreater(choice.cached, 0.9)
+            self.assertEqual(len(chosen), 1)
+
+        self.run_with(test)
+
     def test_all_servers_at_their_stated_limits(self) -> None:
         async def test() -> None:
             self.fleet.update(make_server(f"i-{number}") for number in range(4))
