The soak states limits, and checks that instances keep them

Backend servers of a soak state limits of 1 to 4 requests a second for 6 to 20 s, while everything else goes on. Limits are looked up only where one was ever stated.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -12,6 +12,7 @@
     FaultKind,
     Step,
     draw_backend_faults,
+    draw_limits,
     draw_schedule,
 )
 from bench.soak.soak import Report, run_soak
@@ -59,7 +60,9 @@
             seed=number, seconds=seconds, instances=instances, faults=faults or FAULTS
         )
         if not faults:
-            steps = sorted([*steps, *draw_backend_faults(seed=number, seconds=seconds)])
+            steps += draw_backend_faults(seed=number, seconds=seconds)
+            steps += draw_limits(seed=number, seconds=seconds)
+            steps.sort()
         if show:
             for step in steps:
                 click.echo(f"  {step}")
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -20,7 +20,7 @@
 from tests.common.sockets import loopback_address, reset_connection
 from tests.common.users_store import UsersStore
 
-from bench.soak.findings import Crash, Findings, Run
+from bench.soak.findings import Crash, Findings, LimitPeriod, Run
 from wagtailpoint.node_settings import Endpoint
 
 HOST: Final = "ficu95.example"
@@ -32,6 +32,10 @@
 CRASH_DOWNTIME_S: Final = 1.3
 """The time after a crash until the backend server runs again."""
 
+MIN_LIMIT_PER_S: Final = 1.0
+MAX_LIMIT_PER_S: Final = 4.0
+"""Bounds of the limits that backend servers state, some tenths of what callers send to each."""
+
 RESET_FRACTION: Final = 0.3
 """The fraction of requests whose connections are reset during a backend reset fault."""
 
@@ -80,6 +84,7 @@
         self._server_numbers = count(1)
         self._addresses: dict[str, str] = {}
         self._active_resets = 0
+        self._limits: dict[str, float] = {}
 
     @asynccontextmanager
     async def serve(self) -> AsyncIterator[None]:
@@ -127,6 +132,22 @@
             self.store.delete("servers", name)
             self._register(address)
 
+    async def state_limit(self, duration_s: float) -> None:
+        """Make a backend server state in its answers how many requests a second it takes."""
+        unlimited = [name for name in self._addresses if name not in self._limits]
+        if not unlimited:
+            return
+        name = self._random.choice(unlimited)
+        per_s = round(self._random.uniform(MIN_LIMIT_PER_S, MAX_LIMIT_PER_S), 1)
+        self._limits[name] = per_s
+        started_s = trio.current_time()
+        try:
+            await trio.sleep(duration_s)
+        finally:
+            del self._limits[name]
+            period = LimitPeriod(name, per_s, started_s, trio.current_time())
+            self._findings.limit_periods.append(period)
+
     async def reset_connections(self, duration_s: float) -> None:
         """Make the backend servers reset some connections instead of answering."""
         self._active_resets += 1
@@ -206,7 +227,9 @@
                 await reset_connection(stream.stream)
                 return
             body = f"{request_id} {target}".encode()
-            await stream.send(response(body, f"X-Attempt-Id: {request_id}"))
+            limit = self._limits.get(server_id)
+            stated = [] if limit is None else [f"Server-Limit: {limit}"]
+            await stream.send(response(body, f"X-Attempt-Id: {request_id}", *stated))
 
 
 def _route(template: dict[str, Any], name: str, prefix: str) -> dict[str, Any]:
--- a/bench/soak/findings.py
+++ b/bench/soak/findings.py
@@ -18,6 +18,11 @@
 QUARANTINE_CRASHES: Final = 3
 MAX_LATE_CRASHES: Final = 3
 
+LIMIT_WINDOW_S: Final = 4.0
+LIMIT_OVERAGE: Final = 1.5
+LIMIT_SLACK: Final = 5
+"""The bound on the requests of a window: the overage times what the limit allows, and the slack."""
+
 ANSWER_TIMEOUT_S: Final = 3.0
 """The time for which callers wait for an answer."""
 
@@ -56,11 +61,35 @@
 
 
 class Disturbance(NamedTuple):
-    """A period in which a fault or a planned stop affects an instance."""
+    """A period in which a fault or a planned stop affects an instance.
+
+    Attributes:
+        started_s: The start, in seconds.
+        ended_s: The end, in seconds.
+        planned: Whether it is a planned stop.
+        of_process: Whether it stops or pauses the process, and not only its calls to the store.
+    """
 
     started_s: float
     ended_s: float
     planned: bool = False
+    of_process: bool = False
+
+
+class LimitPeriod(NamedTuple):
+    """A period in which a backend server states a limit.
+
+    Attributes:
+        server_id: The backend server.
+        per_s: The requests a second that it takes from all instances together.
+        started_s: The start, in seconds.
+        ended_s: The end, in seconds.
+    """
+
+    server_id: str
+    per_s: float
+    started_s: float
+    ended_s: float
 
 
 class Findings:
@@ -81,6 +110,7 @@
         self.cut_requests: set[str] = set()
         self.statuses: Counter[int] = Counter()
         self.drained_s: dict[str, float] = {}
+        self.limit_periods: list[LimitPeriod] = []
         self.confirmed_s: dict[int, float] = {}
         self._slack = slack
         self._disturbed: list[list[Disturbance]] = [[] for _ in range(instances)]
@@ -88,12 +118,14 @@
 
     def record_disturbance(self, instance: int, started_s: float, ended_s: float) -> None:
         """Record that a fault affected an instance during a period."""
-        self._disturbed[instance].append(Disturbance(started_s, ended_s))
+        self._disturbed[instance].append(Disturbance(started_s, ended_s, of_process=True))
 
     @contextmanager
-    def disturbance(self, *instances: int, planned: bool = False) -> Iterator[None]:
+    def disturbance(
+        self, *instances: int, planned: bool = False, of_process: bool = False
+    ) -> Iterator[None]:
         """Record that a fault or planned stop affects instances while the context is active."""
-        ongoing = Disturbance(trio.current_time(), math.inf, planned)
+        ongoing = Disturbance(trio.current_time(), math.inf, planned, of_process)
         for number in instances:
             self._disturbed[number].append(ongoing)
         yield
@@ -155,6 +187,8 @@
                 self.violations.append(f"{request_id} {sent} ran although it was refused")
         for run in self.runs:
             self._check_drained(run)
+        for period in self.limit_periods:
+            self._check_limit(period)
         for target in {crash.target for crash in self.crashes}:
             self._check_crashes([crash for crash in self.crashes if crash.target == target])
         for request_id in self.cut_requests & counts.keys():
@@ -187,6 +221,31 @@
                 f"{late_crashes[0].target} crashed {len(crashes)}, {len(late_crashes)} of them late"
             )
 
+    def _check_limit(self, period: LimitPeriod) -> None:
+        """Check that a backend server got no more than it stated, from instances that ran on."""
+        from_s = period.started_s + SETTLE_S * self._slack
+        times = sorted(
+            run.at_s
+            for run in self.runs
+            if run.server_id == period.server_id
+            and from_s <= run.at_s <= period.ended_s
+            and run.request_id in self.sent
+            and self._ran_on(self.sent[run.request_id].instance, period.started_s, run.at_s)
+        )
+        allowed = LIMIT_OVERAGE * period.per_s * LIMIT_WINDOW_S + LIMIT_SLACK
+        most = max((sum(t <= at < t + LIMIT_WINDOW_S for at in times) for t in times), default=0)
+        if most > allowed:
+            self.violations.append(f"{period}: {most} requests in a window, {allowed} allowed")
+
+    def _ran_on(self, instance: int, from_s: float, to_s: float) -> bool:
+        """Return whether no process of an instance was stopped or paused in a period."""
+        return not any(
+            disturbance.of_process
+            and disturbance.started_s <= to_s
+            and disturbance.ended_s + SETTLE_S * self._slack >= from_s
+            for disturbance in self._disturbed[instance]
+        )
+
     def _check_drained(self, run: Run) -> None:
         drained_s = self.drained_s.get(run.server_id)
         sent = self.sent.get(run.request_id)
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -11,6 +11,12 @@
 BACKEND_FAULT: Final[Literal["backend-reset"]] = "backend-reset"
 MAX_QUIET_S: Final = 8.0
 
+LIMIT: Final[Literal["limit"]] = "limit"
+MAX_UNLIMITED_S: Final = 4.0
+MIN_LIMIT_S: Final = 6.0
+MAX_LIMIT_S: Final = 20.0
+"""The times between two limits that backend servers state, and of one limit."""
+
 MAX_GAP_S: Final = 2.0
 MAX_FAULT_S: Final = 4.0
 CONFIG_FRACTION: Final = 0.4
@@ -28,7 +34,7 @@
     """
 
     at_s: float
-    kind: FaultKind | Literal["config", "backend-reset"]
+    kind: FaultKind | Literal["config", "backend-reset", "limit"]
     instance: int
     duration_s: float
 
@@ -56,3 +62,14 @@
         duration_s = min(random.uniform(0.05, MAX_FAULT_S), seconds - at_s)
         steps.append(Step(at_s, BACKEND_FAULT, 0, duration_s))
     return steps
+
+
+def draw_limits(*, seed: int, seconds: float) -> list[Step]:
+    """Draw when backend servers state limits, independently of the seed's other steps."""
+    random = Random(f"{seed}-{LIMIT}")
+    steps = []
+    at_s = 0.0
+    while (at_s := at_s + random.uniform(0.5, MAX_UNLIMITED_S)) < seconds:
+        duration_s = min(random.uniform(MIN_LIMIT_S, MAX_LIMIT_S), seconds - at_s)
+        steps.append(Step(at_s, LIMIT, 0, duration_s))
+    return steps
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -13,7 +13,7 @@
 from bench.soak.crashing import CRASHING_REQUESTS, CrashingCaller
 from bench.soak.deployment import Deployment, Instance
 from bench.soak.findings import CONFIG_APPLY_S, SETTLE_S, Findings
-from bench.soak.schedule import BACKEND_FAULT, Step
+from bench.soak.schedule import BACKEND_FAULT, LIMIT, Step
 
 CALLERS_PER_INSTANCE: Final = 2
 WARM_UP_S: Final = 6.0
@@ -131,11 +131,14 @@
             await self._deployment.drain(step.duration_s)
         elif step.kind == BACKEND_FAULT:
             await self._deployment.reset_connections(step.duration_s)
+        elif step.kind == LIMIT:
+            await self._deployment.state_limit(step.duration_s)
         elif step.kind == "store-refuses":
             await self._refuse_store_calls(step.duration_s)
         elif step.kind in ("pause", "kill", "stop"):
             async with instance.lock:
-                with self._findings.disturbance(instance.number, planned=step.kind == "stop"):
+                planned = step.kind == "stop"
+                with self._findings.disturbance(instance.number, planned=planned, of_process=True):
                     await self._disturb_process(instance, step)
         else:
             await self._disturb_store(instance, step)
--- a/src/wagtailpoint/limits/limit_pacing.py
+++ b/src/wagtailpoint/limits/limit_pacing.py
@@ -66,6 +66,11 @@
         self._metrics = metrics
         self._buckets: dict[str, _Bucket] = {}
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any backend server has stated a limit."""
+        return self._limits.has_any
+
     def has_limit(self, server: str) -> bool:
         """Return whether a backend server states a limit."""
         return self._limits.per_s(server) is not None
--- a/src/wagtailpoint/limits/stated_limit.py
+++ b/src/wagtailpoint/limits/stated_limit.py
@@ -101,6 +101,11 @@
         """The newest statements, those that were lifted included, sorted by server."""
         return [self._known[server].limit for server in sorted(self._known)]
 
+    @property
+    def has_any(self) -> bool:
+        """Whether any backend server has stated a limit, lifted or not."""
+        return bool(self._known)
+
     @property
     def in_force(self) -> int:
         """The number of backend servers that state a limit."""
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -138,6 +138,8 @@
         All instances know the limits, so they agree on the substitutes, which soon have the objects
         cached.
         """
+        if not self._limits.has_any:
+            return ranked
         unlimited = [
             option
             for option in ranked
@@ -176,6 +178,8 @@
         return preferred
 
     def _may_send_by_limit(self, entry: ServerEntry) -> bool:
+        if not self._limits.has_any:
+            return True
         region = self._fleet.region_of(entry.failure_domain)
         return self._limits.may_send(entry.start.key, region)
 
--- a/src/wagtailpoint/placement/weigher.py
+++ b/src/wagtailpoint/placement/weigher.py
@@ -91,7 +91,7 @@
         occupancy = load.occupancy(now, round_trip_s)
         report_age_s = load.report_age_s(now)
         slowness = load.slowness(now)
-        if not self._limits.may_send(entry.start.key, region):
+        if self._limits.has_any and not self._limits.may_send(entry.start.key, region):
             return Declined(entry, LIMITED, occupancy, report_age_s)
         if self._fleet.is_cold(entry.start):
             if not self._cold.may_send(entry.start, region, cold_per_s(demand.policy)):
--- a/tests/cover/test_soak_findings.py
+++ b/tests/cover/test_soak_findings.py
@@ -7,7 +7,16 @@
 import trio
 from bench.soak.caller import Caller, DrawnRequest
 from bench.soak.deployment import Deployment, Instance
-from bench.soak.findings import CONFIG_APPLY_S, DRAIN_S, SETTLE_S, Crash, Findings, Run, SentRequest
+from bench.soak.findings import (
+    CONFIG_APPLY_S,
+    DRAIN_S,
+    SETTLE_S,
+    Crash,
+    Findings,
+    LimitPeriod,
+    Run,
+    SentRequest,
+)
 from bench.soak.schedule import FAULTS, draw_schedule
 from trio.testing import MockClock
 
@@ -60,6 +69,22 @@
         self.findings.refused.add("a")
         self.assertEqual(len(self.finish()), 1)
 
+    def test_limited_backend_server_gets_too_many_requests(self) -> None:
+        for stated_until_s, violations in ((130.0, 1), (107.0, 0)):
+            self.findings = Findings(instances=1, slack=1.0)
+            self.findings.limit_periods = [LimitPeriod("i-1", 1.0, 100.0, stated_until_s)]
+            for number in range(12):
+                self.ask(f"{number}", 106.0, idempotent=True)
+                self.run_at(f"{number}", 106.0 + number / 4)
+            self.assertEqual(len(self.finish()), violations)
+
+    def test_requests_before_a_limit_has_settled_are_allowed(self) -> None:
+        self.findings.limit_periods = [LimitPeriod("i-1", 1.0, 100.0, 130.0)]
+        for number in range(50):
+            self.ask(f"{number}", 103.0, idempotent=True)
+            self.run_at(f"{number}", 103.0)
+        self.assertEqual(self.finish(), [])
+
     def test_drained_backend_server_gets_requests(self) -> None:
         self.findings.drained_s["i-1"] = 100.0
         for request_id, late_s in (("a", DRAIN_S - 0.1), ("b", DRAIN_S + 0.1)):
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -3,7 +3,7 @@
 import unittest
 
 import trio
-from bench.soak.schedule import draw_backend_faults, draw_schedule
+from bench.soak.schedule import draw_backend_faults, draw_limits, draw_schedule
 from bench.soak.soak import run_soak
 
 SECONDS = 20.0
@@ -15,7 +15,9 @@
 class SoakTest(unittest.TestCase):
     def test_guarantees_hold_under_faults(self) -> None:
         steps = draw_schedule(seed=1, seconds=SECONDS, instances=INSTANCES)
-        steps = sorted([*steps, *draw_backend_faults(seed=1, seconds=SECONDS)])
+        steps += draw_backend_faults(seed=1, seconds=SECONDS)
+        steps += draw_limits(seed=1, seconds=SECONDS)
+        steps.sort()
 
         async def run() -> list[str]:
             report = await run_soak(
