An instance survives when it stops watching while an answer arrives

One of nine instances was dead for the others and did not come back. Its log has the cause: the process ended by itself in its first second, in the watcher of the configuration:

self._watch_version = max(self._watch_version, batch.version) TypeError: '>' not supported between instances of 'int' and 'NoneType'

Cause: an instance stops or starts watching as it learns of others, mostly in its first second. The setter discards the version and cancels the watch. If the answer has arrived in the same step, the cancellation comes too late, and the answer is handled with the version gone. Class: a task that relies on a cancellation being delivered, though the call has already returned.

The watcher now checks after the call whether it was switched meanwhile, and begins anew if so. The new test switches watching off just before the answer is returned; without the change to the watcher it fails with the TypeError above.

The same class elsewhere: KindFollower (users' platform) keeps the version that it asked with in the call, and checks nothing that a setter resets.

--- a/src/wagtailpoint/config/watcher.py
+++ b/src/wagtailpoint/config/watcher.py
@@ -107,12 +107,16 @@
         return None
 
     async def _watch_once(self) -> Exception | None:
-        if self._watch_version is None:
+        from_version = self._watch_version
+        if from_version is None:
             return await self._list()
         started_s = trio.current_time()
         outcome = await self._platform.watch(
-            kinds=[HEAD_KIND], from_version=self._watch_version, wait_s=self._wait_s
+            kinds=[HEAD_KIND], from_version=from_version, wait_s=self._wait_s
         )
+        if self._watch_version is None:
+            # Switched while the answer was arriving: too late for the cancellation of the watch.
+            return None
         if isinstance(outcome, Err):
             # List again after any failure: the next call may reach another server of the platform,
             # for which the version of this watch is not valid.
@@ -125,7 +129,7 @@
             return PlatformUnavailable(f"a watch returned without events after {elapsed_s:.3f} s")
         self._backoff_s = MIN_BACKOFF_S
         # A stale replica may answer a watch with a version older than the requested one.
-        self._watch_version = max(self._watch_version, batch.version)
+        self._watch_version = max(from_version, batch.version)
         return await self._follow(head_objects[-1]) if head_objects else None
 
     async def _list(self) -> PlatformUnavailable | None:
--- a/tests/cover/test_config_watcher.py
+++ b/tests/cover/test_config_watcher.py
@@ -30,6 +30,18 @@
         return Err(PlatformUnavailable("no answer in time"))
 
 
+class SwitchingPlatform(FakePlatform):
+    """Calls ``before_answer`` when the answer to a watch has arrived but is not yet returned."""
+
+    before_answer: Callable[[], None] | None = None
+
+    async def watch(self, **arguments: Any) -> WatchAnswer:
+        answer = await super().watch(**arguments)
+        if self.before_answer is not None:
+            self.before_answer()
+        return answer
+
+
 class WatcherTest(unittest.TestCase):
     def setUp(self) -> None:
         self.platform = FakePlatform(max_events=10)
@@ -190,6 +202,27 @@
 
         self.run_with(test, watching=False)
 
+    def test_watching_ends_while_an_answer_arrives(self) -> None:
+        """Guards against an instance that ends by itself when it stops watching.
+
+        The answer to the watch has arrived, so the cancellation of the watch comes too late.
+        """
+        platform = self.platform = SwitchingPlatform()
+        self.store = ConfigStore(platform=platform, clock_wall=lambda: 0.0)
+
+        async def test(watcher: ConfigWatcher) -> None:
+            def stop_watching() -> None:
+                watcher.watching = False
+
+            await self.change(1)
+            await self.until(1)
+            platform.before_answer = stop_watching
+            await self.change(2)
+            await self.until(2)
+            self.assertFalse(watcher.watching)
+
+        self.run_with(test)
+
     def test_stale_platform_does_not_revert_a_snapshot_from_a_peer(self) -> None:
         async def test(watcher: ConfigWatcher) -> None:
             await self.change(1)
