Watchers send each other only changes that their own watches missed

Each change reaches all watchers from the store at the same moment, and each then answered the two questions that wait for it with a copy: a whole configuration, or after a listing the whole state. Class: a spare path that carries all of the traffic instead of what the main path has lost.

A change is now withheld from instances that watch the store, too, until this instance has known it for a second: a question that was asked before the change ends without it, and the next one has the version that the asking instance reached by itself. A watcher whose watch hears nothing is told a second later than before, within the two seconds of its tests; one that lacks a proof of its state can't serve and is told at once.

The test of a watcher without a proof fails if it is not excepted. Tests of freshness had no proof in the shared test case; they now state the bound that they need.

--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -96,7 +96,7 @@
         self._lost = trio.Event()
         self._outage_started_at = 0.0
         self._removals_trusted_from = 0.0
-        self._history = ChangeHistory(kind=kind)
+        self._history = ChangeHistory(kind=kind, now=trio.current_time)
         self._watching = trio.Event()
         self._watch_given_up = trio.Event()
         self._has_missed_change = False
@@ -153,8 +153,16 @@
         trusts = trio.current_time() >= self._removals_trusted_from
         return self.has_state and self._lost_at is None and not self._held_removals and trusts
 
-    def changes_since(self, version: int) -> KindChanges | None:
-        """Return the changes from an older version to this state; None if nothing is newer."""
+    def changes_since(self, version: int, *, known_for_s: float = 0.0) -> KindChanges | None:
+        """Return the changes from an older version to this state; None if nothing is newer.
+
+        Args:
+            version: The older version.
+            known_for_s: Nothing is returned until this instance has known the first of the changes
+                for this many seconds.
+        """
+        if known_for_s and trio.current_time() < self._history.newer_since(version) + known_for_s:
+            return None
         return self._history.changes_since(version, self._version, self._objects)
 
     def apply_changes(self, changes: KindChanges) -> None:
--- a/src/wagtailpoint/discovery/history.py
+++ b/src/wagtailpoint/discovery/history.py
@@ -1,7 +1,8 @@
 """The latest changes of a kind of object, for instances that have an older state."""
 
+import math
 from collections import deque
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from typing import Any, Final, NamedTuple
 
 from wagtailpoint.ports.platform import StoredObject, WatchEvent
@@ -30,19 +31,28 @@
 
 
 class _Batch(NamedTuple):
-    """Events that led from one version to another."""
+    """Events that led from one version to another, and when they were recorded."""
 
     before: int
     after: int
     events: Sequence[WatchEvent]
+    recorded_at: float
 
 
 class ChangeHistory:
     """Keeps the latest batches of events, without gaps between their versions."""
 
-    def __init__(self, *, kind: str) -> None:
+    def __init__(self, *, kind: str, now: Callable[[], float]) -> None:
+        """Initialise an empty history.
+
+        Args:
+            kind: The kind of object.
+            now: Returns the current time in seconds.
+        """
         self._kind = kind
+        self._now = now
         self._batches: deque[_Batch] = deque(maxlen=MAX_BATCHES)
+        self._cleared_at = -math.inf
 
     def record(self, *, before: int, after: int, events: Sequence[WatchEvent]) -> None:
         """Record the events that led from version ``before`` to ``after``.
@@ -51,7 +61,7 @@
         """
         if self._batches and self._batches[-1].after < before:
             self.clear()
-        self._batches.append(_Batch(before, after, tuple(events)))
+        self._batches.append(_Batch(before, after, tuple(events), self._now()))
 
     def record_changes(self, changes: KindChanges, *, before: int) -> None:
         """Record the changes that a peer has sent, which led from version ``before`` on."""
@@ -64,6 +74,18 @@
     def clear(self) -> None:
         """Discard all batches: the state was replaced, and the events in between are unknown."""
         self._batches.clear()
+        self._cleared_at = self._now()
+
+    def newer_since(self, version: int) -> float:
+        """Return when the first change after ``version`` was recorded.
+
+        Of a change that is in no batch any more this is the time of the last ``clear``.
+        """
+        if not self._batches or version < self._batches[0].before:
+            return self._cleared_at
+        return next(
+            (batch.recorded_at for batch in self._batches if batch.after > version), math.inf
+        )
 
     def changes_since(
         self, version: int, newest: int, objects: Mapping[str, StoredObject]
--- a/src/wagtailpoint/discovery/watch_order.py
+++ b/src/wagtailpoint/discovery/watch_order.py
@@ -37,6 +37,7 @@
         self._membership = membership
         self._members: Sequence[Member] = ()
         self._live: dict[str, Sequence[Member]] = {}
+        self._watchers: frozenset[str] | None = None
 
     @property
     def regions(self) -> Sequence[str]:
@@ -52,10 +53,7 @@
         The instances with the highest capacity come first: after a restart of all instances each
         watcher sends the whole state to dozens of them.
         """
-        members = self._membership.members()
-        if members is not self._members:
-            self._members = members
-            self._live = {}
+        members = self._read_members()
         if region not in self._live:
             live = [member for member in members if member.region == region and member.is_serving]
             live.sort(key=lambda member: capacity_sort_key(member, "watcher"))
@@ -67,7 +65,20 @@
         live = self.live(region)
         return live[: watcher_count(len(live))]
 
-    def is_watcher(self) -> bool:
-        """Return whether this instance is among the watchers of its region."""
-        own = self._membership.own
-        return any(member.address == own.address for member in self.watchers(own.region))
+    def is_watcher(self, address: str) -> bool:
+        """Return whether the instance with this address is among the watchers of its region."""
+        self._read_members()
+        if self._watchers is None:
+            self._watchers = frozenset(
+                member.address for region in self.regions for member in self.watchers(region)
+            )
+        return address in self._watchers
+
+    def _read_members(self) -> Sequence[Member]:
+        """Return the members; discard what was derived from former ones."""
+        members = self._membership.members()
+        if members is not self._members:
+            self._members = members
+            self._live = {}
+            self._watchers = None
+        return members
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -43,6 +43,11 @@
 """Added to ``QUESTION_WAIT_S`` for the request's time-out; longer than a round trip within a region
 and a short stall."""
 
+FELLOW_DELAY_S: Final = 1.0
+"""How long a change is withheld from instances that watch the store, too: their own watch normally
+tells them before. Longer than ``QUESTION_WAIT_S``, so that a question that was asked before the
+change ends without it, and the next one has the version that the asking instance reached."""
+
 LOSS_GRACE_S: Final = 0.5
 """How long a watcher that has lost the store holds questions before it declines them. Most losses
 end with the first retry; declined at once, every instance of the region would begin to watch in the
@@ -151,7 +156,7 @@
     def answer_waiting(self) -> None:
         """Answer waiting questions; to be called after every change of a followed kind."""
         for waiting in list(self._waiting):
-            answer = self._prepare_answer(waiting.received.message)
+            answer = self._prepare_answer(waiting.received)
             if answer is not None:
                 self._send_answer(waiting, answer)
 
@@ -254,7 +259,7 @@
 
     def is_watcher(self) -> bool:
         """Return whether this instance is among the watchers of its region."""
-        return self._order.is_watcher()
+        return self._order.is_watcher(self._membership.own.address)
 
     def _choose_source(self, number: int) -> PeerAddress | None:
         """Return the instance to ask, one for each number; None if there is none."""
@@ -294,7 +299,7 @@
         self._asked_until = trio.current_time() + ASKED_WATCH_TTL_S
         self._update_watching()
         arrived_at = self._freshness.now()
-        answer = self._prepare_answer(received.message)
+        answer = self._prepare_answer(received)
         if answer is None and received.message.lacks_proof and self._freshness.is_proved:
             answer = WatchAnswer(True, ())
         if answer is None:
@@ -304,15 +309,20 @@
             return None
         return self._with_proof(answer, arrived_at)
 
-    def _prepare_answer(self, question: WatchQuestion) -> WatchAnswer | None:
+    def _prepare_answer(self, received: Received) -> WatchAnswer | None:
         """Prepare the answer to a question; None if there are no changes yet."""
         if not self._is_settled:
             return None if self._is_briefly_lost else NOT_WATCHING
+        question: WatchQuestion = received.message
+        # An instance without a proof of its state can't serve, perhaps for lack of this change.
+        is_urgent = question.lacks_proof or not self._order.is_watcher(received.sender.address)
+        known_for_s = 0.0 if is_urgent else FELLOW_DELAY_S
         all_changes = [
             changes
             for kind, version in question.versions
             if kind in self._followers
-            and (changes := self._followers[kind].changes_since(version)) is not None
+            and (changes := self._followers[kind].changes_since(version, known_for_s=known_for_s))
+            is not None
         ]
         return WatchAnswer(True, all_changes) if all_changes else None
 
@@ -325,7 +335,7 @@
             await trio.sleep(EXPIRE_INTERVAL_S)
             now = trio.current_time()
             for waiting in list(self._waiting):
-                answer = self._prepare_answer(waiting.received.message)
+                answer = self._prepare_answer(waiting.received)
                 if answer is None and now >= waiting.until:
                     answer = WatchAnswer(True, ())
                 if answer is not None:
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -119,11 +119,9 @@
     )
 
 
-def make_freshness(follower: KindFollower, bound_s: float = 5.0) -> Freshness:
+def make_freshness(follower: KindFollower, bound_s: Callable[[], float] = lambda: 5.0) -> Freshness:
     """Return the freshness of a follower's state, by trio's clock."""
-    return Freshness(
-        clock=TrioClock(), version=lambda: follower.state.version, bound_s=lambda: bound_s
-    )
+    return Freshness(clock=TrioClock(), version=lambda: follower.state.version, bound_s=bound_s)
 
 
 class CrashReportRecorder:
--- a/tests/common/watch_sharing_case.py
+++ b/tests/common/watch_sharing_case.py
@@ -1,5 +1,6 @@
 """Base class of tests in which a few instances watch the store for all."""
 
+import math
 import random
 import unittest
 from collections.abc import Awaitable, Callable
@@ -34,6 +35,7 @@
         own: PeerAddress,
         places: list[PeerAddress],
         region_of: Callable[[str], str],
+        bound_s: Callable[[], float],
     ) -> None:
         self.own = own
         self.region = region_of(own.address)
@@ -55,7 +57,7 @@
                 addresses=places, own=own, region_of=region_of
             ),
             followers={KIND: self.follower},
-            freshness=make_freshness(self.follower),
+            freshness=make_freshness(self.follower, bound_s),
         )
 
     async def ask(self, kind: str, newer_than: int) -> None:
@@ -78,9 +80,11 @@
         platforms: The store as each instance reaches it.
         operator: The store as the operator reaches it.
         sharers: The instances.
+        bound_s: How long a state may be stale before the instances need a proof, in seconds.
     """
 
     def setUp(self) -> None:
+        self.bound_s = math.inf
         logger.disable("wagtailpoint")
         self.addCleanup(logger.enable, "wagtailpoint")
         self.network = FakeNetwork()
@@ -101,6 +105,7 @@
                 own=place,
                 places=places,
                 region_of=region_of,
+                bound_s=lambda: self.bound_s,
             )
             for platform, place in zip(self.platforms, places, strict=True)
         ]
@@ -126,14 +131,14 @@
 
         trio.run(run, clock=MockClock(autojump_threshold=0))
 
-    async def put(self, name: str) -> None:
+    async def put(self, name: str, value: str = "") -> None:
         """Store an object and answer the watches."""
-        await self.put_unheard(name)
+        await self.put_unheard(name, value)
         self.answer_watches()
 
-    async def put_unheard(self, name: str) -> None:
+    async def put_unheard(self, name: str, value: str = "") -> None:
         """Store an object without answering the watches that wait."""
-        (await self.operator.put(kind=KIND, name=name, value={}, if_version=0)).unwrap()
+        (await self.operator.put(kind=KIND, name=name, value=value, if_version=0)).unwrap()
 
     async def delete(self, name: str) -> None:
         """Delete an object and answer the watches."""
--- a/tests/cover/test_change_history.py
+++ b/tests/cover/test_change_history.py
@@ -1,5 +1,6 @@
 """The latest changes of a kind of object, as told to instances with an older state."""
 
+import math
 import unittest
 
 from wagtailpoint.discovery.history import ChangeHistory, KindChanges
@@ -14,8 +15,10 @@
 
 class ChangeHistoryTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.history = ChangeHistory(kind=KIND)
+        self.now_s = 100.0
+        self.history = ChangeHistory(kind=KIND, now=lambda: self.now_s)
         self.history.record(before=10, after=12, events=[event("put", "a", 11)])
+        self.now_s = 101.0
         self.history.record(
             before=12, after=15, events=[event("delete", "a", 13), event("put", "b", 15)]
         )
@@ -70,3 +73,17 @@
         assert changes is not None
         self.assertFalse(changes.whole)
         self.assertEqual((changes.objects, changes.removed), ([("c", 20, {})], ["a", "b"]))
+
+    def test_time_of_the_first_newer_change(self) -> None:
+        """Guards against changes that are withheld for as long as further ones follow."""
+        self.assertEqual(self.history.newer_since(10), 100.0)
+        self.assertEqual(self.history.newer_since(12), 101.0)
+        self.assertEqual(self.history.newer_since(15), math.inf)
+
+    def test_time_of_a_replaced_state(self) -> None:
+        self.now_s = 102.0
+        self.history.clear()
+        self.now_s = 103.0
+        self.history.record(before=20, after=21, events=[event("put", "c", 21)])
+        self.assertEqual(self.history.newer_since(15), 102.0)
+        self.assertEqual(self.history.newer_since(20), 103.0)
--- a/tests/cover/test_freshness.py
+++ b/tests/cover/test_freshness.py
@@ -103,7 +103,7 @@
                 random=random.Random(1),
                 watching=watching,
             )
-            freshness = make_freshness(follower, BOUND_S)
+            freshness = make_freshness(follower, lambda: BOUND_S)
             confirmation = Confirmation(
                 follower=follower,
                 platform=platform,
--- a/tests/cover/test_unanswered_watches.py
+++ b/tests/cover/test_unanswered_watches.py
@@ -6,6 +6,7 @@
 
 from tests.common.watch_sharing_case import BOUND_S, COUNT, Sharer, WatchSharingCase
 from wagtailpoint.discovery.follower import BATCH_DELAY_S
+from wagtailpoint.discovery.watch_sharing import QUESTION_WAIT_S
 
 UNHEARD_S = 1.0
 """Time in which a store that is about to discard its history answers no watch."""
@@ -13,6 +14,12 @@
 DISCARDING_S = 0.12
 """Time in which watches that begin are never answered: instances begin their own within it."""
 
+AT_ONCE_S = 0.5
+"""Time in which a change that nothing delays reaches all instances."""
+
+PROOF_BOUND_S = 5.0
+"""Age from which a state may not be served without a newer proof; nothing proves a state here."""
+
 
 class UnansweredWatchesTest(WatchSharingCase):
     def test_watches_begun_while_the_store_discards_its_history(self) -> None:
@@ -70,6 +77,24 @@
 
         self.run_with(test)
 
+    def test_watcher_without_a_proof_is_told_at_once(self) -> None:
+        """Guards against a watcher that can't serve while another one withholds the newest state.
+
+        A change is withheld from watchers, which normally learn it from the store before. One that
+        lacks a proof of its state may only lack this change.
+        """
+
+        async def test() -> None:
+            deaf = self.watchers[0]
+            await self.deafen([deaf])
+            self.bound_s = PROOF_BOUND_S
+            await trio.sleep(QUESTION_WAIT_S)
+            await self.put("new")
+            await trio.sleep(AT_ONCE_S)
+            self.assertIn("new", deaf.follower.objects)
+
+        self.run_with(test)
+
     def test_region_whose_watches_are_never_answered(self) -> None:
         """Guards against a region that serves an outdated state while the others know the newest.
 
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -6,10 +6,14 @@
 from wagtailpoint.discovery.history import KindChanges
 from wagtailpoint.discovery.watch_order import watcher_count
 from wagtailpoint.discovery.watch_sharing import SOURCE_COUNT, WatchAnswer, WatchQuestion
+from wagtailpoint.ports.peers import get_message_kind
 
 AT_ONCE_S = 0.5
 """A change waits up to 0.25 s for others and is passed on by one more message."""
 
+LARGE_BYTES = 50_000
+"""More than the questions and answers of some seconds that carry no change."""
+
 
 class WatchSharingTest(WatchSharingCase):
     def test_calls_do_not_grow_with_the_number_of_instances(self) -> None:
@@ -95,6 +99,25 @@
 
         self.run_with(test)
 
+    def test_watchers_send_each_other_no_change_that_both_watch(self) -> None:
+        """Guards against a copy of each change for each watcher that has it from the store."""
+
+        async def test() -> None:
+            before = self.bytes_to_watchers()
+            for number in range(5):
+                await self.put(f"s{number}", value="x" * LARGE_BYTES)
+                await trio.sleep(1.0)
+            self.assertEqual(self.known(), [{"first", *(f"s{n}" for n in range(5))}] * COUNT)
+            self.assertLess(self.bytes_to_watchers() - before, LARGE_BYTES)
+
+        self.run_with(test)
+
+    def bytes_to_watchers(self) -> int:
+        """Return the bytes of the answers that the watchers got from other instances."""
+        kind = get_message_kind(WatchAnswer)
+        received = [watcher.peers.counts.received.get(kind) for watcher in self.watchers]
+        return sum(traffic.bytes for traffic in received if traffic is not None)
+
     def test_changes_arrive_after_all_watchers_are_killed(self) -> None:
         """Guards against requests to a backend server that left some seconds ago.
 
