Instances that know no stated limit do not compare limits

Cause: each instance asked a random peer every second whether their limits differ, whether there were any or not: a message, an answer, and often a new link each way. Class: a background task that costs the same with nothing to do.

Instances that know no statement now wait. One that knows some still compares once a second, and a peer whose digest differs asks back, so that an instance that was cut off while the limit was stated learns it though it does not ask by itself. A started instance still compares until one peer has answered.

The new test of an instance that knows no limit and was cut off passes before and after.

--- a/src/wagtailpoint/limits/limit_exchange.py
+++ b/src/wagtailpoint/limits/limit_exchange.py
@@ -18,7 +18,8 @@
 
 COMPARE_INTERVAL_S: Final = 1.0
 """Interval of the comparisons with a peer, which bring news to instances that have started, or were
-cut off, since it was sent."""
+cut off, since it was sent. Instances that know no statement compare only when they start, and with
+peers that turn out to know one."""
 
 FIRST_COMPARE_INTERVAL_S: Final = 0.1
 """Interval of the attempts of an instance that has not compared with any peer yet."""
@@ -72,6 +73,8 @@
         self._random = random
         self._news: set[str] = set()
         self._has_news = trio.Event()
+        self._differing_peer: PeerAddress | None = None
+        self._may_differ = trio.Event()
         peers.handle(LimitNews, self._on_news)
         peers.handle(LimitQuestion, self._on_question)
         limits.announce_to(self)
@@ -80,6 +83,7 @@
         """Send what is known of a backend server to all other instances."""
         self._news.add(server)
         self._has_news.set()
+        self._may_differ.set()
 
     async def run(self) -> None:
         """Send news, and compare with peers, until cancelled."""
@@ -102,6 +106,9 @@
     async def _compare(self) -> None:
         has_compared = False
         while True:
+            if has_compared and not self._limits.has_any and self._differing_peer is None:
+                self._may_differ = trio.Event()
+                await self._may_differ.wait()
             peer = self._choose_peer()
             if peer is not None:
                 question = LimitQuestion(self._digest())
@@ -113,6 +120,10 @@
             await trio.sleep(interval_s * self._random.uniform(0.8, 1.2))
 
     def _choose_peer(self) -> PeerAddress | None:
+        """Return the peer to compare with: one that is known to differ, else a random one."""
+        if self._differing_peer is not None:
+            peer, self._differing_peer = self._differing_peer, None
+            return peer
         others = self._membership.others()
         return self._random.choice(others) if others else None
 
@@ -122,7 +133,13 @@
 
     def _on_news(self, received: Received) -> None:
         self._limits.apply(received.message.limits)
+        self._may_differ.set()
 
     def _on_question(self, received: Received) -> LimitNews:
         question: LimitQuestion = received.message
-        return NO_NEWS if question.digest == self._digest() else LimitNews(self._limits.all)
+        if question.digest == self._digest():
+            return NO_NEWS
+        # What the asking instance knows may be newer.
+        self._differing_peer = received.sender
+        self._may_differ.set()
+        return LimitNews(self._limits.all)
--- a/tests/cover/test_limit_exchange.py
+++ b/tests/cover/test_limit_exchange.py
@@ -120,6 +120,16 @@
 
         self.run_with(test)
 
+    def test_instances_that_know_no_limit_exchange_nothing(self) -> None:
+        """Guards against messages between all instances on days without any limit."""
+
+        async def test(_nursery: trio.Nursery) -> None:
+            before = self.network.delivered_bytes
+            await trio.sleep(10.0)
+            self.assertEqual(self.network.delivered_bytes, before)
+
+        self.run_with(test)
+
     def test_instance_that_starts_later_learns_the_limits(self) -> None:
         """Guards against a restarted instance that sends without limit until it is told."""
 
@@ -148,6 +158,24 @@
 
         self.run_with(test)
 
+    def test_instance_without_any_limit_learns_one_that_was_stated_while_it_was_cut_off(
+        self,
+    ) -> None:
+        """Guards against an instance that never asks, as it knows no limit itself."""
+
+        async def test(_nursery: trio.Nursery) -> None:
+            cut = self.instances[0].peers.address.address
+            others = [instance.peers.address.address for instance in self.instances[1:]]
+            self.network.cut_apart([cut], others)
+            self.instances[1].answered(b"2")
+            await trio.sleep(3.0)
+            self.assertEqual(self.known(), [None, *[2.0] * (COUNT - 1)])
+            self.network.heal()
+            await trio.sleep(COMPARED_S)
+            self.assertEqual(self.known(), [2.0] * COUNT)
+
+        self.run_with(test)
+
     def test_sides_of_a_cut_agree_on_the_lower_limit(self) -> None:
         async def test(_nursery: trio.Nursery) -> None:
             places = [instance.peers.address.address for instance in self.instances]
