A late answer of a backend server that is gone states no limit

Found by reading, seen by no caller: a backend server that leaves serves what it has after its entry is gone. If such an answer states a limit, it was recorded anew, after the removal had discarded it, and nothing removes it a second time: the gauge `stated_limits` counts it for ever, and the instance compares limits with its peers every second, which ignore it.

Cause: statements of peers were checked against the registered backend servers, answers were not. Class: state that is kept by events of an owner, and created by others after the owner's last event.

An answer of a backend server that is not registered now changes nothing. The new test fails without the change ([StatedLimit(server='i-1/0', ...)] != []).

--- a/src/wagtailpoint/limits/stated_limit.py
+++ b/src/wagtailpoint/limits/stated_limit.py
@@ -84,7 +84,8 @@
 
         Args:
             is_known: Returns whether a backend server is registered. Statements of others are
-                ignored, so that those of servers that are gone do not return from peers.
+                ignored: nothing would remove what peers, or late answers, tell of servers that are
+                gone.
             metrics: Counts statements.
         """
         self._is_known = is_known
@@ -142,7 +143,7 @@
         per_s = stated.ok_value
         known = self._known.get(server)
         before = known.limit.per_s if known is not None else None
-        if per_s == before:
+        if per_s == before or not self._is_known(server):
             return
         lowers = per_s is not None and (before is None or per_s < before)
         if known is not None and not lowers and sent_at <= known.heard_at:
--- a/tests/cover/test_stated_limit.py
+++ b/tests/cover/test_stated_limit.py
@@ -154,6 +154,19 @@
 
         self.run_with(test)
 
+    def test_late_answer_of_a_server_that_is_gone_is_ignored(self) -> None:
+        """Guards against a limit that stays in force, since its server was removed before."""
+
+        async def test() -> None:
+            await self.answer(b"4")
+            self.limits.forget(SERVER)
+            self.known_servers.clear()
+            await self.answer(b"4")
+            self.assertEqual(self.limits.all, [])
+            self.assertEqual(self.announced.servers, [SERVER])
+
+        self.run_with(test)
+
 
 if __name__ == "__main__":
     unittest.main()
