--- a/src/wagtailpoint/admission/rates.py
+++ b/src/wagtailpoint/admission/rates.py
@@ -10,10 +10,10 @@
 """A bucket holds the tokens of this many seconds, because callers send requests in bursts."""
 
 MAX_CREDIT_S: Final = 10.0
-"""Longest pause of the process for which a bucket gets credit; callers wait no longer."""
+"""Longest pause of the process, in seconds, for which a bucket gets credit."""
 
 CREDIT_TTL_S: Final = 1.0
-"""Time after a pause in which the requests that arrived meanwhile are handled."""
+"""Time after a pause, in seconds, in which the requests that arrived meanwhile are handled."""
 
 
 class _Bucket:
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -107,7 +107,8 @@
 class WatchSharing:
     """Asks the watchers of the region for changes, and answers questions as one of them.
 
-    Watchers ask each other, too, as a watch may be neither answered nor ended.
+    Watchers ask each other, too, as a watch may be neither answered nor ended; they are told only
+    what their own watches should have told them before.
 
     If a watcher does not answer or has lost the store, instances ask the next one in the region's
     order, which begins to watch because it is asked. An instance watches the store itself,
