--- a/src/wagtailpoint/discovery/follower.py
+++ b/src/wagtailpoint/discovery/follower.py
@@ -154,16 +154,10 @@
         return self.has_state and self._lost_at is None and not self._held_removals and trusts
 
     def changes_since(self, version: int, *, known_for_s: float = 0.0) -> KindChanges | None:
-        """Return the changes from an older version to this state; None if nothing is newer.
-
-        Args:
-            version: The older version.
-            known_for_s: Nothing is returned until this instance has known the first of the changes
-                for this many seconds.
-        """
-        if known_for_s and trio.current_time() < self._history.newer_since(version) + known_for_s:
-            return None
-        return self._history.changes_since(version, self._version, self._objects)
+        """Return what ``ChangeHistory.changes_since`` does for this state."""
+        return self._history.changes_since(
+            version, self._version, self._objects, known_for_s=known_for_s
+        )
 
     def apply_changes(self, changes: KindChanges) -> None:
         """Apply changes received from a peer that watches the store."""
--- a/src/wagtailpoint/discovery/history.py
+++ b/src/wagtailpoint/discovery/history.py
@@ -88,7 +88,12 @@
         )
 
     def changes_since(
-        self, version: int, newest: int, objects: Mapping[str, StoredObject]
+        self,
+        version: int,
+        newest: int,
+        objects: Mapping[str, StoredObject],
+        *,
+        known_for_s: float = 0.0,
     ) -> KindChanges | None:
         """Return the changes from ``version`` to ``newest``; None if nothing is newer.
 
@@ -100,9 +105,13 @@
             version: The version of the older state.
             newest: The version of the newest state.
             objects: All objects of the newest state, by name.
+            known_for_s: Nothing is returned until the first of the changes has been known for this
+                many seconds.
         """
         if version >= newest:
             return None
+        if known_for_s and self._now() < self.newer_since(version) + known_for_s:
+            return None
         if not self._batches or version < self._batches[0].before:
             known = [(stored.name, stored.version, stored.value) for stored in objects.values()]
             return KindChanges(self._kind, newest, True, known, ())
--- a/tests/cover/test_change_history.py
+++ b/tests/cover/test_change_history.py
@@ -87,3 +87,9 @@
         self.history.record(before=20, after=21, events=[event("put", "c", 21)])
         self.assertEqual(self.history.newer_since(15), 102.0)
         self.assertEqual(self.history.newer_since(20), 103.0)
+
+    def test_changes_are_withheld_until_the_first_has_been_known_for_some_time(self) -> None:
+        for now_s, expected in ((104.9, None), (105.1, ["a"])):
+            self.now_s = now_s
+            changes = self.history.changes_since(12, 15, self.objects, known_for_s=4.0)
+            self.assertEqual(changes and changes.removed, expected)
