--- a/tests/integration/test_cli_process.py
+++ b/tests/integration/test_cli_process.py
@@ -57,6 +57,7 @@
         """
         running = self.enterContext(RunningDeployment(name="heather-isles", entries=2))
         running.apply_objects()
+        running.wait_members()
         adjust = ["workspace", "adjust", "heather-isles", "--set", "max_rps=77", "--json"]
         changed = json.loads(self.cli(running, *adjust, "--wait"))
         instances = {entry.settings.address for entry in running.entries}
