A caller's lookups ask an entry that did not answer last

Found when the cause of (one peer that is down holds up the contact with all others) was sought elsewhere; nobody has reported it.

What callers see: the first entry of the last answer gets the next lookup. While it is silent, and others still name it first, each lookup waits 1 s for it, and the caller's other requests wait for that lookup. Requests already preferred other entries for 2 s, and lookups did not.

An entry that does not answer a lookup is marked as one that did not answer a request, and lookups ask marked entries last.

test_silent_entry_holds_up_few_lookups, six requests with a TTL of 0.05 s while the first entry is silent: before, not done within 30 s; now done, with at most one lookup to that entry in 2 s.

--- a/src/wagtailpoint/caller/entries.py
+++ b/src/wagtailpoint/caller/entries.py
@@ -54,7 +54,7 @@
         self._fresh_until = float("-inf")
 
     def mark_suspect(self, address: EntryAddress) -> None:
-        """Prefer the other entries for a while: this one did not answer, and lookups may lag."""
+        """Prefer the other entries for a while, for lookups too: this one did not answer."""
         self._suspects[address] = trio.current_time() + _SUSPECT_RETENTION_S
 
     async def choose(self, tried: Sequence[KnownEntry], *, until: float) -> KnownEntry:
@@ -63,11 +63,12 @@
         Raises:
             NoEntryAvailable: No entry answers lookups, and no earlier answer is known.
         """
-        known = sorted(await self._current_entries(until), key=self._is_suspect)
+        current = await self._current_entries(until)
+        known = sorted(current, key=lambda entry: self._is_suspect(entry.address))
         return (order_for_retry(known, tried) or known)[0]
 
-    def _is_suspect(self, entry: KnownEntry) -> bool:
-        return self._suspects.get(entry.address, 0.0) > trio.current_time()
+    def _is_suspect(self, address: EntryAddress) -> bool:
+        return self._suspects.get(address, 0.0) > trio.current_time()
 
     async def _current_entries(self, until: float) -> tuple[KnownEntry, ...]:
         async with self._lookup_lock:
@@ -98,7 +99,7 @@
         seeds = list(self._seeds)
         # Shuffled, as otherwise the first seed would answer the lookups of all callers.
         self._rng.shuffle(seeds)
-        return list(dict.fromkeys(known + seeds))
+        return sorted(dict.fromkeys(known + seeds), key=self._is_suspect)
 
     async def _look_up(self, address: EntryAddress, until: float) -> LookupAnswer | str:
         """Return the answer to a lookup, or the reason why there is none."""
@@ -107,6 +108,7 @@
             address, Outgoing("GET", self._target, [], b""), until=until
         )
         if not isinstance(reply, Reply):
+            self.mark_suspect(address)
             return reply.reason
         if reply.status != _OK:
             return f"status-{reply.status}"
--- a/tests/common/scripted_entry.py
+++ b/tests/common/scripted_entry.py
@@ -41,7 +41,16 @@
 
 
 class ScriptedEntry:
-    """Serves on a random loopback address; closes a connection if the handler returns None."""
+    """Serves on a random loopback address; closes a connection if the handler returns None.
+
+    Attributes:
+        listed: The entries in its answers to lookups, the best one first.
+        lookup_ttl_s: How long callers may use such an answer, in seconds.
+        answers_lookups: Whether it answers lookups; it refuses them otherwise.
+        is_silent: Whether it answers nothing at all.
+        lookups: The number of lookups answered.
+        ignored_lookups: The number of lookups that arrived while it was silent.
+    """
 
     def __init__(self, *, handler: Handler, domain: str = "a", incarnation: str = "0" * 16) -> None:
         self.address = fresh_address()
@@ -50,8 +59,11 @@
         self.handler = handler
         self.seen: list[Seen] = []
         self.listed: list[ScriptedEntry] = [self]
+        self.lookup_ttl_s = 60.0
         self.answers_lookups = True
+        self.is_silent = False
         self.lookups = 0
+        self.ignored_lookups = 0
 
     def line(self) -> dict[str, object]:
         return {
@@ -85,14 +97,18 @@
         return said.cut_after is None
 
     async def _answer(self, seen: Seen) -> Say | None:
-        if not seen.target.startswith("/v1/lookup"):
+        is_lookup = seen.target.startswith("/v1/lookup")
+        if self.is_silent:
+            self.ignored_lookups += is_lookup
+            await trio.sleep_forever()
+        if not is_lookup:
             self.seen.append(seen)
             return await self.handler(seen)
         if not self.answers_lookups:
             return refuse("not-ready")
         self.lookups += 1
         entries = [entry.line() for entry in self.listed]
-        answer = {"config_version": 1, "ttl_s": 60.0, "entries": entries}
+        answer = {"config_version": 1, "ttl_s": self.lookup_ttl_s, "entries": entries}
         return Say(200, body=json.dumps(answer).encode())
 
     async def _read(self, connection: h11.Connection, stream: trio.SocketStream) -> Seen | None:
--- a/tests/cover/test_caller.py
+++ b/tests/cover/test_caller.py
@@ -11,6 +11,10 @@
 from wagtailpoint.verdict import Verdict
 
 LIMIT_S = 30
+LOOKUP_TTL_S = 0.05
+SUSPECT_RETENTION_S = 2.0
+"""For how long a caller prefers other entries to one that did not answer."""
+
 LARGE_BODY = bytes(range(256)) * 64
 ETAG = ("ETag", '"v1"')
 
@@ -241,6 +245,25 @@
 
         self.run_with(answer_with(Say(200)), answer_with(Say(200)), scenario)
 
+    def test_silent_entry_holds_up_few_lookups(self) -> None:
+        """Guards against callers that wait for an entry that is down at each of their lookups."""
+        requests = 6
+
+        async def scenario(caller: Caller) -> None:
+            for entry in (self.first, self.second):
+                entry.lookup_ttl_s = LOOKUP_TTL_S
+            await caller.request("GET", "/x", deadline_s=10.0)
+            self.first.is_silent = True
+            began = trio.current_time()
+            for _ in range(requests):
+                await trio.sleep(2 * LOOKUP_TTL_S)
+                answer = await caller.request("GET", "/x", deadline_s=10.0)
+                self.assertEqual(answer.entry.address, self.second.address)
+            passed_s = trio.current_time() - began
+            self.assertLessEqual(self.first.ignored_lookups, 1 + passed_s / SUSPECT_RETENTION_S)
+
+        self.run_with(answer_with(Say(200)), answer_with(Say(200)), scenario)
+
     def test_no_entry_at_all(self) -> None:
         async def main() -> None:
             async with Caller(
