Split the simulated system: its deployment and its outcomes are modules of their own

bench/system_model.py had 499 lines and three subjects: what is simulated, the simulation, and the figures made of its outcomes.

Only moved: each removed line but the imports is in one of the new files, and test_system_model passes.

--- a/bench/placement.py
+++ b/bench/placement.py
@@ -17,18 +17,9 @@
 
 import click
 
-from bench.system_model import (
-    MAX_SHIFT_FRACTION,
-    Deployment,
-    Fault,
-    Outcome,
-    RequestClass,
-    SystemModel,
-    largest_shift,
-    prices,
-    worth,
-    worth_by,
-)
+from bench.simulated_deployment import MAX_SHIFT_FRACTION, Deployment, Fault, RequestClass
+from bench.simulated_outcomes import Outcome, largest_shift, prices, worth, worth_by
+from bench.system_model import SystemModel
 
 SHORT_S = 8.0
 FULL_S = 24.0
--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -7,17 +7,17 @@
 The figures therefore compare settings; they do not predict the worth of a real deployment.
 """
 
-import math
-from collections import Counter, OrderedDict, defaultdict
+from collections import OrderedDict
 from collections.abc import Mapping, Sequence
 from random import Random
-from typing import NamedTuple
 
 import trio
 from loguru import logger
 from tests.common.steering_parts import make_limit_pacing, make_stated_limits
 from trio.testing import MockClock
 
+from bench.simulated_deployment import MAX_SHIFT_FRACTION, Deployment, Fault, RequestClass
+from bench.simulated_outcomes import Outcome
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.placement.cached_fraction import CachedFraction
@@ -36,136 +36,6 @@
 CACHED_WORK_FACTOR = 0.3
 SERVICE_TIME_DEVIATION = 0.15
 MAX_QUEUED = 9
-MAX_SHIFT_FRACTION = 0.15
-WINDOW_S = 2.0
-SWING_PERIOD_S = 36.0
-HEADER_BYTES = 900
-"""Bytes of headers of a request and its reply together."""
-
-
-class RequestClass(NamedTuple):
-    """A class of requests.
-
-    Attributes:
-        name: The name in tables.
-        service: The service that serves the requests.
-        rate: Requests per second from the callers of each failure domain.
-        work_s: Mean service time in seconds for an object that is not cached.
-        objective_s: Latency in seconds up to which an answer has its full value.
-        deadline_s: Time in seconds after which callers give up.
-        value: The value of an answer in time.
-        keys: The number of different objects.
-        reply_bytes: The size of an answer in bytes.
-        priority: The priority; 0 is the most urgent.
-    """
-
-    name: str
-    service: str
-    rate: float
-    work_s: float
-    objective_s: float
-    deadline_s: float
-    value: float
-    keys: int
-    reply_bytes: int
-    priority: int
-
-
-class Deployment(NamedTuple):
-    """The failure domains, backend servers and load of a deployment.
-
-    Attributes:
-        region_of: The region of each failure domain.
-        instances: The number of instances in each failure domain.
-        servers: The number of backend servers of each service in each failure domain.
-        cache_size: The number of objects that a backend server of each service caches.
-        slots: The slots of a backend server of each service.
-        in_region_s: Round-trip time between failure domains of a region, in seconds.
-        between_regions_s: Round-trip time between regions, in seconds.
-        domain_price: Price of a gigabyte between failure domains of a region, where an answer is
-            worth 1.
-        region_price: Price of a gigabyte between regions, likewise.
-        classes: The classes of requests that callers send.
-        load: The factor by which the rates of all classes are multiplied.
-        swing: The amplitude, as a fraction, by which each region's rate oscillates; the phases of
-            the regions differ.
-        keys_per_region: Whether the callers of each region request separate objects.
-    """
-
-    region_of: Mapping[str, str]
-    instances: Mapping[str, int]
-    servers: Mapping[str, Mapping[str, int]]
-    cache_size: Mapping[str, int]
-    slots: Mapping[str, int]
-    in_region_s: float
-    between_regions_s: float
-    domain_price: float
-    region_price: float
-    classes: Sequence[RequestClass]
-    load: float = 1.0
-    swing: float = 0.0
-    keys_per_region: bool = False
-
-    def rate(self, request_class: RequestClass, domain: str, now: float) -> float:
-        """Return the requests/s of one class from a failure domain at a time in seconds."""
-        regions = sorted(set(self.region_of.values()))
-        phase = regions.index(self.region_of[domain]) / len(regions)
-        wave = 1.0 + self.swing * math.sin(2 * math.pi * (now / SWING_PERIOD_S + phase))
-        return request_class.rate * self.load * wave
-
-    def price(self, origin: str, destination: str, reply_bytes: float) -> float:
-        """Return the price of the bytes of a request and its reply between two failure domains."""
-        if origin == destination:
-            return 0.0
-        same = self.region_of[origin] == self.region_of[destination]
-        per_gb = self.domain_price if same else self.region_price
-        return per_gb * (reply_bytes + HEADER_BYTES) / 1e9
-
-    def round_trip_s(self, origin: str, destination: str) -> float:
-        """Return the round-trip time between two failure domains, in seconds."""
-        if origin == destination:
-            return 0.0004
-        same = self.region_of[origin] == self.region_of[destination]
-        return self.in_region_s if same else self.between_regions_s
-
-
-class Fault(NamedTuple):
-    """A fault during a run.
-
-    Attributes:
-        at_s: The time of the fault, in seconds from the start.
-        duration_s: How long the backend servers are lost, in seconds; 0 for a restart of instances.
-        domain: The failure domain whose backend servers are lost and return with empty caches;
-            empty for a restart of all instances, which then have learned nothing.
-    """
-
-    at_s: float
-    duration_s: float = 0.0
-    domain: str = ""
-
-
-class Outcome(NamedTuple):
-    """The outcome of one request.
-
-    Attributes:
-        began: When the caller sent the request, in seconds from the start.
-        domain: The failure domain of the caller.
-        name: The name of the request's class.
-        value: The value of an answer in time.
-        earned: The value of the actual answer; 0 if there was none.
-        refused: Whether the request was refused twice.
-        ran_in: The region where the request ran; empty if it was refused.
-        price: The price of the transferred bytes.
-    """
-
-    began: float
-    domain: str
-    name: str
-    value: float
-    earned: float
-    refused: bool
-    ran_in: str
-    price: float
 
 
 class ModelServer:
@@ -457,43 +327,3 @@
         home_regions=None,
         parts=(SplitPart(request_class.service, 1.0),),
     )
-
-
-def worth(outcomes: Sequence[Outcome]) -> float:
-    """Return the earned value as a fraction (0 to 1) of the possible value."""
-    owed = sum(outcome.value for outcome in outcomes)
-    return sum(outcome.earned for outcome in outcomes) / owed if owed else 0.0
-
-
-def prices(outcomes: Sequence[Outcome]) -> float:
-    """Return the price of all bytes as a fraction of the possible value."""
-    owed = sum(outcome.value for outcome in outcomes)
-    return sum(outcome.price for outcome in outcomes) / owed if owed else 0.0
-
-
-def worth_by(outcomes: Sequence[Outcome], field: str) -> dict[str, float]:
-    """Return the worth for each value of a field of the outcomes; ``began`` by whole seconds."""
-    groups: dict[str, list[Outcome]] = defaultdict(list)
-    for outcome in outcomes:
-        value = getattr(outcome, field)
-        groups[f"{int(value):02}" if field == "began" else value].append(outcome)
-    return {name: worth(found) for name, found in sorted(groups.items())}
-
-
-def largest_shift(outcomes: Sequence[Outcome], region_of: Mapping[str, str]) -> float:
-    """Return the largest fraction of a region's requests that changed regions between windows."""
-    windows: dict[tuple[str, int], Counter[str]] = defaultdict(Counter)
-    for outcome in outcomes:
-        if outcome.ran_in:
-            windows[region_of[outcome.domain], int(outcome.began // WINDOW_S)][outcome.ran_in] += 1
-    shifts = [0.0]
-    for (region, number), ran in windows.items():
-        after = windows.get((region, number + 1))
-        if after is not None:
-            shifts.append(
-                sum(
-                    max(0.0, after[target] / after.total() - ran[target] / ran.total())
-                    for target in after
-                )
-            )
-    return max(shifts)
--- a/tests/cover/test_system_model.py
+++ b/tests/cover/test_system_model.py
@@ -3,7 +3,9 @@
 import unittest
 
 from bench.placement import SURAKKHA, VITAMINS, main
-from bench.system_model import Fault, Outcome, SystemModel, largest_shift, prices, worth, worth_by
+from bench.simulated_deployment import Fault
+from bench.simulated_outcomes import Outcome, largest_shift, prices, worth, worth_by
+from bench.system_model import SystemModel
 from click.testing import CliRunner
 
 REGION_OF = {"a-1": "a", "b-1": "b"}
