--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -350,6 +350,7 @@
             "caller_connections": self._servers[0].connections,
             "backend_servers": len(self._fleet.entries),
             "unusable_server_entries": self._state.unusable_entries,
+            "unreachable_servers": self._placement.unreachable_count,
             "instances": self._count_instances(),
             "entries": len(self._role.choice.all),
             "load": self._membership.own.load,
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -261,6 +261,13 @@
             if (until := self.load_of(entry).resting_until) is not None and now >= until
         ]
 
+    @property
+    def unreachable_count(self) -> int:
+        """The number of backend servers that this instance could not reach lately."""
+        return sum(
+            self.load_of(entry).resting_until is not None for entry in self._fleet.entries.values()
+        )
+
     def record_unreachable(self, entry: ServerEntry) -> float:
         """Record a backend server as unreachable; return its backoff in seconds."""
         return self.load_of(entry).record_unreachable(trio.current_time())
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -124,7 +124,7 @@
         except ExchangeFailed as error:
             # No request waits for this connection; one that needs it opens its own and handles the
             # failure.
-            log_event("spare-not-opened", server=entry.server_id, reason=error)
+            log_event("spare-not-opened", server=entry.server_id, purpose=purpose, reason=error)
             return error.reason
         finally:
             self._opening_spare.discard(entry.start)
