--- a/tests/common/steering_group.py
+++ b/tests/common/steering_group.py
@@ -2,7 +2,7 @@
 
 import json
 import tempfile
-from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping, Sequence
 from contextlib import ExitStack, asynccontextmanager
 from pathlib import Path
 
@@ -21,9 +21,10 @@
 class Instance:
     """The process of an instance and its address."""
 
-    def __init__(self, *, address: str, process: ModuleProcess) -> None:
+    def __init__(self, *, address: str, process: ModuleProcess, failure_domain: str) -> None:
         self.address = address
         self.process = process
+        self.failure_domain = failure_domain
 
     @property
     def watches_store(self) -> bool:
@@ -85,22 +86,41 @@
 
 
 @asynccontextmanager
-async def steering_group(store: Endpoint, count: int) -> AsyncIterator[list[Instance]]:
-    """Run ``count`` instances in one failure domain, without waiting until they serve."""
+async def steering_group(
+    store: Endpoint,
+    count: int,
+    *,
+    failure_domains: Sequence[str] = ("a-1",),
+    module: str = "wagtailpoint.daemon",
+    environment: Callable[[str], Mapping[str, str]] = lambda address: {},
+) -> AsyncIterator[list[Instance]]:
+    """Run ``count`` instances without waiting until they serve.
+
+    Args:
+        store: The store.
+        count: The number of instances.
+        failure_domains: Their failure domains, in turn.
+        module: The module that runs an instance.
+        environment: Returns variables for the process of the instance with an address.
+    """
     with ExitStack() as stack:
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         addresses = [loopback_address() for _ in range(count)]
         seeds = tuple(f"{address}:8146" for address in addresses[:3])
         instances = []
         for number, address in enumerate(addresses):
+            failure_domain = failure_domains[number % len(failure_domains)]
             file = folder / f"{number}.json"
             document = node_settings_document(
                 address=address, name=f"e-{number}", store=store, seeds=seeds
             )
+            document["Self"]["Zone"] = failure_domain
+            document["Self"]["Region"] = document["Network"]["Zones"][failure_domain]
             file.write_text(json.dumps(document))
-            process = ModuleProcess(
-                module="wagtailpoint.daemon", environment={"WAGTAILPOINT_NODE_FILE": str(file)}
-            )
+            variables = {"WAGTAILPOINT_NODE_FILE": str(file), **environment(address)}
+            process = ModuleProcess(module=module, environment=variables)
             stack.enter_context(process)
-            instances.append(Instance(address=address, process=process))
+            instances.append(
+                Instance(address=address, process=process, failure_domain=failure_domain)
+            )
         yield instances
