--- a/src/wagtailpoint/daemon/entry_role.py
+++ b/src/wagtailpoint/daemon/entry_role.py
@@ -72,5 +72,5 @@
                 overloaded = not overloaded
                 event = "overload-begins" if overloaded else "overload-ends"
                 log_event(event, level="WARNING" if overloaded else "INFO", load=round(value, 3))
-            if self._membership.own.state == "live":
+            if self._membership.own.state in ("live", "isolated"):
                 self._membership.publish(load=value)
--- a/src/wagtailpoint/daemon/lookups.py
+++ b/src/wagtailpoint/daemon/lookups.py
@@ -81,7 +81,7 @@
         incarnation=f"{member.incarnation:016x}",
         epoch=member.epoch,
         leaving=member.state == "leaving",
-        alive=member.state in ("live", "leaving"),
+        alive=member.state in ("live", "isolated", "leaving"),
         load=member.load,
     )
 
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -10,6 +10,8 @@
 
 from wagtailpoint.adapters.clock import SystemClock
 from wagtailpoint.adapters.peers_nng import NngPeers
+from wagtailpoint.daemon.backend_paths import BackendPaths
+from wagtailpoint.daemon.caller_servers import make_caller_servers
 from wagtailpoint.daemon.entry_pages import LOOKUP_TTL_S, EntryPages
 from wagtailpoint.daemon.entry_role import EntryRole
 from wagtailpoint.daemon.followers import make_followers
@@ -32,7 +34,7 @@
 from wagtailpoint.limits.bound_senders import BoundSenders
 from wagtailpoint.membership import Membership, MembershipSettings
 from wagtailpoint.membership.member import Fact
-from wagtailpoint.node_settings import Endpoint, NodeSettings
+from wagtailpoint.node_settings import NodeSettings
 from wagtailpoint.observe.hlc import HybridClock
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
@@ -46,8 +48,6 @@
 from wagtailpoint.platform.settings import read_node_settings
 from wagtailpoint.platform.store import ObjectStore
 from wagtailpoint.ports.peers import PeerAddress
-from wagtailpoint.proxy.backend_pool import BackendPool
-from wagtailpoint.proxy.caller_connection import RequestHandler
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.sender import Sender
@@ -58,11 +58,6 @@
 """Time-out of calls to the store, which answers in 4 ms and up to 100 times slower under overload.
 Short, so that calls lost in an outage end soon after the store has recovered."""
 
-CALLERS_FRACTION = 0.7
-"""Fraction of the unreserved file descriptors for callers; the rest is for backend servers."""
-
-RESERVED_DESCRIPTORS = 260
-MAX_PAGE_CONNECTIONS = 200
 MIN_STOP_SERVING_S = 4.0
 """Minimum time of service after SIGTERM, if the grace period allows: twice the TTL of lookups, as
 some callers cache a lookup for longer than its TTL."""
@@ -200,10 +195,19 @@
             region=settings.region,
             region_of=settings.region_of,
         )
-        self._pool = BackendPool(
-            names=HEADER_NAMES, distances=self._distances, metrics=self._metrics
+        self._paths = BackendPaths(
+            settings=settings,
+            membership=self._membership,
+            fleet=self._fleet,
+            distances=self._distances,
+            table=lambda: self._state.table,
+            is_leaving=lambda: self._leaving,
+            metrics=self._metrics,
+            random=self._random,
         )
+        self._pool = self._paths.pool
         self._placement = self._make_placement()
+        self._paths.on_change(self._placement.forget_failures)
         self._dispatcher = self._make_dispatcher()
         self._pages = EntryPages(
             lookup_ttl_max_s=lambda: self._settings_file.bounds.lookup_ttl_max_s,
@@ -243,7 +247,7 @@
                     self._limits.run,
                     self._workspaces.run,
                     self._store_check.run,
-                    self._pool.run,
+                    self._paths.run,
                     *make_probes(
                         fleet=self._fleet,
                         placement=self._placement,
@@ -258,6 +262,7 @@
                 ]
                 for task in tasks:
                     nursery.start_soon(task)
+                await nursery.start(self._paths.serve)
                 for server in self._servers:
                     await serving.start(server.run)
                 number = await anext(signals)
@@ -289,6 +294,7 @@
             quarantine=self._quarantine.local,
             key_check=self._workspaces.key_check,
             limits=self._limits.stated,
+            reachability=self._paths.reachability,
             names=HEADER_NAMES,
         )
         return Dispatcher(
@@ -303,23 +309,13 @@
         )
 
     def _make_servers(self) -> list[CallerServer]:
-        def server(endpoint: Endpoint, handler: RequestHandler, limit: int) -> CallerServer:
-            return CallerServer(
-                endpoint=endpoint,
-                handler=handler,
-                bounds=self._bounds,
-                is_leaving=lambda: self._leaving,
-                max_connections=limit,
-            )
-
-        settings = self._settings
-        max_callers = int(CALLERS_FRACTION * (settings.most_descriptors - RESERVED_DESCRIPTORS))
-        return [
-            server(settings.callers, self._dispatcher.handle, max_callers),
-            server(settings.lookups, self._pages.handle, MAX_PAGE_CONNECTIONS),
-            server(settings.readiness, self._pages.handle, MAX_PAGE_CONNECTIONS),
-            server(settings.metrics, self._pages.handle_metrics, MAX_PAGE_CONNECTIONS),
-        ]
+        return make_caller_servers(
+            settings=self._settings,
+            handle_request=self._dispatcher.handle,
+            pages=self._pages,
+            bounds=self._bounds,
+            is_leaving=lambda: self._leaving,
+        )
 
     def _cold_bound(self) -> ColdBound:
         bounds = self._settings_file.bounds
@@ -354,6 +350,7 @@
             "instances": self._count_instances(),
             "entries": len(self._role.choice.all),
             "load": self._membership.own.load,
+            **self._paths.gauges,
             **self._limits.gauges,
             **self._quarantine.gauges,
             **self._workspaces.gauges,
@@ -366,6 +363,7 @@
         self._workspaces.record_change()
         if self._membership.own.state == "starting" and self._is_ready():
             self._membership.publish(state="live")
+            self._paths.publish()
             log_event("ready", backend_servers=len(self._fleet.entries))
 
     async def _discard_server(self, start: ServerStart) -> None:
@@ -389,8 +387,14 @@
             server.stop_accepting()
         with trio.move_on_at(deadline) as scope:
             await self._dispatcher.wait_idle()
+            await self._paths.wait_idle()
         if scope.cancelled_caught:
-            log_event("stop-cuts", level="ERROR", open_requests=self._dispatcher.open_requests)
+            log_event(
+                "stop-cuts",
+                level="ERROR",
+                open_requests=self._dispatcher.open_requests,
+                relayed=self._paths.relayed_connections,
+            )
         self._membership.announce_exit()
 
 
--- a/src/wagtailpoint/discovery/peer_states.py
+++ b/src/wagtailpoint/discovery/peer_states.py
@@ -105,7 +105,7 @@
         live = [
             member.peer_address
             for member in self._membership.members()
-            if member.state in ("live", "leaving") and member.address != own.address
+            if member.state in ("live", "isolated", "leaving") and member.address != own.address
         ]
         choices = live or [seed for seed in self._seeds if seed.address != own.address]
         return self._random.choice(choices) if choices else None
--- a/src/wagtailpoint/lookup/entry_choice.py
+++ b/src/wagtailpoint/lookup/entry_choice.py
@@ -157,8 +157,15 @@
 
 
 def _entries_by_domain(members: Sequence[Member]) -> Mapping[str, Sequence[Member]]:
+    """Choose the entries of each failure domain.
+
+    Isolated instances are entries only if no other instance of their region could serve its
+    callers.
+    """
+    serving = [member for member in members if member.is_serving]
+    served_regions = {member.region for member in serving if not member.is_isolated}
     live: dict[str, list[Member]] = {}
-    for member in members:
-        if member.is_serving:
+    for member in serving:
+        if not member.is_isolated or member.region not in served_regions:
             live.setdefault(member.failure_domain, []).append(member)
     return {domain: choose_entries(found) for domain, found in live.items()}
--- a/src/wagtailpoint/membership/member.py
+++ b/src/wagtailpoint/membership/member.py
@@ -6,7 +6,8 @@
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.rendezvous import rendezvous_score
 
-MemberState = Literal["starting", "live", "leaving", "dead"]
+MemberState = Literal["starting", "live", "leaving", "dead", "isolated"]
+"""``isolated`` is a live instance that reaches backend servers only through other instances."""
 
 MAX_CAPACITY: Final = 10_000.0
 """In processor cores; larger than any instance has, so greater values are invalid."""
@@ -103,7 +104,12 @@
     @property
     def is_serving(self) -> bool:
         """Whether it accepts requests and is not suspected to be dead."""
-        return self.state == "live" and not self.suspect
+        return self.state in ("live", "isolated") and not self.suspect
+
+    @property
+    def is_isolated(self) -> bool:
+        """Whether it reaches backend servers only through other instances."""
+        return self.state == "isolated"
 
     @property
     def peer_address(self) -> PeerAddress:
--- a/src/wagtailpoint/membership/responsibility.py
+++ b/src/wagtailpoint/membership/responsibility.py
@@ -9,6 +9,8 @@
 
     All instances that see the same members live choose the same one.
     """
-    live = [member.address for member in membership.members() if member.state == "live"]
+    live = [
+        member.address for member in membership.members() if member.state in ("live", "isolated")
+    ]
     own = membership.own.address
     return max(live, key=lambda member: rendezvous_score(task, member), default="") == own
--- a/src/wagtailpoint/membership/service.py
+++ b/src/wagtailpoint/membership/service.py
@@ -165,7 +165,7 @@
             member
             for member in self.members()
             if member.failure_domain == failure_domain
-            and member.state in ("starting", "live")
+            and member.state in ("starting", "live", "isolated")
             and not member.suspect
         ]
         return tuple(live[:count])
--- a/src/wagtailpoint/node_settings.py
+++ b/src/wagtailpoint/node_settings.py
@@ -72,6 +72,8 @@
         lookups: The endpoint for lookups of callers.
         peers: The endpoint for messages of the other instances.
         metrics: The endpoint for metrics and status.
+        relay: The endpoint at which other instances that are cut off from backend servers open
+            connections to them; its port is the same on all instances.
         seeds: Peers known at the start; the list may be outdated.
         store: The endpoint of the platform's object store.
         most_descriptors: Maximum number of open file descriptors.
@@ -88,6 +90,7 @@
     lookups: Endpoint
     peers: Endpoint
     metrics: Endpoint
+    relay: Endpoint
     seeds: tuple[Endpoint, ...]
     store: Endpoint
     most_descriptors: int
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -276,6 +276,11 @@
         """Record that a connection to a backend server opened after its backoff."""
         self.load_of(entry).record_reachable()
 
+    def forget_failures(self) -> None:
+        """Forget the failures of all backend servers, which were faults of the path to them."""
+        for entry in self._fleet.entries.values():
+            self.load_of(entry).forget_failures()
+
     def record_broken_exchange(self, entry: ServerEntry) -> None:
         """Record an exchange broken off by a fault of the backend server or the connection."""
         self.load_of(entry).record_answer(trio.current_time(), failed=True)
--- a/src/wagtailpoint/placement/server_load.py
+++ b/src/wagtailpoint/placement/server_load.py
@@ -222,6 +222,12 @@
         self._resting_until = max(self._resting_until or 0.0, now + backoff_s)
         return backoff_s
 
+    def forget_failures(self) -> None:
+        """Forget failures that were faults of the path and not of the backend server."""
+        self._failures = 0
+        self._resting_until = None
+        self._error_share = 0.0
+
     def record_reachable(self) -> None:
         """Record that a connection opened, which ends the backoff but not its doubling."""
         self._resting_until = None
--- a/src/wagtailpoint/platform/settings.py
+++ b/src/wagtailpoint/platform/settings.py
@@ -138,6 +138,7 @@
         lookups=Endpoint.parse(listen.DirectoryAddr),
         peers=Endpoint.parse(listen.ControlAddr),
         metrics=Endpoint(wire.Self.Ip, METRICS_PORT),
+        relay=Endpoint(wire.Self.Ip, wire.Network.InnerPortRange[0]),
         seeds=tuple(Endpoint.parse(seed) for seed in wire.Network.SeedAddrs),
         store=Endpoint.parse(wire.Platform.Platform.Address),
         most_descriptors=wire.Self.Limits.MaxFds,
--- a/src/wagtailpoint/proxy/backend_connection.py
+++ b/src/wagtailpoint/proxy/backend_connection.py
@@ -5,15 +5,13 @@
 connection that has received bytes after the end of a response.
 """
 
-import socket
-from collections.abc import AsyncIterator
-from contextlib import suppress
+from collections.abc import AsyncIterator, Callable
 from typing import Final, NamedTuple
 
 import h11
 import trio
 
-from wagtailpoint.ports.backend import BackendAddress, BodyBroken, FailureReason, Headers
+from wagtailpoint.ports.backend import BodyBroken, FailureReason, Headers
 from wagtailpoint.proxy.caller_input import CallerGone
 from wagtailpoint.proxy.headers import HeaderNames, end_to_end_headers, header_value
 from wagtailpoint.verdict import Verdict
@@ -41,8 +39,9 @@
 
 MISDIRECTED: Final = 421
 
-TCP_USER_TIMEOUT_MS = 3000
-"""The kernel closes the connection when sent data stays unacknowledged for this time."""
+
+def ignore_heard(*, on_new_connection: bool) -> None:
+    """Ignore that a backend server was heard."""
 
 
 class OutgoingRequest(NamedTuple):
@@ -108,8 +107,26 @@
 class BackendConnection:
     """A connection to a backend server that carries one exchange at a time."""
 
-    def __init__(self, *, stream: trio.SocketStream, names: HeaderNames) -> None:
+    def __init__(
+        self,
+        *,
+        stream: trio.SocketStream,
+        names: HeaderNames,
+        relay: str = "",
+        on_heard: Callable[..., None] = ignore_heard,
+    ) -> None:
+        """Initialise an open connection.
+
+        Args:
+            stream: The connection.
+            names: The deployment's header names.
+            relay: The instance that relays it; empty for a direct connection.
+            on_heard: Called when bytes arrive, with ``on_new_connection=True`` the first time.
+        """
         self._stream = stream
+        self._relay = relay
+        self._on_heard = on_heard
+        self._has_heard = False
         self._names = names
         self._parser = h11.Connection(h11.CLIENT)
         self._request_sent = True
@@ -119,6 +136,16 @@
         self._idle_timeout_s = DEFAULT_IDLE_TIMEOUT_S
         self._idle_since = trio.current_time()
 
+    @property
+    def relay(self) -> str:
+        """The instance that relays the connection; empty for a direct one."""
+        return self._relay
+
+    @property
+    def has_heard(self) -> bool:
+        """Whether any byte of the backend server has arrived on the connection."""
+        return self._has_heard
+
     def is_reusable(self) -> bool:
         """Whether the last exchange was completed and no further bytes have arrived.
 
@@ -306,6 +333,9 @@
         while event is h11.NEED_DATA:
             data = await self._stream.receive_some(READ_BYTES)
             self._end_received = not data
+            if data:
+                self._on_heard(on_new_connection=not self._has_heard)
+                self._has_heard = True
             self._parser.receive_data(data)
             event = self._parser.next_event()
         return event
@@ -317,23 +347,6 @@
                 self._idle_timeout_s = IDLE_TIMEOUT_FRACTION * int(value)
 
 
-async def open_connection(address: BackendAddress, names: HeaderNames) -> BackendConnection:
-    """Open a connection to a backend server.
-
-    Raises:
-        OSError: The backend server refused the connection or can't be reached.
-    """
-    sock = trio.socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        await sock.connect((address.address, address.port))
-    except BaseException:
-        sock.close()
-        raise
-    with suppress(OSError):
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
-    return BackendConnection(stream=trio.SocketStream(sock), names=names)
-
-
 def _framing_headers(request: OutgoingRequest) -> list[tuple[bytes, bytes]]:
     if request.rest is not None:
         if request.body_bytes is None:
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -7,16 +7,10 @@
 
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.observe.log import log_event
-from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.ports.backend import FailureReason
-from wagtailpoint.proxy.backend_connection import (
-    BackendConnection,
-    ExchangeFailed,
-    open_connection,
-)
-from wagtailpoint.proxy.headers import HeaderNames
-from wagtailpoint.verdict import Verdict
+from wagtailpoint.proxy.backend_connection import BackendConnection, ExchangeFailed
+from wagtailpoint.proxy.backend_connector import BackendConnector
 
 SparePurpose = Literal["next-request", "after-start", "distance", "after-failure", "crash-check"]
 """Why a connection is opened that no request is waiting for."""
@@ -24,13 +18,6 @@
 MAX_IDLE_CONNECTIONS: Final = 8
 """Maximum number of idle connections for each start of a backend server."""
 
-CONNECT_TIMEOUT_SLACK_S: Final = 0.2
-CONNECT_TIMEOUT_ROUND_TRIPS: Final = 2.0
-"""The timeout for opening a connection is this number of round trips plus the slack, which allows
-for a host that gets no processor time for 0.1 s. A host without power never answers, and a lost
-packet is retransmitted only after 1 s, too late for most requests: another backend server is tried
-instead."""
-
 MIN_SPARE_ROUND_TRIP_S: Final = 0.01
 """Spare connections are opened for backend servers with at least this round trip time. A request
 that opens its own connection waits for one more round trip; at 110 ms that is a third to half of
@@ -57,18 +44,17 @@
     be used beyond that.
     """
 
-    def __init__(self, *, names: HeaderNames, distances: Distances, metrics: Metrics) -> None:
+    def __init__(self, *, connector: BackendConnector, distances: Distances) -> None:
         """Initialise an empty pool.
 
         Args:
-            names: The deployment's header names.
-            distances: Gives the round trip times for connect timeouts, and receives measured ones.
-            metrics: Counts opened connections by purpose.
+            connector: Opens connections.
+            distances: Gives the round trip times, by which spare connections are opened.
         """
-        self._names = names
+        self._connector = connector
         self._distances = distances
-        self._metrics = metrics
         self._idle: dict[ServerStart, deque[BackendConnection]] = {}
+        self._in_use_since: dict[BackendConnection, float] = {}
         self._opening_spare: set[ServerStart] = set()
         self._reuse_fraction = 1.0
         self._nursery: trio.Nursery | None = None
@@ -79,7 +65,7 @@
             self._nursery = nursery
             while True:
                 await trio.sleep(SWEEP_INTERVAL_S)
-                await self._close_expired()
+                await self.close_expired()
 
     async def acquire(self, entry: ServerEntry) -> BackendConnection:
         """Take an idle connection or open one, without sending anything on it.
@@ -87,24 +73,48 @@
         Raises:
             ExchangeFailed: No connection could be opened.
         """
-        idle = self._idle.get(entry.start)
+        connection = await self._take_idle(entry.start)
+        reused = connection is not None
+        if connection is None:
+            connection = await self._connector.open(entry, "request")
+        self._record_acquired(entry, reused=reused)
+        self._in_use_since[connection] = trio.current_time()
+        return connection
+
+    async def _take_idle(self, start: ServerStart) -> BackendConnection | None:
+        idle = self._idle.get(start)
         while idle:
             connection = idle.pop()
-            if not connection.has_expired():
-                self._record_acquired(entry, reused=True)
+            if self._is_usable(connection):
                 return connection
             await connection.close()
-        connection = await self._open(entry, "request")
-        self._record_acquired(entry, reused=False)
-        return connection
+        return None
+
+    def _is_usable(self, connection: BackendConnection) -> bool:
+        return not connection.has_expired() and self._connector.is_usable(connection)
+
+    def silence_s(self) -> float:
+        """Return for how long direct connections in use have brought no byte, in seconds.
+
+        The time counts from the last byte on any of them, and is 0 if only one is in use.
+        """
+        direct = [since for used, since in self._in_use_since.items() if not used.relay]
+        if len(direct) < 2:
+            return 0.0
+        return trio.current_time() - max(self._connector.heard_at, sorted(direct)[1])
 
     async def release(self, start: ServerStart, connection: BackendConnection) -> None:
         """Return a connection to the pool, or close it if it is not reusable."""
-        if not connection.is_reusable():
+        self._in_use_since.pop(connection, None)
+        if not connection.is_reusable() or not self._connector.is_usable(connection):
             await connection.close()
             return
         await self._add_idle(start, connection)
 
+    def record_reset(self, start: ServerStart, connection: BackendConnection) -> None:
+        """Record that an exchange on a connection was reset."""
+        self._connector.record_reset(start, connection)
+
     async def close(self, start: ServerStart) -> None:
         """Close the idle connections to a backend server that has ended."""
         for connection in self._idle.pop(start, ()):
@@ -114,13 +124,13 @@
         """Whether a usable connection is idle or a spare one is being opened."""
         if entry.start in self._opening_spare:
             return True
-        return any(not candidate.has_expired() for candidate in self._idle.get(entry.start, ()))
+        return any(self._is_usable(candidate) for candidate in self._idle.get(entry.start, ()))
 
     async def open_spare(self, entry: ServerEntry, purpose: SparePurpose) -> FailureReason | None:
         """Open a spare connection; return the reason of a failure, or None on success."""
         self._opening_spare.add(entry.start)
         try:
-            connection = await self._open(entry, purpose)
+            connection = await self._connector.open(entry, purpose)
         except ExchangeFailed as error:
             # No request waits for this connection; one that needs it opens its own and handles the
             # failure.
@@ -146,25 +156,6 @@
             self._opening_spare.add(entry.start)
             self._nursery.start_soon(self.open_spare, entry, "next-request")
 
-    async def _open(self, entry: ServerEntry, purpose: str) -> BackendConnection:
-        self._metrics.count(f"connection.opened.{purpose}")
-        round_trip_s = self._distances.round_trip_s(entry.failure_domain)
-        began = trio.current_time()
-        try:
-            with trio.move_on_after(
-                CONNECT_TIMEOUT_SLACK_S + CONNECT_TIMEOUT_ROUND_TRIPS * round_trip_s
-            ):
-                connection = await open_connection(entry.address, self._names)
-                took_s = trio.current_time() - began
-                self._distances.record_connect_time(entry.failure_domain, took_s)
-                return connection
-        except ConnectionRefusedError as error:
-            raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_REFUSED) from error
-        except OSError as error:
-            reason = FailureReason.CONNECT_FAILED
-            raise ExchangeFailed(Verdict.NOT_RUN, reason, str(error)) from error
-        raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_TIMEOUT)
-
     async def _add_idle(self, start: ServerStart, connection: BackendConnection) -> None:
         connection.mark_idle()
         idle = self._idle.setdefault(start, deque())
@@ -172,10 +163,11 @@
         while len(idle) > MAX_IDLE_CONNECTIONS:
             await idle.popleft().close()
 
-    async def _close_expired(self) -> None:
+    async def close_expired(self) -> None:
+        """Close the idle connections that must not be used any more."""
         ended: list[BackendConnection] = []
         for start, idle in list(self._idle.items()):
-            expired = [candidate for candidate in idle if candidate.has_expired()]
+            expired = [candidate for candidate in idle if not self._is_usable(candidate)]
             for connection in expired:
                 # Removed in place because ``acquire`` may be iterating over the same queue.
                 idle.remove(connection)
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -311,6 +311,8 @@
             fields["declined"] = ",".join(map(_format_declined, context.declined))
             fields["connect_ms"] = round(1000 * context.connect_s, 1)
             fields["digest"] = context.fingerprint
+            if context.relay:
+                fields["relay"] = context.relay
         log_event(
             "request",
             id=header_text(header_value(request.headers, self._names.request_id)),
--- a/src/wagtailpoint/proxy/hedged_exchange.py
+++ b/src/wagtailpoint/proxy/hedged_exchange.py
@@ -32,3 +32,24 @@
             if other_id != server_id:
                 scope.cancel()
         return True
+
+
+class HedgeDelays:
+    """The waits of all requests for the time at which they are hedged."""
+
+    def __init__(self) -> None:
+        self._waits: set[trio.CancelScope] = set()
+
+    async def wait(self, hedged: HedgedExchange, delay_s: float) -> None:
+        """Wait until all attempts have ended, for ``delay_s`` seconds, or until ``end_all``."""
+        with trio.move_on_after(delay_s) as scope:
+            self._waits.add(scope)
+            try:
+                await hedged.all_ended.wait()
+            finally:
+                self._waits.discard(scope)
+
+    def end_all(self) -> None:
+        """End all waits, so that the requests are hedged now."""
+        for scope in self._waits:
+            scope.cancel()
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -27,11 +27,12 @@
     header_text,
     header_value,
 )
-from wagtailpoint.proxy.hedged_exchange import HedgedExchange
+from wagtailpoint.proxy.hedged_exchange import HedgeDelays, HedgedExchange
 from wagtailpoint.proxy.key_check import KeyCheck
 from wagtailpoint.proxy.request_context import CONNECT_FAILURES, Outcome, RequestContext
 from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
 from wagtailpoint.quarantine.quarantine import Quarantine
+from wagtailpoint.relay.reachability import Path, Reachability
 from wagtailpoint.routing.workspaces import AUTHORIZATION
 from wagtailpoint.verdict import Verdict
 
@@ -66,6 +67,7 @@
         quarantine: Quarantine,
         key_check: KeyCheck,
         limits: StatedLimits,
+        reachability: Reachability,
         names: HeaderNames,
     ) -> None:
         """Initialise the sender.
@@ -78,6 +80,7 @@
             quarantine: Records crashes of backend servers and limits the sends of suspect requests.
             key_check: Checks whether a request may still run.
             limits: Receives the limits that backend servers state.
+            reachability: Says by which path backend servers can be reached.
             names: The deployment's header names.
         """
         self._takes_work = takes_work
@@ -87,7 +90,10 @@
         self._quarantine = quarantine
         self._key_check = key_check
         self._limits = limits
+        self._reachability = reachability
         self._names = names
+        self._hedge_delays = HedgeDelays()
+        reachability.on_change(self._hedge_if_cut_off)
 
     def record_request(self, context: RequestContext) -> None:
         """Record the arrival of a caller's request."""
@@ -96,6 +102,8 @@
 
     def choose(self, context: RequestContext) -> Choice | NotPlaced:
         """Choose the backend server for the next send."""
+        if self._reachability.path is Path.NONE:
+            return NotPlaced("unreachable")
         chosen = self._placement.choose(self._make_demand(context))
         if isinstance(chosen, Choice):
             context.last_choice = chosen
@@ -156,8 +164,7 @@
             nursery.start_soon(self._run_attempt, hedged, context, choice, caller)
             sent_at = trio.current_time()
             if context.route.idempotent:
-                with trio.move_on_after(self._hedge_delay_s(context)):
-                    await hedged.all_ended.wait()
+                await self._hedge_delays.wait(hedged, self._hedge_delay_s(context))
                 hedge = self._choose_hedge(hedged, context, choice, sent_at)
                 if hedge is not None:
                     nursery.start_soon(self._run_attempt, hedged, context, hedge, caller)
@@ -165,6 +172,10 @@
             raise hedged.error
         return hedged.outcome
 
+    def _hedge_if_cut_off(self) -> None:
+        if self._reachability.path is Path.RELAYED:
+            self._hedge_delays.end_all()
+
     def _choose_hedge(
         self, hedged: HedgedExchange, context: RequestContext, choice: Choice, sent_at: float
     ) -> Choice | None:
@@ -235,8 +246,9 @@
         connection: BackendConnection | None = None
         began = trio.current_time()
         try:
-            connection = await self._pool.acquire(entry)
+            connection = await self._acquire(context, entry)
             context.connect_s += trio.current_time() - began
+            context.relay = connection.relay
             if not self._takes_work(entry):
                 raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_FAILED, "leaving")
             if self._key_check.refusal(context) is not None:
@@ -265,7 +277,8 @@
                 return await self._stream_reply(reply, reply.rest, caller)
         except ExchangeFailed as error:
             self._record_failure(context, choice, error)
-            if error.reason is FailureReason.RESET:
+            if error.reason is FailureReason.RESET and connection is not None:
+                self._pool.record_reset(entry.start, connection)
                 await self._record_crash_if_refused(context, entry)
             return None
         finally:
@@ -278,6 +291,11 @@
         await caller.reply(reply.status, reply.headers, reply.body)
         return Outcome(reply.status, "answered", Verdict.RAN)
 
+    async def _acquire(self, context: RequestContext, entry: ServerEntry) -> BackendConnection:
+        with trio.move_on_at(context.deadline):
+            return await self._pool.acquire(entry)
+        raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_TIMEOUT, "deadline")
+
     def _is_final(self, context: RequestContext, server_id: str, reply: BackendReply) -> bool:
         """Whether a response is to be forwarded; if not, record it as a failure."""
         if reply.not_run:
--- /dev/null
+++ b/src/wagtailpoint/relay/path_checker.py
@@ -0,0 +1,201 @@
+"""Checks whether backend servers can be reached directly and through other instances."""
+
+from collections.abc import Callable, Iterable, Sequence
+from functools import partial
+from random import Random
+from typing import Final
+
+import trio
+
+from wagtailpoint.discovery.entries import ServerEntry
+from wagtailpoint.proxy.backend_connection import ExchangeFailed
+from wagtailpoint.proxy.backend_dialer import BackendDialer
+from wagtailpoint.relay.client import RelayClient
+from wagtailpoint.relay.reachability import MIN_SERVERS, Path, PathCheck, Reachability
+
+CHECK_INTERVAL_S: Final = 0.25
+RECHECK_INTERVAL_S: Final = 0.5
+"""The intervals between looks at the path while it is direct, and between checks otherwise."""
+
+NEIGHBOUR_CHECK_INTERVAL_S: Final = 1.0
+"""The interval between checks while another instance of the same failure domain is isolated: this
+one may have lost the same links, and has no requests yet that would show it."""
+
+REFUTED_PAUSE_S: Final = 1.0
+"""The pause after a check that found the direct path to work."""
+
+MAX_SILENCE_S: Final = 1.0
+"""Requests may be under way for this time without a byte from any backend server before the path is
+checked."""
+
+MAX_SERVERS: Final = 8
+SERVERS_OF_RETURN: Final = 3
+"""The numbers of backend servers that are checked for the verdict that this instance is isolated,
+and for its end."""
+
+RESET_DELAY_S: Final = 0.05
+"""A connection that opens and is reset within this time has not reached its backend server."""
+
+ANSWER_TIMEOUT_S: Final = 0.6
+READ_BYTES: Final = 1024
+
+
+class PathChecker:
+    """Checks the path when it is suspect, and until it is direct again."""
+
+    def __init__(
+        self,
+        *,
+        reachability: Reachability,
+        entries: Callable[[], Iterable[ServerEntry]],
+        health_path: Callable[[str], str],
+        silence_s: Callable[[], float],
+        has_isolated_neighbour: Callable[[], bool],
+        dialer: BackendDialer,
+        relays: RelayClient,
+        random: Random,
+    ) -> None:
+        """Initialise the checker.
+
+        Args:
+            reachability: Says when the path is suspect, and receives the results.
+            entries: Returns the backend servers.
+            health_path: Returns the path at which a service's backend servers answer health checks;
+                empty if it is not known.
+            silence_s: Returns for how many seconds requests have waited without a byte from any
+                backend server.
+            has_isolated_neighbour: Whether another instance of this failure domain is isolated.
+            dialer: Opens direct connections.
+            relays: Opens connections through other instances.
+            random: Chooses backend servers, and the source of jitter.
+        """
+        self._reachability = reachability
+        self._entries = entries
+        self._health_path = health_path
+        self._silence_s = silence_s
+        self._has_isolated_neighbour = has_isolated_neighbour
+        self._dialer = dialer
+        self._relays = relays
+        self._random = random
+        self._neighbour_check_at = 0.0
+
+    async def run(self) -> None:
+        """Check the path whenever necessary until cancelled."""
+        while True:
+            path = self._reachability.path
+            if path is Path.DIRECT:
+                with trio.move_on_after(CHECK_INTERVAL_S * self._random.uniform(0.8, 1.2)):
+                    await self._reachability.wait_suspect()
+                await self._check_if_doubtful()
+            else:
+                await trio.sleep(RECHECK_INTERVAL_S * self._random.uniform(0.8, 1.2))
+                await (self._check_return() if path is Path.RELAYED else self._check(opening=True))
+
+    async def _check_if_doubtful(self) -> None:
+        now = trio.current_time()
+        if self._reachability.is_suspect():
+            check = await self._check(opening=True)
+        elif self._silence_s() >= MAX_SILENCE_S:
+            check = await self._check(opening=False)
+        elif self._neighbour_check_at <= now and self._has_isolated_neighbour():
+            self._neighbour_check_at = now + NEIGHBOUR_CHECK_INTERVAL_S
+            check = await self._check(opening=True)
+        else:
+            return
+        if check.direct:
+            await trio.sleep(REFUTED_PAUSE_S * self._random.uniform(0.8, 1.2))
+
+    async def _check(self, *, opening: bool) -> PathCheck:
+        """Try backend servers directly, and through other instances if none is reached.
+
+        Args:
+            opening: Whether a connection that opens is proof enough, as the path is suspect because
+                connections do not open; otherwise an answer is needed.
+        """
+        entries = self._sample()
+        direct = await self._count_reached(entries, partial(self._reach, opening=opening))
+        relayed = 0
+        if not direct:
+            reach = partial(self._reach_through_others, opening=opening)
+            relayed = await self._count_reached(entries, reach)
+        check = PathCheck(len(entries), direct, relayed)
+        self._reachability.record_check(check)
+        return check
+
+    async def _check_return(self) -> None:
+        """Check whether the direct path works again, and whether other instances still help."""
+        entries = self._sample()
+        tried = entries[:SERVERS_OF_RETURN]
+        direct = await self._count_reached(tried, partial(self._reach, opening=False))
+        check = PathCheck(len(tried), direct, 0)
+        self._reachability.record_check(check)
+        if direct or self._reachability.path is not Path.RELAYED:
+            return
+        reach = partial(self._reach_through_others, opening=True)
+        if not await self._count_reached(entries, reach):
+            self._reachability.record_relays_lost(check)
+
+    def _sample(self) -> Sequence[ServerEntry]:
+        """Return up to ``MAX_SERVERS`` backend servers, of as many failure domains as possible."""
+        by_domain: dict[str, list[ServerEntry]] = {}
+        for entry in self._entries():
+            if not entry.draining:
+                by_domain.setdefault(entry.failure_domain, []).append(entry)
+        for found in by_domain.values():
+            self._random.shuffle(found)
+        domains = list(by_domain.values())
+        self._random.shuffle(domains)
+        sample = [found.pop() for found in domains]
+        while len(sample) < MIN_SERVERS and any(domains):
+            sample += [found.pop() for found in domains if found]
+        return sample[:MAX_SERVERS]
+
+    async def _count_reached(
+        self, entries: Sequence[ServerEntry], reach: Callable[[ServerEntry], object]
+    ) -> int:
+        reached: list[ServerEntry] = []
+
+        async def try_one(entry: ServerEntry) -> None:
+            if await reach(entry):  # type: ignore[misc]
+                reached.append(entry)
+
+        async with trio.open_nursery() as nursery:
+            for entry in entries:
+                nursery.start_soon(try_one, entry)
+        return len(reached)
+
+    async def _reach(self, entry: ServerEntry, *, opening: bool) -> bool:
+        try:
+            stream = await self._dialer.dial(entry, "path-check")
+        except ExchangeFailed:
+            return False
+        return await self._works(stream, entry, opening=opening)
+
+    async def _reach_through_others(self, entry: ServerEntry, *, opening: bool) -> bool:
+        try:
+            opened = await self._relays.open(entry)
+        except ExchangeFailed:
+            return False
+        return await self._works(opened.stream, entry, opening=opening)
+
+    async def _works(self, stream: trio.SocketStream, entry: ServerEntry, *, opening: bool) -> bool:
+        """Return whether a connection reaches its backend server; close it."""
+        path = self._health_path(entry.service)
+        try:
+            if opening or not path:
+                return not await self._ends_within(stream, RESET_DELAY_S)
+            with trio.move_on_after(ANSWER_TIMEOUT_S):
+                head = f"GET {path} HTTP/1.1\r\nhost: {entry.address}\r\nconnection: close\r\n\r\n"
+                await stream.send_all(head.encode())
+                return bool(await stream.receive_some(READ_BYTES))
+            return False
+        except trio.BrokenResourceError:
+            return False
+        finally:
+            with trio.CancelScope(shield=True):
+                await trio.aclose_forcefully(stream)
+
+    async def _ends_within(self, stream: trio.SocketStream, seconds: float) -> bool:
+        with trio.move_on_after(seconds):
+            return not await stream.receive_some(READ_BYTES)
+        return False
--- /dev/null
+++ b/src/wagtailpoint/relay/protocol.py
@@ -0,0 +1,162 @@
+"""The opening of a relayed connection: an HTTP ``CONNECT`` request (RFC 9110, section 9.3.6).
+
+After a 200 the connection carries the bytes of the backend server's connection. Any other status
+states that nothing was sent to the backend server.
+"""
+
+from collections.abc import Mapping
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+import h11
+import trio
+
+from wagtailpoint.discovery.entries import ServerEntry
+from wagtailpoint.ports.backend import BackendAddress, FailureReason, Headers
+
+SENDER: Final = b"relay-sender"
+SERVER: Final = b"relay-server"
+NUMBER: Final = b"relay-number"
+
+MAX_HEAD_BYTES: Final = 2048
+READ_BYTES: Final = 1024
+
+FAILURE_OF_STATUS: Final[Mapping[int, FailureReason]] = {
+    HTTPStatus.BAD_GATEWAY: FailureReason.CONNECT_REFUSED,
+    HTTPStatus.GATEWAY_TIMEOUT: FailureReason.CONNECT_TIMEOUT,
+}
+"""The statuses by which a relay says that it could not reach the backend server, either. All others
+concern the relay itself."""
+
+
+class InvalidOpening(Exception):
+    """What arrived is no request, or no answer, that opens a relayed connection."""
+
+
+class RelayRequest(NamedTuple):
+    """A request to relay a connection to a backend server.
+
+    Attributes:
+        sender: The incarnation of the instance that asks.
+        server_id: The id of the backend server.
+        address: Its address as the sender knows it.
+    """
+
+    sender: int
+    server_id: str
+    address: BackendAddress
+
+
+class RelayAnswer(NamedTuple):
+    """The answer to a ``RelayRequest``.
+
+    Attributes:
+        status: 200 if the connection is open.
+        number: The number of the connection at the relay; 0 if it is not open.
+    """
+
+    status: int
+    number: int
+
+
+def encode_request(sender: int, entry: ServerEntry) -> bytes:
+    """Encode a request for a connection to a backend server."""
+    authority = str(entry.address).encode()
+    request = h11.Request(
+        method="CONNECT",
+        target=authority,
+        headers=[
+            (b"host", authority),
+            (SENDER, str(sender).encode()),
+            (SERVER, entry.server_id.encode()),
+        ],
+    )
+    return h11.Connection(h11.CLIENT).send(request) or b""
+
+
+def encode_answer(status: HTTPStatus, number: int = 0) -> bytes:
+    """Encode an answer; ``number`` is that of the connection at this relay."""
+    lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
+    if status is HTTPStatus.OK:
+        lines.append(f"{NUMBER.decode()}: {number}")
+    else:
+        lines += ["content-length: 0", "connection: close"]
+    return "\r\n".join([*lines, "", ""]).encode()
+
+
+async def read_request(stream: trio.SocketStream) -> tuple[RelayRequest, bytes]:
+    """Read a request; return it with the bytes behind it.
+
+    Raises:
+        InvalidOpening: What arrived is no such request.
+        trio.BrokenResourceError: The connection was reset.
+    """
+    parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+    head = await _read_head(stream, parser)
+    if not isinstance(head, h11.Request):
+        raise InvalidOpening("the connection ended before a request")
+    if head.method != b"CONNECT":
+        raise InvalidOpening(f"given method {head.method!r}, expected CONNECT")
+    headers = list(head.headers)
+    return (
+        RelayRequest(
+            sender=_parse_number(headers, SENDER),
+            server_id=_value(headers, SERVER).decode("latin-1"),
+            address=_parse_address(head.target.decode("latin-1")),
+        ),
+        parser.trailing_data[0],
+    )
+
+
+async def read_answer(stream: trio.SocketStream) -> RelayAnswer:
+    """Read the answer of a relay.
+
+    Raises:
+        InvalidOpening: What arrived is no such answer.
+        trio.BrokenResourceError: The connection was reset.
+    """
+    parser = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+    parser.send(h11.Request(method="CONNECT", target="relay:0", headers=[(b"host", b"relay")]))
+    parser.send(h11.EndOfMessage())
+    head = await _read_head(stream, parser)
+    if not isinstance(head, h11.Response):
+        raise InvalidOpening("the connection ended before an answer")
+    if head.status_code != HTTPStatus.OK:
+        return RelayAnswer(head.status_code, 0)
+    if parser.trailing_data[0]:
+        raise InvalidOpening("the backend server sent bytes before a request")
+    return RelayAnswer(head.status_code, _parse_number(list(head.headers), NUMBER))
+
+
+async def _read_head(
+    stream: trio.SocketStream, parser: h11.Connection
+) -> h11.Request | h11.Response | None:
+    try:
+        event = parser.next_event()
+        while event is h11.NEED_DATA:
+            parser.receive_data(await stream.receive_some(READ_BYTES))
+            event = parser.next_event()
+    except h11.RemoteProtocolError as error:
+        raise InvalidOpening(str(error)) from error
+    return event if isinstance(event, h11.Request | h11.Response) else None
+
+
+def _value(headers: Headers, name: bytes) -> bytes:
+    for found, value in headers:
+        if found == name:
+            return value
+    raise InvalidOpening(f"given no header {name.decode()}, expected one")
+
+
+def _parse_number(headers: Headers, name: bytes) -> int:
+    value = _value(headers, name)
+    if not value.isdigit():
+        raise InvalidOpening(f"{name.decode()}: given {value!r}, expected a whole number")
+    return int(value)
+
+
+def _parse_address(text: str) -> BackendAddress:
+    address, colon, port = text.rpartition(":")
+    if not colon or not port.isdecimal():
+        raise InvalidOpening(f"given target {text!r}, expected ADDRESS:PORT")
+    return BackendAddress(address, int(port))
--- a/tests/common/lookup_callers.py
+++ b/tests/common/lookup_callers.py
@@ -1,6 +1,7 @@
 """Callers that look up instances, keep the answers and connections, and count first tries."""
 
 import json
+import math
 from collections.abc import Sequence
 from random import Random
 from typing import NamedTuple
@@ -45,6 +46,8 @@
 class LookupCallers:
     """Callers of all failure domains; none avoids an instance because it failed it.
 
+    Some never look up, and use the same instance and connection for as long as they can.
+
     Attributes:
         tries: All first tries, in the order of their ends.
         empty_lookups: The number of lookups that named no instance.
@@ -57,12 +60,20 @@
         self._instances = instances
         self._random = random
 
-    async def run(self, count: int) -> None:
-        """Run callers until cancelled."""
+    async def run(self, *, looking_up: int, staying: int) -> None:
+        """Run callers until cancelled.
+
+        Args:
+            looking_up: The number of callers that look up instances.
+            staying: The number of callers of each instance that never look up.
+        """
         async with trio.open_nursery() as nursery:
-            for number in range(count):
+            for number in range(looking_up):
                 instance = self._instances[number % len(self._instances)]
                 nursery.start_soon(self._run_one, f"c{number}", instance.failure_domain)
+            for instance in self._instances:
+                for number in range(staying):
+                    nursery.start_soon(self._stay, f"s{instance.address}-{number}", instance)
 
     def first_tries(self, from_s: float, to_s: float) -> list[Try]:
         """Return the first tries that were sent in a period."""
@@ -85,6 +96,11 @@
                 address = address or (self._random.choice(addresses) if addresses else "")
             await trio.sleep(MEAN_PAUSE_S)
 
+    async def _stay(self, name: str, instance: Instance) -> None:
+        number = 0
+        while True:
+            number = await self._use_connection(instance.address, name, number, math.inf)
+
     async def _look_up(self, failure_domain: str) -> tuple[list[str], float]:
         region = failure_domain.partition("-")[0]
         target = f"/api/resolve?Name={HOST}&Region={region}&Zone={failure_domain}"
--- a/tests/common/partitioned_group.py
+++ b/tests/common/partitioned_group.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
+from functools import partial
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -23,7 +24,8 @@
 FAILURE_DOMAINS = ("a-1", "a-2", "b-1")
 INSTANCES = 6
 SERVER_DOMAINS = ("a-1", "a-1", "a-1", "a-2", "a-2", "a-2", "b-1", "b-1")
-CALLERS = 24
+CALLERS = 18
+STAYING_CALLERS = 2
 START_LIMIT_S = 20.0
 WARM_UP_S = 3.0
 
@@ -94,7 +96,8 @@
                 ) as instances:
                     await _wait_ready(instances)
                     callers = LookupCallers(instances=instances, random=Random(seed))
-                    nursery.start_soon(callers.run, CALLERS)
+                    run_callers = partial(callers.run, looking_up=CALLERS, staying=STAYING_CALLERS)
+                    nursery.start_soon(run_callers)
                     await trio.sleep(WARM_UP_S)
                     yield PartitionedGroup(
                         store=store,
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -14,6 +14,7 @@
 from wagtailpoint.limits.allowance_sharing import SpendResult
 from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.limits.stated_limit import StatedLimits
+from wagtailpoint.membership.member import Fact, make_member
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.cached_fraction import CachedFraction
@@ -24,6 +25,8 @@
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.ports.backend import BackendAddress
+from wagtailpoint.proxy.backend_connector import BackendConnector
+from wagtailpoint.proxy.backend_dialer import BackendDialer
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
@@ -31,6 +34,8 @@
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.proxy.shared_retry_budget import RetryBound, SharedRetryBudget
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
+from wagtailpoint.relay.client import RelayClient
+from wagtailpoint.relay.reachability import Reachability
 from wagtailpoint.routing.table import (
     DEFAULT_CALLER_BOUNDS,
     HostRoute,
@@ -119,6 +124,35 @@
     )
 
 
+def make_pool(
+    *,
+    distances: Distances | None = None,
+    metrics: Metrics | None = None,
+    reachability: Reachability | None = None,
+) -> BackendPool:
+    """Return the pool of an instance that knows no other instance."""
+    distances = distances or make_distances()
+    metrics = metrics or Metrics()
+    reachability = reachability or Reachability()
+    own = make_member(Fact("127.0.0.1", 1, 2, "a", "a-1", 1, 1, state="live"), dead=False)
+    relays = RelayClient(
+        own=lambda: own,
+        members=lambda: (own,),
+        port=1,
+        region_of=REGION_OF,
+        distances=distances,
+        metrics=metrics,
+        random=Random(1),
+    )
+    connector = BackendConnector(
+        names=HEADER_NAMES,
+        dialer=BackendDialer(distances=distances, reachability=reachability, metrics=metrics),
+        relays=relays,
+        reachability=reachability,
+    )
+    return BackendPool(connector=connector, distances=distances)
+
+
 def make_freshness(follower: KindFollower, bound_s: Callable[[], float] = lambda: 5.0) -> Freshness:
     """Return the freshness of a follower's state, by trio's clock."""
     return Freshness(clock=TrioClock(), version=lambda: follower.state.version, bound_s=bound_s)
@@ -180,6 +214,7 @@
         placement: Chooses backend servers.
         quarantine: The requests that crash backend servers.
         crash_reports: Records the crash reports sent to other instances.
+        reachability: Says by which path backend servers can be reached.
         is_proved: Whether the configuration is confirmed to be the newest.
         allowances: The request allowances of workspaces.
     """
@@ -192,6 +227,7 @@
         self.budget = SharedRetryBudget(bound=lambda: RetryBound(0.2, 50.0), divisor=lambda: 1.0)
         self.crash_reports = CrashReportRecorder()
         self.quarantine = Quarantine(others=self.crash_reports)
+        self.reachability = Reachability()
         self.is_proved = True
         self.allowances = ScriptedAllowances()
         self.key_check = KeyCheck(table=lambda: self.table, is_proved=lambda: self.is_proved)
@@ -200,11 +236,12 @@
             sender=Sender(
                 takes_work=self.fleet.takes_work,
                 placement=self.placement,
-                pool=BackendPool(names=HEADER_NAMES, distances=make_distances(), metrics=Metrics()),
+                pool=make_pool(reachability=self.reachability),
                 budget=self.budget,
                 quarantine=self.quarantine,
                 key_check=self.key_check,
                 limits=self.limits,
+                reachability=self.reachability,
                 names=HEADER_NAMES,
             ),
             quarantine=self.quarantine,
--- a/tests/cover/test_backend_connection.py
+++ b/tests/cover/test_backend_connection.py
@@ -13,8 +13,8 @@
     BackendReply,
     ExchangeFailed,
     OutgoingRequest,
-    open_connection,
 )
+from wagtailpoint.proxy.backend_dialer import open_stream
 from wagtailpoint.verdict import Verdict
 
 LIMIT_S = 20
@@ -33,7 +33,9 @@
     async def run() -> None:
         with trio.fail_after(LIMIT_S):
             async with scripted_server(script) as address:
-                connection = await open_connection(address, HEADER_NAMES)
+                connection = BackendConnection(
+                    stream=await open_stream(address), names=HEADER_NAMES
+                )
                 for request in requests:
                     outcomes.append(await exchange_once(connection, request))
                 await connection.close()
@@ -171,7 +173,9 @@
         async def run() -> None:
             with trio.fail_after(LIMIT_S):
                 async with scripted_server(script) as address:
-                    connection = await open_connection(address, HEADER_NAMES)
+                    connection = BackendConnection(
+                        stream=await open_stream(address), names=HEADER_NAMES
+                    )
                     await exchange_once(connection, request)
                     connection.mark_idle()
                     await trio.sleep(0.05)
--- a/tests/cover/test_backend_pool.py
+++ b/tests/cover/test_backend_pool.py
@@ -10,12 +10,11 @@
 from loguru import logger
 
 from tests.common.scripted_server import ScriptedStream, scripted_server
-from tests.common.steering_parts import make_distances, make_server
+from tests.common.steering_parts import make_distances, make_pool, make_server
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.distances import INITIAL_OTHER_REGION_ROUND_TRIP_S, Distances
-from wagtailpoint.platform.header_names import HEADER_NAMES
-from wagtailpoint.proxy import backend_pool
+from wagtailpoint.proxy import backend_dialer, backend_pool
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.round_trip_probe import RoundTripProbe
 
@@ -59,9 +58,7 @@
         async def run() -> None:
             with trio.fail_after(LIMIT_S):
                 async with scripted_server(script) as address, trio.open_nursery() as nursery:
-                    pool = BackendPool(
-                        names=HEADER_NAMES, distances=FixedDistances(), metrics=self.metrics
-                    )
+                    pool = make_pool(distances=FixedDistances(), metrics=self.metrics)
                     nursery.start_soon(pool.run)
                     await trio.lowlevel.checkpoint()
                     await test(pool, make_server("i-1", address, failure_domain=domain))
@@ -80,7 +77,7 @@
             first = await pool.acquire(entry)
             await wait_until(lambda: self.opened == 2)
             await trio.sleep(0.05)
-            with patch.object(backend_pool, "open_connection", side_effect=AssertionError):
+            with patch.object(backend_dialer, "open_stream", side_effect=AssertionError):
                 # Opening connections fails here, so that only the spare one can be returned.
                 second = await pool.acquire(entry)
             self.assertIsNot(first, second)
@@ -157,7 +154,7 @@
         async def run() -> None:
             async with scripted_server(script) as address, trio.open_nursery() as nursery:
                 distances = make_distances()
-                pool = BackendPool(names=HEADER_NAMES, distances=distances, metrics=Metrics())
+                pool = make_pool(distances=distances)
                 entries = [
                     make_server(f"i-{number}", address, failure_domain=domain)
                     for number, domain in enumerate((NEAR, FAR, FAR, FAR))
--- a/tests/cover/test_entry_choice.py
+++ b/tests/cover/test_entry_choice.py
@@ -169,3 +169,39 @@
             entries = self.choice(*members).by_domain["a-1"]
             found[frozenset(entry.address for entry in entries)] += 1
         self.assertEqual(len(found), 1)
+
+
+class IsolatedEntriesTest(unittest.TestCase):
+    """Entries while instances reach backend servers only through others."""
+
+    def choice(self, *isolated: int) -> EntryChoice:
+        places = [("a", "a-1"), ("a", "a-1"), ("a", "a-2"), ("b", "b-1"), ("b", "b-1")]
+        members = tuple(
+            make_member(
+                number,
+                region=region,
+                failure_domain=domain,
+                state="isolated" if number in isolated else "live",
+            )
+            for number, (region, domain) in enumerate(places)
+        )
+        return EntryChoice(members=lambda: members)
+
+    def numbers(self, choice: EntryChoice, domain: str) -> list[int]:
+        return sorted(entry.incarnation for entry in choice.nearest(domain, domain[0]))
+
+    def test_isolated_instance_is_no_entry(self) -> None:
+        """Guards against callers that are led to an instance that needs others to serve them."""
+        self.assertEqual(self.numbers(self.choice(0), "a-1"), [1])
+
+    def test_callers_of_an_isolated_failure_domain_use_others_of_its_region(self) -> None:
+        """Guards against callers that are led to another region, or to nobody."""
+        self.assertEqual(self.numbers(self.choice(0, 1), "a-1"), [2])
+
+    def test_isolated_instances_of_a_whole_region_stay_entries(self) -> None:
+        """Guards against requests that leave their home region because lookups named another."""
+        self.assertEqual(self.numbers(self.choice(3, 4), "b-1"), [3, 4])
+
+    def test_lookups_are_answered_if_all_instances_are_isolated(self) -> None:
+        """Guards against empty lookups."""
+        self.assertEqual(self.numbers(self.choice(0, 1, 2, 3, 4), "a-1"), [0, 1])
