--- a/src/wagtailpoint/relay/path_checker.py
+++ b/src/wagtailpoint/relay/path_checker.py
@@ -1,6 +1,6 @@
 """Checks whether backend servers can be reached directly and through other instances."""
 
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Awaitable, Callable, Iterable, Sequence
 from functools import partial
 from random import Random
 from typing import Final
@@ -36,9 +36,16 @@
 RESET_DELAY_S: Final = 0.05
 """A connection that opens and is reset within this time has not reached its backend server."""
 
+DIRECT_HEAD_START_S: Final = 0.15
+"""The time after which a path without a direct connection is also tried through others: longer than
+a round trip to the farthest region."""
+
 ANSWER_TIMEOUT_S: Final = 0.6
 READ_BYTES: Final = 1024
 
+Reach = Callable[[], Awaitable[bool]]
+"""Tries to reach a backend server; returns whether it did."""
+
 
 class PathChecker:
     """Checks the path when it is suspect, and until it is direct again."""
@@ -106,33 +113,46 @@
             await trio.sleep(REFUTED_PAUSE_S * self._random.uniform(0.8, 1.2))
 
     async def _check(self, *, opening: bool) -> PathCheck:
-        """Try backend servers directly, and through other instances if none is reached.
+        """Try backend servers directly, and at the same time through other instances.
+
+        Others are only asked if no backend server is reached directly at once, as happens
+        whenever nothing is wrong with the path.
 
         Args:
             opening: Whether a connection that opens is proof enough, as the path is suspect because
                 connections do not open; otherwise an answer is needed.
         """
         entries = self._sample()
-        direct = await self._count_reached(entries, partial(self._reach, opening=opening))
-        relayed = 0
-        if not direct:
-            reach = partial(self._reach_through_others, opening=opening)
-            relayed = await self._count_reached(entries, reach)
-        check = PathCheck(len(entries), direct, relayed)
-        self._reachability.record_check(check)
-        return check
+        attempts = _Attempts(tried=len(entries))
+        async with trio.open_nursery() as nursery:
+            for entry in entries:
+                reach = partial(self._reach, entry, opening=opening)
+                nursery.start_soon(attempts.run_direct, reach)
+            with trio.move_on_after(DIRECT_HEAD_START_S):
+                await attempts.decided.wait()
+            if not attempts.decided.is_set():
+                for entry in entries:
+                    reach = partial(self._reach_through_others, entry, opening=opening)
+                    nursery.start_soon(attempts.run_relayed, reach)
+            await attempts.decided.wait()
+            nursery.cancel_scope.cancel()
+        self._reachability.record_check(attempts.result)
+        return attempts.result
 
     async def _check_return(self) -> None:
         """Check whether the direct path works again, and whether other instances still help."""
         entries = self._sample()
         tried = entries[:SERVERS_OF_RETURN]
-        direct = await self._count_reached(tried, partial(self._reach, opening=False))
+        direct = await _count_reached(
+            [partial(self._reach, entry, opening=False) for entry in tried]
+        )
         check = PathCheck(len(tried), direct, 0)
         self._reachability.record_check(check)
         if direct or self._reachability.path is not Path.RELAYED:
             return
-        reach = partial(self._reach_through_others, opening=True)
-        if not await self._count_reached(entries, reach):
+        if not await _count_reached(
+            [partial(self._reach_through_others, entry, opening=True) for entry in entries]
+        ):
             self._reachability.record_relays_lost(check)
 
     def _sample(self) -> Sequence[ServerEntry]:
@@ -150,20 +170,6 @@
             sample += [found.pop() for found in domains if found]
         return sample[:MAX_SERVERS]
 
-    async def _count_reached(
-        self, entries: Sequence[ServerEntry], reach: Callable[[ServerEntry], object]
-    ) -> int:
-        reached: list[ServerEntry] = []
-
-        async def try_one(entry: ServerEntry) -> None:
-            if await reach(entry):  # type: ignore[misc]
-                reached.append(entry)
-
-        async with trio.open_nursery() as nursery:
-            for entry in entries:
-                nursery.start_soon(try_one, entry)
-        return len(reached)
-
     async def _reach(self, entry: ServerEntry, *, opening: bool) -> bool:
         try:
             stream = await self._dialer.dial(entry, "path-check")
@@ -199,3 +205,52 @@
         with trio.move_on_after(seconds):
             return not await stream.receive_some(READ_BYTES)
         return False
+
+
+class _Attempts:
+    """Attempts to reach backend servers, until they decide by which path they can be reached."""
+
+    def __init__(self, *, tried: int) -> None:
+        self.decided = trio.Event()
+        self._tried = tried
+        self._direct = 0
+        self._relayed = 0
+        self._direct_left = tried
+        self._relayed_left = tried
+        self._decide()
+
+    @property
+    def result(self) -> PathCheck:
+        return PathCheck(self._tried, self._direct, self._relayed)
+
+    async def run_direct(self, reach: Reach) -> None:
+        if await reach():
+            self._direct += 1
+        self._direct_left -= 1
+        self._decide()
+
+    async def run_relayed(self, reach: Reach) -> None:
+        if await reach():
+            self._relayed += 1
+        self._relayed_left -= 1
+        self._decide()
+
+    def _decide(self) -> None:
+        relayed_enough = self._relayed >= min(MIN_SERVERS, self._tried)
+        if self._direct or (not self._direct_left and (relayed_enough or not self._relayed_left)):
+            self.decided.set()
+
+
+async def _count_reached(attempts: Sequence[Reach]) -> int:
+    """Make attempts at the same time; return how many reached their backend servers."""
+    reached = 0
+
+    async def run(reach: Reach) -> None:
+        nonlocal reached
+        if await reach():
+            reached += 1
+
+    async with trio.open_nursery() as nursery:
+        for reach in attempts:
+            nursery.start_soon(run, reach)
+    return reached
--- a/src/wagtailpoint/relay/protocol.py
+++ b/src/wagtailpoint/relay/protocol.py
@@ -84,9 +84,12 @@
     return "\r\n".join([*lines, "", ""]).encode()
 
 
-async def read_request(stream: trio.SocketStream) -> tuple[RelayRequest, bytes]:
+async def read_request(stream: trio.SocketStream) -> tuple[RelayRequest, bytes] | None:
     """Read a request; return it with the bytes behind it.
 
+    Returns:
+        None if the connection ended before any byte: its opener has changed its mind.
+
     Raises:
         InvalidOpening: What arrived is no such request.
         trio.BrokenResourceError: The connection was reset.
@@ -94,7 +97,7 @@
     parser = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
     head = await _read_head(stream, parser)
     if not isinstance(head, h11.Request):
-        raise InvalidOpening("the connection ended before a request")
+        return None
     if head.method != b"CONNECT":
         raise InvalidOpening(f"given method {head.method!r}, expected CONNECT")
     headers = list(head.headers)
--- a/src/wagtailpoint/relay/server.py
+++ b/src/wagtailpoint/relay/server.py
@@ -102,9 +102,12 @@
 
     async def _open_and_relay(self, near: trio.SocketStream, peer: str) -> None:
         with trio.move_on_after(OPENING_TIMEOUT_S) as scope:
-            request, early_bytes = await read_request(near)
+            opening = await read_request(near)
         if scope.cancelled_caught:
             raise InvalidOpening(f"no request within {OPENING_TIMEOUT_S} s")
+        if opening is None:
+            return
+        request, early_bytes = opening
         entry = self._find_server(request.server_id)
         refusal = self._refusal(request, peer, entry)
         if refusal is not None or entry is None:
