--- a/src/wagtailpoint/adapters/backend_stream.py
+++ b/src/wagtailpoint/adapters/backend_stream.py
@@ -8,6 +8,7 @@
 import trio
 
 from wagtailpoint.ports.backend import BackendAddress
+from wagtailpoint.tcp_options import set_liveness_options
 
 
 class RecordingStream(httpcore.AsyncNetworkStream):
@@ -95,6 +96,7 @@
     family = socket.AF_INET6 if ":" in server.address else socket.AF_INET
     sock = trio.socket.socket(family, socket.SOCK_STREAM)
     try:
+        set_liveness_options(sock)
         await sock.connect((server.address, server.port))
     except BaseException:
         sock.close()
--- a/src/wagtailpoint/adapters/object_calls.py
+++ b/src/wagtailpoint/adapters/object_calls.py
@@ -6,7 +6,6 @@
 without one the outcome is unknown (``OutcomeUnknown``).
 """
 
-import socket
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any, NamedTuple, TypeVar, cast
@@ -17,6 +16,7 @@
 from result import Err, Ok, Result
 
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
+from wagtailpoint.tcp_options import LIVENESS_OPTIONS
 
 _MAX_CONNECTIONS = 32
 
@@ -26,18 +26,6 @@
 
 _FIRST_BYTE_EVENT = "send_request_headers.started"
 
-# A connection can fail without a reset; a watch on it would wait for its whole time and miss every
-# change. TCP keep-alive probes detect the failure within 1 + 2 * 1 seconds.
-_KEEPALIVE_IDLE_S = 1
-_KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
-_SOCKET_OPTIONS = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
-)
-
 # With these statuses the platform itself states that it did not execute the call. No other failure
 # proves that: a 500 or 504 may follow a write that took effect.
 UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
@@ -100,7 +88,9 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             keepalive_expiry=_IDLE_TIMEOUT_S,
-            socket_options=_SOCKET_OPTIONS,
+            # A connection can fail without a reset; a watch on it would wait for its whole time and
+            # miss every change.
+            socket_options=LIVENESS_OPTIONS,
         )
 
     async def aclose(self) -> None:
--- a/src/wagtailpoint/caller/exchange.py
+++ b/src/wagtailpoint/caller/exchange.py
@@ -9,6 +9,7 @@
 import trio
 
 from wagtailpoint import headers
+from wagtailpoint.tcp_options import LIVENESS_OPTIONS
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -131,7 +132,10 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle_timeout_s = idle_timeout_s
         self._pool = httpcore.AsyncConnectionPool(
-            max_connections=None, keepalive_expiry=_KEEPALIVE_TIMEOUT_S, retries=0
+            max_connections=None,
+            keepalive_expiry=_KEEPALIVE_TIMEOUT_S,
+            retries=0,
+            socket_options=LIVENESS_OPTIONS,
         )
 
     async def aclose(self) -> None:
--- a/src/wagtailpoint/cli/session.py
+++ b/src/wagtailpoint/cli/session.py
@@ -22,6 +22,7 @@
 from wagtailpoint.platform.store import ObjectStore
 from wagtailpoint.ports.platform import ListedInstance, Platform
 from wagtailpoint.settings import PlatformAddress
+from wagtailpoint.tcp_options import LIVENESS_OPTIONS
 
 PLATFORM_TIMEOUT_S = 5.0
 ENTRY_TIMEOUT_S = 3.0
@@ -55,7 +56,7 @@
     limit = dict.fromkeys(("connect", "read", "write", "pool"), ENTRY_TIMEOUT_S)
     try:
         with trio.fail_after(ENTRY_TIMEOUT_S):
-            async with httpcore.AsyncConnectionPool() as pool:
+            async with httpcore.AsyncConnectionPool(socket_options=LIVENESS_OPTIONS) as pool:
                 response = await pool.request(
                     "GET", f"http://{address}:{entry.port}{target}", extensions={"timeout": limit}
                 )
