--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -16,33 +16,26 @@
     BackendConnection,
     BackendReply,
     ExchangeFailed,
-    OutgoingRequest,
 )
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.caller_exchange import CallerExchange
 from wagtailpoint.proxy.headers import (
     HeaderNames,
-    content_length,
-    end_to_end_headers,
     header_text,
     header_value,
 )
 from wagtailpoint.proxy.hedged_exchange import HedgeDelays, HedgedExchange
 from wagtailpoint.proxy.key_check import KeyCheck
+from wagtailpoint.proxy.outgoing_request import make_outgoing_request
 from wagtailpoint.proxy.request_context import CONNECT_FAILURES, Outcome, RequestContext
 from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
 from wagtailpoint.quarantine.quarantine import Quarantine
 from wagtailpoint.relay.reachability import Path, Reachability
-from wagtailpoint.routing.workspaces import AUTHORIZATION
 from wagtailpoint.verdict import Verdict
 
 MAX_CONNECT_FAILURES = 3
 """Maximum number of failed connection attempts for a request that has not been sent yet."""
 
-REPLY_MARGIN_S = 0.003
-"""Subtracted from the deadline passed to the backend server, so that a response at that deadline
-still reaches the caller in time."""
-
 MIN_EXCHANGE_S = 0.01
 """Nothing is sent with less time left, as the exchange would be cut off with an unknown outcome."""
 
@@ -315,7 +308,7 @@
         sent_at = trio.current_time()
         with trio.move_on_at(context.deadline):
             return await connection.exchange(
-                self._outgoing_request(context, choice.entry.server_id)
+                make_outgoing_request(context, choice.entry.server_id, self._names)
             )
         silent = self._placement.load_of(choice.entry).heard_at < sent_at
         raise ExchangeFailed(Verdict.MAY_HAVE_RUN, FailureReason.TIMEOUT, silent=silent)
@@ -356,28 +349,6 @@
             self._placement.record_unreachable(entry)
             self._quarantine.record_crash(context.crash_report(entry.start))
 
-    def _outgoing_request(self, context: RequestContext, server_id: str) -> OutgoingRequest:
-        names = self._names
-        request = context.request
-        dropped = [names.deadline_ms, names.expected_server, names.workspace, b"expect"]
-        if context.table.workspaces is not None:
-            dropped.append(AUTHORIZATION)
-        headers = end_to_end_headers(request.headers, dropped)
-        left_ms = max(1, int((context.remaining_s - REPLY_MARGIN_S) * 1000))
-        headers.append((names.deadline_ms, str(left_ms).encode()))
-        headers.append((names.expected_server, server_id.encode()))
-        if context.workspace is not None:
-            headers.append((names.workspace, context.workspace.name.encode()))
-        return OutgoingRequest(
-            request_id=header_value(request.headers, names.request_id) or b"",
-            method=request.method,
-            target=request.target,
-            headers=headers,
-            body=context.body.read,
-            rest=context.body.rest,
-            body_bytes=content_length(request.headers),
-        )
-
     def _record_answer(
         self, demand: Demand, choice: Choice, reply: BackendReply, latency_s: float
     ) -> None:
