--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -205,9 +205,8 @@
             metrics=self._metrics,
             random=self._random,
         )
-        self._pool = self._paths.pool
         self._placement = self._make_placement()
-        self._paths.on_change(self._placement.forget_failures)
+        self._paths.on_change(self._placement.record_path_change)
         self._dispatcher = self._make_dispatcher()
         self._pages = EntryPages(
             lookup_ttl_max_s=lambda: self._settings_file.bounds.lookup_ttl_max_s,
@@ -251,7 +250,7 @@
                     *make_probes(
                         fleet=self._fleet,
                         placement=self._placement,
-                        pool=self._pool,
+                        pool=self._paths.pool,
                         distances=self._distances,
                         is_entry=self._role.is_entry,
                         random=self._random,
@@ -289,7 +288,7 @@
         sender = Sender(
             takes_work=self._fleet.takes_work,
             placement=self._placement,
-            pool=self._pool,
+            pool=self._paths.pool,
             budget=SharedRetryBudget(bound=self._retry_bound, divisor=self._role.bound_divisor),
             quarantine=self._quarantine.local,
             key_check=self._workspaces.key_check,
@@ -369,7 +368,7 @@
     async def _discard_server(self, start: ServerStart) -> None:
         self._placement.remove(start)
         self._limits.forget(start.key)
-        await self._pool.close(start)
+        await self._paths.pool.close(start)
 
     async def _stop(self) -> None:
         """Leave the lookups, serve callers with a cached lookup, then wait for open requests."""
@@ -389,12 +388,8 @@
             await self._dispatcher.wait_idle()
             await self._paths.wait_idle()
         if scope.cancelled_caught:
-            log_event(
-                "stop-cuts",
-                level="ERROR",
-                open_requests=self._dispatcher.open_requests,
-                relayed=self._paths.relayed_connections,
-            )
+            open_requests, relayed = self._dispatcher.open_requests, self._paths.relayed_connections
+            log_event("stop-cuts", level="ERROR", open_requests=open_requests, relayed=relayed)
         self._membership.announce_exit()
 
 
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -276,10 +276,11 @@
         """Record that a connection to a backend server opened after its backoff."""
         self.load_of(entry).record_reachable()
 
-    def forget_failures(self) -> None:
-        """Forget the failures of all backend servers, which were faults of the path to them."""
+    def record_path_change(self) -> None:
+        """Record that backend servers are reached by another path than before."""
+        now = trio.current_time()
         for entry in self._fleet.entries.values():
-            self.load_of(entry).forget_failures()
+            self.load_of(entry).record_path_change(now)
 
     def record_broken_exchange(self, entry: ServerEntry) -> None:
         """Record an exchange broken off by a fault of the backend server or the connection."""
--- a/src/wagtailpoint/placement/server_load.py
+++ b/src/wagtailpoint/placement/server_load.py
@@ -103,6 +103,7 @@
         self._failures = 0
         self._resting_until: float | None = None
         self._heard_at = -math.inf
+        self._path_since = -math.inf
         self._typical_s: float | None = None
 
     @property
@@ -121,7 +122,9 @@
         mean = self._others_mean * _decay_factor(age_s, MEAN_HALF_LIFE_S)
         others = mean + (self._others - mean) * _decay_factor(age_s, REPORT_HALF_LIFE_S)
         return others + sum(
-            _is_at_server(request, now, round_trip_s) for request in self._in_flight
+            _is_at_server(request, now, round_trip_s)
+            for request in self._in_flight
+            if request.sent_at >= self._path_since
         )
 
     def slowness(self, now: float) -> float:
@@ -156,7 +159,7 @@
         if self._typical_s is None:
             return False
         return any(
-            self._heard_at < request.sent_at
+            max(self._heard_at, self._path_since) < request.sent_at
             and now - request.sent_at - round_trip_s - SILENCE_SLACK_S
             > SILENCE_FACTOR * max(request.expected_stay_s, self._typical_s)
             for request in self._in_flight
@@ -222,11 +225,12 @@
         self._resting_until = max(self._resting_until or 0.0, now + backoff_s)
         return backoff_s
 
-    def forget_failures(self) -> None:
-        """Forget failures that were faults of the path and not of the backend server."""
+    def record_path_change(self, now: float) -> None:
+        """Forget what a lost path has caused: failures, and requests that are stuck on it."""
         self._failures = 0
         self._resting_until = None
         self._error_share = 0.0
+        self._path_since = now
 
     def record_reachable(self) -> None:
         """Record that a connection opened, which ends the backoff but not its doubling."""
