--- a/tests/common/partitioned_servers.py
+++ b/tests/common/partitioned_servers.py
@@ -37,12 +37,14 @@
     Attributes:
         runs: How often the request with an id ran.
         cancelled: The requests whose connections ended while they ran.
+        runs_at: How many requests ran at each backend server.
         senders: The addresses from which each request arrived.
     """
 
     def __init__(self, *, store: UsersStore, partition: Partition, random: Random) -> None:
         """Initialise without starting any backend server."""
         self.runs: Counter[str] = Counter()
+        self.runs_at: Counter[str] = Counter()
         self.cancelled: list[Cancelled] = []
         self.senders: dict[str, str] = {}
         self._store = store
@@ -90,6 +92,7 @@
                 await stream.send(response(b"", status="421 Misdirected Request"))
                 continue
             self.runs[request_id] += 1
+            self.runs_at[server_id] += 1
             self.senders[request_id] = stream.stream.socket.getpeername()[0]
             if not await self._work(stream, request_id, target):
                 return
