--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -3,18 +3,13 @@
 import signal
 import sys
 import time
+from collections.abc import Sequence
 
 import click
 import trio
 
-from bench.soak.schedule import (
-    FAULTS,
-    FaultKind,
-    Step,
-    draw_backend_faults,
-    draw_limits,
-    draw_schedule,
-)
+from bench.soak.deployment import FAILURE_DOMAINS
+from bench.soak.schedule import FAULTS, CutStep, FaultKind, Step, draw_all, draw_schedule
 from bench.soak.soak import Report, run_soak
 
 
@@ -56,13 +51,16 @@
     first = seed if seed is not None else time.time_ns() % 1_000_000
     failed = []
     for number in range(first, first + runs):
-        steps = draw_schedule(
-            seed=number, seconds=seconds, instances=instances, faults=faults or FAULTS
-        )
-        if not faults:
-            steps += draw_backend_faults(seed=number, seconds=seconds)
-            steps += draw_limits(seed=number, seconds=seconds)
-            steps.sort()
+        steps: Sequence[Step | CutStep]
+        if faults:
+            steps = draw_schedule(seed=number, seconds=seconds, instances=instances, faults=faults)
+        else:
+            steps = draw_all(
+                seed=number,
+                seconds=seconds,
+                instances=instances,
+                domains=len(FAILURE_DOMAINS),
+            )
         if show:
             for step in steps:
                 click.echo(f"  {step}")
@@ -80,7 +78,7 @@
 
 
 async def _run(
-    seed: int, steps: list[Step], seconds: float, instances: int, slack: float
+    seed: int, steps: Sequence[Step | CutStep], seconds: float, instances: int, slack: float
 ) -> Report:
     return await run_soak(seed=seed, steps=steps, seconds=seconds, instances=instances, slack=slack)
 
--- a/bench/soak/caller.py
+++ b/bench/soak/caller.py
@@ -106,6 +106,7 @@
     def check(self, drawn: DrawnRequest, status: int, body: bytes) -> None:
         """Record an answer and the guarantees that it violates."""
         self._findings.statuses[status] += 1
+        self._findings.answered[drawn.request_id] = status
         if status == 200 and body != f"{drawn.request_id} {drawn.target}".encode():
             self._findings.violations.append(
                 f"{drawn.request_id} got the answer of another request: {body!r}"
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -1,7 +1,8 @@
 """The store, backend servers and instances of a soak."""
 
 import json
-from collections.abc import AsyncIterator
+import math
+from collections.abc import AsyncIterator, Mapping, Sequence
 from contextlib import asynccontextmanager
 from itertools import count
 from pathlib import Path
@@ -15,18 +16,23 @@
     server_document,
     unsplit_config_document,
 )
+from tests.common.partition import Form, Partition
 from tests.common.processes import ModuleProcess
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
 from tests.common.sockets import loopback_address, reset_connection
 from tests.common.users_store import UsersStore
 
-from bench.soak.findings import Crash, Findings, LimitPeriod, Run
+from bench.soak.findings import Crash, CutPeriod, Findings, LimitPeriod, Run
 from wagtailpoint.node_settings import Endpoint
 
 HOST: Final = "ficu95.example"
 CALLER_PORT: Final = 8144
 STORE_PORT: Final = 9100
 FIRST_VERSION: Final = 1
+REGION_OF: Final = {"a-1": "a", "a-2": "a", "b-1": "b"}
+FAILURE_DOMAINS: Final = tuple(REGION_OF)
+"""Instances and backend servers belong to these in turn."""
+
 BACKEND_SERVERS: Final = 6
 MAX_SERVICE_S: Final = 0.05
 CRASH_DOWNTIME_S: Final = 1.3
@@ -39,6 +45,7 @@
 RESET_FRACTION: Final = 0.3
 """The fraction of requests whose connections are reset during a backend reset fault."""
 
+HEALTH_PATH: Final = "/health"
 CRASHING: Final = "/crashing-"
 """A request whose target contains this text crashes the backend server that runs it."""
 
@@ -46,7 +53,15 @@
 class Instance:
     """An instance: an address with a process, which reaches the store through a separate proxy."""
 
-    def __init__(self, *, number: int, address: str, file: Path, proxy: FaultProxy) -> None:
+    def __init__(
+        self,
+        *,
+        number: int,
+        address: str,
+        file: Path,
+        proxy: FaultProxy,
+        environment: Mapping[str, str],
+    ) -> None:
         self.number = number
         self.address = address
         self.proxy = proxy
@@ -54,7 +69,8 @@
         self._logged_before = 0
         self.lock = trio.Lock()
         self.process = ModuleProcess(
-            module="wagtailpoint.daemon", environment={"WAGTAILPOINT_NODE_FILE": str(file)}
+            module="tests.common.positioned_instance",
+            environment={"WAGTAILPOINT_NODE_FILE": str(file), **environment},
         )
 
     @property
@@ -83,6 +99,8 @@
         self._folder = folder
         self._server_numbers = count(1)
         self._addresses: dict[str, str] = {}
+        self._domains: dict[str, str] = {}
+        self._partition = Partition(folder=folder)
         self._active_resets = 0
         self._limits: dict[str, float] = {}
 
@@ -91,8 +109,9 @@
         """Run the store, the proxies, the backend servers and the instances."""
         async with trio.open_nursery() as nursery, self.store.serve() as store:
             self._write_config()
-            for _ in range(BACKEND_SERVERS):
-                await nursery.start(self._serve_backend)
+            for number in range(BACKEND_SERVERS):
+                domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+                await nursery.start(self._serve_backend, domain)
             addresses = [loopback_address() for _ in range(self._count)]
             for number, address in enumerate(addresses):
                 proxy = FaultProxy(
@@ -101,7 +120,13 @@
                 await nursery.start(proxy.serve)
                 file = self._write_settings(number, addresses)
                 self.instances.append(
-                    Instance(number=number, address=address, file=file, proxy=proxy)
+                    Instance(
+                        number=number,
+                        address=address,
+                        file=file,
+                        proxy=proxy,
+                        environment=self._partition.environment(address),
+                    )
                 )
             try:
                 for instance in self.instances:
@@ -110,6 +135,7 @@
             finally:
                 for instance in self.instances:
                     instance.process.kill()
+                self._partition.close()
                 nursery.cancel_scope.cancel()
 
     def change_config(self) -> None:
@@ -124,7 +150,11 @@
             return
         name = self._random.choice(active)
         address = self._addresses[name]
-        self.store.put("servers", name, server_document(address, State="draining"))
+        self.store.put(
+            "servers",
+            name,
+            server_document(address, Zone=self._domains[address], State="draining"),
+        )
         self._findings.drained_s[name] = trio.current_time()
         await trio.sleep(duration_s)
         # A request may have crashed the backend server meanwhile, which also removes its entry.
@@ -148,6 +178,22 @@
             period = LimitPeriod(name, per_s, started_s, trio.current_time())
             self._findings.limit_periods.append(period)
 
+    async def cut(
+        self, instances: Sequence[int], form: Form, unreached: Sequence[int], duration_s: float
+    ) -> None:
+        """Cut instances off from all backend servers, and from connecting to some others."""
+        cut = [self.instances[number].address for number in instances]
+        peers = [self.instances[number].address for number in unreached]
+        period = CutPeriod(tuple(instances), trio.current_time(), math.inf)
+        self._findings.cut_periods.append(period)
+        for address in cut:
+            self._partition.cut_from_peers(address, peers)
+        await self._partition.cut(cut, form)
+        await trio.sleep(duration_s)
+        self._partition.heal(cut)
+        self._findings.cut_periods.remove(period)
+        self._findings.cut_periods.append(period._replace(ended_s=trio.current_time()))
+
     async def reset_connections(self, duration_s: float) -> None:
         """Make the backend servers reset some connections instead of answering."""
         self._active_resets += 1
@@ -157,17 +203,23 @@
     def _register(self, address: str) -> None:
         name = f"i-{next(self._server_numbers)}"
         self._addresses[name] = address
-        self.store.put("servers", name, server_document(address))
+        document = server_document(address, Zone=self._domains[address])
+        self.store.put("servers", name, document)
 
-    async def _serve_backend(self, *, task_status: Any = trio.TASK_STATUS_IGNORED) -> None:
+    async def _serve_backend(
+        self, failure_domain: str, *, task_status: Any = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Serve a backend server, which restarts ``CRASH_DOWNTIME_S`` after each crash."""
         while True:
             crashed = trio.Event()
 
             async def answer_all(stream: ScriptedStream, crashed: trio.Event = crashed) -> None:
-                await self._answer_all(stream, crashed)
+                with self._partition.track(stream.stream):
+                    await self._answer_all(stream, crashed)
 
             async with scripted_server(answer_all) as address:
+                self._domains[str(address)] = failure_domain
+                self._partition.add_server(address.address)
                 self._register(str(address))
                 task_status.started()
                 task_status = trio.TASK_STATUS_IGNORED
@@ -196,12 +248,14 @@
         self._findings.confirmed_s[self.version] = trio.current_time()
 
     def _write_settings(self, number: int, addresses: list[str]) -> Path:
+        domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
         document = node_settings_document(
             address=addresses[number],
             name=f"e-{number}",
             store=Endpoint(addresses[number], STORE_PORT),
             seeds=tuple(f"{seed}:8146" for seed in addresses[:3]),
         )
+        document["Self"]["Zone"], document["Self"]["Region"] = domain, REGION_OF[domain]
         file = self._folder / f"{number}.json"
         file.write_text(json.dumps(document))
         return file
@@ -210,6 +264,9 @@
         while request := await stream.request():
             head = request.partition(b"\r\n\r\n")[0].decode()
             line, *headers = head.split("\r\n")
+            if line.split(" ")[1] == HEALTH_PATH:
+                await stream.send(response(b""))
+                continue
             fields = dict(header.lower().split(": ", 1) for header in headers)
             request_id, server_id = fields["x-attempt-id"], fields["x-expect-instance"]
             if server_id not in self._addresses:
--- a/bench/soak/findings.py
+++ b/bench/soak/findings.py
@@ -23,6 +23,16 @@
 LIMIT_SLACK: Final = 5
 """The bound on the requests of a window: the overage times what the limit allows, and the slack."""
 
+CUT_SHARE: Final = 2 / 3
+CUT_SLACK: Final = 10
+CUT_FAILED_TRIES: Final = 50
+"""Instances that are cut off have to serve this share of what the others serve, or fail no more
+than the slack and one in so many of all requests."""
+
+SERVED: Final = (200, 404)
+"""The statuses of requests that were served; 404 for routes that are probed before they are there.
+"""
+
 ANSWER_TIMEOUT_S: Final = 3.0
 """The time for which callers wait for an answer."""
 
@@ -92,6 +102,20 @@
     ended_s: float
 
 
+class CutPeriod(NamedTuple):
+    """A period in which instances are cut off from all backend servers.
+
+    Attributes:
+        instances: The numbers of the instances.
+        started_s: The start, in seconds.
+        ended_s: The end, in seconds.
+    """
+
+    instances: tuple[int, ...]
+    started_s: float
+    ended_s: float
+
+
 class Findings:
     """Collects observations, and one message for each violated guarantee."""
 
@@ -109,6 +133,8 @@
         self.refused: set[str] = set()
         self.cut_requests: set[str] = set()
         self.statuses: Counter[int] = Counter()
+        self.answered: dict[str, int] = {}
+        self.cut_periods: list[CutPeriod] = []
         self.drained_s: dict[str, float] = {}
         self.limit_periods: list[LimitPeriod] = []
         self.confirmed_s: dict[int, float] = {}
@@ -189,6 +215,8 @@
             self._check_drained(run)
         for period in self.limit_periods:
             self._check_limit(period)
+        for cut in self.cut_periods:
+            self._check_cut(cut)
         for target in {crash.target for crash in self.crashes}:
             self._check_crashes([crash for crash in self.crashes if crash.target == target])
         for request_id in self.cut_requests & counts.keys():
@@ -221,6 +249,25 @@
                 f"{late_crashes[0].target} crashed {len(crashes)}, {len(late_crashes)} of them late"
             )
 
+    def _check_cut(self, cut: CutPeriod) -> None:
+        """Check that instances that are cut off serve their callers like the others."""
+        at_cut, at_others = Counter[bool](), Counter[bool]()
+        from_s = cut.started_s + SETTLE_S * self._slack
+        for request_id, sent in self.sent.items():
+            if not from_s <= sent.sent_s < cut.ended_s or not self._ran_on(
+                sent.instance, cut.started_s, sent.sent_s
+            ):
+                continue
+            found = at_cut if sent.instance in cut.instances else at_others
+            found[self.answered.get(request_id) in SERVED] += 1
+        if not at_cut or not at_others:
+            return
+        tries, failed = at_cut.total() + at_others.total(), at_cut[False]
+        share = at_cut[True] / at_cut.total()
+        share_of_others = at_others[True] / at_others.total()
+        if failed > CUT_SLACK + tries / CUT_FAILED_TRIES and share < CUT_SHARE * share_of_others:
+            self.violations.append(f"{cut}: {at_cut} served there, {at_others} elsewhere")
+
     def _check_limit(self, period: LimitPeriod) -> None:
         """Check that a backend server got no more than it stated, from instances that ran on."""
         from_s = period.started_s + SETTLE_S * self._slack
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -1,6 +1,7 @@
 """Runs a schedule of faults on a deployment while callers use it, and checks guarantees."""
 
 import signal
+from collections.abc import Sequence
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -13,7 +14,7 @@
 from bench.soak.crashing import CRASHING_REQUESTS, CrashingCaller
 from bench.soak.deployment import Deployment, Instance
 from bench.soak.findings import CONFIG_APPLY_S, SETTLE_S, Findings
-from bench.soak.schedule import BACKEND_FAULT, LIMIT, Step
+from bench.soak.schedule import BACKEND_FAULT, LIMIT, CutStep, Step
 
 CALLERS_PER_INSTANCE: Final = 2
 WARM_UP_S: Final = 6.0
@@ -40,7 +41,7 @@
 
 
 async def run_soak(
-    *, seed: int, steps: list[Step], seconds: float, instances: int, slack: float
+    *, seed: int, steps: Sequence[Step | CutStep], seconds: float, instances: int, slack: float
 ) -> Report:
     """Run a deployment under faults, until it has recovered from all of them.
 
@@ -73,7 +74,7 @@
         self._random = random
         self._slack = slack
 
-    async def run(self, steps: list[Step], seconds: float) -> None:
+    async def run(self, steps: Sequence[Step | CutStep], seconds: float) -> None:
         settled_s = trio.current_time() + WARM_UP_S * self._slack
         for instance in self._deployment.instances:
             self._findings.record_disturbance(instance.number, 0.0, settled_s)
@@ -123,7 +124,10 @@
                 for instance in self._deployment.instances:
                     self._findings.record_disturbance(instance.number, started_s, ended_s)
 
-    async def _run_step(self, step: Step) -> None:
+    async def _run_step(self, step: Step | CutStep) -> None:
+        if isinstance(step, CutStep):
+            await self._deployment.cut(step.instances, step.form, step.unreached, step.duration_s)
+            return
         instance = self._deployment.instances[step.instance]
         if step.kind == "config":
             self._deployment.change_config()
--- a/tests/cover/test_soak_findings.py
+++ b/tests/cover/test_soak_findings.py
@@ -12,14 +12,17 @@
     DRAIN_S,
     SETTLE_S,
     Crash,
+    CutPeriod,
     Findings,
     LimitPeriod,
     Run,
     SentRequest,
 )
-from bench.soak.schedule import FAULTS, draw_schedule
+from bench.soak.schedule import FAULTS, draw_cuts, draw_schedule
 from trio.testing import MockClock
 
+from tests.common.partition import FORMS
+
 
 class ScheduleTest(unittest.TestCase):
     def test_seed_determines_the_schedule(self) -> None:
@@ -28,6 +31,17 @@
         self.assertEqual({each.kind for each in steps}, {"config", *FAULTS})
         self.assertTrue(all(each.at_s + each.duration_s <= 200.0 for each in steps))
 
+    def test_cuts_have_all_forms_and_extents(self) -> None:
+        steps = [
+            step
+            for seed in range(20)
+            for step in draw_cuts(seed=seed, seconds=60.0, instances=6, domains=3)
+        ]
+        self.assertEqual({step.form for step in steps}, set(FORMS))
+        self.assertEqual({len(step.instances) for step in steps}, {1, 2, 6})
+        self.assertTrue(any(step.unreached for step in steps))
+        self.assertTrue(all(step.at_s + step.duration_s <= 60.0 for step in steps))
+
 
 class FindingsTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -180,3 +194,23 @@
     def test_harmless_request_that_is_quarantined(self) -> None:
         self.assertEqual(self.violations(503, b"not run: no room\n"), [])
         self.assertEqual(len(self.violations(503, b"not run: quarantined\n")), 1)
+
+    def cut_off(self, served_there: int, served_elsewhere: int) -> list[str]:
+        """Return the findings of a cut of instance 0 with 100 requests there and elsewhere."""
+        self.findings = Findings(instances=2, slack=1.0)
+        self.findings.cut_periods.append(CutPeriod((0,), 100.0, 200.0))
+        for instance, served in enumerate((served_there, served_elsewhere)):
+            for number in range(100):
+                request_id = f"{instance}-{number}"
+                sent_s = 100.0 + SETTLE_S + number / 10
+                self.findings.sent[request_id] = SentRequest(instance, 1, sent_s, True)
+                self.findings.answered[request_id] = 200 if number < served else 503
+        return self.finish()
+
+    def test_instance_that_serves_less_while_it_is_cut_off(self) -> None:
+        self.assertEqual(len(self.cut_off(served_there=50, served_elsewhere=90)), 1)
+        self.assertEqual(self.cut_off(served_there=70, served_elsewhere=90), [])
+
+    def test_cut_that_all_instances_share_the_effect_of(self) -> None:
+        """Guards against a finding where no instance serves its callers."""
+        self.assertEqual(self.cut_off(served_there=0, served_elsewhere=0), [])
