--- a/tests/cover/test_soak_findings.py
+++ b/tests/cover/test_soak_findings.py
@@ -195,17 +195,20 @@
         self.assertEqual(self.violations(503, b"not run: no room\n"), [])
         self.assertEqual(len(self.violations(503, b"not run: quarantined\n")), 1)
 
+
+class CutCheckTest(unittest.TestCase):
     def cut_off(self, served_there: int, served_elsewhere: int) -> list[str]:
         """Return the findings of a cut of instance 0 with 100 requests there and elsewhere."""
-        self.findings = Findings(instances=2, slack=1.0)
-        self.findings.cut_periods.append(CutPeriod((0,), 100.0, 200.0))
+        findings = Findings(instances=2, slack=1.0)
+        findings.cut_periods.append(CutPeriod((0,), 100.0, 200.0))
         for instance, served in enumerate((served_there, served_elsewhere)):
             for number in range(100):
                 request_id = f"{instance}-{number}"
                 sent_s = 100.0 + SETTLE_S + number / 10
-                self.findings.sent[request_id] = SentRequest(instance, 1, sent_s, True)
-                self.findings.answered[request_id] = 200 if number < served else 503
-        return self.finish()
+                findings.sent[request_id] = SentRequest(instance, 1, sent_s, True)
+                findings.answered[request_id] = 200 if number < served else 503
+        findings.finish_checks()
+        return findings.violations
 
     def test_instance_that_serves_less_while_it_is_cut_off(self) -> None:
         self.assertEqual(len(self.cut_off(served_there=50, served_elsewhere=90)), 1)
