--- a/src/wagtailpoint/proxy/backend_connector.py
+++ b/src/wagtailpoint/proxy/backend_connector.py
@@ -1,5 +1,7 @@
 """Opens connections to backend servers, directly or through other instances."""
 
+from typing import Final
+
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.proxy.backend_connection import BackendConnection, ExchangeFailed
 from wagtailpoint.proxy.backend_dialer import BackendDialer, OpenedStream
@@ -7,6 +9,10 @@
 from wagtailpoint.relay.client import RelayClient
 from wagtailpoint.relay.reachability import Path, Reachability
 
+PURPOSES_WITH_DETOUR: Final = ("request", "crash-check")
+"""The purposes for which other instances are asked before it is known that this one is cut off:
+somebody waits, or a request would be blamed. Probes of dead backend servers are not passed on."""
+
 
 class BackendConnector:
     """Opens connections over the path by which backend servers can be reached."""
@@ -59,7 +65,7 @@
         try:
             return self._connection(OpenedStream(await self._dialer.dial(entry, purpose)))
         except ExchangeFailed as error:
-            if not self._reachability.is_suspect():
+            if purpose not in PURPOSES_WITH_DETOUR or not self._reachability.is_suspect():
                 raise
             try:
                 return self._connection(await self._relays.open(entry))
