--- a/tests/common/known_red.py
+++ b/tests/common/known_red.py
@@ -63,6 +63,12 @@
         else:
             self._failed += 1
 
+    def wasSuccessful(self, event: Any) -> None:  # noqa: N802 - nose2's name
+        """Fail the run if a listed test has passed, which nose2 would let pass."""
+        if self._unexpected_passes:
+            event.success = False
+            event.handled = True
+
     def afterSummaryReport(self, event: Any) -> None:  # noqa: N802 - nose2's name
         """Print unexpected passes and the summary line."""
         for test in self._unexpected_passes:
