--- a/tests/integration/test_partitioned_instances.py
+++ b/tests/integration/test_partitioned_instances.py
@@ -24,6 +24,7 @@
             began = trio.current_time()
             await group.partition.cut(cut, form)
             await trio.sleep(CUT_S)
+            await self.wait_tries(group, cut, began + SETTLE_S)
             ended = trio.current_time()
             group.partition.heal(cut)
             await trio.sleep(SETTLE_S + AFTER_S)
