--- a/src/wagtailpoint/relay/path_checker.py
+++ b/src/wagtailpoint/relay/path_checker.py
@@ -123,7 +123,7 @@
                 connections do not open; otherwise an answer is needed.
         """
         entries = self._sample()
-        attempts = _Attempts(tried=len(entries))
+        attempts = _Attempts(tried=len(entries), relayed=len(entries))
         async with trio.open_nursery() as nursery:
             for entry in entries:
                 reach = partial(self._reach, entry, opening=opening)
@@ -136,8 +136,27 @@
                     nursery.start_soon(attempts.run_relayed, reach)
             await attempts.decided.wait()
             nursery.cancel_scope.cancel()
-        self._reachability.record_check(attempts.result)
-        return attempts.result
+        check = attempts.result
+        if check.relayed and await self._is_back(entries, opening=opening):
+            check = check._replace(direct=1)
+        self._reachability.record_check(check)
+        return check
+
+    async def _is_back(self, entries: Sequence[ServerEntry], *, opening: bool) -> bool:
+        """Return whether a backend server can be reached directly now.
+
+        If the cut ended during a check, direct connections were opened before that, and those
+        through others after it. All instances would isolate themselves at once.
+        """
+        attempts = _Attempts(tried=len(entries), relayed=0)
+        with trio.move_on_after(DIRECT_HEAD_START_S):
+            async with trio.open_nursery() as nursery:
+                for entry in entries:
+                    reach = partial(self._reach, entry, opening=opening)
+                    nursery.start_soon(attempts.run_direct, reach)
+                await attempts.decided.wait()
+                nursery.cancel_scope.cancel()
+        return attempts.result.direct > 0
 
     async def _check_return(self) -> None:
         """Check whether the direct path works again, and whether other instances still help."""
@@ -208,15 +227,20 @@
 
 
 class _Attempts:
-    """Attempts to reach backend servers, until they decide by which path they can be reached."""
+    """Attempts to reach backend servers, until they decide by which path they can be reached.
+
+    Args:
+        tried: The number of backend servers, each of which is tried directly.
+        relayed: The number of them that are also tried through others.
+    """
 
-    def __init__(self, *, tried: int) -> None:
+    def __init__(self, *, tried: int, relayed: int) -> None:
         self.decided = trio.Event()
         self._tried = tried
         self._direct = 0
         self._relayed = 0
         self._direct_left = tried
-        self._relayed_left = tried
+        self._relayed_left = relayed
         self._decide()
 
     @property
--- a/tests/integration/test_partitioned_instances.py
+++ b/tests/integration/test_partitioned_instances.py
@@ -96,3 +96,22 @@
     def test_callers_are_refused_at_once_if_the_connections_of_all_instances_hang(self) -> None:
         """Guards against requests that wait for connections although none can open."""
         self.check_all_cut("hang")
+
+    def test_callers_of_instances_none_of_which_opens_new_connections(self) -> None:
+        """Guards against instances that all isolate themselves when the cut ends."""
+
+        async def test(group: PartitionedGroup) -> None:
+            cut = [instance.address for instance in group.instances]
+            began = trio.current_time()
+            await group.partition.cut(cut, "refuse-new")
+            await trio.sleep(CUT_S)
+            ended = trio.current_time()
+            group.partition.heal(cut)
+            await trio.sleep(AFTER_S)
+            during, _ = group.tries(cut, began + SETTLE_S, ended)
+            self.check_served(during, "on connections that live on")
+            after, _ = group.tries(cut, ended, trio.current_time() - 1.0)
+            self.check_served(after, "after the cut")
+            self.check_promises(group)
+
+        self.run_with(test)
