--- a/src/wagtailpoint/proxy/backend_connection.py
+++ b/src/wagtailpoint/proxy/backend_connection.py
@@ -113,6 +113,7 @@
         stream: trio.SocketStream,
         names: HeaderNames,
         relay: str = "",
+        leaves_region: bool = False,
         on_heard: Callable[..., None] = ignore_heard,
     ) -> None:
         """Initialise an open connection.
@@ -121,10 +122,12 @@
             stream: The connection.
             names: The deployment's header names.
             relay: The instance that relays it; empty for a direct connection.
+            leaves_region: Whether that instance is in another region than the backend server.
             on_heard: Called when bytes arrive, with ``on_new_connection=True`` the first time.
         """
         self._stream = stream
         self._relay = relay
+        self._leaves_region = leaves_region
         self._on_heard = on_heard
         self._has_heard = False
         self._names = names
@@ -141,6 +144,11 @@
         """The instance that relays the connection; empty for a direct one."""
         return self._relay
 
+    @property
+    def leaves_region(self) -> bool:
+        """Whether it is relayed by an instance outside the backend server's region."""
+        return self._leaves_region
+
     @property
     def has_heard(self) -> bool:
         """Whether any byte of the backend server has arrived on the connection."""
--- a/src/wagtailpoint/proxy/backend_connector.py
+++ b/src/wagtailpoint/proxy/backend_connector.py
@@ -4,7 +4,7 @@
 
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.proxy.backend_connection import BackendConnection, ExchangeFailed
-from wagtailpoint.proxy.backend_dialer import BackendDialer, OpenedStream
+from wagtailpoint.proxy.backend_dialer import BackendDialer
 from wagtailpoint.proxy.headers import HeaderNames
 from wagtailpoint.relay.client import RelayClient
 from wagtailpoint.relay.reachability import Path, Reachability
@@ -54,27 +54,43 @@
         if not connection.relay and not connection.has_heard:
             self._reachability.record_failure(start)
 
-    async def open(self, entry: ServerEntry, purpose: str) -> BackendConnection:
+    async def open(
+        self, entry: ServerEntry, purpose: str, *, may_leave_region: bool = True
+    ) -> BackendConnection:
         """Open a connection.
 
+        Args:
+            entry: The backend server.
+            purpose: Why it is opened, for metrics.
+            may_leave_region: Whether it may pass instances outside the backend server's region.
+
         Raises:
             ExchangeFailed: The backend server refused the connection or can't be reached.
         """
         if self._reachability.path is Path.RELAYED:
-            return self._connection(await self._relays.open(entry))
+            return await self._open_relayed(entry, may_leave_region)
         try:
-            return self._connection(OpenedStream(await self._dialer.dial(entry, purpose)))
+            return await self._open_direct(entry, purpose)
         except ExchangeFailed as error:
             if purpose not in PURPOSES_WITH_DETOUR or not self._reachability.is_suspect():
                 raise
             try:
-                return self._connection(await self._relays.open(entry))
+                return await self._open_relayed(entry, may_leave_region)
             except ExchangeFailed:
                 raise error from None
 
-    def _connection(self, opened: OpenedStream) -> BackendConnection:
-        if opened.relay:
-            return BackendConnection(stream=opened.stream, names=self._names, relay=opened.relay)
+    async def _open_relayed(self, entry: ServerEntry, may_leave_region: bool) -> BackendConnection:
+        opened = await self._relays.open(entry, may_leave_region=may_leave_region)
+        return BackendConnection(
+            stream=opened.stream,
+            names=self._names,
+            relay=opened.relay,
+            leaves_region=opened.leaves_region,
+        )
+
+    async def _open_direct(self, entry: ServerEntry, purpose: str) -> BackendConnection:
         return BackendConnection(
-            stream=opened.stream, names=self._names, on_heard=self._reachability.record_heard
+            stream=await self._dialer.dial(entry, purpose),
+            names=self._names,
+            on_heard=self._reachability.record_heard,
         )
--- a/src/wagtailpoint/proxy/backend_dialer.py
+++ b/src/wagtailpoint/proxy/backend_dialer.py
@@ -29,10 +29,12 @@
         stream: The connection.
         relay: The instance that relays it and its number there, ``ADDRESS#NUMBER``; empty for a
             direct connection.
+        leaves_region: Whether that instance is in another region than the backend server.
     """
 
     stream: trio.SocketStream
     relay: str = ""
+    leaves_region: bool = False
 
 
 class BackendDialer:
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -67,29 +67,46 @@
                 await trio.sleep(SWEEP_INTERVAL_S)
                 await self.close_expired()
 
-    async def acquire(self, entry: ServerEntry) -> BackendConnection:
+    async def acquire(
+        self, entry: ServerEntry, *, may_leave_region: bool = True
+    ) -> BackendConnection:
         """Take an idle connection or open one, without sending anything on it.
 
+        Args:
+            entry: The backend server.
+            may_leave_region: Whether it may pass instances outside the backend server's region.
+
         Raises:
             ExchangeFailed: No connection could be opened.
         """
-        connection = await self._take_idle(entry.start)
+        connection = await self._take_idle(entry.start, may_leave_region)
         reused = connection is not None
         if connection is None:
-            connection = await self._connector.open(entry, "request")
+            connection = await self._connector.open(
+                entry, "request", may_leave_region=may_leave_region
+            )
         self._record_acquired(entry, reused=reused)
         self._in_use_since[connection] = trio.current_time()
         return connection
 
-    async def _take_idle(self, start: ServerStart) -> BackendConnection | None:
-        idle = self._idle.get(start)
-        while idle:
-            connection = idle.pop()
+    async def _take_idle(
+        self, start: ServerStart, may_leave_region: bool
+    ) -> BackendConnection | None:
+        while (connection := self._pop_idle(start, may_leave_region)) is not None:
             if self._is_usable(connection):
                 return connection
             await connection.close()
         return None
 
+    def _pop_idle(self, start: ServerStart, may_leave_region: bool) -> BackendConnection | None:
+        """Take the last idle connection, usable or not, by the way that it may take."""
+        idle = self._idle.get(start, deque())
+        for connection in reversed(idle):
+            if may_leave_region or not connection.leaves_region:
+                idle.remove(connection)
+                return connection
+        return None
+
     def _is_usable(self, connection: BackendConnection) -> bool:
         return not connection.has_expired() and self._connector.is_usable(connection)
 
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -286,7 +286,10 @@
 
     async def _acquire(self, context: RequestContext, entry: ServerEntry) -> BackendConnection:
         with trio.move_on_at(context.deadline):
-            return await self._pool.acquire(entry)
+            # A request with home regions must not pass an instance outside of them.
+            return await self._pool.acquire(
+                entry, may_leave_region=context.route.home_regions is None
+            )
         raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_TIMEOUT, "deadline")
 
     def _is_final(self, context: RequestContext, server_id: str, reply: BackendReply) -> bool:
--- a/src/wagtailpoint/relay/client.py
+++ b/src/wagtailpoint/relay/client.py
@@ -73,15 +73,20 @@
         address = relay.partition("#")[0]
         return any(member.address == address and member.is_serving for member in self._members())
 
-    async def open(self, entry: ServerEntry) -> OpenedStream:
+    async def open(self, entry: ServerEntry, *, may_leave_region: bool = True) -> OpenedStream:
         """Open a connection to a backend server through another instance.
 
+        Args:
+            entry: The backend server.
+            may_leave_region: Whether that instance may be in another region than the server, if
+                none of the server's region can relay.
+
         Raises:
             ExchangeFailed: No other instance relays, or none reaches the backend server.
         """
         failures: list[FailureReason] = []
         unreached: list[str] = []
-        for member in self._relays(entry)[:MAX_RELAYS_TRIED]:
+        for member in self._relays(entry, may_leave_region)[:MAX_RELAYS_TRIED]:
             opened = await self._open_through(member, entry)
             if isinstance(opened, OpenedStream):
                 # The others are cut off themselves, or do not know the backend server yet.
@@ -97,7 +102,7 @@
         reason = failures[-1] if failures else FailureReason.CONNECT_FAILED
         raise ExchangeFailed(Verdict.NOT_RUN, reason, "through other instances")
 
-    def _relays(self, entry: ServerEntry) -> list[Member]:
+    def _relays(self, entry: ServerEntry, may_leave_region: bool) -> list[Member]:
         now = trio.current_time()
         self._avoided_until = {
             address: until for address, until in self._avoided_until.items() if until > now
@@ -108,6 +113,7 @@
             failure_domain=entry.failure_domain,
             region=self._region_of.get(entry.failure_domain, ""),
             avoided=self._avoided_until.keys(),
+            may_leave_region=may_leave_region,
             random=self._random,
         )
 
@@ -146,7 +152,8 @@
                 with trio.CancelScope(shield=True):
                     await trio.aclose_forcefully(stream)
         if answer is not None and answer.status == HTTPStatus.OK and stream is not None:
-            return OpenedStream(stream, f"{member.address}#{answer.number}")
+            leaves_region = member.region != self._region_of.get(entry.failure_domain, "")
+            return OpenedStream(stream, f"{member.address}#{answer.number}", leaves_region)
         log_event(
             "relay-failed",
             relay=member.address,
--- a/src/wagtailpoint/relay/peer_choice.py
+++ b/src/wagtailpoint/relay/peer_choice.py
@@ -13,29 +13,32 @@
     failure_domain: str,
     region: str,
     avoided: Collection[str],
+    may_leave_region: bool,
     random: Random,
 ) -> list[Member]:
     """Return the instances that may relay, the best first.
 
-    All are in the region of the backend server, so that a request with home regions passes none
-    outside of them, and one in its failure domain adds no bytes between failure domains. The second
-    is of another failure domain if there is one: all instances of a failure domain may be cut off.
+    All are in the region of the backend server if one is, and one in its failure domain adds no
+    bytes between failure domains. The second is of another failure domain if there is one: all
+    instances of a failure domain may be cut off.
 
     Args:
         members: The other instances.
         failure_domain: The failure domain of the backend server.
         region: The region of the backend server.
         avoided: Addresses of instances that failed to relay of late.
+        may_leave_region: Whether instances of other regions may relay if none of this one can.
+            Requests with home regions must not pass them.
         random: Spreads connections over equal instances.
     """
-    usable = [
+    everywhere = [
         member
         for member in members
-        if member.region == region
-        and member.is_serving
-        and not member.is_isolated
-        and member.address not in avoided
+        if member.is_serving and not member.is_isolated and member.address not in avoided
     ]
+    usable = [member for member in everywhere if member.region == region]
+    if not usable and may_leave_region:
+        usable = everywhere
     usable.sort(
         key=lambda member: (
             member.load >= OVERLOADED_LOAD,
--- a/tests/cover/test_backend_connector.py
+++ b/tests/cover/test_backend_connector.py
@@ -3,17 +3,19 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any, cast
+from unittest.mock import patch
 
 import trio
 from loguru import logger
 
-from tests.common.steering_parts import make_server
+from tests.common.steering_parts import make_distances, make_server
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.ports.backend import FailureReason
-from wagtailpoint.proxy.backend_connection import ExchangeFailed
+from wagtailpoint.proxy.backend_connection import BackendConnection, ExchangeFailed
 from wagtailpoint.proxy.backend_connector import BackendConnector
 from wagtailpoint.proxy.backend_dialer import OpenedStream
+from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.relay.reachability import Path, PathCheck, Reachability
 from wagtailpoint.verdict import Verdict
 
@@ -34,10 +36,10 @@
         await self._open(self.direct)
         return object()
 
-    async def open(self, entry: ServerEntry) -> OpenedStream:
+    async def open(self, entry: ServerEntry, *, may_leave_region: bool) -> OpenedStream:
         self.relays += 1
         await self._open(self.relayed)
-        return OpenedStream(cast(Any, object()), "127.0.0.1#1")
+        return OpenedStream(cast(Any, object()), "127.0.0.1#1", may_leave_region)
 
     def is_usable(self, relay: str) -> bool:
         return True
@@ -109,6 +111,25 @@
 
         self.run_with(test)
 
+    def test_request_with_homes_takes_no_connection_that_leaves_its_region(self) -> None:
+        """Guards against bodies that pass an instance outside of their home regions."""
+
+        async def test() -> None:
+            self.reachability.record_check(PathCheck(tried=2, direct=0, relayed=2))
+            pool = BackendPool(connector=self.connector, distances=make_distances())
+            left = await self.connector.open(ENTRY, "request", may_leave_region=True)
+            self.assertTrue(left.leaves_region)
+            with (
+                patch.object(BackendConnection, "has_expired", return_value=False),
+                patch.object(BackendConnection, "is_reusable", return_value=True),
+            ):
+                await pool.release(ENTRY.start, left)
+                stays = await pool.acquire(ENTRY, may_leave_region=False)
+                self.assertFalse(stays.leaves_region)
+                self.assertIs(await pool.acquire(ENTRY, may_leave_region=True), left)
+
+        self.run_with(test)
+
     def test_isolated_instance_does_not_try_direct_connections(self) -> None:
         """Guards against requests that wait for connections that can't open."""
 
--- a/tests/cover/test_peer_choice.py
+++ b/tests/cover/test_peer_choice.py
@@ -11,9 +11,16 @@
 
 
 class RelayOrderTest(unittest.TestCase):
-    def order(self, *members: Member, avoided: Sequence[str] = ()) -> list[str]:
+    def order(
+        self, *members: Member, avoided: Sequence[str] = (), may_leave_region: bool = True
+    ) -> list[str]:
         ordered = order_relays(
-            members, failure_domain="a-1", region="a", avoided=avoided, random=Random(1)
+            members,
+            failure_domain="a-1",
+            region="a",
+            avoided=avoided,
+            may_leave_region=may_leave_region,
+            random=Random(1),
         )
         return [member.address for member in ordered]
 
@@ -36,14 +43,28 @@
         self.assertEqual(self.order(busy, other, avoided=["127.0.0.2"]), ["127.0.0.1"])
         self.assertEqual(self.order(make_peer("127.0.0.3", suspect=True)), [])
 
+    def test_other_regions_relay_only_if_the_region_of_the_server_can_not(self) -> None:
+        """Guards against requests that pass an instance outside of their home regions."""
+        near = make_peer("127.0.0.1", failure_domain="a-2")
+        far = make_peer("127.0.0.2", region="b", failure_domain="b-1")
+        self.assertEqual(self.order(near, far), ["127.0.0.1"])
+        isolated = near._replace(state="isolated")
+        self.assertEqual(self.order(isolated, far), ["127.0.0.2"])
+        self.assertEqual(self.order(isolated, far, may_leave_region=False), [])
+
     def test_connections_are_spread_by_capacity(self) -> None:
         """Guards against one instance that relays everything."""
         random = Random(1)
         members = [make_peer("127.0.0.1", capacity=3.0), make_peer("127.0.0.2", capacity=1.0)]
         first = Counter(
-            order_relays(members, failure_domain="a-1", region="a", avoided=(), random=random)[
-                0
-            ].address
+            order_relays(
+                members,
+                failure_domain="a-1",
+                region="a",
+                avoided=(),
+                may_leave_region=False,
+                random=random,
+            )[0].address
             for _ in range(400)
         )
         self.assertGreater(first["127.0.0.1"], 2 * first["127.0.0.2"])
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -91,7 +91,7 @@
 
     async def failure(self, entry: ServerEntry) -> ExchangeFailed:
         try:
-            opened = await self.client.open(entry)
+            opened = await self.client.open(entry, may_leave_region=False)
         except ExchangeFailed as error:
             return error
         raise AssertionError(opened)
@@ -265,6 +265,18 @@
         self.members = [self.own, self.relay._replace(region="b", failure_domain="b-1")]
         self.check_refused(FailureReason.CONNECT_FAILED)
 
+    def test_instance_of_another_region_relays_for_requests_without_homes(self) -> None:
+        """Guards against backend servers that nobody reaches while their region is isolated."""
+        self.relay = self.relay._replace(region="b", failure_domain="b-1")
+        self.members = [self.own, self.relay]
+
+        async def test(entry: ServerEntry) -> None:
+            opened = await self.client.open(entry)
+            self.assertTrue(opened.leaves_region)
+            await opened.stream.aclose()
+
+        self.run_with(echo, test)
+
     def test_relay_leads_to_registered_servers_only(self) -> None:
         """Guards against connections to any address."""
 
--- a/tests/integration/test_partitioned_instances.py
+++ b/tests/integration/test_partitioned_instances.py
@@ -66,6 +66,10 @@
         """Guards against the same at all instances of a failure domain."""
         self.check_cut("refuse-new", lambda group: group.of_domain("a-1"))
 
+    def test_callers_of_a_region_whose_instances_are_cut_off(self) -> None:
+        """Guards against requests that fail, or leave their home, as no near instance relays."""
+        self.check_cut("reset", lambda group: group.of_domain("b-1"))
+
     def check_all_cut(self, form: Form) -> None:
         """Check that requests are refused at once if no instance reaches a backend server."""
 
