--- a/src/wagtailpoint/relay/reachability.py
+++ b/src/wagtailpoint/relay/reachability.py
@@ -120,6 +120,8 @@
 
     def record_check(self, check: PathCheck) -> None:
         """Record the result of a check, which may change the path."""
+        if not check.tried:
+            return
         if check.direct:
             self._failures.clear()
         if self._path is Path.RELAYED:
--- a/tests/cover/test_reachability.py
+++ b/tests/cover/test_reachability.py
@@ -92,6 +92,15 @@
 
         self.run_with(test)
 
+    def test_check_without_a_server_decides_nothing(self) -> None:
+        """Guards against an instance that isolates itself before it knows backend servers."""
+
+        async def test() -> None:
+            self.reachability.record_check(PathCheck(tried=0, direct=0, relayed=0))
+            self.assertIs(self.reachability.path, Path.DIRECT)
+
+        self.run_with(test)
+
     def test_one_server_that_only_others_reach_does_not_isolate_the_instance(self) -> None:
         """Guards against a verdict from a server that restarted between two attempts."""
 
