--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -4,15 +4,15 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from random import Random
-from typing import Any, Protocol
+from typing import Protocol
 from urllib.parse import urlsplit
 
 import trio
 
 from wagtailpoint.limits.allowance_sharing import SpendResult
 from wagtailpoint.observe.log import log_event
-from wagtailpoint.observe.metrics import LatencyKey, Metrics
-from wagtailpoint.placement.choice import Choice, Declined, NotPlaced
+from wagtailpoint.observe.metrics import Metrics
+from wagtailpoint.placement.choice import NotPlaced
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
 from wagtailpoint.proxy.headers import (
     HeaderNames,
@@ -24,12 +24,13 @@
 from wagtailpoint.proxy.key_check import KeyCheck
 from wagtailpoint.proxy.refusal import Refusal, RefusalFactory
 from wagtailpoint.proxy.request_context import Outcome, RequestContext
+from wagtailpoint.proxy.request_log import RequestLog
 from wagtailpoint.proxy.sender import MIN_EXCHANGE_S, Sender
 from wagtailpoint.quarantine.quarantine import Admission, Quarantine
 from wagtailpoint.routing.access import AccessRefusal
 from wagtailpoint.routing.split import SplitChooser
 from wagtailpoint.routing.table import HostRoute, RouteTable
-from wagtailpoint.routing.workspaces import abbreviate_digest, parse_key_digest
+from wagtailpoint.routing.workspaces import parse_key_digest
 from wagtailpoint.verdict import Verdict
 
 READ_AHEAD_BYTES = 256 * 1024
@@ -41,9 +42,6 @@
 """Maximum wait for the next token of the workspace, as a fraction of the route's latency objective.
 """
 
-MAX_LOGGED_AGE_S = 999.0
-"""Logged as the age of load reports that were never received."""
-
 
 class Allowances(Protocol):
     """The request allowances of workspaces, which all instances share."""
@@ -87,6 +85,7 @@
         self._allowances = allowances
         self._names = names
         self._metrics = metrics
+        self._log = RequestLog(names=names, metrics=metrics)
         self._refusals = RefusalFactory(random=random)
         self._split = SplitChooser(random=random)
         self._open_requests = 0
@@ -117,7 +116,7 @@
         table = self._table()
         if table is None:
             outcome = await self._refusals.starting().send(caller)
-            self._log(request, None, outcome, caller)
+            self._log.write(request, None, outcome, caller)
             return
         host = (header_value(request.headers, b"host") or b"").decode("latin-1")
         route = table.find(host, _path(request.target))
@@ -134,9 +133,9 @@
         key = parse_key_digest(request.headers)
         access = self._key_check.access(table, route, key)
         if isinstance(access, AccessRefusal):
-            self._log_key_refused(request, access, key)
+            self._log.write_key_refused(request, access, key)
             outcome = await self._refusals.no_access(access).send(caller)
-            self._log(request, None, outcome, caller)
+            self._log.write(request, None, outcome, caller)
             return
         if access is not None:
             route = route.for_workspace(access)
@@ -158,11 +157,11 @@
             answered = outcome.verdict is Verdict.RAN and not late
         except trio.Cancelled:
             self._metrics.count("request.abandoned")
-            self._log(request, context, Outcome(0, "caller-gone", context.verdict), caller)
+            self._log.write(request, context, Outcome(0, "caller-gone", context.verdict), caller)
             raise
         finally:
             self._quarantine.record_finished(context.fingerprint, answered=answered)
-        self._log(request, context, outcome, caller)
+        self._log.write(request, context, outcome, caller)
 
     async def _serve(self, context: RequestContext, caller: CallerExchange) -> Outcome:
         self._sender.record_request(context)
@@ -214,7 +213,7 @@
             return self._refusals.crashing(admission, context.remaining_s)
         no_access = self._key_check.refusal(context)
         if no_access is not None:
-            self._log_key_refused(context.request, no_access, context.key)
+            self._log.write_key_refused(context.request, no_access, context.key)
             return self._refusals.no_access(no_access)
         return None
 
@@ -246,16 +245,6 @@
         )
         return self._refusals.over_allowance(spent, context.remaining_s)
 
-    def _log_key_refused(
-        self, request: IncomingRequest, refusal: AccessRefusal, key: bytes | None
-    ) -> None:
-        log_event(
-            "key-refused",
-            id=header_text(header_value(request.headers, self._names.request_id)),
-            reason=refusal.value,
-            key_digest=abbreviate_digest(key),
-        )
-
     async def _read_body(self, context: RequestContext, caller: CallerExchange) -> bool:
         """Read the body ahead; return False if it does not arrive before the deadline."""
         if not has_body(context.request.headers):
@@ -288,68 +277,8 @@
             return route.timeout_s
         return min(route.timeout_s, float(value) / 1000)
 
-    def _log(
-        self,
-        request: IncomingRequest,
-        context: RequestContext | None,
-        outcome: Outcome,
-        caller: CallerExchange,
-    ) -> None:
-        elapsed_s = trio.current_time() - request.arrived_at
-        route = context.route.name if context is not None else ""
-        self._metrics.count(f"request.{outcome.result}")
-        self._metrics.record_latency(
-            LatencyKey("request", "", route, "", outcome.verdict.value, outcome.result), elapsed_s
-        )
-        fields: dict[str, Any] = {}
-        if context is not None:
-            fields |= {"route": route, "service": context.service, "config": context.table.version}
-            fields["workspace"] = context.workspace_name
-            fields["tried"] = ",".join(
-                f"{failure.server_id}:{failure.reason}" for failure in context.failures
-            )
-            fields["load"] = header_text(context.load_report)
-            fields["declined"] = ",".join(map(_format_declined, context.declined))
-            fields["connect_ms"] = round(1000 * context.connect_s, 1)
-            fields["digest"] = context.fingerprint
-            if context.relay:
-                fields["relay"] = context.relay
-        log_event(
-            "request",
-            id=header_text(header_value(request.headers, self._names.request_id)),
-            key=header_text(header_value(request.headers, self._names.affinity)),
-            status=outcome.status,
-            result=outcome.result,
-            verdict=outcome.verdict.value,
-            ms=round(1000 * elapsed_s, 1),
-            turn_ms=round(1000 * caller.waited_s, 1),
-            **fields,
-            **_choice_log_fields(context.last_choice if context is not None else None),
-        )
-
 
 def _path(target: str) -> str:
     if target.startswith("/"):
         return target.partition("?")[0]
     return urlsplit(target).path
-
-
-def _format_declined(declined: Declined) -> str:
-    age_s = min(declined.report_age_s, MAX_LOGGED_AGE_S)
-    where = f"{declined.entry.server_id}@{declined.entry.failure_domain}"
-    return f"{where}:{declined.reason}:{declined.occupancy:.1f}:{age_s:.2f}s"
-
-
-def _choice_log_fields(choice: Choice | None) -> dict[str, Any]:
-    """Return the log fields that describe the choice of a backend server."""
-    if choice is None:
-        return {}
-    return {
-        "server": choice.entry.server_id,
-        "domain": choice.entry.failure_domain,
-        "rank": choice.rank,
-        "cached": choice.cached,
-        "expected_ms": round(1000 * choice.expected.latency_s),
-        "occupancy": round(choice.occupancy, 1),
-        "report_age_s": round(min(choice.report_age_s, MAX_LOGGED_AGE_S), 2),
-    }
--- /dev/null
+++ b/src/wagtailpoint/proxy/request_log.py
@@ -0,0 +1,110 @@
+"""The log lines and metrics of requests."""
+
+from typing import Any, Final
+
+import trio
+
+from wagtailpoint.observe.log import log_event
+from wagtailpoint.observe.metrics import LatencyKey, Metrics
+from wagtailpoint.placement.choice import Choice, Declined
+from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
+from wagtailpoint.proxy.headers import HeaderNames, header_text, header_value
+from wagtailpoint.proxy.request_context import Outcome, RequestContext
+from wagtailpoint.routing.access import AccessRefusal
+from wagtailpoint.routing.workspaces import abbreviate_digest
+
+MAX_LOGGED_AGE_S: Final = 999.0
+"""Logged as the age of load reports that were never received."""
+
+
+class RequestLog:
+    """Writes what became of requests."""
+
+    def __init__(self, *, names: HeaderNames, metrics: Metrics) -> None:
+        """Initialise the log.
+
+        Args:
+            names: The deployment's header names.
+            metrics: Receives counts and latencies.
+        """
+        self._names = names
+        self._metrics = metrics
+
+    def write(
+        self,
+        request: IncomingRequest,
+        context: RequestContext | None,
+        outcome: Outcome,
+        caller: CallerExchange,
+    ) -> None:
+        """Write the line of a request that is over, and count it.
+
+        Args:
+            request: The head of the request.
+            context: The state of its dispatch; None if it was refused before.
+            outcome: How it ended.
+            caller: The exchange with the caller.
+        """
+        elapsed_s = trio.current_time() - request.arrived_at
+        route = context.route.name if context is not None else ""
+        self._metrics.count(f"request.{outcome.result}")
+        self._metrics.record_latency(
+            LatencyKey("request", "", route, "", outcome.verdict.value, outcome.result), elapsed_s
+        )
+        fields: dict[str, Any] = {}
+        if context is not None:
+            fields |= {"route": route, "service": context.service, "config": context.table.version}
+            fields["workspace"] = context.workspace_name
+            fields["tried"] = ",".join(
+                f"{failure.server_id}:{failure.reason}" for failure in context.failures
+            )
+            fields["load"] = header_text(context.load_report)
+            fields["declined"] = ",".join(map(_format_declined, context.declined))
+            fields["connect_ms"] = round(1000 * context.connect_s, 1)
+            fields["digest"] = context.fingerprint
+            if context.relay:
+                fields["relay"] = context.relay
+        log_event(
+            "request",
+            id=header_text(header_value(request.headers, self._names.request_id)),
+            key=header_text(header_value(request.headers, self._names.affinity)),
+            status=outcome.status,
+            result=outcome.result,
+            verdict=outcome.verdict.value,
+            ms=round(1000 * elapsed_s, 1),
+            turn_ms=round(1000 * caller.waited_s, 1),
+            **fields,
+            **_choice_log_fields(context.last_choice if context is not None else None),
+        )
+
+    def write_key_refused(
+        self, request: IncomingRequest, refusal: AccessRefusal, key: bytes | None
+    ) -> None:
+        """Write the line of a request that may not run by the key that it carries."""
+        log_event(
+            "key-refused",
+            id=header_text(header_value(request.headers, self._names.request_id)),
+            reason=refusal.value,
+            key_digest=abbreviate_digest(key),
+        )
+
+
+def _format_declined(declined: Declined) -> str:
+    age_s = min(declined.report_age_s, MAX_LOGGED_AGE_S)
+    where = f"{declined.entry.server_id}@{declined.entry.failure_domain}"
+    return f"{where}:{declined.reason}:{declined.occupancy:.1f}:{age_s:.2f}s"
+
+
+def _choice_log_fields(choice: Choice | None) -> dict[str, Any]:
+    """Return the log fields that describe the choice of a backend server."""
+    if choice is None:
+        return {}
+    return {
+        "server": choice.entry.server_id,
+        "domain": choice.entry.failure_domain,
+        "rank": choice.rank,
+        "cached": choice.cached,
+        "expected_ms": round(1000 * choice.expected.latency_s),
+        "occupancy": round(choice.occupancy, 1),
+        "report_age_s": round(min(choice.report_age_s, MAX_LOGGED_AGE_S), 2),
+    }
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -14,7 +14,6 @@
     BACKING_OFF,
     LIMITED,
     Choice,
-    Demand,
     NotPlaced,
 )
 from wagtailpoint.placement.placement import Placement
@@ -37,6 +36,7 @@
 from wagtailpoint.proxy.outgoing_request import make_outgoing_request
 from wagtailpoint.proxy.reply_stream import stream_reply
 from wagtailpoint.proxy.request_context import CONNECT_FAILURES, Outcome, RequestContext
+from wagtailpoint.proxy.request_demand import make_demand
 from wagtailpoint.proxy.server_announcements import ServerAnnouncements
 from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
 from wagtailpoint.quarantine.quarantine import Quarantine
@@ -107,35 +107,17 @@
     def record_request(self, context: RequestContext) -> None:
         """Record the arrival of a caller's request."""
         self._budget.record_request(context.service)
-        self._placement.record_request(self._make_demand(context))
+        self._placement.record_request(make_demand(context, self._names.affinity))
 
     def choose(self, context: RequestContext) -> Choice | NotPlaced:
         """Choose the backend server for the next send."""
         if self._reachability.path is Path.NONE:
             return NotPlaced("unreachable")
-        chosen = self._placement.choose(self._make_demand(context))
+        chosen = self._placement.choose(make_demand(context, self._names.affinity))
         if isinstance(chosen, Choice):
             context.last_choice = chosen
         return chosen
 
-    def _make_demand(self, context: RequestContext) -> Demand:
-        key = (
-            header_value(context.request.headers, self._names.affinity)
-            if context.route.sticky
-            else None
-        )
-        return Demand(
-            route=context.route,
-            service=context.service,
-            policy=context.table.services.get(context.service),
-            key=f"{context.route.prefix}{header_text(key)}" if key else context.request.target,
-            tried=context.tried_servers,
-            remaining_s=context.remaining_s,
-            objective_remaining_s=context.request.arrived_at
-            + context.route.objective_s
-            - trio.current_time(),
-        )
-
     def may_retry(self, context: RequestContext) -> bool:
         """Whether the request may be sent to another backend server after a failure."""
         if context.remaining_s < MIN_EXCHANGE_S or context.body.rest is not None:
@@ -247,7 +229,7 @@
     ) -> Outcome | None:
         """Send a request once and forward the response; return None if there is none to forward."""
         entry = choice.entry
-        demand = self._make_demand(context)
+        demand = make_demand(context, self._names.affinity)
         context.tried_servers.append(entry.server_id)
         context.send_count += 1
         underway = self._placement.record_send(demand, choice)
