Test of hedged requests and backoffs asks for a backoff that outlasts the test

It failed twice in two runs of all cover tests beside other load, never alone. Its eight requests take 5.6 s and the backoff was 5 s from the first hedge on (0.31 s), so that the last hedge, at 5.2 s on an idle machine, came after its end on a slow one.

--- a/tests/cover/test_backoff_requests.py
+++ b/tests/cover/test_backoff_requests.py
@@ -98,7 +98,7 @@
 
     def test_hedged_request_keeps_a_backoff(self) -> None:
         """Guards against hedged requests to a server that wants no requests."""
-        tired = Backend(turning_away("5"))
+        tired = Backend(turning_away("50"))
 
         async def test(endpoint: Endpoint) -> None:
             for number in range(8):
