Logs tell cuts by a planned stop, callers that left, standstills and repeated signals apart

A request that was cancelled while it was at a backend server left no line at all: trio raises the cancellations of a nursery in a group, and the dispatcher only caught a bare one.

Now each such request has its line: caller-gone, or cut-by-stop if the process ended, with a line request-cut that says when it was accepted by the stop's clock, when it was cut, and by which server it was being served.

--- /dev/null
+++ b/src/wagtailpoint/daemon/loop_activity.py
@@ -0,0 +1,60 @@
+"""When the event loop of this process last ran, and whether it stood still."""
+
+from typing import Final
+
+import trio
+
+from wagtailpoint.ports.clock import Clock
+
+STANDSTILL_S: Final = 0.05
+"""A wait that lasts this much longer than the loop asked for, or as long between two waits, counts
+as a standstill."""
+
+DELIVERY_S: Final = 0.5
+"""Time after a standstill in which a signal may be handled that was sent during it. After a freeze
+any thread may receive it, and the loop may run before that one."""
+
+
+class LoopActivity(trio.abc.Instrument):
+    """Remembers when the event loop last ran.
+
+    A process that is frozen, suspended or not scheduled can't see when an outside event, such as a
+    signal, has happened meanwhile; only that its loop has not run since.
+    """
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Initialise the instrument; ``trio.lowlevel.add_instrument`` begins to record.
+
+        Args:
+            clock: The clock, which counts the time in suspension.
+        """
+        self._clock = clock
+        self._last_ran_at = self._stood_from = self._stood_until = clock.monotonic()
+        self._wait_limit_s = 0.0
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Record that the loop begins to wait, for at most ``timeout`` seconds."""
+        self._record_run(0.0)
+        self._wait_limit_s = timeout
+
+    def after_io_wait(self, timeout: float) -> None:
+        """Record that the loop goes on."""
+        self._record_run(self._wait_limit_s)
+
+    def earliest_cause(self) -> float:
+        """Return the earliest time at which what is noticed now may have happened.
+
+        Returns:
+            Seconds of the clock.
+        """
+        if self._clock.monotonic() - self._stood_until < DELIVERY_S:
+            return min(self._stood_from, self._last_ran_at)
+        return self._last_ran_at
+
+    def _record_run(self, expected_s: float) -> None:
+        now = self._clock.monotonic()
+        if now - self._last_ran_at > expected_s + STANDSTILL_S:
+            if self._last_ran_at - self._stood_until >= DELIVERY_S:
+                self._stood_from = self._last_ran_at
+            self._stood_until = now
+        self._last_ran_at = now
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -1,7 +1,6 @@
 """An instance on the platform's object store: construction of its parts, and its tasks."""
 
-import signal
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -21,7 +20,7 @@
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.shared_announcements import SharedAnnouncements
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
-from wagtailpoint.daemon.steering_stop import stop_gracefully
+from wagtailpoint.daemon.steering_stop import SteeringStop
 from wagtailpoint.daemon.store_state import StoreState
 from wagtailpoint.daemon.workspace_rules import WorkspaceRules
 from wagtailpoint.discovery.entries import ServerStart
@@ -74,10 +73,10 @@
         self._settings_file = SettingsFile(
             path=settings_file, settings=settings, read=read_node_settings
         )
-        self._leaving = False
         self._random = Random()
         self._metrics = Metrics()
         clock = SystemClock()
+        self._stop = SteeringStop(clock=clock)
         hybrid = HybridClock(wall=clock.wall)
         incarnation = int(new_incarnation(), 16)
         self._peers = NngPeers(
@@ -212,7 +211,7 @@
             distances=self._distances,
             announcements=self._announcements,
             table=lambda: self._state.table,
-            is_leaving=lambda: self._leaving,
+            is_leaving=lambda: self._stop.is_leaving,
             metrics=self._metrics,
             random=self._random,
         )
@@ -232,7 +231,7 @@
     async def run(self) -> None:
         """Run until a graceful stop is complete."""
         # Installed before serving: the default action of a signal would cut the first requests.
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        with self._stop.listen():
             log_event(
                 "started",
                 name=self._settings.name,
@@ -240,10 +239,10 @@
                 domain=self._settings.failure_domain,
                 callers=self._settings.callers,
             )
-            await self._run_until(signals)
+            await self._run_until_stopped()
         log_event("stopped")
 
-    async def _run_until(self, signals: AsyncIterator[int]) -> None:
+    async def _run_until_stopped(self) -> None:
         async with trio.open_nursery() as nursery:
             async with trio.open_nursery() as serving:
                 tasks: list[Callable[[], Awaitable[None]]] = [
@@ -276,10 +275,8 @@
                 await nursery.start(self._paths.serve)
                 for server in self._servers:
                     await serving.start(server.run)
-                number = await anext(signals)
-                log_event("stop-begins", signal=signal.Signals(number).name)
-                self._leaving = True
-                await stop_gracefully(
+                await self._stop.wait(self._dispatcher)
+                await self._stop.run(
                     grace_s=self._settings_file.bounds.grace_s,
                     membership=self._membership,
                     registration=self._registration,
@@ -326,6 +323,7 @@
             quarantine=self._quarantine.local,
             key_check=self._workspaces.key_check,
             allowances=self._workspaces.allowances,
+            stop_clock=self._stop.clock,
             names=HEADER_NAMES,
             metrics=self._metrics,
             random=self._random,
@@ -337,7 +335,7 @@
             handle_request=self._dispatcher.handle,
             pages=self._pages,
             bounds=self._bounds,
-            is_leaving=lambda: self._leaving,
+            is_leaving=lambda: self._stop.is_leaving,
         )
 
     def _cold_bound(self) -> ColdBound:
@@ -357,7 +355,7 @@
 
     def _is_ready(self) -> bool:
         known = all(follower.has_state for follower in self._followers.values())
-        return known and self._state.table is not None and not self._leaving
+        return known and self._state.table is not None and not self._stop.is_leaving
 
     def _gauges(self) -> dict[str, float]:
         return {
--- a/src/wagtailpoint/daemon/steering_stop.py
+++ b/src/wagtailpoint/daemon/steering_stop.py
@@ -1,18 +1,22 @@
 """The graceful stop of an instance on the platform."""
 
 from collections.abc import Sequence
+from contextlib import AbstractContextManager
 from typing import Final
 
 import trio
 
 from wagtailpoint.daemon.backend_paths import BackendPaths
 from wagtailpoint.daemon.entry_pages import LOOKUP_TTL_S
+from wagtailpoint.daemon.stop_signal import StopSignal
 from wagtailpoint.daemon.workspace_rules import WorkspaceRules
 from wagtailpoint.discovery.registration import Registration
 from wagtailpoint.membership import Membership
 from wagtailpoint.observe.log import log_event
+from wagtailpoint.ports.clock import Clock
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
+from wagtailpoint.proxy.stop_clock import StopClock
 
 MIN_SERVING_S: Final = 4.0
 """Minimum time of service after SIGTERM, if the grace period allows: twice the TTL of lookups, as
@@ -24,40 +28,82 @@
 WITHDRAW_TIMEOUT_S: Final = 0.5
 
 
-async def stop_gracefully(
-    *,
-    grace_s: float,
-    membership: Membership,
-    registration: Registration,
-    workspaces: WorkspaceRules,
-    servers: Sequence[CallerServer],
-    dispatcher: Dispatcher,
-    paths: BackendPaths,
-) -> None:
-    """Leave the lookups, serve callers with a cached lookup, then wait for open requests.
-
-    Args:
-        grace_s: Seconds after which the platform kills the process.
-        membership: Told that this instance leaves.
-        registration: Withdrawn from the store.
-        workspaces: Hold slots to release.
-        servers: Accept the connections of callers.
-        dispatcher: Has the open requests.
-        paths: Relay connections for other instances.
-    """
-    started_at = trio.current_time()
-    deadline = started_at + grace_s - MARGIN_S
-    membership.leave()
-    with trio.move_on_after(WITHDRAW_TIMEOUT_S):
-        await registration.withdraw()
-        await workspaces.release_slots()
-    await trio.sleep_until(min(started_at + max(MIN_SERVING_S, 2 * LOOKUP_TTL_S), deadline - 1.0))
-    for server in servers:
-        server.stop_accepting()
-    with trio.move_on_at(deadline) as scope:
-        await dispatcher.wait_idle()
-        await paths.wait_idle()
-    if scope.cancelled_caught:
-        open_requests, relayed = dispatcher.open_requests, paths.relayed_connections
-        log_event("stop-cuts", level="ERROR", open_requests=open_requests, relayed=relayed)
-    membership.announce_exit()
+class SteeringStop:
+    """Waits for the signal to stop, and stops the instance without cutting requests."""
+
+    def __init__(self, *, clock: Clock) -> None:
+        """Initialise a stop that nothing has asked for.
+
+        Args:
+            clock: The clock, which counts the time in suspension.
+        """
+        self._signal = StopSignal(clock=clock)
+        self._clock = StopClock(clock=clock)
+        self._is_leaving = False
+
+    @property
+    def clock(self) -> StopClock:
+        """Measures the stop."""
+        return self._clock
+
+    @property
+    def is_leaving(self) -> bool:
+        """Whether the instance is stopping."""
+        return self._is_leaving
+
+    def listen(self) -> AbstractContextManager[None]:
+        """Receive the signals while the context is active."""
+        return self._signal.listen()
+
+    async def wait(self, dispatcher: Dispatcher) -> None:
+        """Wait for the signal, which begins the stop."""
+        request = await self._signal.wait()
+        self._is_leaving = True
+        self._clock.begin(request.handled_at)
+        log_event(
+            "stop-begins",
+            signal=request.name,
+            open_requests=dispatcher.open_requests,
+            unresponsive_s=round(request.handled_at - request.sent_after, 3),
+        )
+
+    async def run(
+        self,
+        *,
+        grace_s: float,
+        membership: Membership,
+        registration: Registration,
+        workspaces: WorkspaceRules,
+        servers: Sequence[CallerServer],
+        dispatcher: Dispatcher,
+        paths: BackendPaths,
+    ) -> None:
+        """Leave the lookups, serve callers with a cached lookup, then wait for open requests.
+
+        Args:
+            grace_s: Seconds after which the platform kills the process.
+            membership: Told that this instance leaves.
+            registration: Withdrawn from the store.
+            workspaces: Hold slots to release.
+            servers: Accept the connections of callers.
+            dispatcher: Has the open requests.
+            paths: Relay connections for other instances.
+        """
+        started_at = trio.current_time()
+        deadline = started_at + grace_s - MARGIN_S
+        membership.leave()
+        with trio.move_on_after(WITHDRAW_TIMEOUT_S):
+            await registration.withdraw()
+            await workspaces.release_slots()
+        serving_s = max(MIN_SERVING_S, 2 * LOOKUP_TTL_S)
+        await trio.sleep_until(min(started_at + serving_s, deadline - 1.0))
+        for server in servers:
+            server.stop_accepting()
+        with trio.move_on_at(deadline) as scope:
+            await dispatcher.wait_idle()
+            await paths.wait_idle()
+        if scope.cancelled_caught:
+            open_requests, relayed = dispatcher.open_requests, paths.relayed_connections
+            log_event("stop-cuts", level="ERROR", open_requests=open_requests, relayed=relayed)
+        self._clock.end()
+        membership.announce_exit()
--- a/src/wagtailpoint/proxy/caller_exchange.py
+++ b/src/wagtailpoint/proxy/caller_exchange.py
@@ -113,6 +113,11 @@
         """Whether the complete reply was sent."""
         return self._parser.our_state in (h11.DONE, h11.MUST_CLOSE)
 
+    @property
+    def is_reply_begun(self) -> bool:
+        """Whether a part of the reply may have been sent."""
+        return self._parser.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     @property
     def can_be_followed(self) -> bool:
         """Whether another request may follow on the connection."""
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -14,6 +14,7 @@
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.choice import NotPlaced
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
+from wagtailpoint.proxy.caller_input import CallerGone
 from wagtailpoint.proxy.headers import (
     HeaderNames,
     content_length,
@@ -26,6 +27,7 @@
 from wagtailpoint.proxy.request_context import Outcome, RequestContext
 from wagtailpoint.proxy.request_log import RequestLog
 from wagtailpoint.proxy.sender import MIN_EXCHANGE_S, Sender
+from wagtailpoint.proxy.stop_clock import StopClock
 from wagtailpoint.quarantine.quarantine import Admission, Quarantine
 from wagtailpoint.routing.access import AccessRefusal
 from wagtailpoint.routing.split import SplitChooser
@@ -62,6 +64,7 @@
         quarantine: Quarantine,
         key_check: KeyCheck,
         allowances: Allowances,
+        stop_clock: StopClock,
         names: HeaderNames,
         metrics: Metrics,
         random: Random,
@@ -74,6 +77,7 @@
             quarantine: Tells which requests must not be sent.
             key_check: Finds the workspace of a request and whether it may run.
             allowances: The request allowances of workspaces.
+            stop_clock: Measures the planned stop of this instance.
             names: The deployment's header names.
             metrics: Receives counts and latencies.
             random: The source of jitter for ``Retry-After`` and of service choices.
@@ -83,6 +87,7 @@
         self._quarantine = quarantine
         self._key_check = key_check
         self._allowances = allowances
+        self._stop_clock = stop_clock
         self._names = names
         self._metrics = metrics
         self._log = RequestLog(names=names, metrics=metrics)
@@ -155,14 +160,25 @@
             # deadline before it reached the code that crashes.
             late = outcome.status == HTTPStatus.GATEWAY_TIMEOUT
             answered = outcome.verdict is Verdict.RAN and not late
-        except trio.Cancelled:
-            self._metrics.count("request.abandoned")
-            self._log.write(request, context, Outcome(0, "caller-gone", context.verdict), caller)
+        except (trio.Cancelled, BaseExceptionGroup, CallerGone):
+            # A nursery raises the cancellations of its tasks in a group.
+            self._record_abandoned(request, context, caller)
             raise
         finally:
             self._quarantine.record_finished(context.fingerprint, answered=answered)
         self._log.write(request, context, outcome, caller)
 
+    def _record_abandoned(
+        self, request: IncomingRequest, context: RequestContext, caller: CallerExchange
+    ) -> None:
+        """Record a request that ended without a reply."""
+        if self._stop_clock.has_ended:
+            self._log.write(request, context, Outcome(0, "cut-by-stop", context.verdict), caller)
+            self._log.write_cut(context, self._stop_clock, caller)
+            return
+        self._metrics.count("request.abandoned")
+        self._log.write(request, context, Outcome(0, "caller-gone", context.verdict), caller)
+
     async def _serve(self, context: RequestContext, caller: CallerExchange) -> Outcome:
         self._sender.record_request(context)
         if not context.route.idempotent:
--- a/src/wagtailpoint/proxy/request_context.py
+++ b/src/wagtailpoint/proxy/request_context.py
@@ -65,6 +65,7 @@
         body: The part of the body that was read ahead.
         tried_servers: The ids of the backend servers chosen for sends so far.
         send_count: The number of sends that may have reached a backend server.
+        unanswered: The ids of the backend servers that got the request and have not answered.
         failures: The sends that gave no response to forward.
         failed_reply: The last error response of a backend server, forwarded if no send succeeds.
         last_choice: The last chosen backend server, for the log.
@@ -97,6 +98,7 @@
         self._fingerprint = ""
         self.tried_servers: list[str] = []
         self.send_count = 0
+        self.unanswered: set[str] = set()
         self.failures: list[Failure] = []
         self.failed_reply: BackendReply | None = None
         self.last_choice: Choice | None = None
@@ -143,8 +145,10 @@
 
     @property
     def verdict(self) -> Verdict:
-        """``NOT_RUN`` if no failed send can have run, otherwise ``MAY_HAVE_RUN``."""
-        if all(failure.verdict is Verdict.NOT_RUN for failure in self.failures):
+        """``NOT_RUN`` if no send without an answer can have run, otherwise ``MAY_HAVE_RUN``."""
+        if not self.unanswered and all(
+            failure.verdict is Verdict.NOT_RUN for failure in self.failures
+        ):
             return Verdict.NOT_RUN
         return Verdict.MAY_HAVE_RUN
 
--- a/src/wagtailpoint/proxy/request_log.py
+++ b/src/wagtailpoint/proxy/request_log.py
@@ -10,6 +10,7 @@
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
 from wagtailpoint.proxy.headers import HeaderNames, header_text, header_value
 from wagtailpoint.proxy.request_context import Outcome, RequestContext
+from wagtailpoint.proxy.stop_clock import StopClock
 from wagtailpoint.routing.access import AccessRefusal
 from wagtailpoint.routing.workspaces import abbreviate_digest
 
@@ -88,6 +89,22 @@
             key_digest=abbreviate_digest(key),
         )
 
+    def write_cut(
+        self, context: RequestContext, stop_clock: StopClock, caller: CallerExchange
+    ) -> None:
+        """Write the line of a request that ended with the process, without a whole reply."""
+        request = context.request
+        log_event(
+            "request-cut",
+            level="ERROR",
+            id=header_text(header_value(request.headers, self._names.request_id)),
+            accepted_s=round(stop_clock.running_at_s(request.arrived_at), 3),
+            stop_s=round(stop_clock.running_s, 3),
+            sends=context.send_count,
+            server=context.last_choice.entry.server_id if context.last_choice else "",
+            reply_begun=caller.is_reply_begun,
+        )
+
 
 def _format_declined(declined: Declined) -> str:
     age_s = min(declined.report_age_s, MAX_LOGGED_AGE_S)
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -332,13 +332,16 @@
         self, context: RequestContext, choice: Choice, connection: BackendConnection
     ) -> BackendReply:
         sent_at = trio.current_time()
+        context.unanswered.add(choice.entry.server_id)
         with trio.move_on_at(context.deadline):
-            return await connection.exchange(
+            reply = await connection.exchange(
                 make_outgoing_request(context, choice.entry.server_id, self._names),
                 on_head=partial(
                     self._announcements.record_head, choice.entry, relay=connection.relay
                 ),
             )
+            context.unanswered.discard(choice.entry.server_id)
+            return reply
         silent = self._placement.load_of(choice.entry).heard_at < sent_at
         raise ExchangeFailed(Verdict.MAY_HAVE_RUN, FailureReason.TIMEOUT, silent=silent)
 
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -35,6 +35,7 @@
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.proxy.server_announcements import ServerAnnouncements
 from wagtailpoint.proxy.shared_retry_budget import RetryBound, SharedRetryBudget
+from wagtailpoint.proxy.stop_clock import StopClock
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
 from wagtailpoint.relay.client import RelayClient
 from wagtailpoint.relay.reachability import Reachability
@@ -234,6 +235,7 @@
         reachability: Says by which path backend servers can be reached.
         is_proved: Whether the configuration is confirmed to be the newest.
         allowances: The request allowances of workspaces.
+        stop_clock: Measures the planned stop.
     """
 
     def __init__(self, table: RouteTable | None) -> None:
@@ -252,6 +254,7 @@
         self.pool = make_pool(reachability=self.reachability)
         self.is_proved = True
         self.allowances = ScriptedAllowances()
+        self.stop_clock = StopClock(clock=TrioClock())
         self.key_check = KeyCheck(table=lambda: self.table, is_proved=lambda: self.is_proved)
         self.dispatcher = Dispatcher(
             table=lambda: self.table,
@@ -277,6 +280,7 @@
             quarantine=self.quarantine,
             key_check=self.key_check,
             allowances=self.allowances,
+            stop_clock=self.stop_clock,
             names=HEADER_NAMES,
             metrics=Metrics(),
             random=Random(1),
--- /dev/null
+++ b/tests/integration/test_planned_stops.py
@@ -0,0 +1,104 @@
+"""Planned stops of instances whose callers ask for work that lasts as long as a stop."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+from loguru import logger
+
+from tests.common.staying_callers import CallerHabits
+from tests.common.stop_group import Stop, StopGroup, stop_group
+
+LIMIT_S = 150.0
+LONG_WORK = CallerHabits(min_work_s=0.7, max_work_s=3.1)
+SHORT_WORK = CallerHabits(min_work_s=0.05, max_work_s=0.35)
+BETWEEN_STOPS_S = 3.0
+FROZEN_BEFORE_S = 0.7
+FROZEN_AFTER_S = 0.8
+SERVED_UNTIL_S = 3.0
+"""Callers with a cached lookup are served at least so long after SIGTERM if their requests are
+short."""
+
+
+class PlannedStopCase(unittest.TestCase):
+    """Runs a group and checks what its callers saw of the stops of its instances."""
+
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+
+    def run_with(
+        self,
+        habits: CallerHabits,
+        test: Callable[[StopGroup], Awaitable[list[Stop]]],
+        **group_options: int,
+    ) -> None:
+        """Run a test that stops instances, and check that nothing was lost."""
+        failures: list[AssertionError] = []
+
+        async def run() -> None:
+            with trio.fail_after(LIMIT_S):
+                stops: list[Stop] = []
+                async with stop_group(habits, **group_options) as group:
+                    stops = await test(group)
+                try:
+                    self.check(group, stops)
+                except AssertionError as failure:
+                    failures.append(failure)
+
+        trio.run(run)
+        if failures:
+            raise failures[0]
+
+    def check(self, group: StopGroup, stops: list[Stop]) -> None:
+        """Check that stops lose nothing, that each process ends in time, and that refusals hold."""
+        lost = [
+            f"sent {exchange.sent_s - stop.signalled_s:.2f} s after the signal, ended"
+            f" {exchange.ended_s - stop.signalled_s:.2f} s after it: {exchange}"
+            for stop in stops
+            for exchange in group.lost(stop)
+        ]
+        self.assertEqual(lost, [])
+        for stop in stops:
+            self.assertEqual((stop.exit_code, stop.killed), (0, False), stop)
+            self.assertIn("event=stopped", stop.log)
+        for exchange in group.callers.exchanges:
+            runs = group.servers.runs[exchange.request_id]
+            if exchange.status == 503:
+                self.assertEqual(runs, 0, f"refused and run: {exchange}")
+            if not exchange.idempotent:
+                self.assertLessEqual(runs, 1, f"run {runs} times: {exchange}")
+
+
+class LongRequestsTest(PlannedStopCase):
+    def test_requests_as_long_as_the_grace_period_are_not_cut(self) -> None:
+        """Guards against requests that are accepted though the process ends before their answer."""
+
+        async def test(group: StopGroup) -> list[Stop]:
+            stops = []
+            for instance in group.instances[:2]:
+                stops.append(await group.stop(instance))
+                instance.process.start()
+                await trio.sleep(BETWEEN_STOPS_S)
+            return stops
+
+        self.run_with(LONG_WORK, test)
+
+    def test_signal_to_a_frozen_process(self) -> None:
+        """Guards against a stop that counts its time from the end of a freeze, and is killed."""
+
+        async def test(group: StopGroup) -> list[Stop]:
+            instance = group.instances[0]
+            instance.process.freeze()
+            await trio.sleep(FROZEN_BEFORE_S)
+            signalled_s = trio.current_time()
+            instance.process.terminate()
+            await trio.sleep(FROZEN_AFTER_S)
+            instance.process.thaw()
+            return [await group.stop(instance, signalled_s)]
+
+        self.run_with(LONG_WORK, test)
+
+
+if __name__ == "__main__":
+    unittest.main()
