--- a/tests/common/partitioned_servers.py
+++ b/tests/common/partitioned_servers.py
@@ -28,10 +28,12 @@
     Attributes:
         request_id: The id that the caller gave it.
         after_s: The time from its arrival to the end of the connection, in seconds.
+        ended_s: When the connection ended, by trio's clock.
     """
 
     request_id: str
     after_s: float
+    ended_s: float
 
 
 class Arrival(NamedTuple):
@@ -83,6 +85,7 @@
         cancelled: The requests whose connections ended while they ran.
         runs_at: How many requests ran at each backend server.
         senders: The addresses from which each request arrived.
+        object_bytes: The size of an answer's body.
     """
 
     def __init__(self, *, store: UsersStore, partition: Partition, random: Random) -> None:
@@ -98,6 +101,7 @@
         self.runs_at: Counter[str] = Counter()
         self.cancelled: list[Cancelled] = []
         self.senders: dict[str, str] = {}
+        self.object_bytes = OBJECT_BYTES
         self._store = store
         self._partition = partition
         self._random = random
@@ -183,7 +187,7 @@
             self.senders[request_id] = sender
             if not await self._work(stream, request_id, target):
                 return
-            answer = f"{request_id} {len(body)} ".encode().ljust(OBJECT_BYTES, b".")
+            answer = f"{request_id} {len(body)} ".encode().ljust(self.object_bytes, b".")
             await stream.send(response(answer, *answer_headers))
             if server_id in self.leaving:
                 self.announced_s.setdefault((server_id, sender), trio.current_time())
@@ -214,6 +218,7 @@
         began = trio.current_time()
         with trio.move_on_after(run_s):
             await trio.lowlevel.wait_readable(stream.stream.socket)
-            self.cancelled.append(Cancelled(request_id, trio.current_time() - began))
+            now = trio.current_time()
+            self.cancelled.append(Cancelled(request_id, now - began, now))
             return False
         return True
