A stopping instance accepts only requests that it will answer before it ends

Cause: the stop had three spans that did not know of each other. Requests were accepted for 4 s after SIGTERM, each might take its route's timeout (4 s) or more, and the process ended 5.5 s after SIGTERM. Whatever came later than 1.5 s into the stop could be cut.

Now a request is accepted, and looked at again in the step that sends it (retries, hedges, waits for a turn or an allowance), only if its own deadline comes before the end of the process, or if those of its route have recently taken far less than what is left: 1.5 times the longest of 20 at least, or twice the longest of 100 if it must run at most once. One more request takes longer than the longest of n like it with probability 1/(n+1), and the factor comes on top. Whoever is not accepted gets 503 at once, not run, with Retry-After 0 and the end of the connection, and goes to another instance. Backend servers are given no more time than the process has, so that one that was misjudged answers itself.

--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -275,9 +275,8 @@
                 await nursery.start(self._paths.serve)
                 for server in self._servers:
                     await serving.start(server.run)
-                await self._stop.wait(self._dispatcher)
                 await self._stop.run(
-                    grace_s=self._settings_file.bounds.grace_s,
+                    grace_s=lambda: self._settings_file.bounds.grace_s,
                     membership=self._membership,
                     registration=self._registration,
                     workspaces=self._workspaces,
@@ -315,6 +314,7 @@
             backoffs=self._announcements.backoffs,
             announcements=self._announcements.local,
             reachability=self._paths.reachability,
+            stop_admission=self._stop.admission,
             names=HEADER_NAMES,
         )
         return Dispatcher(
@@ -324,6 +324,8 @@
             key_check=self._workspaces.key_check,
             allowances=self._workspaces.allowances,
             stop_clock=self._stop.clock,
+            stop_admission=self._stop.admission,
+            answer_times=self._stop.times,
             names=HEADER_NAMES,
             metrics=self._metrics,
             random=self._random,
--- a/src/wagtailpoint/daemon/steering_stop.py
+++ b/src/wagtailpoint/daemon/steering_stop.py
@@ -1,6 +1,6 @@
 """The graceful stop of an instance on the platform."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from contextlib import AbstractContextManager
 from typing import Final
 
@@ -14,8 +14,10 @@
 from wagtailpoint.membership import Membership
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.clock import Clock
+from wagtailpoint.proxy.answer_times import AnswerTimes
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
+from wagtailpoint.proxy.stop_admission import StopAdmission
 from wagtailpoint.proxy.stop_clock import StopClock
 
 MIN_SERVING_S: Final = 4.0
@@ -25,6 +27,9 @@
 MARGIN_S: Final = 0.5
 """The process ends this much earlier than the platform would kill it."""
 
+MIN_FINISHING_S: Final = 1.0
+"""Time for the last open requests after connections are no longer accepted."""
+
 WITHDRAW_TIMEOUT_S: Final = 0.5
 
 
@@ -39,6 +44,8 @@
         """
         self._signal = StopSignal(clock=clock)
         self._clock = StopClock(clock=clock)
+        self._times = AnswerTimes()
+        self._admission = StopAdmission(clock=self._clock, times=self._times)
         self._is_leaving = False
 
     @property
@@ -46,6 +53,16 @@
         """Measures the stop."""
         return self._clock
 
+    @property
+    def times(self) -> AnswerTimes:
+        """The times that requests take."""
+        return self._times
+
+    @property
+    def admission(self) -> StopAdmission:
+        """Says which requests are still accepted."""
+        return self._admission
+
     @property
     def is_leaving(self) -> bool:
         """Whether the instance is stopping."""
@@ -55,22 +72,10 @@
         """Receive the signals while the context is active."""
         return self._signal.listen()
 
-    async def wait(self, dispatcher: Dispatcher) -> None:
-        """Wait for the signal, which begins the stop."""
-        request = await self._signal.wait()
-        self._is_leaving = True
-        self._clock.begin(request.handled_at)
-        log_event(
-            "stop-begins",
-            signal=request.name,
-            open_requests=dispatcher.open_requests,
-            unresponsive_s=round(request.handled_at - request.sent_after, 3),
-        )
-
     async def run(
         self,
         *,
-        grace_s: float,
+        grace_s: Callable[[], float],
         membership: Membership,
         registration: Registration,
         workspaces: WorkspaceRules,
@@ -78,10 +83,10 @@
         dispatcher: Dispatcher,
         paths: BackendPaths,
     ) -> None:
-        """Leave the lookups, serve callers with a cached lookup, then wait for open requests.
+        """Wait for the signal, leave the lookups, serve callers with a cached lookup, then finish.
 
         Args:
-            grace_s: Seconds after which the platform kills the process.
+            grace_s: Returns the seconds after which the platform kills the process.
             membership: Told that this instance leaves.
             registration: Withdrawn from the store.
             workspaces: Hold slots to release.
@@ -89,17 +94,24 @@
             dispatcher: Has the open requests.
             paths: Relay connections for other instances.
         """
-        started_at = trio.current_time()
-        deadline = started_at + grace_s - MARGIN_S
+        request = await self._signal.wait()
+        self._is_leaving = True
+        self._clock.begin(began_at=request.handled_at, lasts_s=grace_s() - MARGIN_S)
+        log_event(
+            "stop-begins",
+            signal=request.name,
+            open_requests=dispatcher.open_requests,
+            unresponsive_s=round(request.handled_at - request.sent_after, 3),
+        )
         membership.leave()
         with trio.move_on_after(WITHDRAW_TIMEOUT_S):
             await registration.withdraw()
             await workspaces.release_slots()
-        serving_s = max(MIN_SERVING_S, 2 * LOOKUP_TTL_S)
-        await trio.sleep_until(min(started_at + serving_s, deadline - 1.0))
+        serving_s = max(MIN_SERVING_S, 2 * LOOKUP_TTL_S) - self._clock.running_s
+        await trio.sleep(max(0.0, min(serving_s, self._clock.remaining_s - MIN_FINISHING_S)))
         for server in servers:
             server.stop_accepting()
-        with trio.move_on_at(deadline) as scope:
+        with trio.move_on_after(self._clock.remaining_s) as scope:
             await dispatcher.wait_idle()
             await paths.wait_idle()
         if scope.cancelled_caught:
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -13,6 +13,7 @@
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.choice import NotPlaced
+from wagtailpoint.proxy.answer_times import AnswerTimes
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
 from wagtailpoint.proxy.caller_input import CallerGone
 from wagtailpoint.proxy.headers import (
@@ -27,6 +28,7 @@
 from wagtailpoint.proxy.request_context import Outcome, RequestContext
 from wagtailpoint.proxy.request_log import RequestLog
 from wagtailpoint.proxy.sender import MIN_EXCHANGE_S, Sender
+from wagtailpoint.proxy.stop_admission import StopAdmission
 from wagtailpoint.proxy.stop_clock import StopClock
 from wagtailpoint.quarantine.quarantine import Admission, Quarantine
 from wagtailpoint.routing.access import AccessRefusal
@@ -65,6 +67,8 @@
         key_check: KeyCheck,
         allowances: Allowances,
         stop_clock: StopClock,
+        stop_admission: StopAdmission,
+        answer_times: AnswerTimes,
         names: HeaderNames,
         metrics: Metrics,
         random: Random,
@@ -78,6 +82,8 @@
             key_check: Finds the workspace of a request and whether it may run.
             allowances: The request allowances of workspaces.
             stop_clock: Measures the planned stop of this instance.
+            stop_admission: Says which requests a stopping instance still accepts.
+            answer_times: Receives the times that requests take.
             names: The deployment's header names.
             metrics: Receives counts and latencies.
             random: The source of jitter for ``Retry-After`` and of service choices.
@@ -88,9 +94,11 @@
         self._key_check = key_check
         self._allowances = allowances
         self._stop_clock = stop_clock
+        self._stop_admission = stop_admission
+        self._answer_times = answer_times
         self._names = names
         self._metrics = metrics
-        self._log = RequestLog(names=names, metrics=metrics)
+        self._log = RequestLog(names=names, metrics=metrics, stop_clock=stop_clock)
         self._refusals = RefusalFactory(random=random)
         self._split = SplitChooser(random=random)
         self._open_requests = 0
@@ -165,16 +173,22 @@
             self._record_abandoned(request, context, caller)
             raise
         finally:
+            self._record_time(context, caller)
             self._quarantine.record_finished(context.fingerprint, answered=answered)
         self._log.write(request, context, outcome, caller)
 
+    def _record_time(self, context: RequestContext, caller: CallerExchange) -> None:
+        if context.send_count:
+            elapsed_s = trio.current_time() - context.request.arrived_at - caller.waited_s
+            self._answer_times.record(context.route.name, context.service, elapsed_s)
+
     def _record_abandoned(
         self, request: IncomingRequest, context: RequestContext, caller: CallerExchange
     ) -> None:
         """Record a request that ended without a reply."""
         if self._stop_clock.has_ended:
             self._log.write(request, context, Outcome(0, "cut-by-stop", context.verdict), caller)
-            self._log.write_cut(context, self._stop_clock, caller)
+            self._log.write_cut(context, caller)
             return
         self._metrics.count("request.abandoned")
         self._log.write(request, context, Outcome(0, "caller-gone", context.verdict), caller)
@@ -185,6 +199,9 @@
             # Callers resend requests that follow a reply which ended the connection, so a
             # non-idempotent request must not run before the earlier replies were sent.
             await caller.wait_turn()
+        if not self._stop_admission.admits(context):
+            # Refused before its body is read, which may last until the process ends.
+            return await self._give_up(context, caller, self._refusals.stopping())
         if not await self._read_body(context, caller):
             await caller.reply(HTTPStatus.REQUEST_TIMEOUT, (), b"the body came too slowly\n")
             return Outcome(HTTPStatus.REQUEST_TIMEOUT, "slow-body", Verdict.NOT_RUN)
@@ -224,6 +241,8 @@
 
     def _refusal(self, context: RequestContext) -> Refusal | None:
         """Return the refusal of a request that must not be sent now, or None if it may be sent."""
+        if not self._stop_admission.admits(context):
+            return self._refusals.stopping()
         admission = self._quarantine.admission(context.fingerprint)
         if admission is not Admission.ADMITTED:
             return self._refusals.crashing(admission, context.remaining_s)
--- a/src/wagtailpoint/proxy/outgoing_request.py
+++ b/src/wagtailpoint/proxy/outgoing_request.py
@@ -32,7 +32,7 @@
     if context.table.workspaces is not None:
         dropped.append(AUTHORIZATION)
     headers = end_to_end_headers(request.headers, dropped)
-    left_ms = max(1, int((context.remaining_s - REPLY_MARGIN_S) * 1000))
+    left_ms = max(1, int((context.server_remaining_s - REPLY_MARGIN_S) * 1000))
     headers.append((names.deadline_ms, str(left_ms).encode()))
     headers.append((names.expected_server, server_id.encode()))
     if context.workspace is not None:
--- a/src/wagtailpoint/proxy/refusal.py
+++ b/src/wagtailpoint/proxy/refusal.py
@@ -74,6 +74,13 @@
         """Return the refusal used before a configuration is known."""
         return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "starting", STARTING_RETRY_AFTER_S)
 
+    def stopping(self) -> Refusal:
+        """Return the refusal of a request that would outlast this process.
+
+        Other instances can serve it at once.
+        """
+        return Refusal(HTTPStatus.SERVICE_UNAVAILABLE, "stopping", 0.0)
+
     def no_room(self, reason: str, remaining_s: float, *, room_in_s: float = 0.0) -> Refusal:
         """Return the refusal of a request that no backend server can take.
 
--- a/src/wagtailpoint/proxy/request_context.py
+++ b/src/wagtailpoint/proxy/request_context.py
@@ -1,5 +1,6 @@
 """The state of a request while it is dispatched, and its outcome."""
 
+import math
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
@@ -62,6 +63,8 @@
         allowance_spent: Whether the request was counted against the workspace's allowance, or needs
             none.
         deadline: Trio time by which the reply is due, in seconds.
+        process_ends_at: Trio time by which backend servers have to answer since a planned stop ends
+            the process, in seconds; infinite without a stop.
         body: The part of the body that was read ahead.
         tried_servers: The ids of the backend servers chosen for sends so far.
         send_count: The number of sends that may have reached a backend server.
@@ -94,6 +97,7 @@
         self.workspace = workspace
         self.allowance_spent = workspace is None or workspace.allowance is None
         self.deadline = 0.0
+        self.process_ends_at = math.inf
         self.body = ReadBody(b"", None)
         self._fingerprint = ""
         self.tried_servers: list[str] = []
@@ -143,6 +147,11 @@
         """The time left until the deadline, in seconds."""
         return self.deadline - trio.current_time()
 
+    @property
+    def server_remaining_s(self) -> float:
+        """The time that a backend server has to answer, in seconds."""
+        return min(self.deadline, self.process_ends_at) - trio.current_time()
+
     @property
     def verdict(self) -> Verdict:
         """``NOT_RUN`` if no send without an answer can have run, otherwise ``MAY_HAVE_RUN``."""
--- a/src/wagtailpoint/proxy/request_log.py
+++ b/src/wagtailpoint/proxy/request_log.py
@@ -21,15 +21,17 @@
 class RequestLog:
     """Writes what became of requests."""
 
-    def __init__(self, *, names: HeaderNames, metrics: Metrics) -> None:
+    def __init__(self, *, names: HeaderNames, metrics: Metrics, stop_clock: StopClock) -> None:
         """Initialise the log.
 
         Args:
             names: The deployment's header names.
             metrics: Receives counts and latencies.
+            stop_clock: Measures the planned stop of this instance.
         """
         self._names = names
         self._metrics = metrics
+        self._stop_clock = stop_clock
 
     def write(
         self,
@@ -52,7 +54,7 @@
         self._metrics.record_latency(
             LatencyKey("request", "", route, "", outcome.verdict.value, outcome.result), elapsed_s
         )
-        fields: dict[str, Any] = {}
+        fields = self._stop_fields(request)
         if context is not None:
             fields |= {"route": route, "service": context.service, "config": context.table.version}
             fields["workspace"] = context.workspace_name
@@ -78,6 +80,16 @@
             **_choice_log_fields(context.last_choice if context is not None else None),
         )
 
+    def _stop_fields(self, request: IncomingRequest) -> dict[str, Any]:
+        """Return how long the stop has run, and had when a request arrived; nothing before."""
+        if not self._stop_clock.has_begun:
+            return {}
+        accepted_s = self._stop_clock.running_at_s(request.arrived_at)
+        return {
+            "accepted_s": round(accepted_s, 3),
+            "stop_s": round(self._stop_clock.running_s, 3),
+        }
+
     def write_key_refused(
         self, request: IncomingRequest, refusal: AccessRefusal, key: bytes | None
     ) -> None:
@@ -89,17 +101,14 @@
             key_digest=abbreviate_digest(key),
         )
 
-    def write_cut(
-        self, context: RequestContext, stop_clock: StopClock, caller: CallerExchange
-    ) -> None:
+    def write_cut(self, context: RequestContext, caller: CallerExchange) -> None:
         """Write the line of a request that ended with the process, without a whole reply."""
         request = context.request
         log_event(
             "request-cut",
             level="ERROR",
             id=header_text(header_value(request.headers, self._names.request_id)),
-            accepted_s=round(stop_clock.running_at_s(request.arrived_at), 3),
-            stop_s=round(stop_clock.running_s, 3),
+            **self._stop_fields(request),
             sends=context.send_count,
             server=context.last_choice.entry.server_id if context.last_choice else "",
             reply_begun=caller.is_reply_begun,
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -39,6 +39,7 @@
 from wagtailpoint.proxy.request_demand import make_demand
 from wagtailpoint.proxy.server_announcements import ServerAnnouncements
 from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
+from wagtailpoint.proxy.stop_admission import StopAdmission
 from wagtailpoint.quarantine.quarantine import Quarantine
 from wagtailpoint.relay.reachability import Path, Reachability
 from wagtailpoint.verdict import Verdict
@@ -73,6 +74,7 @@
         backoffs: RequestedBackoffs,
         announcements: ServerAnnouncements,
         reachability: Reachability,
+        stop_admission: StopAdmission,
         names: HeaderNames,
     ) -> None:
         """Initialise the sender.
@@ -88,6 +90,7 @@
             backoffs: The backend servers that want no requests for some time.
             announcements: Receives the heads of all responses.
             reachability: Says by which path backend servers can be reached.
+            stop_admission: Says which requests a stopping instance still sends.
             names: The deployment's header names.
         """
         self._takes_work = takes_work
@@ -100,6 +103,7 @@
         self._backoffs = backoffs
         self._announcements = announcements
         self._reachability = reachability
+        self._stop_admission = stop_admission
         self._names = names
         self._hedge_delays = HedgeDelays()
         reachability.on_change(self._hedge_if_cut_off)
@@ -298,9 +302,12 @@
     def _withhold_reason(self, context: RequestContext, entry: ServerEntry) -> str | None:
         """Return why a request must not be sent after all; None if it is sent now.
 
-        Since the backend server was chosen, the key may have been revoked, or the server may have
-        requested a backoff or stated a limit, which other requests have used up.
+        Since the backend server was chosen, the key may have been revoked, the instance may have
+        begun to stop, or the server may have requested a backoff or stated a limit, which other
+        requests have used up.
         """
+        if not self._stop_admission.admits(context):
+            return "stopping"
         if self._key_check.refusal(context) is not None:
             return "withheld"
         if not self._backoffs.take(entry.start.key):
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -26,6 +26,7 @@
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.ports.backend import BackendAddress
+from wagtailpoint.proxy.answer_times import AnswerTimes
 from wagtailpoint.proxy.backend_connector import BackendConnector
 from wagtailpoint.proxy.backend_dialer import BackendDialer
 from wagtailpoint.proxy.backend_pool import BackendPool
@@ -35,6 +36,7 @@
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.proxy.server_announcements import ServerAnnouncements
 from wagtailpoint.proxy.shared_retry_budget import RetryBound, SharedRetryBudget
+from wagtailpoint.proxy.stop_admission import StopAdmission
 from wagtailpoint.proxy.stop_clock import StopClock
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
 from wagtailpoint.relay.client import RelayClient
@@ -236,6 +238,8 @@
         is_proved: Whether the configuration is confirmed to be the newest.
         allowances: The request allowances of workspaces.
         stop_clock: Measures the planned stop.
+        answer_times: The times that requests took.
+        stop_admission: Says which requests a stopping instance still accepts.
     """
 
     def __init__(self, table: RouteTable | None) -> None:
@@ -255,6 +259,8 @@
         self.is_proved = True
         self.allowances = ScriptedAllowances()
         self.stop_clock = StopClock(clock=TrioClock())
+        self.answer_times = AnswerTimes()
+        self.stop_admission = StopAdmission(clock=self.stop_clock, times=self.answer_times)
         self.key_check = KeyCheck(table=lambda: self.table, is_proved=lambda: self.is_proved)
         self.dispatcher = Dispatcher(
             table=lambda: self.table,
@@ -275,12 +281,15 @@
                     metrics=Metrics(),
                 ),
                 reachability=self.reachability,
+                stop_admission=self.stop_admission,
                 names=HEADER_NAMES,
             ),
             quarantine=self.quarantine,
             key_check=self.key_check,
             allowances=self.allowances,
             stop_clock=self.stop_clock,
+            stop_admission=self.stop_admission,
+            answer_times=self.answer_times,
             names=HEADER_NAMES,
             metrics=Metrics(),
             random=Random(1),
