The end of a stop is reckoned from the earliest moment of its signal

Callers saw: requests cut by SIGKILL, at 6.0 s, of a process that believed it had seconds left.

Cause: the stop counted its time from the moment at which the signal was handled. A process that is frozen, suspended or gets no processor time handles it late; the platform counts from the moment at which it was sent.

The signal may have been sent at any moment since the loop last ran, or in a standstill that ended less than 0.5 s ago: after a freeze any thread may receive the signal, and the loop was seen to run once before that one (unresponsive_s of 0.001 after a freeze of 1.5 s). Both are read in the signal handler. An idle loop waits for some hundredths of a second, so that little time is lost without a freeze. The clock counts time in suspension. The test failed before and passes.

--- a/src/wagtailpoint/daemon/loop_activity.py
+++ b/src/wagtailpoint/daemon/loop_activity.py
@@ -1,5 +1,6 @@
 """When the event loop of this process last ran, and whether it stood still."""
 
+import math
 from typing import Final
 
 import trio
@@ -29,7 +30,8 @@
             clock: The clock, which counts the time in suspension.
         """
         self._clock = clock
-        self._last_ran_at = self._stood_from = self._stood_until = clock.monotonic()
+        self._last_ran_at = clock.monotonic()
+        self._stood_from = self._stood_until = -math.inf
         self._wait_limit_s = 0.0
 
     def before_io_wait(self, timeout: float) -> None:
--- a/src/wagtailpoint/daemon/steering_stop.py
+++ b/src/wagtailpoint/daemon/steering_stop.py
@@ -96,7 +96,7 @@
         """
         request = await self._signal.wait()
         self._is_leaving = True
-        self._clock.begin(began_at=request.handled_at, lasts_s=grace_s() - MARGIN_S)
+        self._clock.begin(began_at=request.sent_after, lasts_s=grace_s() - MARGIN_S)
         log_event(
             "stop-begins",
             signal=request.name,
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -13,8 +13,6 @@
 LONG_WORK = CallerHabits(min_work_s=0.7, max_work_s=3.1)
 SHORT_WORK = CallerHabits(min_work_s=0.05, max_work_s=0.35)
 BETWEEN_STOPS_S = 3.0
-FROZEN_BEFORE_S = 0.7
-FROZEN_AFTER_S = 0.8
 SERVED_UNTIL_S = 3.0
 """Callers with a cached lookup are served at least so long after SIGTERM if their requests are
 short."""
@@ -85,15 +83,23 @@
         self.run_with(LONG_WORK, test)
 
     def test_signal_to_a_frozen_process(self) -> None:
+        """Guards against a stop that accepts for longer since it began late."""
+        self.check_signal_in_a_freeze(before_s=0.7, after_s=0.8)
+
+    def test_signal_long_before_the_end_of_a_freeze(self) -> None:
         """Guards against a stop that counts its time from the end of a freeze, and is killed."""
+        self.check_signal_in_a_freeze(before_s=0.3, after_s=2.5)
+
+    def check_signal_in_a_freeze(self, *, before_s: float, after_s: float) -> None:
+        """Stop an instance that is frozen for some time before and after the signal."""
 
         async def test(group: StopGroup) -> list[Stop]:
             instance = group.instances[0]
             instance.process.freeze()
-            await trio.sleep(FROZEN_BEFORE_S)
+            await trio.sleep(before_s)
             signalled_s = trio.current_time()
             instance.process.terminate()
-            await trio.sleep(FROZEN_AFTER_S)
+            await trio.sleep(after_s)
             instance.process.thaw()
             return [await group.stop(instance, signalled_s)]
 
