A second signal changes nothing about a planned stop

Cause: trio's signal receiver delivers again, with their default action, the signals that nobody took from it, and restores the default action for those that follow. Evidence: stop-signal-repeated in the log, then no stopped line, and exit code -15.

The signals are ignored from the end of the stop on, as the interpreter's exit takes some tenths of a second on a busy machine. test_signal_that_is_repeated (SIGTERM every 0.1 s until the process is gone) ended with -15 before and passes.

--- a/src/wagtailpoint/daemon/stop_signal.py
+++ b/src/wagtailpoint/daemon/stop_signal.py
@@ -30,7 +30,7 @@
 
 
 class StopSignal:
-    """Waits for the first signal that asks for a stop; further ones are logged."""
+    """Waits for the first signal that asks for a stop; further ones change nothing."""
 
     def __init__(self, *, clock: Clock) -> None:
         """Initialise the receiver; ``listen`` starts it.
@@ -41,14 +41,13 @@
         self._clock = clock
         self._activity = LoopActivity(clock=clock)
         self._request: StopRequest | None = None
-        self._repeated: StopRequest | None = None
         self._arrived = trio.Event()
 
     @contextmanager
     def listen(self) -> Iterator[None]:
-        """Receive the signals while the context is active.
+        """Receive the signals while the context is active, and ignore them for good after it.
 
-        A signal that arrived after the first one then has its default effect.
+        The default action would kill a process that is about to exit.
         """
         token = trio.lowlevel.current_trio_token()
         trio.lowlevel.add_instrument(self._activity)
@@ -68,10 +67,8 @@
             yield
         finally:
             for number in STOP_SIGNALS:
-                signal.signal(number, signal.SIG_DFL)
+                signal.signal(number, signal.SIG_IGN)
             trio.lowlevel.remove_instrument(self._activity)
-            if self._repeated is not None:
-                signal.raise_signal(signal.Signals[self._repeated.name])
 
     async def wait(self) -> StopRequest:
         """Wait for the first signal."""
@@ -81,7 +78,6 @@
 
     def _record(self, request: StopRequest) -> None:
         if self._request is not None:
-            self._repeated = request
             log_event("stop-signal-repeated", signal=request.name)
             return
         self._request = request
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -7,12 +7,14 @@
 from loguru import logger
 
 from tests.common.staying_callers import CallerHabits
+from tests.common.steering_group import Instance
 from tests.common.stop_group import Stop, StopGroup, stop_group
 
 LIMIT_S = 150.0
 LONG_WORK = CallerHabits(min_work_s=0.7, max_work_s=3.1)
 SHORT_WORK = CallerHabits(min_work_s=0.05, max_work_s=0.35)
 BETWEEN_STOPS_S = 3.0
+REPEAT_INTERVAL_S = 0.1
 SERVED_UNTIL_S = 3.0
 """Callers with a cached lookup are served at least so long after SIGTERM if their requests are
 short."""
@@ -90,6 +92,25 @@
         """Guards against a stop that counts its time from the end of a freeze, and is killed."""
         self.check_signal_in_a_freeze(before_s=0.3, after_s=2.5)
 
+    def test_signal_that_is_repeated(self) -> None:
+        """Guards against a second signal that ends the process, or its stop, early."""
+
+        async def test(group: StopGroup) -> list[Stop]:
+            instance = group.instances[0]
+            signalled_s = trio.current_time()
+            instance.process.terminate()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.repeat_signal, instance)
+                return [await group.stop(instance, signalled_s)]
+
+        self.run_with(LONG_WORK, test)
+
+    async def repeat_signal(self, instance: Instance) -> None:
+        """Send SIGTERM again and again until the process has ended."""
+        while instance.process.exit_code is None:
+            await trio.sleep(REPEAT_INTERVAL_S)
+            instance.process.terminate()
+
     def check_signal_in_a_freeze(self, *, before_s: float, after_s: float) -> None:
         """Stop an instance that is frozen for some time before and after the signal."""
 
