A reload during a start or at the end of a stop does not kill the process

SIGHUP is ignored from the start of the process on where nobody listens: the file is read at the start, and periodically, anyway.

--- a/src/wagtailpoint/daemon/main.py
+++ b/src/wagtailpoint/daemon/main.py
@@ -1,6 +1,7 @@
 """Command line of ``wagtailpointd``."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 from typing import NoReturn
@@ -58,6 +59,8 @@
 
 
 def _run_on_platform(settings_file: Path, check: bool) -> None:
+    # The default action would kill a process that is starting, or has completed its stop.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from wagtailpoint.daemon.steering import run_steering_instance
 
     settings = read_node_settings(settings_file)
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -1,5 +1,6 @@
 """Planned stops of instances whose callers ask for work that lasts as long as a stop."""
 
+import signal
 import unittest
 from collections.abc import Awaitable, Callable
 
@@ -14,7 +15,7 @@
 LONG_WORK = CallerHabits(min_work_s=0.7, max_work_s=3.1)
 SHORT_WORK = CallerHabits(min_work_s=0.05, max_work_s=0.35)
 BETWEEN_STOPS_S = 3.0
-REPEAT_INTERVAL_S = 0.1
+REPEAT_INTERVAL_S = 0.02
 SERVED_UNTIL_S = 3.0
 """Callers with a cached lookup are served at least so long after SIGTERM if their requests are
 short."""
@@ -94,22 +95,30 @@
 
     def test_signal_that_is_repeated(self) -> None:
         """Guards against a second signal that ends the process, or its stop, early."""
+        self.check_signal_during_the_stop(signal.SIGTERM)
+
+    def test_reload_during_the_stop(self) -> None:
+        """Guards against a reload that kills a process which is about to exit."""
+        self.check_signal_during_the_stop(signal.SIGHUP)
+
+    def check_signal_during_the_stop(self, number: signal.Signals) -> None:
+        """Stop an instance that gets a signal again and again meanwhile."""
 
         async def test(group: StopGroup) -> list[Stop]:
             instance = group.instances[0]
             signalled_s = trio.current_time()
             instance.process.terminate()
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self.repeat_signal, instance)
+                nursery.start_soon(self.repeat_signal, instance, number)
                 return [await group.stop(instance, signalled_s)]
 
         self.run_with(LONG_WORK, test)
 
-    async def repeat_signal(self, instance: Instance) -> None:
-        """Send SIGTERM again and again until the process has ended."""
+    async def repeat_signal(self, instance: Instance, number: signal.Signals) -> None:
+        """Send a signal again and again until the process has ended."""
         while instance.process.exit_code is None:
             await trio.sleep(REPEAT_INTERVAL_S)
-            instance.process.terminate()
+            instance.process._running.send_signal(number)
 
     def check_signal_in_a_freeze(self, *, before_s: float, after_s: float) -> None:
         """Stop an instance that is frozen for some time before and after the signal."""
