What is open at the end of a stop is answered, and replies reach their callers

Seen in the trials: connections that the end of the process closed without an answer, or in the moment in which a reply (also a refusal) was being written.

Causes: at its end the process cancelled everything at once; and it waited for requests, not for the connections that carry their replies: one that is closed with unread bytes is reset, and its caller may lose the reply.

Now the stop waits until connections have ended; requests that are open 0.1 s before the end get their reply then, 503 if they have not run and 502 if they may have (callers repeat what may be repeated); replies that have begun go on until the end. Idle connections are closed once lookups have expired (2 s after the signal) rather than after 4 s, so that callers who stayed with the instance look up again instead of being refused. The stop looks at its clock four times a second, as timers stand still while the machine is suspended.

--- a/src/wagtailpoint/daemon/steering_stop.py
+++ b/src/wagtailpoint/daemon/steering_stop.py
@@ -1,6 +1,6 @@
 """The graceful stop of an instance on the platform."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from contextlib import AbstractContextManager
 from typing import Final
 
@@ -30,6 +30,12 @@
 MIN_FINISHING_S: Final = 1.0
 """Time for the last open requests after connections are no longer accepted."""
 
+LAST_REPLIES_S: Final = 0.1
+"""Time for the replies to requests that are still open at the end."""
+
+MAX_SLEEP_S: Final = 0.25
+"""Timers stand still while the machine is suspended, and the clock of the stop does not."""
+
 WITHDRAW_TIMEOUT_S: Final = 0.5
 
 
@@ -107,15 +113,48 @@
         with trio.move_on_after(WITHDRAW_TIMEOUT_S):
             await registration.withdraw()
             await workspaces.release_slots()
-        serving_s = max(MIN_SERVING_S, 2 * LOOKUP_TTL_S) - self._clock.running_s
-        await trio.sleep(max(0.0, min(serving_s, self._clock.remaining_s - MIN_FINISHING_S)))
+        await self._sleep_until(LOOKUP_TTL_S)
+        for server in servers:
+            server.close_idle()
+        await self._sleep_until(max(MIN_SERVING_S, 2 * LOOKUP_TTL_S))
         for server in servers:
             server.stop_accepting()
-        with trio.move_on_after(self._clock.remaining_s) as scope:
+
+        async def wait_idle() -> None:
             await dispatcher.wait_idle()
+            # A connection that is closed before its caller has read the reply may be reset.
+            for server in servers:
+                await server.wait_closed()
             await paths.wait_idle()
-        if scope.cancelled_caught:
+
+        if not await self._completes(wait_idle, reserve_s=LAST_REPLIES_S):
             open_requests, relayed = dispatcher.open_requests, paths.relayed_connections
-            log_event("stop-cuts", level="ERROR", open_requests=open_requests, relayed=relayed)
-        self._clock.end()
+            if open_requests or relayed:
+                log_event("stop-cuts", level="ERROR", open_requests=open_requests, relayed=relayed)
+            self._clock.end()
+            dispatcher.end_requests()
+            await self._completes(wait_idle, reserve_s=0.0)
         membership.announce_exit()
+
+    async def _sleep_until(self, running_s: float) -> None:
+        """Sleep until the stop has run for some seconds, or little time is left."""
+        running_s = min(
+            running_s, self._clock.running_s + self._clock.remaining_s - MIN_FINISHING_S
+        )
+        while self._clock.running_s < running_s:  # noqa: ASYNC110 - see MAX_SLEEP_S
+            await trio.sleep(min(running_s - self._clock.running_s, MAX_SLEEP_S))
+
+    async def _completes(self, work: Callable[[], Awaitable[None]], *, reserve_s: float) -> bool:
+        """Run ``work``; return whether it ended before only ``reserve_s`` seconds were left."""
+        completed = False
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._cancel_near_end, nursery.cancel_scope, reserve_s)
+            await work()
+            completed = True
+            nursery.cancel_scope.cancel()
+        return completed
+
+    async def _cancel_near_end(self, scope: trio.CancelScope, reserve_s: float) -> None:
+        while (left_s := self._clock.remaining_s - reserve_s) > 0.0:  # noqa: ASYNC110 - the same
+            await trio.sleep(min(left_s, MAX_SLEEP_S))
+        scope.cancel()
--- a/src/wagtailpoint/proxy/caller_server.py
+++ b/src/wagtailpoint/proxy/caller_server.py
@@ -44,17 +44,28 @@
         self._max_connections = max_connections
         self._connections: set[CallerConnection] = set()
         self._accepting = trio.CancelScope()
+        self._all_closed = trio.Event()
 
     @property
     def connections(self) -> int:
         """The number of open connections."""
         return len(self._connections)
 
+    def close_idle(self) -> None:
+        """Close all idle connections."""
+        for connection in list(self._connections):
+            connection.close_if_idle()
+
     def stop_accepting(self) -> None:
         """Close the listening socket and all idle connections."""
         self._accepting.cancel()
-        for connection in list(self._connections):
-            connection.close_if_idle()
+        self.close_idle()
+
+    async def wait_closed(self) -> None:
+        """Wait until no connection is open."""
+        while self._connections:
+            self._all_closed = trio.Event()
+            await self._all_closed.wait()
 
     async def run(self, *, task_status: trio.TaskStatus[Any] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve connections until ``stop_accepting`` was called and the last one has ended."""
@@ -86,6 +97,8 @@
             log_event("internal-error", level="ERROR", where="connection", error=repr(error))
         finally:
             self._connections.discard(connection)
+            if not self._connections:
+                self._all_closed.set()
 
     def _make_room(self) -> bool:
         idle = next((connection for connection in self._connections if connection.is_idle), None)
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -37,6 +37,9 @@
 from wagtailpoint.routing.workspaces import parse_key_digest
 from wagtailpoint.verdict import Verdict
 
+CUT_BY_STOP = "cut-by-stop"
+"""The result of a request that may have run and had no whole answer when the process ended."""
+
 READ_AHEAD_BYTES = 256 * 1024
 """A body up to this size is read before the request is sent, so that it can be sent again."""
 
@@ -102,6 +105,7 @@
         self._refusals = RefusalFactory(random=random)
         self._split = SplitChooser(random=random)
         self._open_requests = 0
+        self._serving: dict[trio.CancelScope, CallerExchange] = {}
         self._idle = trio.Event()
 
     @property
@@ -115,6 +119,16 @@
             self._idle = trio.Event()
             await self._idle.wait()
 
+    def end_requests(self) -> None:
+        """Reply to all open requests at once, since the process ends.
+
+        Replies that have begun go on. A request that may have run gets no reply which says that it
+        has not.
+        """
+        for scope, caller in self._serving.items():
+            if not caller.is_reply_begun:
+                scope.cancel()
+
     async def handle(self, request: IncomingRequest, caller: CallerExchange) -> None:
         """Serve a request and send its reply."""
         self._open_requests += 1
@@ -163,7 +177,7 @@
         context.deadline = request.arrived_at + self._timeout_s(request, route)
         answered = False
         try:
-            outcome = await self._serve(context, caller)
+            outcome = await self._serve_until_ended(context, caller)
             # A 504 does not clear a crash suspect: the backend server may have stopped at the
             # deadline before it reached the code that crashes.
             late = outcome.status == HTTPStatus.GATEWAY_TIMEOUT
@@ -187,12 +201,27 @@
     ) -> None:
         """Record a request that ended without a reply."""
         if self._stop_clock.has_ended:
-            self._log.write(request, context, Outcome(0, "cut-by-stop", context.verdict), caller)
+            self._log.write(request, context, Outcome(0, CUT_BY_STOP, context.verdict), caller)
             self._log.write_cut(context, caller)
             return
         self._metrics.count("request.abandoned")
         self._log.write(request, context, Outcome(0, "caller-gone", context.verdict), caller)
 
+    async def _serve_until_ended(self, context: RequestContext, caller: CallerExchange) -> Outcome:
+        with trio.CancelScope() as scope:
+            self._serving[scope] = caller
+            try:
+                return await self._serve(context, caller)
+            finally:
+                del self._serving[scope]
+        if caller.is_reply_begun:
+            raise CallerGone
+        outcome = await self._give_up(context, caller, self._refusals.stopping())
+        if outcome.verdict is Verdict.NOT_RUN:
+            return outcome
+        self._log.write_cut(context, caller)
+        return outcome._replace(result=CUT_BY_STOP)
+
     async def _serve(self, context: RequestContext, caller: CallerExchange) -> Outcome:
         self._sender.record_request(context)
         if not context.route.idempotent:
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -13,6 +13,8 @@
 
 LIMIT_S = 150.0
 LONG_WORK = CallerHabits(min_work_s=0.7, max_work_s=3.1)
+PIPELINED_WORK = CallerHabits(min_work_s=0.7, max_work_s=3.1, pipelined=3)
+SLOW_READERS = CallerHabits(min_work_s=0.7, max_work_s=1.6, read_bytes_per_s=1.3e6)
 SHORT_WORK = CallerHabits(min_work_s=0.05, max_work_s=0.35)
 BETWEEN_STOPS_S = 3.0
 REPEAT_INTERVAL_S = 0.02
@@ -85,6 +87,35 @@
 
         self.run_with(LONG_WORK, test)
 
+    def test_pipelined_requests(self) -> None:
+        """Guards against requests that are sent on behind one whose reply ends the connection."""
+        self.run_with(PIPELINED_WORK, self.stop_first, servers=40)
+
+    def test_slow_readers(self) -> None:
+        """Guards against replies that the process ends before their callers have read them."""
+        self.run_with(SLOW_READERS, self.stop_first, object_bytes=2_000_000, callers=12)
+
+    def test_short_requests_are_served_for_seconds(self) -> None:
+        """Guards against refusals of short requests of callers that have cached a lookup."""
+
+        async def test(group: StopGroup) -> list[Stop]:
+            stop = await group.stop(group.instances[0])
+            statuses = [
+                exchange.status
+                for exchange in group.callers.exchanges
+                if exchange.instance == stop.instance.address
+                and 0.0 <= exchange.sent_s - stop.signalled_s < SERVED_UNTIL_S
+            ]
+            self.assertGreater(len(statuses), 30)
+            self.assertNotIn(503, statuses)
+            return [stop]
+
+        self.run_with(SHORT_WORK, test)
+
+    async def stop_first(self, group: StopGroup) -> list[Stop]:
+        """Stop the first instance."""
+        return [await group.stop(group.instances[0])]
+
     def test_signal_to_a_frozen_process(self) -> None:
         """Guards against a stop that accepts for longer since it began late."""
         self.check_signal_in_a_freeze(before_s=0.7, after_s=0.8)
