--- a/tests/common/staying_callers.py
+++ b/tests/common/staying_callers.py
@@ -77,6 +77,10 @@
         """Send no further requests; the open ones go on."""
         self._stopping = True
 
+    def exchanges_at(self, address: str) -> list[Exchange]:
+        """Return the requests that were sent to an instance."""
+        return [exchange for exchange in self.exchanges if exchange.instance == address]
+
     async def run(self, *, callers: int) -> None:
         """Run callers, in turn at each instance, until they are stopped and all have ended."""
         async with trio.open_nursery() as nursery:
