At the end of a stop, answers that have arrived are passed on

Found in review, by forced runs: of two pipelined requests, the first at its backend server and the second answered and waiting for its turn, the end of the stop gave the first 502 and the second 503 'not run', though it had run; and an answer that arrived in the tick in which the process ended its requests was dropped with the connection.

Cause: the end cancelled every request whose reply had not begun, and a request counted as one that may have run only until its backend server had answered. Now requests whose answer is known are left alone, and a backend server counts until it states that it did not run the request.

Both tests (test_stop_end.py) failed before and pass. A window of one tick remains: an answer that the loop has read, and whose task has not run yet, is replaced by 502.

--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -105,7 +105,7 @@
         self._refusals = RefusalFactory(random=random)
         self._split = SplitChooser(random=random)
         self._open_requests = 0
-        self._serving: dict[trio.CancelScope, CallerExchange] = {}
+        self._serving: dict[RequestContext, trio.CancelScope] = {}
         self._idle = trio.Event()
 
     @property
@@ -122,11 +122,11 @@
     def end_requests(self) -> None:
         """Reply to all open requests at once, since the process ends.
 
-        Replies that have begun go on. A request that may have run gets no reply which says that it
-        has not.
+        Answers that have arrived, and replies that have begun, go on. A request that may have run
+        gets no reply which says that it has not.
         """
-        for scope, caller in self._serving.items():
-            if not caller.is_reply_begun:
+        for context, scope in self._serving.items():
+            if not context.has_answer:
                 scope.cancel()
 
     async def handle(self, request: IncomingRequest, caller: CallerExchange) -> None:
@@ -209,11 +209,11 @@
 
     async def _serve_until_ended(self, context: RequestContext, caller: CallerExchange) -> Outcome:
         with trio.CancelScope() as scope:
-            self._serving[scope] = caller
+            self._serving[context] = scope
             try:
                 return await self._serve(context, caller)
             finally:
-                del self._serving[scope]
+                del self._serving[context]
         if caller.is_reply_begun:
             raise CallerGone
         outcome = await self._give_up(context, caller, self._refusals.stopping())
@@ -232,6 +232,7 @@
             # Refused before its body is read, which may last until the process ends.
             return await self._give_up(context, caller, self._refusals.stopping())
         if not await self._read_body(context, caller):
+            context.has_answer = True
             await caller.reply(HTTPStatus.REQUEST_TIMEOUT, (), b"the body came too slowly\n")
             return Outcome(HTTPStatus.REQUEST_TIMEOUT, "slow-body", Verdict.NOT_RUN)
         return await self._send_until_answered(context, caller)
@@ -322,6 +323,7 @@
         self, context: RequestContext, caller: CallerExchange, refusal: Refusal
     ) -> Outcome:
         """Send the final reply to a request that no backend server answered successfully."""
+        context.has_answer = True
         if context.failed_reply is not None:
             await caller.reply(
                 context.failed_reply.status, context.failed_reply.headers, context.failed_reply.body
--- a/src/wagtailpoint/proxy/request_context.py
+++ b/src/wagtailpoint/proxy/request_context.py
@@ -68,7 +68,9 @@
         body: The part of the body that was read ahead.
         tried_servers: The ids of the backend servers chosen for sends so far.
         send_count: The number of sends that may have reached a backend server.
-        unanswered: The ids of the backend servers that got the request and have not answered.
+        may_have_run_on: The ids of the backend servers that got the request, without those that
+            stated that they did not run it.
+        has_answer: Whether the answer for the caller is known and only has to be sent.
         failures: The sends that gave no response to forward.
         failed_reply: The last error response of a backend server, forwarded if no send succeeds.
         last_choice: The last chosen backend server, for the log.
@@ -102,7 +104,8 @@
         self._fingerprint = ""
         self.tried_servers: list[str] = []
         self.send_count = 0
-        self.unanswered: set[str] = set()
+        self.may_have_run_on: set[str] = set()
+        self.has_answer = False
         self.failures: list[Failure] = []
         self.failed_reply: BackendReply | None = None
         self.last_choice: Choice | None = None
@@ -154,8 +157,8 @@
 
     @property
     def verdict(self) -> Verdict:
-        """``NOT_RUN`` if no send without an answer can have run, otherwise ``MAY_HAVE_RUN``."""
-        if not self.unanswered and all(
+        """``NOT_RUN`` if no backend server can have run it, otherwise ``MAY_HAVE_RUN``."""
+        if not self.may_have_run_on and all(
             failure.verdict is Verdict.NOT_RUN for failure in self.failures
         ):
             return Verdict.NOT_RUN
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -253,6 +253,7 @@
                 return None
             sent_at = trio.current_time()
             reply = await self._exchange(context, choice, connection)
+            context.has_answer = not reply.not_run
             if reply.status != HTTPStatus.MISDIRECTED_REQUEST:
                 self._limits.record_answer(
                     entry.start.key, reply.headers, self._names.limit, sent_at
@@ -264,6 +265,7 @@
             if not self._is_final(context, entry.server_id, reply) or not hedged.claim(
                 entry.server_id
             ):
+                context.has_answer = hedged.answered_by is not None
                 return None
             if reply.rest is not None:
                 outcome = await self._stream(context, entry, reply, reply.rest, caller)
@@ -339,7 +341,7 @@
         self, context: RequestContext, choice: Choice, connection: BackendConnection
     ) -> BackendReply:
         sent_at = trio.current_time()
-        context.unanswered.add(choice.entry.server_id)
+        context.may_have_run_on.add(choice.entry.server_id)
         with trio.move_on_at(context.deadline):
             reply = await connection.exchange(
                 make_outgoing_request(context, choice.entry.server_id, self._names),
@@ -347,7 +349,8 @@
                     self._announcements.record_head, choice.entry, relay=connection.relay
                 ),
             )
-            context.unanswered.discard(choice.entry.server_id)
+            if reply.not_run:
+                context.may_have_run_on.discard(choice.entry.server_id)
             return reply
         silent = self._placement.load_of(choice.entry).heard_at < sent_at
         raise ExchangeFailed(Verdict.MAY_HAVE_RUN, FailureReason.TIMEOUT, silent=silent)
