Only answers prove that the requests of a route are short

Cause: the time of every request that had been sent was recorded like an answer. Now only whole answers count; a request that ended without one says no more than that answers take longer, and raises the longest time; one that no server ran says nothing. test_callers_that_gave_up_prove_nothing got 504 on the former code, where the request was sent to a silent server, and passes.

--- a/src/wagtailpoint/proxy/answer_times.py
+++ b/src/wagtailpoint/proxy/answer_times.py
@@ -15,11 +15,11 @@
     """The longest of some times.
 
     Attributes:
-        requests: The number of requests.
-        seconds: The time that the longest one took.
+        answered: The number of requests that were answered.
+        seconds: The time that the longest one took, answered or not.
     """
 
-    requests: int
+    answered: int
     seconds: float
 
 
@@ -34,13 +34,23 @@
         self._older: dict[tuple[str, str], LongestTime] = {}
         self._recent_since = -RETENTION_S
 
-    def record(self, route: str, service: str, seconds: float) -> None:
-        """Record the time that a request took, or after which it ended without an answer."""
+    def record(self, route: str, service: str, seconds: float, *, answered: bool) -> None:
+        """Record the time that a request took.
+
+        Args:
+            route: The name of its route.
+            service: The service that it was sent to.
+            seconds: The time until its whole answer, or until it ended without one. The latter says
+                only that an answer takes longer.
+            answered: Whether it was answered.
+        """
         self._expire()
         if len(self._recent) >= MAX_ROUTES:
             self._recent.clear()
         key = (route, service)
-        self._recent[key] = _longest(self._recent.get(key, NO_TIME), LongestTime(1, seconds))
+        self._recent[key] = _longest(
+            self._recent.get(key, NO_TIME), LongestTime(int(answered), seconds)
+        )
 
     def longest(self, route: str, service: str) -> LongestTime:
         """Return the longest time of the recent requests of a route at a service."""
@@ -59,4 +69,4 @@
 
 
 def _longest(one: LongestTime, other: LongestTime) -> LongestTime:
-    return LongestTime(one.requests + other.requests, max(one.seconds, other.seconds))
+    return LongestTime(one.answered + other.answered, max(one.seconds, other.seconds))
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -187,14 +187,18 @@
             self._record_abandoned(request, context, caller)
             raise
         finally:
-            self._record_time(context, caller)
+            self._record_time(context, caller, answered=answered)
             self._quarantine.record_finished(context.fingerprint, answered=answered)
         self._log.write(request, context, outcome, caller)
 
-    def _record_time(self, context: RequestContext, caller: CallerExchange) -> None:
-        if context.send_count:
+    def _record_time(
+        self, context: RequestContext, caller: CallerExchange, *, answered: bool
+    ) -> None:
+        if answered or context.verdict is not Verdict.NOT_RUN:
             elapsed_s = trio.current_time() - context.request.arrived_at - caller.waited_s
-            self._answer_times.record(context.route.name, context.service, elapsed_s)
+            self._answer_times.record(
+                context.route.name, context.service, elapsed_s, answered=answered
+            )
 
     def _record_abandoned(
         self, request: IncomingRequest, context: RequestContext, caller: CallerExchange
--- a/src/wagtailpoint/proxy/stop_admission.py
+++ b/src/wagtailpoint/proxy/stop_admission.py
@@ -14,7 +14,7 @@
 
 MIN_SAMPLES: Final = 20
 MIN_SAMPLES_AT_MOST_ONCE: Final = 100
-"""The number of recent requests of which the longest time is believed. One more request takes
+"""The number of answered requests of which the longest time is believed. One more request takes
 longer than the longest of ``n`` like it with a probability of ``1 / (n + 1)``."""
 
 MARGIN_FACTOR: Final = 1.5
@@ -50,8 +50,8 @@
             return True
         longest = self._times.longest(context.route.name, context.service)
         if context.route.idempotent:
-            return longest.requests >= MIN_SAMPLES and MARGIN_FACTOR * longest.seconds <= left_s
+            return longest.answered >= MIN_SAMPLES and MARGIN_FACTOR * longest.seconds <= left_s
         return (
-            longest.requests >= MIN_SAMPLES_AT_MOST_ONCE
+            longest.answered >= MIN_SAMPLES_AT_MOST_ONCE
             and MARGIN_FACTOR_AT_MOST_ONCE * longest.seconds <= left_s
         )
--- a/tests/cover/test_stop_admission.py
+++ b/tests/cover/test_stop_admission.py
@@ -6,7 +6,7 @@
 import trio
 from trio.testing import MockClock
 
-from tests.common.dispatcher_case import Backend, DispatcherCase, get, ok
+from tests.common.dispatcher_case import Backend, DispatcherCase, get, ok, silent
 from tests.common.fake_clock import TrioClock
 from tests.common.steering_parts import make_route, make_table
 from wagtailpoint.node_settings import Endpoint
@@ -47,8 +47,8 @@
     def test_longest_of_a_route_at_a_service(self) -> None:
         async def test() -> None:
             for seconds in (0.2, 0.7, 0.1):
-                self.times.record("r", "desk", seconds)
-            self.times.record("r", "vault", 3.0)
+                self.times.record("r", "desk", seconds, answered=True)
+            self.times.record("r", "vault", 3.0, answered=True)
             self.assertEqual(self.times.longest("r", "desk"), (3, 0.7))
             self.assertEqual(self.times.longest("other", "desk"), (0, 0.0))
 
@@ -58,18 +58,29 @@
         """Guards against a slow spell that is forgotten at once, or never."""
 
         async def test() -> None:
-            self.times.record("r", "desk", 2.0)
+            self.times.record("r", "desk", 2.0, answered=True)
             self.clock.jump(RETENTION_S / 2)
-            self.times.record("r", "desk", 0.1)
+            self.times.record("r", "desk", 0.1, answered=True)
             self.assertEqual(self.times.longest("r", "desk"), (2, 2.0))
             self.clock.jump(RETENTION_S / 2)
-            self.times.record("r", "desk", 0.1)
+            self.times.record("r", "desk", 0.1, answered=True)
             self.assertEqual(self.times.longest("r", "desk"), (2, 0.1))
             self.clock.jump(RETENTION_S)
             self.assertEqual(self.times.longest("r", "desk"), (0, 0.0))
 
         trio.run(test, clock=self.clock)
 
+    def test_time_without_an_answer(self) -> None:
+        """Guards against callers that gave up early and count as proof of short answers."""
+
+        async def test() -> None:
+            self.times.record("r", "desk", 0.3, answered=True)
+            self.times.record("r", "desk", 0.1, answered=False)
+            self.times.record("r", "desk", 0.9, answered=False)
+            self.assertEqual(self.times.longest("r", "desk"), (1, 0.9))
+
+        trio.run(test, clock=self.clock)
+
 
 class StopAdmissionTest(unittest.TestCase):
     def setUp(self) -> None:
@@ -85,7 +96,7 @@
 
         async def run() -> bool:
             for _ in range(samples):
-                self.times.record(route.name, "desk", took_s)
+                self.times.record(route.name, "desk", took_s, answered=True)
             self.stop.begin(began_at=trio.current_time(), lasts_s=LASTS_S)
             self.clock.jump(after_s)
             return self.admission.admits(make_context(route))
@@ -151,7 +162,7 @@
 
         async def test(endpoint: Endpoint) -> None:
             for _ in range(MIN_SAMPLES):
-                self.parts.answer_times.record("r", "desk", 0.1)
+                self.parts.answer_times.record("r", "desk", 0.1, answered=True)
             self.parts.stop_clock.begin(began_at=trio.current_time(), lasts_s=1.0)
             reply = await self.reply(endpoint, get("/r/x", "X-Deadline-Ms: 2000"))
             self.assertTrue(reply.startswith(b"HTTP/1.1 200 "), reply)
@@ -161,12 +172,31 @@
         assert found is not None
         self.assertLessEqual(int(found[1]), 1000 * (1.0 - REPLY_RESERVE_S))
 
+    def test_callers_that_gave_up_prove_nothing(self) -> None:
+        """Guards against short requests that are believed in since their callers gave up early."""
+
+        async def test(endpoint: Endpoint) -> None:
+            for number in range(MIN_SAMPLES):
+                async with await trio.open_tcp_stream(*endpoint) as stream:
+                    await stream.send_all(get("/r/x"))
+                    while len(backend.requests) <= number:  # noqa: ASYNC110 - over sockets
+                        await trio.sleep(0.001)
+                while self.parts.dispatcher.open_requests:  # noqa: ASYNC110 - the same
+                    await trio.sleep(0.001)
+            self.parts.stop_clock.begin(began_at=trio.current_time(), lasts_s=0.5)
+            reply = await self.reply(endpoint, get("/r/y"))
+            self.assertTrue(reply.startswith(b"HTTP/1.1 503 "), reply)
+
+        backend = Backend(silent)
+        self.run_with({"i-1": backend.script}, test)
+        self.assertFalse(any(b"/r/y" in request for request in backend.requests))
+
     def test_times_of_answers_are_recorded(self) -> None:
         async def test(endpoint: Endpoint) -> None:
             for target in ("/r/x", "/r/y"):
                 await self.reply(endpoint, get(target))
             # The last time is recorded after its reply was sent.
-            while self.parts.answer_times.longest("r", "desk").requests < 2:
+            while self.parts.answer_times.longest("r", "desk").answered < 2:
                 await trio.lowlevel.checkpoint()
 
         self.run_with({"i-1": Backend(ok).script}, test)
