A stop closes connections when they are idle, neither before nor never

Cause: a connection was closed if nothing had been read from its socket, at one moment only, and its task could miss that moment. Now the connection remembers that it has to end, looks whether its socket is readable, and ends itself as soon as nothing is open; so does one that is accepted in the moment in which the server stops to accept.

--- a/src/wagtailpoint/proxy/caller_connection.py
+++ b/src/wagtailpoint/proxy/caller_connection.py
@@ -72,6 +72,7 @@
         self._last_exchange: CallerExchange | None = None
         self._request_ended = trio.Event()
         self._head_started = False
+        self._ends_when_idle = False
         self._next_head_scope = trio.CancelScope()
 
     @property
@@ -79,10 +80,11 @@
         """Whether no request is open on the connection."""
         return not self._open_exchanges
 
-    def close_if_idle(self) -> None:
-        """Close the connection unless a request is open or has begun to arrive."""
+    def close_when_idle(self) -> None:
+        """Close the connection as soon as no request is open or has begun to arrive."""
+        self._ends_when_idle = True
         if self.is_idle and self._incoming.is_empty and not self._head_started:
-            self._next_head_scope.cancel()
+            self._next_head_scope.deadline = self._idle_deadline()
 
     async def run(self) -> None:
         """Serve requests until the connection ends."""
@@ -238,6 +240,9 @@
         return None
 
     def _idle_deadline(self) -> float:
+        # Bytes that have arrived and were not read yet are the beginning of a request.
+        if self._ends_when_idle and not self._stream.socket.is_readable():
+            return trio.current_time()
         return trio.current_time() + self._bounds().idle_timeout_s
 
     async def _refuse_malformed(
--- a/src/wagtailpoint/proxy/caller_server.py
+++ b/src/wagtailpoint/proxy/caller_server.py
@@ -52,12 +52,12 @@
         return len(self._connections)
 
     def close_idle(self) -> None:
-        """Close all idle connections."""
+        """Close all connections, each as soon as it is idle."""
         for connection in list(self._connections):
-            connection.close_if_idle()
+            connection.close_when_idle()
 
     def stop_accepting(self) -> None:
-        """Close the listening socket and all idle connections."""
+        """Close the listening socket and all connections, each as soon as it is idle."""
         self._accepting.cancel()
         self.close_idle()
 
@@ -91,6 +91,8 @@
             is_leaving=self._is_leaving,
         )
         self._connections.add(connection)
+        if self._accepting.cancel_called:
+            connection.close_when_idle()
         try:
             await connection.run()
         except Exception as error:  # noqa: BLE001 - one connection's error must not end the others
@@ -104,5 +106,5 @@
         idle = next((connection for connection in self._connections if connection.is_idle), None)
         if idle is None:
             return False
-        idle.close_if_idle()
+        idle.close_when_idle()
         return True
--- a/tests/cover/test_stop_end.py
+++ b/tests/cover/test_stop_end.py
@@ -1,9 +1,18 @@
 """What becomes of open requests and connections when a planned stop ends the process."""
 
+import socket
+import time
+import unittest
+from collections.abc import Awaitable, Callable
+
 import trio
 
 from tests.common.dispatcher_case import Backend, DispatcherCase, get, ok
+from tests.common.sockets import loopback_address
 from wagtailpoint.node_settings import Endpoint
+from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
+from wagtailpoint.proxy.caller_server import CallerServer
+from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS
 
 LIMIT_S = 10.0
 ANSWERED_AFTER_S = 0.5
@@ -78,3 +87,88 @@
 
         self.run_with({"i-1": Backend(ok).script}, test)
         self.assertTrue(replies[0].startswith(b"HTTP/1.1 200 "), replies)
+
+
+class IdleConnectionsTest(unittest.TestCase):
+    leaving = True
+
+    def run_with(
+        self,
+        handle: Callable[[IncomingRequest, CallerExchange], Awaitable[None]],
+        test: Callable[[CallerServer, Endpoint], Awaitable[None]],
+    ) -> None:
+        """Run a test with a server of callers."""
+
+        async def run() -> None:
+            endpoint = Endpoint(loopback_address(), 8155)
+            server = CallerServer(
+                endpoint=endpoint,
+                handler=handle,
+                bounds=lambda: DEFAULT_CALLER_BOUNDS,
+                is_leaving=lambda: self.leaving,
+                max_connections=5,
+            )
+            with trio.fail_after(LIMIT_S):
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(server.run)
+                    await test(server, endpoint)
+                    nursery.cancel_scope.cancel()
+
+        trio.run(run)
+
+    async def reply(self, request: IncomingRequest, caller: CallerExchange) -> None:
+        await caller.reply(200, (), b"ok")
+
+    def test_request_that_has_reached_the_socket(self) -> None:
+        """Guards against a request that is read and discarded since its connection seemed idle."""
+        replies: list[bytes] = []
+
+        async def test(server: CallerServer, endpoint: Endpoint) -> None:
+            with socket.create_connection(endpoint) as caller:  # noqa: ASYNC210
+                await trio.sleep(0.1)
+                caller.sendall(get("/x"))
+                # The bytes arrive before the loop runs again.
+                time.sleep(0.05)  # noqa: ASYNC251
+                server.close_idle()
+                await server.wait_closed()
+                replies.append(caller.recv(1000))
+
+        self.run_with(self.reply, test)
+        self.assertTrue(replies[0].startswith(b"HTTP/1.1 200 "), replies)
+
+    def test_idle_connection(self) -> None:
+        async def test(server: CallerServer, endpoint: Endpoint) -> None:
+            async with await trio.open_tcp_stream(*endpoint) as stream:
+                await trio.sleep(0.1)
+                server.close_idle()
+                self.assertEqual(await stream.receive_some(), b"")
+            await server.wait_closed()
+
+        self.run_with(self.reply, test)
+
+    def test_connection_whose_reply_began_before_the_stop(self) -> None:
+        """Guards against a stop that waits for a caller which was not told to close."""
+        self.leaving = False
+        begun, go_on = trio.Event(), trio.Event()
+
+        async def handle(request: IncomingRequest, caller: CallerExchange) -> None:
+            await caller.begin(200, ((b"content-length", b"4"),))
+            begun.set()
+            await go_on.wait()
+            await caller.send(b"done")
+            await caller.finish()
+
+        async def test(server: CallerServer, endpoint: Endpoint) -> None:
+            async with await trio.open_tcp_stream(*endpoint) as stream:
+                await stream.send_all(get("/x"))
+                await begun.wait()
+                self.leaving = True
+                server.stop_accepting()
+                go_on.set()
+                data = b""
+                async for part in stream:
+                    data += bytes(part)
+                self.assertTrue(data.endswith(b"done"), data)
+            await server.wait_closed()
+
+        self.run_with(handle, test)
