The last replies of a stop have time, however late it is

Found in review, with a store that hangs: with GraceS 1 and less, or after a long freeze, the process ended 0.0003 s after it had begun to answer its open requests, so that their connections closed without an answer.

Cause: the withdrawal from the store took its half second whatever was left, and the time for the last replies was reckoned from the end alone. Now the withdrawal leaves time for them, and they get 0.1 s in any case, which the margin before the platform's kill covers. Sleeps last a millisecond at least: a remainder below the clock's resolution would never end under a clock that only moves with sleeps. test_last_replies_have_time_however_late_it_is failed before (that aside) and passes.

--- a/src/wagtailpoint/daemon/steering_stop.py
+++ b/src/wagtailpoint/daemon/steering_stop.py
@@ -33,6 +33,7 @@
 LAST_REPLIES_S: Final = 0.1
 """Time for the replies to requests that are still open at the end."""
 
+MIN_SLEEP_S: Final = 0.001
 MAX_SLEEP_S: Final = 0.25
 """Timers stand still while the machine is suspended, and the clock of the stop does not."""
 
@@ -110,7 +111,8 @@
             unresponsive_s=round(request.handled_at - request.sent_after, 3),
         )
         membership.leave()
-        with trio.move_on_after(WITHDRAW_TIMEOUT_S):
+        time_for_withdrawal_s = self._clock.remaining_s - 2 * LAST_REPLIES_S
+        with trio.move_on_after(max(0.0, min(WITHDRAW_TIMEOUT_S, time_for_withdrawal_s))):
             await registration.withdraw()
             await workspaces.release_slots()
         await self._sleep_until(LOOKUP_TTL_S)
@@ -133,7 +135,8 @@
                 log_event("stop-cuts", level="ERROR", open_requests=open_requests, relayed=relayed)
             self._clock.end()
             dispatcher.end_requests()
-            await self._completes(wait_idle, reserve_s=0.0)
+            overdue_s = LAST_REPLIES_S - self._clock.remaining_s
+            await self._completes(wait_idle, reserve_s=-max(0.0, overdue_s))
         membership.announce_exit()
 
     async def _sleep_until(self, running_s: float) -> None:
@@ -142,7 +145,7 @@
             running_s, self._clock.running_s + self._clock.remaining_s - MIN_FINISHING_S
         )
         while self._clock.running_s < running_s:  # noqa: ASYNC110 - see MAX_SLEEP_S
-            await trio.sleep(min(running_s - self._clock.running_s, MAX_SLEEP_S))
+            await _sleep_bounded(running_s - self._clock.running_s)
 
     async def _completes(self, work: Callable[[], Awaitable[None]], *, reserve_s: float) -> bool:
         """Run ``work``; return whether it ended before only ``reserve_s`` seconds were left."""
@@ -156,5 +159,9 @@
 
     async def _cancel_near_end(self, scope: trio.CancelScope, reserve_s: float) -> None:
         while (left_s := self._clock.remaining_s - reserve_s) > 0.0:  # noqa: ASYNC110 - the same
-            await trio.sleep(min(left_s, MAX_SLEEP_S))
+            await _sleep_bounded(left_s)
         scope.cancel()
+
+
+async def _sleep_bounded(seconds: float) -> None:
+    await trio.sleep(max(MIN_SLEEP_S, min(seconds, MAX_SLEEP_S)))
