An instance survives connections that its peers close while it sends

Every request that it was serving was cut.

Cause: a use of freed memory in nng's push socket. When a connection closes while the completion of a send is pending, push0_send_cb puts the connection back in the socket's list of connections that are ready to send, because it does not look whether the connection was closed meanwhile; the connection is then freed. The next send, or the next connection of the same socket, uses the entry in that list. A pause makes it likely: at its end the sends that are due and the closes that happened meanwhile are handled at the same time.

Evidence, all on loopback. The native stack of the crash is nng_send, push0_sock_send, nni_list_remove; the Python stack is _Link.send.

Fix: a link serves one connection. Nothing is sent after the end of the connection has been reported, which nng does before it frees it, and no second connection is dialled or admitted on the same socket; the next message opens a new link.

--- a/src/wagtailpoint/adapters/peers_nng.py
+++ b/src/wagtailpoint/adapters/peers_nng.py
@@ -1,9 +1,12 @@
 """Links between instances on pynng: each instance listens with one pull socket.
 
 A link is a push socket. It is dialled at its first use and closed after an idle time, so that an
-instance holds links only to the peers with which it exchanges messages.
+instance holds links only to the peers with which it exchanges messages. It is replaced when its
+connection ends.
 """
 
+import threading
+
 import pynng
 import trio
 from pynng import _nng
@@ -20,8 +23,13 @@
 """Minimum age of a link before unanswered requests close it, in seconds. Opening the link and the
 peer's link for the answer takes several round trips; a link closed within them would never open."""
 
+MIN_REOPEN_AGE_S = 0.1
+"""Minimum age of a link whose connection has ended before a new one replaces it, in seconds. Limits
+the connections to a peer that accepts and closes them."""
+
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1000
+NO_RECONNECT_MS = 24 * 60 * 60 * 1000
 
 
 def limit_threads() -> None:
@@ -40,27 +48,63 @@
 
 
 class _Link:
-    """A push socket to one address."""
+    """A push socket to one address that serves one connection.
+
+    When a connection closes while the completion of a send is pending, nng puts it back in the
+    socket's list of connections that are ready to send, and then frees it. The next send, or the
+    next connection that becomes ready, would use the freed memory. So nothing is sent after the end
+    of the first connection, and no second one is dialled or admitted.
+    """
 
     def __init__(self, *, to: PeerAddress, now: float) -> None:
+        self._lock = threading.Lock()
+        self._is_connected = False
+        self._has_ended = False
         self._socket = pynng.Push0(send_buffer_size=MAX_QUEUED_MESSAGES)
         self._socket.reconnect_time_min = RECONNECT_MIN_MS
         self._socket.reconnect_time_max = RECONNECT_MAX_MS
+        self._socket.add_pre_pipe_connect_cb(self._admit_first)
+        self._socket.add_post_pipe_remove_cb(self._record_end)
         self._socket.dial(f"tcp://{to.address}:{to.port}", block=False)
         self.opened_at = now
         self.used_at = now
         self.unanswered = 0
 
+    @property
+    def has_ended(self) -> bool:
+        """Whether the connection has ended, so that nothing more is sent."""
+        return self._has_ended
+
     def send(self, data: bytes) -> bool:
-        try:
-            self._socket.send(data, block=False)
-        except pynng.NNGException:
-            return False
-        return True
+        # nng frees a connection after `_record_end` has returned: with the lock not during a send.
+        with self._lock:
+            if self._has_ended:
+                return False
+            try:
+                self._socket.send(data, block=False)
+            except pynng.NNGException:
+                return False
+            return True
 
     def close(self) -> None:
         self._socket.close()
 
+    # Threads of nng call these two.
+
+    def _admit_first(self, pipe: pynng.Pipe) -> None:
+        if self._is_connected:
+            pipe.close()
+            return
+        self._is_connected = True
+        # The socket has no option for this, and `pipe.dialer` may not be set yet.
+        dialer = _nng.lib.nng_pipe_dialer(pipe.pipe)
+        for option in (b"reconnect-time-max", b"reconnect-time-min"):
+            _nng.lib.nng_dialer_set_ms(dialer, option, NO_RECONNECT_MS)
+
+    def _record_end(self, _pipe: pynng.Pipe) -> None:
+        with self._lock:
+            self._has_ended = True
+
 
 class NngPeers(DispatchingPeers):
     """Implements ``wagtailpoint.ports.peers.Peers``.
@@ -100,12 +144,16 @@
 
     def _transmit(self, to: PeerAddress, data: bytes) -> bool:
         key = (to.address, to.port)
+        now = self._monotonic()
         link = self._links.get(key)
+        if link is not None and link.has_ended and now - link.opened_at >= MIN_REOPEN_AGE_S:
+            link.close()
+            link = None
         if link is None:
             limit_threads()
-            link = _Link(to=to, now=self._monotonic())
+            link = _Link(to=to, now=now)
             self._links[key] = link
-        link.used_at = self._monotonic()
+        link.used_at = now
         return link.send(data)
 
     def _record_answer(self, to: PeerAddress) -> None:
@@ -131,7 +179,7 @@
             await trio.sleep(LINK_IDLE_TIMEOUT_S / 3)
             idle_cutoff = self._monotonic() - LINK_IDLE_TIMEOUT_S
             for key, link in list(self._links.items()):
-                if link.used_at < idle_cutoff:
+                if link.used_at < idle_cutoff or link.has_ended:
                     link.close()
                     del self._links[key]
 
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -171,6 +171,33 @@
 
         trio.run(main)
 
+    def test_link_is_replaced_after_the_end_of_its_connection(self) -> None:
+        """Guards against a sender that keeps a link over which nothing is sent any more."""
+
+        async def main() -> None:
+            first = self.make(1)
+
+            async def restart_between_requests() -> None:
+                for incarnation in (2, 3, 4):
+                    second = self.make(2, incarnation=incarnation)
+                    second.handle(Question, answer)
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(second.run)
+                        while (
+                            await first.request(second.address, Question("a"), timeout_s=0.5)
+                        ).is_err():
+                            pass
+                        self.assertEqual(first.open_links, 1)
+                        nursery.cancel_scope.cancel()
+
+            with trio.fail_after(30):
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(first.run)
+                    await restart_between_requests()
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+
     def test_new_link_is_kept_and_an_unresponsive_one_is_redialled(self) -> None:
         """Guards against a link to a distant peer that is closed each time before it has opened."""
 
