A crash of an instance leaves its stacks in its log

What callers saw: nothing of this; of an instance that ended by SIGSEGV only the exit code and a line of the kernel were known, and the cause had to be found by trials.

Cause: nothing wrote a traceback at a fatal signal.

Fix: faulthandler writes the stacks of all threads to standard error, which is part of the log, and then the signal ends the process as before.

The new test failed before, because the log had no "Fatal Python error".

--- a/src/wagtailpoint/daemon/main.py
+++ b/src/wagtailpoint/daemon/main.py
@@ -1,5 +1,6 @@
 """Command line of ``wagtailpointd``."""
 
+import faulthandler
 import os
 import signal
 import sys
@@ -34,6 +35,8 @@
 
     Exit codes: 0 after a graceful stop or a check without mistakes, 2 for wrong settings.
     """
+    # Writes the stacks of all threads to standard error at a fatal signal.
+    faulthandler.enable()
     if settings_file is not None:
         _run_from_settings(settings_file, check)
     elif SETTINGS_VARIABLE in os.environ:
--- a/tests/integration/test_steering_process.py
+++ b/tests/integration/test_steering_process.py
@@ -122,6 +122,18 @@
 
         self.run_with(test)
 
+    def test_crash_leaves_the_stacks_in_the_log(self) -> None:
+        """Guards against a crash of a library of which only the exit code is known."""
+
+        async def test(process: ModuleProcess, address: str) -> None:
+            process._running.send_signal(signal.SIGSEGV)
+            code = await trio.to_thread.run_sync(process.wait)
+            self.assertEqual(code, -signal.SIGSEGV)
+            self.assertIn("Fatal Python error: Segmentation fault", process.log)
+            self.assertIn("in _run_on_platform", process.log)
+
+        self.run_with(test)
+
     def test_draining_backend_server_receives_no_requests(self) -> None:
         async def test(process: ModuleProcess, address: str) -> None:
             spec = self.store.spec("servers", "i-1")
