A second signal does not kill an instance that finishes its requests

Callers saw downloads and requests broken off, and the process ended with another exit code, when an instance of the product's own interface got a signal twice, or SIGHUP. trio's signal receiver raises pending signals again with their default action when its context ends, which is after the wait for the open requests; SIGHUP had its default action all the time.

The instance uses StopSignal, as the one on the platform does: the first signal begins the stop, further ones are logged, and they are ignored from the end of the stop until the process is gone. It is installed before the listening sockets are opened. SIGHUP begins a graceful stop: this interface has no file to reload, and the signal has ended the process until now. stop-begins says how long the process may have stood still before it handled the signal.

--- a/src/wagtailpoint/daemon/graceful_stop.py
+++ b/src/wagtailpoint/daemon/graceful_stop.py
@@ -2,18 +2,26 @@
 
 import signal
 from collections.abc import Awaitable, Callable
+from contextlib import AbstractContextManager
+from typing import Final
 
 import trio
 
+from wagtailpoint.daemon.stop_signal import STOP_SIGNALS, StopSignal
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.membership import Membership
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.timeline import Timeline
+from wagtailpoint.ports.clock import Clock
+from wagtailpoint.settings import Timings
 
 CLEANUP_TIMEOUT_S = 5.0
 LEAVE_SPREAD_S = 1.5
 """Time for the news that an instance leaves to reach all members; added to the TTL of lookups."""
 
+HANDLED_SIGNALS: Final = (*STOP_SIGNALS, signal.SIGHUP)
+"""SIGHUP ends a process without a configuration file to reload; here without cutting requests."""
+
 
 class GracefulStop:
     """Stops an instance without cutting any request.
@@ -29,36 +37,46 @@
         membership: Membership,
         gate: RequestGate,
         timeline: Timeline,
-        lookup_ttl_s: float,
-        drain_timeout_s: float,
+        clock: Clock,
+        timings: Timings,
     ) -> None:
         self._membership = membership
         self._gate = gate
         self._timeline = timeline
-        self._lookup_ttl_s = lookup_ttl_s
-        self._drain_timeout_s = drain_timeout_s
+        self._timings = timings
+        self._signal = StopSignal(clock=clock, signals=HANDLED_SIGNALS)
         self._cleanups: list[Callable[[], Awaitable[None]]] = []
 
     def add_cleanup(self, cleanup: Callable[[], Awaitable[None]]) -> None:
         """Register a function to call after the last open request."""
         self._cleanups.append(cleanup)
 
+    def listen(self) -> AbstractContextManager[None]:
+        """Receive the signals while the context is active, and ignore them after it.
+
+        Enter it before serving: the default action of a signal would cut the first requests.
+        """
+        return self._signal.listen()
+
     async def wait(self) -> None:
-        """Wait for SIGTERM or SIGINT, then stop the instance gracefully."""
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for number in signals:
-                log_event("stop-begins", signal=signal.Signals(number).name)
-                break
-            await self._stop()
+        """Wait for a signal to stop, then stop the instance gracefully."""
+        request = await self._signal.wait()
+        log_event(
+            "stop-begins",
+            signal=request.name,
+            open_requests=self._gate.open_requests,
+            unresponsive_s=round(request.handled_at - request.sent_after, 3),
+        )
+        await self._stop()
 
     async def _stop(self) -> None:
         self._timeline.record("leaving")
         self._membership.leave()
-        await trio.sleep(self._lookup_ttl_s + LEAVE_SPREAD_S)
+        await trio.sleep(self._timings.lookup_ttl_s + LEAVE_SPREAD_S)
         self._gate.close()
         self._timeline.record("refusing-new-requests", open=self._gate.open_requests)
         log_event("stop-drains", open_requests=self._gate.open_requests)
-        with trio.move_on_after(self._drain_timeout_s) as scope:
+        with trio.move_on_after(self._timings.drain_timeout_s) as scope:
             await self._gate.wait_idle()
         if scope.cancelled_caught:
             log_event("stop-cuts", level="ERROR", open_requests=self._gate.open_requests)
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -183,8 +183,8 @@
             membership=self._membership,
             gate=self._gate,
             timeline=self._timeline,
-            lookup_ttl_s=timings.lookup_ttl_s,
-            drain_timeout_s=timings.drain_timeout_s,
+            clock=self._clock,
+            timings=timings,
         )
         self._config.follow(self._apply_config)
 
@@ -225,7 +225,8 @@
             self._clean_claims,
         ):
             self._nursery.start_soon(task)
-        await server.run(stop=self._stop.wait)
+        with self._stop.listen():
+            await server.run(stop=self._stop.wait)
 
     async def _handle(self, request: CallerRequest, reply: AsgiReply) -> None:
         if request.path.startswith(PREFIX):
--- a/src/wagtailpoint/daemon/stop_signal.py
+++ b/src/wagtailpoint/daemon/stop_signal.py
@@ -1,7 +1,7 @@
 """The signals that ask a process for a planned stop."""
 
 import signal
-from collections.abc import Iterator
+from collections.abc import Iterator, Sequence
 from contextlib import contextmanager
 from types import FrameType
 from typing import Final, NamedTuple
@@ -32,13 +32,15 @@
 class StopSignal:
     """Waits for the first signal that asks for a stop; further ones change nothing."""
 
-    def __init__(self, *, clock: Clock) -> None:
+    def __init__(self, *, clock: Clock, signals: Sequence[signal.Signals] = STOP_SIGNALS) -> None:
         """Initialise the receiver; ``listen`` starts it.
 
         Args:
             clock: The clock, which counts the time in suspension.
+            signals: The signals that ask for a stop.
         """
         self._clock = clock
+        self._signals = tuple(signals)
         self._activity = LoopActivity(clock=clock)
         self._request: StopRequest | None = None
         self._arrived = trio.Event()
@@ -61,12 +63,12 @@
             )
             token.run_sync_soon(self._record, request)
 
-        for number in STOP_SIGNALS:
+        for number in self._signals:
             signal.signal(number, handle)
         try:
             yield
         finally:
-            for number in STOP_SIGNALS:
+            for number in self._signals:
                 signal.signal(number, signal.SIG_IGN)
             trio.lowlevel.remove_instrument(self._activity)
 
--- a/tests/common/processes.py
+++ b/tests/common/processes.py
@@ -137,9 +137,13 @@
         """Resume a suspended process (SIGCONT)."""
         self._running.send_signal(signal.SIGCONT)
 
+    def send_signal(self, number: signal.Signals) -> None:
+        """Send a signal, unless the process has ended."""
+        self._running.send_signal(number)
+
     def terminate(self) -> None:
         """Send SIGTERM without waiting for the end."""
-        self._running.send_signal(signal.SIGTERM)
+        self.send_signal(signal.SIGTERM)
 
     def wait(self, limit_s: float = LIMIT_S) -> int:
         """Wait until the process ends.
