Callers go from a stopping entry to another one at once

A caller whose request a stopping entry refused (leaving, not-run) waited for its Retry-After of 1 s before it asked another entry, if that one was in the same failure domain: a request with less time left failed although the other entry would have served it. It kept the stopping entry as its first choice, too, so that each further request was refused there first and took a retry from the budget.

The refusal says something about that one entry only, so the caller looks up again, prefers others for a while, and does not wait before an entry that it has not tried.

--- a/src/wagtailpoint/caller/caller.py
+++ b/src/wagtailpoint/caller/caller.py
@@ -279,6 +279,9 @@
         elif result.status == HTTPStatus.CONFLICT:
             # A retryable conflict means an outdated binding, so the cached lookup is stale.
             self._entries.mark_stale()
+        elif _is_leaving(result):
+            self._entries.mark_suspect(entry.address)
+            self._entries.mark_stale()
 
     def _may_retry(
         self,
@@ -305,6 +308,8 @@
         next_entry = await self._entries.choose(tried, until=until)
         if next_entry.failure_domain not in {entry.failure_domain for entry in tried}:
             return True
+        if _is_leaving(result) and next_entry.address not in {entry.address for entry in tried}:
+            return True
         delay_s = _MIN_RETRY_DELAY_S
         if isinstance(result, Reply):
             delay_s = max(delay_s, read_retry_after_s(result.headers))
@@ -357,6 +362,11 @@
     return _code(result) == RefusalCode.OTHER_INCARNATION.value
 
 
+def _is_leaving(result: OpenReply | Reply | FailedExchange) -> bool:
+    """Return whether an entry refused the request because it stops, which others may not do."""
+    return not isinstance(result, FailedExchange) and _code(result) == RefusalCode.LEAVING.value
+
+
 def _code(result: OpenReply | Reply) -> str | None:
     return refusal_code(result.status, result.body if isinstance(result, Reply) else b"")
 
--- a/tests/cover/test_caller.py
+++ b/tests/cover/test_caller.py
@@ -275,6 +275,54 @@
         trio.run(main)
 
 
+class LeavingEntryTest(TwoEntriesTestCase):
+    """The first entry refuses requests because it stops; both are in one failure domain."""
+
+    def run_scenario(self, scenario: Callable[[Caller], Awaitable[None]]) -> None:
+        async def in_one_domain(caller: Caller) -> None:
+            self.second.domain = self.first.domain
+            await scenario(caller)
+
+        leaving = refuse("leaving", retry_after=1)
+        self.run_with(answer_with(leaving), answer_with(Say(201)), in_one_domain)
+
+    def test_refused_request_is_sent_to_another_entry_at_once(self) -> None:
+        """Guards against a request that fails because one of several entries stops."""
+
+        async def scenario(caller: Caller) -> None:
+            for key in (None, "k"):
+                answer = await caller.request(
+                    "POST", "/r", body=b"1", idempotency_key=key, deadline_s=0.8
+                )
+                self.assertEqual((answer.status, answer.verdict), (201, Verdict.RAN), key)
+
+        self.run_scenario(scenario)
+        self.assertEqual([seen.target for seen in self.second.seen], ["/r", "/r"])
+
+    def test_later_requests_avoid_the_entry(self) -> None:
+        """Guards against refused requests that use up the retry budget while an entry stops."""
+
+        async def scenario(caller: Caller) -> None:
+            for _ in range(20):
+                answer = await caller.request("POST", "/r", body=b"1", deadline_s=10.0)
+                self.assertEqual(answer.status, 201)
+
+        self.run_scenario(scenario)
+        self.assertEqual((len(self.first.seen), len(self.second.seen)), (1, 20))
+        self.assertEqual((self.first.lookups, self.second.lookups), (1, 1))
+
+    def test_only_entry_is_asked_again_after_the_delay(self) -> None:
+        async def scenario(caller: Caller) -> None:
+            self.first.listed = [self.first]
+            began = trio.current_time()
+            answer = await caller.request("POST", "/r", body=b"1", deadline_s=2.0)
+            self.assertEqual(answer.code, "leaving")
+            self.assertGreaterEqual(trio.current_time() - began, 1.0)
+
+        self.run_scenario(scenario)
+        self.assertEqual(len(self.second.seen), 0)
+
+
 class DownloadTest(TwoEntriesTestCase):
     async def download(self, caller: Caller) -> bytes:
         async with caller.stream("GET", "/certificates", deadline_s=10.0) as download:
