A stop answers a request whose headers have arrived in part

Callers whose request headers had arrived in part when an instance of the product's own interface ended its stop saw the connection end without an answer, and had to assume that the request may have run. A connection counts as idle until complete headers have arrived, and the stop closes connections that have been idle for a second, without looking at what was read.

Such a connection has MIN_IDLE_BEFORE_CLOSE_S for the rest of the headers, within the time that the server gives to replies anyway. Then the request is served, which means refused with not-run while the gate is closed, or it is refused because its headers did not arrive in time.

--- a/src/wagtailpoint/adapters/http_connection.py
+++ b/src/wagtailpoint/adapters/http_connection.py
@@ -87,6 +87,7 @@
         self._disconnected = False
         self._closed_locally = False
         self._head_started = False
+        self._head_limit_s = limits.stall_s
         self._protocol: CallerProtocol
 
     async def run(self) -> None:
@@ -97,7 +98,7 @@
                 self._mark_idle()
                 with self._reading:
                     await self._read()
-                if self._reading.cancelled_caught and not self._closed_locally:
+                if self._reading.cancelled_caught:
                     await self._refuse_slow_head()
                 if not self._closed_locally:
                     self._handle_disconnect()
@@ -115,11 +116,20 @@
             self._closed_locally = True
             self._reading.cancel()
 
-    def limit_idle_until(self, deadline: float) -> None:
-        """Close the connection if it is still idle at ``deadline``, by trio's clock."""
+    @property
+    def head_has_begun(self) -> bool:
+        """Whether a part of a request's headers has arrived."""
+        return self._protocol.head_is_unfinished
+
+    def limit_idle(self, limit_s: float) -> None:
+        """Close the connection after ``limit_s`` seconds, unless a request begins before.
+
+        Headers that begin before have as long to arrive completely.
+        """
         # The instance ends the connection then, not the caller: it is closed and not reset.
         self._closed_locally = True
-        self._reading.deadline = min(self._reading.deadline, deadline)
+        self._head_limit_s = min(self._head_limit_s, limit_s)
+        self._reading.deadline = min(self._reading.deadline, trio.current_time() + limit_s)
 
     @contextmanager
     def open_request(self) -> Iterator[None]:
@@ -167,7 +177,7 @@
                 return
             if not self._head_started and self._protocol.head_is_unfinished:
                 self._head_started = True
-                self._reading.deadline = trio.current_time() + self._limits.stall_s
+                self._reading.deadline = trio.current_time() + self._head_limit_s
 
     async def _send(self, event: Event) -> None:
         if isinstance(event, RawData):
--- a/src/wagtailpoint/adapters/http_server.py
+++ b/src/wagtailpoint/adapters/http_server.py
@@ -220,15 +220,16 @@
     def _close_idle(self) -> None:
         """Close the idle connections, those idle for less than the minimum time after it.
 
+        A request whose headers have arrived in part has the same time for the rest of them.
         A caller sends its request right after it has connected. If the connection were closed at
         once, the request would meet a reset, and the caller could not know that it did not run.
         """
         now = trio.current_time()
         for connection, since in list(self._idle_connections.items()):
-            if now - since >= MIN_IDLE_BEFORE_CLOSE_S:
+            if now - since >= MIN_IDLE_BEFORE_CLOSE_S and not connection.head_has_begun:
                 connection.close_if_idle()
             else:
-                connection.limit_idle_until(now + MIN_IDLE_BEFORE_CLOSE_S)
+                connection.limit_idle(MIN_IDLE_BEFORE_CLOSE_S)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         if self._connections >= self._options.connections and not self._evict_idle():
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -10,7 +10,12 @@
 from tests.common.fake_clock import TrioClock
 from tests.common.sockets import loopback_address
 from wagtailpoint.adapters.http_connection import CallerLimits
-from wagtailpoint.adapters.http_server import AsgiReply, HttpServer, ServerOptions
+from wagtailpoint.adapters.http_server import (
+    MIN_IDLE_BEFORE_CLOSE_S,
+    AsgiReply,
+    HttpServer,
+    ServerOptions,
+)
 from wagtailpoint.entry.request import CallerRequest
 from wagtailpoint.ports.backend import BodyBroken
 from wagtailpoint.verdict import Verdict
@@ -228,3 +233,62 @@
             self.assertEqual(await idle.receive_some(), b"")
 
         self.serve(handler, client_script)
+
+    def test_request_whose_head_has_begun_is_answered(self) -> None:
+        """Guards against `may-have-run` for a request of which the stop has read a part.
+
+        A connection counts as idle until a whole head has arrived, and idle ones are closed.
+        """
+
+        async def handler(request: CallerRequest, reply: AsgiReply) -> None:
+            await reply.begin(status=200, headers=TEN_BYTES, verdict=Verdict.RAN)
+            await reply.send(b"0123456789")
+
+        async def client_script() -> None:
+            async with await trio.open_tcp_stream(self.address, PORT) as stream:
+                await stream.send_all(GET[:20])
+                await trio.sleep(MIN_IDLE_BEFORE_CLOSE_S + 0.2)
+                self.stop.set()
+                await trio.sleep(0.2)
+                await stream.send_all(GET[20:])
+                answer = bytes(await stream.receive_some(65536))
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+
+        self.leaving = True
+        self.serve(handler, client_script)
+
+    def test_head_that_stays_incomplete_is_refused(self) -> None:
+        """Guards against connections that end without an answer after a part of a request."""
+
+        async def handler(request: CallerRequest, reply: AsgiReply) -> None:
+            raise AssertionError("given an incomplete head, expected no call")
+
+        async def client_script() -> None:
+            async with await trio.open_tcp_stream(self.address, PORT) as stream:
+                await stream.send_all(GET[:20])
+                await trio.sleep(MIN_IDLE_BEFORE_CLOSE_S + 0.2)
+                self.stop.set()
+                answer = bytes(await stream.receive_some(65536))
+            self.assertTrue(answer.startswith(b"HTTP/1.1 408"), answer)
+
+        self.serve(handler, client_script)
+
+    def test_head_that_begins_after_the_stop_is_answered(self) -> None:
+        """Guards against `may-have-run` for a request that arrives in parts after the stop."""
+
+        async def handler(request: CallerRequest, reply: AsgiReply) -> None:
+            await reply.begin(status=200, headers=TEN_BYTES, verdict=Verdict.RAN)
+            await reply.send(b"0123456789")
+
+        async def client_script() -> None:
+            async with await trio.open_tcp_stream(self.address, PORT) as stream:
+                await trio.sleep(0.1)
+                self.stop.set()
+                for start in range(0, len(GET), 10):
+                    await trio.sleep(MIN_IDLE_BEFORE_CLOSE_S / 4)
+                    await stream.send_all(GET[start : start + 10])
+                answer = bytes(await stream.receive_some(65536))
+            self.assertTrue(answer.startswith(b"HTTP/1.1 200"), answer)
+
+        self.leaving = True
+        self.serve(handler, client_script)
