The log names each request that a graceful stop cuts

When drain_timeout_s passed, the log had one line, stop-cuts, with a number. The requests that were cut were recorded as request-abandoned, as if their callers had left, and only on the time line, which ends with the process. A keyed attempt that was cut left nothing at all.

RequestsCutByStopTest (real processes: a download, a keyed request, and a download whose caller leaves early) found no line of any of them on the code before. Now request-cut names the two requests with id, key and the time that they were open, attempt-cut names the attempt, and the caller that left has no such line; it passes, as do the other four tests of its module (one run).

The scope of a request is cancelled when its caller leaves; any other cancellation means that the server has ended. stopped is logged after these lines, at the end of the process, not before them.

--- a/src/wagtailpoint/adapters/http_server.py
+++ b/src/wagtailpoint/adapters/http_server.py
@@ -48,6 +48,7 @@
 """Minimum idle time after which a connection may be closed, to admit a new one at the connection
 limit or because the server stops."""
 
+MAX_LOGGED_CHARACTERS = 200
 MAX_CONCURRENT_REFUSALS = 64
 CONNECTIONS_FULL_RETRY_AFTER_S = 1.0
 INTERNAL_ERROR_RETRY_AFTER_S = 1.0
@@ -295,8 +296,23 @@
             connection=connection,
             request_id=request_id.encode("latin-1") if request_id else None,
         )
-        with connection.open_request():
-            await self._serve_request(request, reply)
+        try:
+            with connection.open_request():
+                await self._serve_request(request, reply)
+        except trio.Cancelled:
+            # A caller that leaves cancels only the scope of its request, so the server has ended.
+            self._log_cut(request)
+            raise
+
+    def _log_cut(self, request: CallerRequest) -> None:
+        log_event(
+            "request-cut",
+            level="ERROR",
+            target=request.target[:MAX_LOGGED_CHARACTERS],
+            open_s=round(self._clock.monotonic() - request.arrived_at, 3),
+            request_id=_logged_header(request, names.REQUEST_ID),
+            key=_logged_header(request, names.IDEMPOTENCY_KEY),
+        )
 
     async def _serve_request(self, request: CallerRequest, reply: AsgiReply) -> None:
         try:
@@ -352,6 +368,10 @@
     )
 
 
+def _logged_header(request: CallerRequest, name: bytes) -> str:
+    return (header_value(request.headers, name) or "")[:MAX_LOGGED_CHARACTERS]
+
+
 def _connections_full_response(max_connections: int) -> bytes:
     refusal = refuse_unread(
         HTTPStatus.SERVICE_UNAVAILABLE,
--- a/src/wagtailpoint/daemon/graceful_stop.py
+++ b/src/wagtailpoint/daemon/graceful_stop.py
@@ -85,4 +85,3 @@
             with trio.move_on_after(CLEANUP_TIMEOUT_S):
                 await cleanup()
         self._membership.announce_exit()
-        log_event("stopped")
--- a/src/wagtailpoint/daemon/main.py
+++ b/src/wagtailpoint/daemon/main.py
@@ -11,7 +11,7 @@
 from result import Err
 
 from wagtailpoint.errors import InvalidInput
-from wagtailpoint.observe.log import configure_log
+from wagtailpoint.observe.log import configure_log, log_event
 from wagtailpoint.platform.settings import SETTINGS_VARIABLE, read_node_settings
 from wagtailpoint.settings import read_settings
 
@@ -56,6 +56,7 @@
         return
     configure_log(level=value.log_level, instance=f"{value.address}:{value.port}")
     trio.run(run_instance, value)
+    log_event("stopped")
 
 
 def _run_on_platform(settings_file: Path, check: bool) -> None:
--- a/src/wagtailpoint/entry/service.py
+++ b/src/wagtailpoint/entry/service.py
@@ -278,6 +278,10 @@
                 outcome = await self._run_keyed(key, planned, binding)
         except BodyBroken:
             outcome = MayHaveRun("the answer of the backend server was truncated")
+        except trio.Cancelled:
+            # Callers that leave don't cancel an attempt, so the process ends.
+            log_event("attempt-cut", level="ERROR", workspace=key.workspace, key=key.key)
+            raise
         except Exception as error:  # noqa: BLE001 - one request's error must not end the process
             log_event("internal-error", level="ERROR", where="keyed attempt", error=repr(error))
         finally:
--- a/tests/integration/test_stop_signals.py
+++ b/tests/integration/test_stop_signals.py
@@ -1,6 +1,7 @@
-"""Signals that reach an entry while it stops."""
+"""Signals that reach an entry while it stops, and what its log says of requests that it cuts."""
 
 import signal
+from contextlib import suppress
 
 import trio
 
@@ -68,3 +69,58 @@
         while entry.exit_code is None:
             await trio.sleep(REPEAT_INTERVAL_S)
             entry.send_signal(number)
+
+
+class RequestsCutByStopTest(DeploymentCase):
+    ENTRIES = 1
+    TIMINGS = {"lookup_ttl_s": 0.3, "drain_timeout_s": 0.1}
+
+    def test_log_names_them(self) -> None:
+        """Guards against requests that a stop cuts and that no log line names."""
+        (entry,) = self.running.entries
+        download = f"/certificates/bulk/{BULK_BYTES}?ms=60000"
+        self.set_backends(slow=1e6)
+
+        async def test() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.send_until_cut, entry, "GET", download, "id-cut-1", "")
+                nursery.start_soon(self.leave_early, entry, download, "id-left-2")
+                await trio.sleep(BEFORE_STOP_S)
+                entry.terminate()
+                await trio.sleep(BEFORE_STOP_S)
+                key = "Idempotency-Key: key-cut-3\r\n"
+                nursery.start_soon(
+                    self.send_until_cut, entry, "POST", "/releases/3", "id-cut-3", key
+                )
+                self.assertEqual(await in_thread(entry.wait), 0)
+
+        self.run_trio(test)
+        lines = entry.log.splitlines()
+        cut = [line for line in lines if "event=request-cut" in line]
+        self.assertEqual(len(cut), 2, entry.log)
+        for request_id in ("id-cut-1", "id-cut-3"):
+            self.assertEqual(sum(f"request_id={request_id}" in line for line in cut), 1, cut)
+        attempts = [line for line in lines if "event=attempt-cut" in line]
+        self.assertEqual(["key=key-cut-3" in line for line in attempts], [True])
+
+    async def send_until_cut(
+        self, entry: EntryProcess, method: str, path: str, request_id: str, more: str
+    ) -> None:
+        """Send a request and read until the connection ends."""
+        async with await trio.open_tcp_stream(*entry.place) as stream:
+            await stream.send_all(self.encode_request(method, path, request_id, more))
+            with suppress(trio.BrokenResourceError):
+                while await stream.receive_some(65536):
+                    pass
+
+    async def leave_early(self, entry: EntryProcess, path: str, request_id: str) -> None:
+        """Send a request and close the connection before the answer is complete."""
+        async with await trio.open_tcp_stream(*entry.place) as stream:
+            await stream.send_all(self.encode_request("GET", path, request_id, ""))
+            await trio.sleep(2 * BEFORE_STOP_S)
+
+    def encode_request(self, method: str, path: str, request_id: str, more: str) -> bytes:
+        return (
+            f"{method} {path} HTTP/1.1\r\nHost: entry\r\nWagtailpoint-Workspace: surakkha\r\n"
+            f"Wagtailpoint-Request-Id: {request_id}\r\n{more}Content-Length: 0\r\n\r\n"
+        ).encode()
