The end of a server does not cut the last bytes of a reply

The gate counts a request until the last part of its body was passed on; the end of the reply (the last chunk, and the headers of a reply without a body) is written after that. A stop that found the gate idle gave these writes three seconds, however slowly their callers read, and cut them then.

tests/cover/test_http_server.py, test_end_of_a_reply_to_a_slow_reader, delays the end of a reply beyond these three seconds: on the code before the caller got the body without its last chunk. An attempt to fill the kernel's buffer instead of the delay did not show it, so that it was seen with a real slow reader is not claimed.

The last write is shielded from the end of the server. It ends with its connection, and after the stall timeout at the latest.

--- a/src/wagtailpoint/adapters/http_server.py
+++ b/src/wagtailpoint/adapters/http_server.py
@@ -45,8 +45,7 @@
 """Replies are written in chunks of this size; the stall timeout applies to each chunk."""
 
 MIN_IDLE_BEFORE_CLOSE_S = 1.0
-"""Minimum idle time after which a connection may be closed, to admit a new one at the connection
-limit or because the server stops."""
+"""Minimum idle time after which a connection may be closed."""
 
 MAX_LOGGED_CHARACTERS = 200
 MAX_CONCURRENT_REFUSALS = 64
@@ -317,7 +316,8 @@
     async def _serve_request(self, request: CallerRequest, reply: AsgiReply) -> None:
         try:
             await self._handler(request, reply)
-            await reply.finish()
+            with trio.CancelScope(shield=True):  # The stall timeout limits it.
+                await reply.finish()
         except BodyBroken as error:
             # The reply is not finished: the connection is closed, and the caller sees an incomplete
             # body.
--- a/tests/cover/test_http_server.py
+++ b/tests/cover/test_http_server.py
@@ -4,6 +4,7 @@
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
+from unittest.mock import patch
 
 import trio
 
@@ -12,6 +13,7 @@
 from wagtailpoint.adapters.http_connection import CallerLimits
 from wagtailpoint.adapters.http_server import (
     MIN_IDLE_BEFORE_CLOSE_S,
+    SHUTDOWN_GRACE_S,
     AsgiReply,
     HttpServer,
     ServerOptions,
@@ -292,3 +294,28 @@
 
         self.leaving = True
         self.serve(handler, client_script)
+
+    def test_end_of_a_reply_to_a_slow_reader(self) -> None:
+        """Guards against a stop that drops the last bytes of a reply to a slow reader.
+
+        The handler has passed on all parts of the body, so the stop does not wait for it any more,
+        but it takes a while until the kernel's buffer has room for the end of the body.
+        """
+        finish = AsgiReply.finish
+
+        async def finish_late(reply: AsgiReply) -> None:
+            await trio.sleep(SHUTDOWN_GRACE_S + 0.5)
+            await finish(reply)
+
+        async def handler(request: CallerRequest, reply: AsgiReply) -> None:
+            await reply.begin(status=200, headers=[], verdict=Verdict.RAN)
+            await reply.send(b"0123456789")
+            self.stop.set()
+
+        async def client_script() -> None:
+            data = await self.ask(GET)
+            self.assertTrue(data.endswith(b"0123456789\r\n0\r\n\r\n"), data)
+
+        self.leaving = True
+        with patch.object(AsgiReply, "finish", finish_late):
+            self.serve(handler, client_script)
