--- a/src/wagtailpoint/adapters/http_server.py
+++ b/src/wagtailpoint/adapters/http_server.py
@@ -45,9 +45,9 @@
 """Replies are written in chunks of this size; the stall timeout applies to each chunk."""
 
 MIN_IDLE_BEFORE_CLOSE_S = 1.0
-"""Minimum idle time after which a connection may be closed, to admit a new one at the connection
-limit or because the server stops."""
+"""Minimum idle time after which a connection may be closed."""
 
+MAX_LOGGED_CHARACTERS = 200
 MAX_CONCURRENT_REFUSALS = 64
 CONNECTIONS_FULL_RETRY_AFTER_S = 1.0
 INTERNAL_ERROR_RETRY_AFTER_S = 1.0
@@ -220,15 +220,16 @@
     def _close_idle(self) -> None:
         """Close the idle connections, those idle for less than the minimum time after it.
 
+        A request whose headers have arrived in part has the same time for the rest of them.
         A caller sends its request right after it has connected. If the connection were closed at
         once, the request would meet a reset, and the caller could not know that it did not run.
         """
         now = trio.current_time()
         for connection, since in list(self._idle_connections.items()):
-            if now - since >= MIN_IDLE_BEFORE_CLOSE_S:
+            if now - since >= MIN_IDLE_BEFORE_CLOSE_S and not connection.head_has_begun:
                 connection.close_if_idle()
             else:
-                connection.limit_idle_until(now + MIN_IDLE_BEFORE_CLOSE_S)
+                connection.limit_idle(MIN_IDLE_BEFORE_CLOSE_S)
 
     async def _serve_connection(self, stream: trio.SocketStream) -> None:
         if self._connections >= self._options.connections and not self._evict_idle():
@@ -294,13 +295,29 @@
             connection=connection,
             request_id=request_id.encode("latin-1") if request_id else None,
         )
-        with connection.open_request():
-            await self._serve_request(request, reply)
+        try:
+            with connection.open_request():
+                await self._serve_request(request, reply)
+        except trio.Cancelled:
+            # A caller that leaves cancels only the scope of its request, so the server has ended.
+            self._log_cut(request)
+            raise
+
+    def _log_cut(self, request: CallerRequest) -> None:
+        log_event(
+            "request-cut",
+            level="ERROR",
+            target=request.target[:MAX_LOGGED_CHARACTERS],
+            open_s=round(self._clock.monotonic() - request.arrived_at, 3),
+            request_id=_logged_header(request, names.REQUEST_ID),
+            key=_logged_header(request, names.IDEMPOTENCY_KEY),
+        )
 
     async def _serve_request(self, request: CallerRequest, reply: AsgiReply) -> None:
         try:
             await self._handler(request, reply)
-            await reply.finish()
+            with trio.CancelScope(shield=True):  # The stall timeout limits it.
+                await reply.finish()
         except BodyBroken as error:
             # The reply is not finished: the connection is closed, and the caller sees an incomplete
             # body.
@@ -351,6 +368,10 @@
     )
 
 
+def _logged_header(request: CallerRequest, name: bytes) -> str:
+    return (header_value(request.headers, name) or "")[:MAX_LOGGED_CHARACTERS]
+
+
 def _connections_full_response(max_connections: int) -> bytes:
     refusal = refuse_unread(
         HTTPStatus.SERVICE_UNAVAILABLE,
