No request is sent through a relay that has not lately said that it goes on

What callers may have seen: a request that passes a stopping relay late in its stop ends with the relay.

Cause, from reading: users learn of a stop by the member's state alone. Until it arrives, which a freeze or lost messages delay, they send on open connections, and their idle ones keep the relay until the end of its grace period, with a stop-cuts line though no request is on them.

A user asks the relays in use three times a second whether they go on. A relay that says so goes on for 5.25 s at least from the question. A request is sent on an open connection if its deadline is before that, or if the question is at most 1 s old; idle connections are closed after 3 s. A new connection is as good as an answer, since a stopping relay refuses it.

--- a/src/wagtailpoint/daemon/backend_paths.py
+++ b/src/wagtailpoint/daemon/backend_paths.py
@@ -15,10 +15,12 @@
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.platform.header_names import HEADER_NAMES
+from wagtailpoint.ports.peers import Peers
 from wagtailpoint.proxy.backend_connector import BackendConnector
 from wagtailpoint.proxy.backend_dialer import BackendDialer
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.relay.client import RelayClient
+from wagtailpoint.relay.confirmations import RelayConfirmations
 from wagtailpoint.relay.path_checker import PathChecker
 from wagtailpoint.relay.reachability import Path, Reachability
 from wagtailpoint.relay.server import RelayServer
@@ -37,6 +39,7 @@
         self,
         *,
         settings: NodeSettings,
+        peers: Peers,
         membership: Membership,
         fleet: Fleet,
         distances: Distances,
@@ -50,6 +53,7 @@
 
         Args:
             settings: The settings of this instance.
+            peers: Links to the other instances.
             membership: The known instances.
             fleet: The backend servers.
             distances: The round trip times to the failure domains.
@@ -64,6 +68,12 @@
         self._is_leaving = is_leaving
         self.reachability = Reachability()
         dialer = BackendDialer(distances=distances, reachability=self.reachability, metrics=metrics)
+        self._confirmations = RelayConfirmations(
+            peers=peers,
+            membership=membership,
+            is_leaving=is_leaving,
+            in_use=lambda: self.pool.relays(),
+        )
         relays = RelayClient(
             own=lambda: membership.own,
             members=membership.members,
@@ -71,6 +81,7 @@
             region_of=settings.region_of,
             distances=distances,
             record_backoff=partial(announcements.backoffs.record, source="peer"),
+            confirmations=self._confirmations,
             metrics=metrics,
             random=random,
         )
@@ -145,6 +156,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self.pool.run)
             nursery.start_soon(self._checker.run)
+            nursery.start_soon(self._confirmations.run)
             while True:
                 await self._changed.wait()
                 self._changed = trio.Event()
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -206,6 +206,7 @@
         )
         self._paths = BackendPaths(
             settings=settings,
+            peers=self._peers,
             membership=self._membership,
             fleet=self._fleet,
             distances=self._distances,
--- a/src/wagtailpoint/proxy/backend_connector.py
+++ b/src/wagtailpoint/proxy/backend_connector.py
@@ -43,10 +43,16 @@
         """The last time when a byte arrived on a direct connection."""
         return self._reachability.heard_at
 
-    def is_usable(self, connection: BackendConnection) -> bool:
-        """Return whether a request may be sent on a connection, by the path that it takes."""
+    def is_usable(self, connection: BackendConnection, *, ends_by: float | None = None) -> bool:
+        """Return whether a request may be sent on a connection, by the path that it takes.
+
+        Args:
+            connection: The connection.
+            ends_by: The deadline of a request, by trio's clock; None to keep an idle connection.
+        """
         if self._reachability.path is Path.RELAYED:
-            return bool(connection.relay) and self._relays.is_usable(connection.relay)
+            relay = connection.relay
+            return bool(relay) and self._relays.is_usable(relay, ends_by=ends_by)
         return not connection.relay
 
     def record_reset(self, start: ServerStart, connection: BackendConnection) -> None:
--- a/src/wagtailpoint/proxy/backend_pool.py
+++ b/src/wagtailpoint/proxy/backend_pool.py
@@ -1,6 +1,8 @@
 """The pool of connections to backend servers."""
 
+import math
 from collections import deque
+from itertools import chain
 from typing import Final, Literal
 
 import trio
@@ -68,18 +70,19 @@
                 await self.close_expired()
 
     async def acquire(
-        self, entry: ServerEntry, *, may_leave_region: bool = True
+        self, entry: ServerEntry, *, may_leave_region: bool = True, ends_by: float = math.inf
     ) -> BackendConnection:
         """Take an idle connection or open one, without sending anything on it.
 
         Args:
             entry: The backend server.
             may_leave_region: Whether it may pass instances outside the backend server's region.
+            ends_by: The deadline of the request, by trio's clock.
 
         Raises:
             ExchangeFailed: No connection could be opened.
         """
-        connection = await self._take_idle(entry.start, may_leave_region)
+        connection = await self._take_idle(entry.start, may_leave_region, ends_by)
         reused = connection is not None
         if connection is None:
             connection = await self._connector.open(
@@ -90,10 +93,10 @@
         return connection
 
     async def _take_idle(
-        self, start: ServerStart, may_leave_region: bool
+        self, start: ServerStart, may_leave_region: bool, ends_by: float
     ) -> BackendConnection | None:
         while (connection := self._pop_idle(start, may_leave_region)) is not None:
-            if self._is_usable(connection):
+            if self._is_usable(connection, ends_by):
                 return connection
             await connection.close()
         return None
@@ -107,8 +110,15 @@
                 return connection
         return None
 
-    def _is_usable(self, connection: BackendConnection) -> bool:
-        return not connection.has_expired() and self._connector.is_usable(connection)
+    def _is_usable(self, connection: BackendConnection, ends_by: float | None = None) -> bool:
+        return not connection.has_expired() and self._connector.is_usable(
+            connection, ends_by=ends_by
+        )
+
+    def relays(self) -> list[str]:
+        """Return the relays of the connections, idle or in use, as in ``OpenedStream.relay``."""
+        idle = (connection for queue in self._idle.values() for connection in queue)
+        return [each.relay for each in chain(self._in_use_since, idle) if each.relay]
 
     def silence_s(self) -> float:
         """Return for how long direct connections in use have brought no byte, in seconds.
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -318,7 +318,9 @@
         with trio.move_on_at(context.deadline):
             # A request with home regions must not pass an instance outside of them.
             return await self._pool.acquire(
-                entry, may_leave_region=context.route.home_regions is None
+                entry,
+                may_leave_region=context.route.home_regions is None,
+                ends_by=context.deadline,
             )
         raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.CONNECT_TIMEOUT, "deadline")
 
--- a/src/wagtailpoint/relay/client.py
+++ b/src/wagtailpoint/relay/client.py
@@ -15,6 +15,7 @@
 from wagtailpoint.ports.backend import BackendAddress, FailureReason
 from wagtailpoint.proxy.backend_connection import ExchangeFailed
 from wagtailpoint.proxy.backend_dialer import OpenedStream, connect_timeout_s, open_stream
+from wagtailpoint.relay.confirmations import RelayConfirmations
 from wagtailpoint.relay.peer_choice import order_relays
 from wagtailpoint.relay.protocol import (
     FAILURE_OF_STATUS,
@@ -42,6 +43,7 @@
         region_of: Mapping[str, str],
         distances: Distances,
         record_backoff: Callable[[str, float], None],
+        confirmations: RelayConfirmations,
         metrics: Metrics,
         random: Random,
     ) -> None:
@@ -55,6 +57,7 @@
             distances: Gives the round trip times for timeouts.
             record_backoff: Called with the start of a backend server that wants no requests from a
                 relay, and the seconds.
+            confirmations: Which relays have lately said that they go on.
             metrics: Counts connections by result.
             random: Spreads connections over the instances.
         """
@@ -64,18 +67,22 @@
         self._region_of = region_of
         self._distances = distances
         self._record_backoff = record_backoff
+        self._confirmations = confirmations
         self._metrics = metrics
         self._random = random
         self._avoided_until: dict[str, float] = {}
 
-    def is_usable(self, relay: str) -> bool:
+    def is_usable(self, relay: str, *, ends_by: float | None = None) -> bool:
         """Return whether requests may be sent on a connection through a relay.
 
         Args:
             relay: The relay as in ``OpenedStream.relay``.
+            ends_by: The deadline of a request, by trio's clock; None to keep an idle connection.
         """
         address = relay.partition("#")[0]
-        return any(member.address == address and member.is_serving for member in self._members())
+        return self._confirmations.is_confirmed(address, ends_by=ends_by) and any(
+            member.address == address and member.is_serving for member in self._members()
+        )
 
     async def open(self, entry: ServerEntry, *, may_leave_region: bool = True) -> OpenedStream:
         """Open a connection to a backend server through another instance.
@@ -140,6 +147,7 @@
         stream: trio.SocketStream | None = None
         answer: RelayAnswer | None = None
         problem: object = "timeout"
+        asked_at = trio.current_time()
         try:
             with trio.move_on_after(timeout_s):
                 stream = await open_stream(
@@ -157,6 +165,7 @@
                 with trio.CancelScope(shield=True):
                     await trio.aclose_forcefully(stream)
         if answer is not None and answer.status == HTTPStatus.OK and stream is not None:
+            self._confirmations.record(member.address, asked_at)
             leaves_region = member.region != self._region_of.get(entry.failure_domain, "")
             return OpenedStream(stream, f"{member.address}#{answer.number}", leaves_region)
         if answer is not None and answer.status == HTTPStatus.TOO_MANY_REQUESTS:
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -6,6 +6,7 @@
 import trio
 
 from tests.common.fake_clock import TrioClock
+from tests.common.relay_parts import make_relay_client
 from tests.common.sockets import loopback_address
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.discovery.fleet import Fleet
@@ -39,7 +40,6 @@
 from wagtailpoint.proxy.stop_admission import StopAdmission
 from wagtailpoint.proxy.stop_clock import StopClock
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
-from wagtailpoint.relay.client import RelayClient
 from wagtailpoint.relay.reachability import Reachability
 from wagtailpoint.routing.table import (
     DEFAULT_CALLER_BOUNDS,
@@ -151,15 +151,8 @@
     metrics = metrics or Metrics()
     reachability = reachability or Reachability()
     own = make_peer("127.0.0.1")
-    relays = RelayClient(
-        own=lambda: own,
-        members=lambda: (own,),
-        port=1,
-        region_of=REGION_OF,
-        distances=distances,
-        record_backoff=lambda server, seconds: None,
-        metrics=metrics,
-        random=Random(1),
+    relays = make_relay_client(
+        own=lambda: own, members=lambda: (own,), distances=distances, metrics=metrics
     )
     connector = BackendConnector(
         names=HEADER_NAMES,
--- a/tests/common/stop_group.py
+++ b/tests/common/stop_group.py
@@ -64,6 +64,7 @@
         store: The store that all instances use.
         instances: The instances.
         servers: The backend servers.
+        partition: Cuts instances off from the backend servers.
         callers: The callers.
     """
 
@@ -73,11 +74,13 @@
         store: UsersStore,
         instances: Sequence[Instance],
         servers: PartitionedServers,
+        partition: Partition,
         callers: StayingCallers,
     ) -> None:
         self.store = store
         self.instances = instances
         self.servers = servers
+        self.partition = partition
         self.callers = callers
 
     async def stop(self, instance: Instance, signalled_s: float | None = None) -> Stop:
@@ -177,7 +180,11 @@
                         random=Random(seed),
                     )
                     group = StopGroup(
-                        store=store, instances=running, servers=backends, callers=staying
+                        store=store,
+                        instances=running,
+                        servers=backends,
+                        partition=partition,
+                        callers=staying,
                     )
                     async with trio.open_nursery() as calling:
                         calling.start_soon(_run_callers, staying, callers)
--- a/tests/cover/test_backend_connector.py
+++ b/tests/cover/test_backend_connector.py
@@ -41,7 +41,7 @@
         await self._open(self.relayed)
         return OpenedStream(cast(Any, object()), "127.0.0.1#1", may_leave_region)
 
-    def is_usable(self, relay: str) -> bool:
+    def is_usable(self, relay: str, *, ends_by: float | None = None) -> bool:
         return True
 
     async def _open(self, failure: FailureReason | None) -> None:
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -9,16 +9,16 @@
 import trio
 from loguru import logger
 
+from tests.common.relay_parts import make_relay_client
 from tests.common.scripted_server import ScriptedStream, scripted_server
 from tests.common.sockets import loopback_address, reset_connection
-from tests.common.steering_parts import REGION_OF, make_distances, make_peer, make_server
+from tests.common.steering_parts import make_distances, make_peer, make_server
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.ports.backend import BackendAddress, FailureReason
 from wagtailpoint.proxy.backend_connection import ExchangeFailed
 from wagtailpoint.proxy.backend_dialer import BackendDialer, OpenedStream
-from wagtailpoint.relay.client import RelayClient
 from wagtailpoint.relay.protocol import MAX_HEAD_BYTES
 from wagtailpoint.relay.reachability import Reachability
 from wagtailpoint.relay.server import RelayServer
@@ -66,15 +66,13 @@
             max_connections=2,
             metrics=self.metrics,
         )
-        self.client = RelayClient(
+        self.client = make_relay_client(
             own=lambda: self.own,
             members=lambda: self.members,
             port=RELAY_PORT,
-            region_of=REGION_OF,
             distances=distances,
             record_backoff=lambda server, seconds: self.backoffs.append((server, seconds)),
             metrics=self.metrics,
-            random=Random(1),
         )
 
     def run_with(
