A withdrawn registration stays withdrawn

Seen by reading; no caller was cut by it. An instance that stops removes its registration in the store once. It stayed, or came back, in three cases: the store returned during the stop, so that the registration was written again; the answer to its first write was lost, so that nothing was removed; the request of the removal was lost. New instances then try to reach an instance that has ended until the registration is cleaned up.

The withdrawal ends all further writes, looks up what an own write with a lost answer left, and is repeated until the store confirms it, within the 0.5 s that the stop gives it.

Three of the four new tests of test_instances.py failed before, one for each case; the fourth (the answer to the removal is lost) passed before and after.

--- a/src/wagtailpoint/discovery/registration.py
+++ b/src/wagtailpoint/discovery/registration.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable, Sequence
 from random import Random
+from typing import Any
 
 import msgspec
 import trio
@@ -15,6 +16,7 @@
 
 INSTANCES_KIND = "wagtailpoint-instances"
 RETRY_DELAY_S = 0.5
+WITHDRAWAL_RETRY_DELAY_S = 0.1
 LIST_INTERVAL_S = 10.0
 """Interval of reading the registrations while no other instance is known to be live."""
 
@@ -71,6 +73,9 @@
         self._others: Sequence[PeerAddress] = ()
         self._count = INITIAL_COUNT
         self._version = ABSENT
+        self._may_be_written = False
+        self._is_withdrawn = False
+        self._writing = trio.Lock()
         self._era = era
         self._returned = trio.Event()
         era.on_return(self._record_return)
@@ -106,24 +111,52 @@
                 await self._read()
 
     async def withdraw(self) -> None:
-        """Remove this instance's registration before the process ends."""
-        if self._version != ABSENT:
-            await self._platform.delete(
-                kind=INSTANCES_KIND, name=self._name, if_version=self._version
-            )
+        """Remove this instance's registration before the process ends, and never write it again.
+
+        Goes on until the store confirms it.
+        """
+        self._is_withdrawn = True
+        async with self._writing:
+            while not await self._remove():  # noqa: ASYNC110 - the store has no event
+                await trio.sleep(WITHDRAWAL_RETRY_DELAY_S)
+
+    async def _remove(self) -> bool:
+        """Remove the registration; return whether the store confirms that it is gone."""
+        if not self._may_be_written:
+            return True
+        if self._version == ABSENT:
+            # The answer to an own write was lost.
+            found = await self._platform.get(kind=INSTANCES_KIND, name=self._name)
+            if isinstance(found, Err):
+                return False
+            if found.ok_value is None or found.ok_value.value != self._value:
+                return True
+            self._version = found.ok_value.version
+        removed = await self._platform.delete(
+            kind=INSTANCES_KIND, name=self._name, if_version=self._version
+        )
+        # A conflict: it is gone, or that of a process which replaces this one.
+        return isinstance(removed, Ok) or isinstance(removed.err_value, Conflict)
+
+    @property
+    def _value(self) -> dict[str, Any]:
+        own = Registered(self._own_endpoint.address, self._own_endpoint.port)
+        value: dict[str, Any] = msgspec.to_builtins(own)
+        return value
 
     def _record_return(self) -> None:
         self._returned.set()
 
     async def _register_until_done(self) -> None:
-        registered = False
-        while not registered:
-            registered = await self._register()
-            if not registered:
-                await trio.sleep(RETRY_DELAY_S * self._random.uniform(0.5, 1.5))
+        while True:
+            async with self._writing:
+                if self._is_withdrawn or await self._register():
+                    return
+            await trio.sleep(RETRY_DELAY_S * self._random.uniform(0.5, 1.5))
 
     async def _register(self) -> bool:
-        value = msgspec.to_builtins(Registered(self._own_endpoint.address, self._own_endpoint.port))
+        value = self._value
+        self._may_be_written = True
         written = await self._platform.put(
             kind=INSTANCES_KIND, name=self._name, value=value, if_version=self._version
         )
--- a/tests/cover/test_instances.py
+++ b/tests/cover/test_instances.py
@@ -24,6 +24,9 @@
 from wagtailpoint.ports.platform import ABSENT
 from wagtailpoint.revision import Revision
 
+WITHDRAWAL_S = 0.5
+"""The time that a stop gives the withdrawal."""
+
 ADDRESSES = ("127.9.0.1", "127.9.0.2", "127.9.0.3")
 
 
@@ -214,3 +217,59 @@
 
         self.era.record(0, source="store")
         self.run_with(test)
+
+    def test_withdrawn_registration_is_not_written_again(self) -> None:
+        """Guards against a return of the store during a stop, after which it is written again."""
+
+        async def test() -> None:
+            await self.registration.withdraw()
+            await self.return_to(ObjectStore())
+            self.assertEqual(await self.names(), [])
+
+        self.era.record(0, source="store")
+        self.run_with(test)
+
+    def test_withdrawal_whose_request_is_lost_is_repeated(self) -> None:
+        """Guards against the registration of a stopped instance that stays in the store."""
+
+        async def test() -> None:
+            self.platform.lose_requests = 1
+            await self.registration.withdraw()
+            self.assertEqual(await self.names(), [])
+
+        self.run_with(test)
+
+    def test_withdrawal_whose_answer_is_lost_ends(self) -> None:
+        """Guards against a stop that waits for the removal of what is gone."""
+
+        async def test() -> None:
+            self.platform.lose_answers = 1
+            with trio.fail_after(WITHDRAWAL_S):
+                await self.registration.withdraw()
+            self.assertEqual(await self.names(), [])
+
+        self.run_with(test)
+
+    def test_registration_whose_answer_was_lost_is_withdrawn(self) -> None:
+        """Guards against a stop during the start that leaves a registration behind."""
+
+        async def body() -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(registration.run, lambda: False)
+                await trio.sleep(0.1)
+                self.assertEqual(await self.names(), ["entry-1"])
+                with trio.fail_after(WITHDRAWAL_S):
+                    await registration.withdraw()
+                await trio.sleep(2.0)
+                self.assertEqual(await self.names(), [])
+                nursery.cancel_scope.cancel()
+
+        registration = Registration(
+            platform=self.platform,
+            era=self.era,
+            name="entry-1",
+            peers=Endpoint("10.0.0.1", 7000),
+            random=random.Random(1),
+        )
+        self.platform.lose_answers = 1
+        run(body)
