Test that the end of a server leaves connections in use open

A check of the same class as cuts by planned stops: the removal of a server's entry closes idle connections only. The test passed at once; nothing is changed.

--- a/tests/cover/test_backend_pool.py
+++ b/tests/cover/test_backend_pool.py
@@ -126,6 +126,21 @@
         ):
             self.run_with(NEAR, test)
 
+    def test_end_of_a_server_leaves_connections_in_use_open(self) -> None:
+        """Guards against requests that are cut because the entry of their server is removed."""
+
+        async def test(pool: BackendPool, entry: ServerEntry) -> None:
+            connection = await pool.acquire(entry)
+            await pool.open_spare(entry, "next-request")
+            await wait_until(lambda: self.opened == 2)
+            await pool.close(entry.start)
+            await wait_until(lambda: self.ended == 1)
+            await trio.sleep(0.1)
+            self.assertEqual(self.ended, 1)
+            await pool.release(entry.start, connection)
+
+        self.run_with(NEAR, test)
+
     def test_failure_to_open_a_spare_connection_does_not_affect_requests(self) -> None:
         async def test(pool: BackendPool, entry: ServerEntry) -> None:
             refusing = entry._replace(address=entry.address._replace(port=1))
