A request that arrives as idle connections are closed is served

Cause: an idle connection was one of which nothing had been read. What waits in the socket is read and discarded after the connection has been half-closed.

Now a connection on whose socket input waits is not idle. A request that arrives after that still meets a closed connection, as with each server that closes idle ones.

--- a/src/wagtailpoint/proxy/caller_connection.py
+++ b/src/wagtailpoint/proxy/caller_connection.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import select
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -81,7 +82,12 @@
 
     def close_if_idle(self) -> None:
         """Close the connection unless a request is open or has begun to arrive."""
-        if self.is_idle and self._incoming.is_empty and not self._head_started:
+        if (
+            self.is_idle
+            and self._incoming.is_empty
+            and not self._head_started
+            and not _has_unread_data(self._stream.socket)
+        ):
             self._next_head_scope.cancel()
 
     async def run(self) -> None:
@@ -286,6 +292,15 @@
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+def _has_unread_data(sock: trio.socket.SocketType) -> bool:
+    """Return whether data or the end of the input waits in a socket that may be closed."""
+    if sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _parsed_request(event: object) -> IncomingRequest | None:
     if not isinstance(event, h11.Request):
         return None
--- a/tests/cover/test_caller_connection.py
+++ b/tests/cover/test_caller_connection.py
@@ -1,13 +1,16 @@
 """A caller's connection: order of replies, detection of closes, limits and ambiguous framing."""
 
+import os
 import unittest
 from collections.abc import Awaitable, Callable
 
 import trio
+import trio.testing
 
 from tests.common.sockets import loopback_address
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.ports.backend import BodyBroken
+from wagtailpoint.proxy.caller_connection import CallerConnection
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
@@ -37,6 +40,7 @@
                     is_leaving=lambda: self.leaving,
                     max_connections=10,
                 )
+                self.server = server
                 async with trio.open_nursery() as nursery:
                     await nursery.start(server.run)
                     stream = await trio.open_tcp_stream(*endpoint)
@@ -55,6 +59,35 @@
             data += bytes(part)
         return data
 
+    def test_request_that_arrives_as_idle_connections_are_closed(self) -> None:
+        """Guards against a request that is read and discarded although its connection was open."""
+
+        async def test(stream: trio.SocketStream) -> None:
+            await stream.send_all(GET % b"a")
+            await self.read_until(stream, b"/a")
+            await trio.testing.wait_all_tasks_blocked()
+            # No task runs between the arrival of the request and the end of the idle connection.
+            os.write(stream.socket.fileno(), GET % b"b")
+            self.server.close_idle()
+            self.assertIn(b"/b", await self.read_until(stream, b"/b"))
+
+        self.run_with(echo, test)
+
+    def test_closed_connection_among_idle_ones(self) -> None:
+        """Guards against an error that ends the process as it closes idle connections."""
+
+        async def test(stream: trio.SocketStream) -> None:
+            connection = CallerConnection(
+                stream=stream,
+                handler=echo,
+                bounds=lambda: self.bounds,
+                is_leaving=lambda: self.leaving,
+            )
+            await stream.aclose()
+            connection.close_if_idle()
+
+        self.run_with(echo, test)
+
     def test_pipelined_requests_are_answered_in_order(self) -> None:
         async def slow_first(request: IncomingRequest, caller: CallerExchange) -> None:
             if request.target == "/a":
