Soak stops instances as the platform does, with requests as long as the grace period

The soak did not see requests that planned stops cut: its requests took 0.05 s, and it waited for the end of a process.

Now planned stops come alone, in turn and in the same moment, drawn apart from the older steps: SIGTERM and SIGKILL GraceS after it was sent, pauses of the process that begin before, at and after the signal, further SIGTERMs, SIGHUPs with changed settings. Further callers ask for up to 3.5 s of work on routes with a timeout of 4 s, stay with an instance as long as it accepts connections, and send some safe requests at once; they have backend servers of their own.

The old check of cut requests stays. A process that runs GraceS after SIGTERM was accepted for 8 s times the slack; it is a finding now.

--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -10,7 +10,7 @@
 import trio
 
 from bench.soak.deployment import FAILURE_DOMAINS
-from bench.soak.schedule import FAULTS, CutStep, FaultKind, Step, draw_all, draw_schedule
+from bench.soak.schedule import FAULTS, AnyStep, FaultKind, draw_all, draw_schedule
 from bench.soak.soak import Report, run_soak
 
 
@@ -26,7 +26,7 @@
     default=60.0,
     help="Seconds of faults per run.",
 )
-@click.option("--instances", type=click.IntRange(min=1, max=60), default=5)
+@click.option("--instances", type=click.IntRange(min=1, max=150), default=5)
 @click.option(
     "--faults",
     type=click.Choice(FAULTS),
@@ -58,7 +58,7 @@
     first = seed if seed is not None else time.time_ns() % 1_000_000
     failed = []
     for number in range(first, first + runs):
-        steps: Sequence[Step | CutStep]
+        steps: Sequence[AnyStep]
         if faults:
             steps = draw_schedule(seed=number, seconds=seconds, instances=instances, faults=faults)
         else:
@@ -76,6 +76,7 @@
             f"seed {number}: {len(steps)} steps, {report.sent} requests, "
             f"statuses {dict(sorted(report.statuses.items()))}, {len(report.violations)} findings"
         )
+        click.echo(f"  {report.stops}")
         for violation in report.violations[:20]:
             click.echo(f"  {violation}")
         if report.violations:
@@ -86,7 +87,7 @@
 
 async def _run(
     seed: int,
-    steps: Sequence[Step | CutStep],
+    steps: Sequence[AnyStep],
     seconds: float,
     instances: int,
     slack: float,
--- a/bench/soak/caller.py
+++ b/bench/soak/caller.py
@@ -6,8 +6,16 @@
 import h11
 import trio
 
-from bench.soak.deployment import CALLER_PORT, FIRST_VERSION, HOST, Deployment, Instance
+from bench.soak.deployment import (
+    CALLER_PORT,
+    FIRST_VERSION,
+    HOST,
+    Deployment,
+)
 from bench.soak.findings import ANSWER_TIMEOUT_S, Findings, SentRequest
+from bench.soak.instance import Instance
+from bench.soak.planned_stops import Ended
+from bench.soak.routes import READ_TIMEOUT_S, WRITE_TIMEOUT_S
 
 MEAN_PAUSE_S: Final = 0.05
 DEADLINE_MS: Final = "2000"
@@ -39,13 +47,24 @@
         deployment: Deployment,
         findings: Findings,
         random: Random,
+        mean_pause_s: float = MEAN_PAUSE_S,
     ) -> None:
-        """Initialise the caller; ``run`` starts it."""
+        """Initialise the caller; ``run`` starts it.
+
+        Args:
+            name: Begins the ids of its requests.
+            instance: The instance to which it sends.
+            deployment: Has the versions whose routes are probed.
+            findings: Records requests and answers.
+            random: The source of choices.
+            mean_pause_s: The mean time between an answer and the next request, in seconds.
+        """
         self._name = name
         self._instance = instance
         self._deployment = deployment
         self._findings = findings
         self._random = random
+        self._mean_pause_s = mean_pause_s
         self._sent = 0
         self._started_s = 0.0
 
@@ -62,7 +81,7 @@
                 self._findings.record_unanswered(
                     self._instance.number, self._started_s, repr(error)
                 )
-            await trio.sleep(MEAN_PAUSE_S)
+            await trio.sleep(self._mean_pause_s)
 
     async def _use(self, stream: trio.SocketStream) -> None:
         parser = h11.Connection(h11.CLIENT)
@@ -71,23 +90,38 @@
             if parser.our_state is not h11.DONE or parser.their_state is not h11.DONE:
                 return
             parser.start_next_cycle()
-            await trio.sleep(self._random.uniform(0.0, 2 * MEAN_PAUSE_S))
+            await trio.sleep(self._random.uniform(0.0, 2 * self._mean_pause_s))
 
     async def _send_one(self, stream: trio.SocketStream, parser: h11.Connection) -> None:
         self._sent += 1
         self._started_s = trio.current_time()
         drawn = self._draw_request(f"{self._name}-{self._sent}")
         instance = self._instance
+        process = instance.processes
         idempotent = drawn.method == "GET"
-        sent = SentRequest(instance.number, instance.processes, self._started_s, idempotent)
+        sent = SentRequest(instance.number, process, self._started_s, idempotent)
         self._findings.sent[drawn.request_id] = sent
-        await stream.send_all(encode_request(drawn, parser))
+        status, body = 0, b""
         try:
+            await stream.send_all(encode_request(drawn, parser))
             with trio.fail_after(ANSWER_TIMEOUT_S):
                 status, body = await read_answer(stream, parser)
         except trio.BrokenResourceError:
             self._findings.cut_requests.add(drawn.request_id)
             raise
+        finally:
+            self._findings.stop_checks.ended.append(
+                Ended(
+                    request_id=drawn.request_id,
+                    instance=instance.number,
+                    process=process,
+                    sent_s=sent.sent_s,
+                    ended_s=trio.current_time(),
+                    limit_s=WRITE_TIMEOUT_S if drawn.method == "POST" else READ_TIMEOUT_S,
+                    status=status,
+                    refused_by_stop=status == 503 and b"stopping" in body,
+                )
+            )
         self.check(drawn, status, body)
         if drawn.version is not None and status in (200, 404):
             self._findings.record_version(
@@ -105,18 +139,7 @@
 
     def check(self, drawn: DrawnRequest, status: int, body: bytes) -> None:
         """Record an answer and the guarantees that it violates."""
-        self._findings.statuses[status] += 1
-        self._findings.answered[drawn.request_id] = status
-        if status == 200 and body != f"{drawn.request_id} {drawn.target}".encode():
-            self._findings.violations.append(
-                f"{drawn.request_id} got the answer of another request: {body!r}"
-            )
-        if status == 503:
-            self._findings.refused.add(drawn.request_id)
-        if status == 503 and b"quarantined" in body:
-            self._findings.violations.append(
-                f"{drawn.request_id}: {drawn.target} was refused as quarantined"
-            )
+        self._findings.record_answer(drawn.request_id, drawn.target, status, body)
         if status == 404 and drawn.version is None:
             self._findings.violations.append(f"{drawn.request_id}: 404 for {drawn.target}")
 
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from collections.abc import AsyncIterator, Mapping, Sequence
+from collections.abc import AsyncIterator, Sequence
 from contextlib import asynccontextmanager
 from itertools import count
 from pathlib import Path
@@ -17,12 +17,14 @@
     unsplit_config_document,
 )
 from tests.common.partition import Form, Partition
-from tests.common.processes import ModuleProcess
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
 from tests.common.sockets import loopback_address, reset_connection
 from tests.common.users_store import UsersStore
 
 from bench.soak.findings import Crash, CutPeriod, Findings, LimitPeriod, RestPeriod, Run, TurnedAway
+from bench.soak.instance import Instance
+from bench.soak.planned_stops import Period, Work, WorkEnd
+from bench.soak.routes import LONG_SERVICE, SERVICE, long_route, route
 from wagtailpoint.node_settings import Endpoint
 
 HOST: Final = "ficu95.example"
@@ -34,7 +36,14 @@
 """Instances and backend servers belong to these in turn."""
 
 BACKEND_SERVERS: Final = 6
+"""The least number of backend servers of a service; with more instances, one for each."""
+
+LONG_CONCURRENCY: Final = 8
 MAX_SERVICE_S: Final = 0.05
+SLOW: Final = "/slow-"
+"""A target with this text and a number asks for so many milliseconds of work."""
+
+
 CRASH_DOWNTIME_S: Final = 1.3
 """The time after a crash until the backend server runs again."""
 
@@ -57,41 +66,6 @@
 """A request whose target contains this text crashes the backend server that runs it."""
 
 
-class Instance:
-    """An instance: an address with a process, which reaches the store through a separate proxy."""
-
-    def __init__(
-        self,
-        *,
-        number: int,
-        address: str,
-        file: Path,
-        proxy: FaultProxy,
-        environment: Mapping[str, str],
-    ) -> None:
-        self.number = number
-        self.address = address
-        self.proxy = proxy
-        self.processes = 0
-        self._logged_before = 0
-        self.lock = trio.Lock()
-        self.process = ModuleProcess(
-            module="tests.common.positioned_instance",
-            environment={"WAGTAILPOINT_NODE_FILE": str(file), **environment},
-        )
-
-    @property
-    def has_started(self) -> bool:
-        """Whether the current process has logged that it started."""
-        return "event=started " in self.process.log[self._logged_before :]
-
-    def start(self) -> None:
-        """Start a process at the address of the instance."""
-        self.processes += 1
-        self._logged_before = len(self.process.log)
-        self.process.start()
-
-
 class Deployment:
     """Runs the parts of a soak; writes to the store for the operator and backend servers."""
 
@@ -107,6 +81,7 @@
         self._server_numbers = count(1)
         self._addresses: dict[str, str] = {}
         self._domains: dict[str, str] = {}
+        self._services: dict[str, str] = {}
         self._partition = Partition(folder=folder)
         self._active_resets = 0
         self._limits: dict[str, float] = {}
@@ -117,9 +92,10 @@
         """Run the store, the proxies, the backend servers and the instances."""
         async with trio.open_nursery() as nursery, self.store.serve() as store:
             self._write_config()
-            for number in range(BACKEND_SERVERS):
-                domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
-                await nursery.start(self._serve_backend, domain)
+            for service in (SERVICE, LONG_SERVICE):
+                for number in range(max(BACKEND_SERVERS, self._count)):
+                    domain = FAILURE_DOMAINS[number % len(FAILURE_DOMAINS)]
+                    await nursery.start(self._serve_backend, domain, service)
             addresses = [loopback_address() for _ in range(self._count)]
             for number, address in enumerate(addresses):
                 proxy = FaultProxy(
@@ -146,6 +122,13 @@
                 self._partition.close()
                 nursery.cancel_scope.cancel()
 
+    @property
+    def _names(self) -> list[str]:
+        """The ids of the backend servers that may drain, state a limit or ask for rest."""
+        return [
+            name for name, address in self._addresses.items() if self._services[address] == SERVICE
+        ]
+
     def save_logs(self, folder: Path) -> None:
         """Write the logs of all instances into a folder."""
         folder.mkdir(parents=True, exist_ok=True)
@@ -159,7 +142,7 @@
 
     async def drain(self, duration_s: float) -> None:
         """Make a backend server drain, leave, and register again under another id."""
-        active = [name for name in self._addresses if name not in self._findings.drained_s]
+        active = [name for name in self._names if name not in self._findings.drained_s]
         if not active:
             return
         name = self._random.choice(active)
@@ -167,7 +150,7 @@
         self.store.put(
             "servers",
             name,
-            server_document(address, Zone=self._domains[address], State="draining"),
+            self._server_document(address, State="draining"),
         )
         self._findings.drained_s[name] = trio.current_time()
         await trio.sleep(duration_s)
@@ -178,7 +161,7 @@
 
     async def state_limit(self, duration_s: float) -> None:
         """Make a backend server state in its answers how many requests a second it takes."""
-        unlimited = [name for name in self._addresses if name not in self._limits]
+        unlimited = [name for name in self._names if name not in self._limits]
         if not unlimited:
             return
         name = self._random.choice(unlimited)
@@ -194,7 +177,7 @@
 
     async def ask_for_rest(self, duration_s: float) -> None:
         """Make a backend server turn requests away and ask the instances for rest."""
-        awake = [name for name in self._addresses if name not in self._resting]
+        awake = [name for name in self._names if name not in self._resting]
         if not awake:
             return
         name = self._random.choice(awake)
@@ -211,8 +194,7 @@
             drains = name in self._findings.drained_s
             state = "draining" if drains else "ready"
             if (self.store.spec("servers", name) or {}).get("State") != state:
-                zone = self._domains[address]
-                self.store.put("servers", name, server_document(address, Zone=zone, State=state))
+                self.store.put("servers", name, self._server_document(address, State=state))
         # The entries of servers that have ended expire.
         for name in self.store.names("servers"):
             if name not in self._addresses:
@@ -236,7 +218,11 @@
         await trio.sleep(duration_s)
         self._partition.heal(cut)
         self._findings.cut_periods.remove(period)
-        self._findings.cut_periods.append(period._replace(ended_s=trio.current_time()))
+        ended_s = trio.current_time()
+        self._findings.cut_periods.append(period._replace(ended_s=ended_s))
+        for number in instances:
+            cuts = self._findings.stop_checks.cuts[number]
+            cuts.append(Period(period.started_s, ended_s))
 
     async def reset_connections(self, duration_s: float) -> None:
         """Make the backend servers reset some connections instead of answering."""
@@ -247,11 +233,17 @@
     def _register(self, address: str) -> None:
         name = f"i-{next(self._server_numbers)}"
         self._addresses[name] = address
-        document = server_document(address, Zone=self._domains[address])
-        self.store.put("servers", name, document)
+        self.store.put("servers", name, self._server_document(address))
+
+    def _server_document(self, address: str, **changes: Any) -> dict[str, Any]:
+        service = self._services[address]
+        changes |= {"Service": service, "Zone": self._domains[address]}
+        if service == LONG_SERVICE:
+            changes["MaxConcurrency"] = LONG_CONCURRENCY
+        return server_document(address, **changes)
 
     async def _serve_backend(
-        self, failure_domain: str, *, task_status: Any = trio.TASK_STATUS_IGNORED
+        self, failure_domain: str, service: str, *, task_status: Any = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve a backend server, which restarts ``CRASH_DOWNTIME_S`` after each crash."""
         while True:
@@ -263,6 +255,7 @@
 
             async with scripted_server(answer_all) as address:
                 self._domains[str(address)] = failure_domain
+                self._services[str(address)] = service
                 self._partition.add_server(address.address)
                 self._register(str(address))
                 task_status.started()
@@ -285,10 +278,12 @@
         (host,) = document["VirtualHosts"]
         read, write = host["PathRoutes"]
         host["PathRoutes"] = [
-            _route(read, "read", "/read/"),
-            _route(write, "write", "/write/"),
+            route(read, "read", "/read/"),
+            route(write, "write", "/write/"),
+            long_route(read, "long-read", "/long-read/"),
+            long_route(write, "long-write", "/long-write/"),
             *(
-                _route(read, f"added-{version}", f"/added-{version}/")
+                route(read, f"added-{version}", f"/added-{version}/")
                 for version in range(FIRST_VERSION, self.version + 1)
             ),
         ]
@@ -324,15 +319,8 @@
                 await stream.send(self._turn_away(server_id, sender, request_id))
                 continue
             self._findings.runs.append(Run(request_id, server_id, trio.current_time()))
-            await trio.sleep(self._random.uniform(0.0, MAX_SERVICE_S))
             target = line.split(" ")[1]
-            if CRASHING in target:
-                crash = Crash(target, request_id, server_id, trio.current_time())
-                self._findings.crashes.append(crash)
-                crashed.set()
-                return
-            if self._active_resets and self._random.random() < RESET_FRACTION:
-                await reset_connection(stream.stream)
+            if not await self._work(stream, request_id, server_id, target, crashed):
                 return
             body = f"{request_id} {target}".encode()
             limit = self._limits.get(server_id)
@@ -341,6 +329,38 @@
                 stated.append("Server-Leaving: 1")
             await stream.send(response(body, f"X-Attempt-Id: {request_id}", *stated))
 
+    async def _work(
+        self,
+        stream: ScriptedStream,
+        request_id: str,
+        server_id: str,
+        target: str,
+        crashed: trio.Event,
+    ) -> bool:
+        """Work on a request; return whether it is to be answered."""
+        end = WorkEnd.BROKE_OFF
+        if stream.stream.socket.fileno() < 0:
+            # A cut has closed the connection before the request was read from its buffer.
+            return False
+        try:
+            with trio.move_on_after(_service_s(target, self._random.uniform(0.0, MAX_SERVICE_S))):
+                await trio.lowlevel.wait_readable(stream.stream.socket)
+                end = WorkEnd.LEFT
+                return False
+            if CRASHING in target:
+                crash = Crash(target, request_id, server_id, trio.current_time())
+                self._findings.crashes.append(crash)
+                crashed.set()
+                return False
+            if self._active_resets and self._random.random() < RESET_FRACTION:
+                await reset_connection(stream.stream)
+                return False
+            end = WorkEnd.ANSWERED
+            return True
+        finally:
+            work = Work(request_id, trio.current_time(), end)
+            self._findings.stop_checks.works[request_id].append(work)
+
     def _turn_away(self, server_id: str, sender: str, request_id: str) -> bytes:
         """Turn a request away, and ask for rest unless the sender was asked before."""
         now = trio.current_time()
@@ -354,5 +374,8 @@
         return response(b"", *headers, status="503 Service Unavailable")
 
 
-def _route(template: dict[str, Any], name: str, prefix: str) -> dict[str, Any]:
-    return {**template, "Name": name, "PathPrefix": prefix, "HomeRegions": []}
+def _service_s(target: str, drawn_s: float) -> float:
+    """Return how long a backend server works, in seconds."""
+    if SLOW not in target:
+        return drawn_s
+    return float(target.partition(SLOW)[2].partition("/")[0]) / 1000
--- a/bench/soak/findings.py
+++ b/bench/soak/findings.py
@@ -8,6 +8,8 @@
 
 import trio
 
+from bench.soak.planned_stops import Period, StopChecks
+
 SETTLE_S: Final = 4.0
 """The time after the last disturbance until an instance must meet its guarantees again."""
 
@@ -167,6 +169,7 @@
         self.rest_periods: list[RestPeriod] = []
         self.turned_away: list[TurnedAway] = []
         self.confirmed_s: dict[int, float] = {}
+        self.stop_checks = StopChecks(slack=slack)
         self._slack = slack
         self._disturbed: list[list[Disturbance]] = [[] for _ in range(instances)]
         self._newest: dict[tuple[int, int], tuple[int, float]] = {}
@@ -174,6 +177,7 @@
     def record_disturbance(self, instance: int, started_s: float, ended_s: float) -> None:
         """Record that a fault affected an instance during a period."""
         self._disturbed[instance].append(Disturbance(started_s, ended_s, of_process=True))
+        self.stop_checks.pauses[instance].append(Period(started_s, ended_s))
 
     @contextmanager
     def disturbance(
@@ -183,10 +187,12 @@
         ongoing = Disturbance(trio.current_time(), math.inf, planned, of_process)
         for number in instances:
             self._disturbed[number].append(ongoing)
-        yield
-        for number in instances:
-            self._disturbed[number].remove(ongoing)
-            self._disturbed[number].append(ongoing._replace(ended_s=trio.current_time()))
+        try:
+            yield
+        finally:
+            for number in instances:
+                self._disturbed[number].remove(ongoing)
+                self._disturbed[number].append(ongoing._replace(ended_s=trio.current_time()))
 
     def is_undisturbed(self, instance: int, from_s: float, to_s: float) -> bool:
         """Return whether nothing disturbed an instance in a period or ``SETTLE_S`` before it."""
@@ -195,6 +201,17 @@
             for disturbance in self._disturbed[instance]
         )
 
+    def record_answer(self, request_id: str, target: str, status: int, body: bytes) -> None:
+        """Record an answer and the guarantees that it violates."""
+        self.statuses[status] += 1
+        self.answered[request_id] = status
+        if status == 200 and body != f"{request_id} {target}".encode():
+            self.violations.append(f"{request_id} got the answer of another request: {body!r}")
+        if status == 503:
+            self.refused.add(request_id)
+        if status == 503 and b"quarantined" in body:
+            self.violations.append(f"{request_id}: {target} was refused as quarantined")
+
     def record_version(
         self, sent: SentRequest, version: int, *, served: bool, answered_s: float
     ) -> None:
@@ -247,6 +264,7 @@
             self._check_crashes([crash for crash in self.crashes if crash.target == target])
         for request_id in self.cut_requests & counts.keys():
             self._check_cut_request(request_id, self.sent[request_id])
+        self.violations += self.stop_checks.violations()
 
     def _check_periods(self) -> None:
         for period in self.limit_periods:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -42,6 +42,18 @@
 CUT_FROM_PEERS_FRACTION: Final = 0.3
 """The fraction of cuts in which the instances also lose links to some other instances."""
 
+STOPS: Final[Literal["stops"]] = "stops"
+MAX_UNSTOPPED_S: Final = 6.0
+MAX_STOP_INTERVAL_S: Final = 3.0
+"""The greatest times between two series of planned stops, and between two stops of one."""
+
+STOP_PAUSE_FRACTION: Final = 0.3
+MAX_STOP_PAUSE_S: Final = 2.0
+"""The fraction of planned stops beside which the process is paused, and for how long at most."""
+
+RELOAD: Final[Literal["reload"]] = "reload"
+MAX_UNRELOADED_S: Final = 6.0
+
 MAX_GAP_S: Final = 2.0
 MAX_FAULT_S: Final = 4.0
 CONFIG_FRACTION: Final = 0.4
@@ -59,7 +71,7 @@
     """
 
     at_s: float
-    kind: FaultKind | Literal["config", "backend-reset", "limit", "rest", "store-return"]
+    kind: FaultKind | Literal["config", "backend-reset", "limit", "rest", "store-return", "reload"]
     instance: int
     duration_s: float
 
@@ -84,6 +96,45 @@
     duration_s: float
 
 
+class StopSignals(NamedTuple):
+    """A planned stop of one instance, and what happens to its process besides.
+
+    Attributes:
+        instance: The number of the instance.
+        delay_s: The time from the start of the step to SIGTERM, in seconds.
+        pause_s: The time from SIGTERM to the start of a pause, in seconds, negative if it starts
+            before; None for no pause.
+        paused_s: The duration of the pause, in seconds.
+        repeats_s: The times from the first SIGTERM to further ones, in seconds.
+        reloads_s: The times from SIGTERM to SIGHUPs with changed settings, in seconds, negative
+            for those before it.
+    """
+
+    instance: int
+    delay_s: float
+    pause_s: float | None
+    paused_s: float
+    repeats_s: tuple[float, ...]
+    reloads_s: tuple[float, ...]
+
+
+class StopsStep(NamedTuple):
+    """Planned stops of several instances, in turn or in the same moment.
+
+    Attributes:
+        at_s: The start time, in seconds from the start of the soak.
+        kind: The kind of step.
+        stops: The stops.
+    """
+
+    at_s: float
+    kind: Literal["stops"]
+    stops: tuple[StopSignals, ...]
+
+
+AnyStep = Step | CutStep | StopsStep
+
+
 def draw_schedule(
     *, seed: int, seconds: float, instances: int, faults: tuple[FaultKind, ...] = FAULTS
 ) -> list[Step]:
@@ -176,7 +227,53 @@
     return steps
 
 
-def draw_all(*, seed: int, seconds: float, instances: int, domains: int) -> list[Step | CutStep]:
+def draw_stops(*, seed: int, seconds: float, instances: int) -> list[StopsStep]:
+    """Draw planned stops as the platform does them, independently of the seed's other steps."""
+    random = Random(f"{seed}-{STOPS}")
+    steps = []
+    at_s = 0.0
+    while (at_s := at_s + random.uniform(0.5, MAX_UNSTOPPED_S)) < seconds:
+        most = min(instances, max(2, instances // 3))
+        stopped = random.sample(range(instances), random.choice((1, random.randint(1, most))))
+        interval_s = random.choice((0.0, random.uniform(0.05, MAX_STOP_INTERVAL_S)))
+        # Those that are left out when a series is longer than the soak are drawn all the same.
+        stops = [
+            _draw_stop(random, number, position * interval_s)
+            for position, number in enumerate(stopped)
+        ]
+        steps.append(
+            StopsStep(at_s, STOPS, tuple(stop for stop in stops if at_s + stop.delay_s <= seconds))
+        )
+    return steps
+
+
+def _draw_stop(random: Random, instance: int, delay_s: float) -> StopSignals:
+    pause_s = random.choice((random.uniform(-1.5, 0.0), 0.0, random.uniform(0.0, 5.0)))
+    paused_s = random.uniform(0.1, MAX_STOP_PAUSE_S)
+    is_paused = random.random() < STOP_PAUSE_FRACTION
+    repeats_s = [random.uniform(0.0, 6.0) for _ in range(random.choice((0, 0, 1, 2)))]
+    reloads_s = [random.uniform(-1.5, 6.0) for _ in range(random.choice((0, 0, 1, 2)))]
+    return StopSignals(
+        instance=instance,
+        delay_s=delay_s,
+        pause_s=pause_s if is_paused else None,
+        paused_s=paused_s,
+        repeats_s=tuple(sorted(repeats_s)),
+        reloads_s=tuple(sorted(reloads_s)),
+    )
+
+
+def draw_reloads(*, seed: int, seconds: float, instances: int) -> list[Step]:
+    """Draw when instances reload changed settings, independently of the seed's other steps."""
+    random = Random(f"{seed}-{RELOAD}")
+    steps = []
+    at_s = 0.0
+    while (at_s := at_s + random.uniform(0.5, MAX_UNRELOADED_S)) < seconds:
+        steps.append(Step(at_s, RELOAD, random.randrange(instances), 0.0))
+    return steps
+
+
+def draw_all(*, seed: int, seconds: float, instances: int, domains: int) -> list[AnyStep]:
     """Draw the steps of a seed, of all kinds, in chronological order.
 
     Args:
@@ -185,12 +282,14 @@
         instances: The number of instances.
         domains: The number of failure domains.
     """
-    steps: list[Step | CutStep] = [
+    steps: list[AnyStep] = [
         *draw_schedule(seed=seed, seconds=seconds, instances=instances),
         *draw_backend_faults(seed=seed, seconds=seconds),
         *draw_limits(seed=seed, seconds=seconds),
         *draw_rests(seed=seed, seconds=seconds),
         *draw_returns(seed=seed, seconds=seconds),
         *draw_cuts(seed=seed, seconds=seconds, instances=instances, domains=domains),
+        *draw_stops(seed=seed, seconds=seconds, instances=instances),
+        *draw_reloads(seed=seed, seconds=seconds, instances=instances),
     ]
     return sorted(steps, key=lambda step: step.at_s)
--- a/tests/cover/test_soak_findings.py
+++ b/tests/cover/test_soak_findings.py
@@ -6,7 +6,7 @@
 
 import trio
 from bench.soak.caller import Caller, DrawnRequest
-from bench.soak.deployment import Deployment, Instance
+from bench.soak.deployment import Deployment
 from bench.soak.findings import (
     CONFIG_APPLY_S,
     DRAIN_S,
@@ -20,7 +20,8 @@
     SentRequest,
     TurnedAway,
 )
-from bench.soak.schedule import FAULTS, draw_cuts, draw_schedule
+from bench.soak.instance import Instance
+from bench.soak.schedule import FAULTS, draw_cuts, draw_reloads, draw_schedule, draw_stops
 from trio.testing import MockClock
 
 from tests.common.partition import FORMS
@@ -44,6 +45,31 @@
         self.assertTrue(any(step.unreached for step in steps))
         self.assertTrue(all(step.at_s + step.duration_s <= 60.0 for step in steps))
 
+    def test_stops_are_in_turn_and_at_once_with_pauses_before_and_after(self) -> None:
+        steps = [
+            step for seed in range(20) for step in draw_stops(seed=seed, seconds=60.0, instances=9)
+        ]
+        delays = [[stop.delay_s for stop in step.stops] for step in steps]
+        self.assertTrue(any(len(each) > 1 and set(each) == {0.0} for each in delays))
+        self.assertTrue(any(len(each) > 1 and max(each) > 1.0 for each in delays))
+        stops = [stop for step in steps for stop in step.stops]
+        pauses = [stop.pause_s for stop in stops]
+        self.assertIn(None, pauses)
+        self.assertEqual(
+            {(each > 0.0) - (each < 0.0) for each in pauses if each is not None}, {-1, 0, 1}
+        )
+        self.assertTrue(any(stop.repeats_s for stop in stops))
+        self.assertTrue(any(stop.reloads_s and min(stop.reloads_s) < 0.0 for stop in stops))
+        for step in steps:
+            numbers = [stop.instance for stop in step.stops]
+            self.assertEqual(len(numbers), len(set(numbers)))
+            self.assertTrue(all(step.at_s + stop.delay_s <= 60.0 for stop in step.stops))
+
+    def test_reloads_are_within_the_soak(self) -> None:
+        steps = draw_reloads(seed=3, seconds=60.0, instances=5)
+        self.assertGreater(len(steps), 5)
+        self.assertTrue(all(step.at_s < 60.0 for step in steps))
+
 
 class FindingsTest(unittest.TestCase):
     def setUp(self) -> None:
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -9,6 +9,7 @@
 
 SECONDS = 20.0
 INSTANCES = 3
+MIN_STOPS = 5
 BUSY_MACHINE = 2.0
 """The factor on the time bounds, as the machine of a test may be busy."""
 
@@ -22,6 +23,7 @@
                 seed=1, steps=steps, seconds=SECONDS, instances=INSTANCES, slack=BUSY_MACHINE
             )
             self.assertGreater(report.statuses.get(200, 0), 100)
+            self.assertGreaterEqual(report.stopped, MIN_STOPS, report.stops)
             return report.violations
 
         self.assertEqual(trio.run(run), [])
