--- a/src/wagtailpoint/proxy/caller_connection.py
+++ b/src/wagtailpoint/proxy/caller_connection.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import select
 import socket
 import struct
 from collections.abc import Awaitable, Callable
@@ -241,7 +242,7 @@
 
     def _idle_deadline(self) -> float:
         # Bytes that have arrived and were not read yet are the beginning of a request.
-        if self._ends_when_idle and not self._stream.socket.is_readable():
+        if self._ends_when_idle and not _has_unread_data(self._stream.socket):
             return trio.current_time()
         return trio.current_time() + self._bounds().idle_timeout_s
 
@@ -291,6 +292,15 @@
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
 
 
+def _has_unread_data(sock: trio.socket.SocketType) -> bool:
+    """Return whether data or the end of the input waits in a socket that may be closed."""
+    if sock.fileno() < 0:
+        return False
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _parsed_request(event: object) -> IncomingRequest | None:
     if not isinstance(event, h11.Request):
         return None
