The process ends without the interpreter's clean-up after a stop

Cause: after the stop the interpreter tears down all modules and libraries, 0.14 to 0.28 s of time at a load of 12 (three stops), as long as wanted on a machine that gives the process no processor time. Nothing is left to release then, and the log is flushed.

--- a/src/wagtailpoint/daemon/main.py
+++ b/src/wagtailpoint/daemon/main.py
@@ -75,6 +75,18 @@
         return
     configure_log(level="INFO", instance=settings.ok_value.name)
     trio.run(run_steering_instance, settings.ok_value, settings_file)
+    _exit_at_once()
+
+
+def _exit_at_once() -> NoReturn:
+    """End the process without the interpreter's clean-up.
+
+    Nothing is left to release, and on a busy machine the clean-up would last until the platform
+    kills the process.
+    """
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
 
 
 def _exit_with_mistakes(invalid: InvalidInput) -> NoReturn:
