How long a relay goes on follows from the grace period

The confirmations of relays had the time for a GraceS of 6 s as a constant: with a shorter one a request could have been sent through a relay that ends before its answer. Found by reading the change; it is GraceS of the settings, less the two margins of a stop, now.

--- a/src/wagtailpoint/daemon/backend_paths.py
+++ b/src/wagtailpoint/daemon/backend_paths.py
@@ -19,6 +19,8 @@
 from wagtailpoint.proxy.backend_connector import BackendConnector
 from wagtailpoint.proxy.backend_dialer import BackendDialer
 from wagtailpoint.proxy.backend_pool import BackendPool
+from wagtailpoint.proxy.stop_admission import REPLY_RESERVE_S
+from wagtailpoint.proxy.stop_clock import MARGIN_S
 from wagtailpoint.relay.client import RelayClient
 from wagtailpoint.relay.confirmations import RelayConfirmations
 from wagtailpoint.relay.path_checker import PathChecker
@@ -73,6 +75,7 @@
             membership=membership,
             is_leaving=is_leaving,
             in_use=lambda: self.pool.relays(),
+            goes_on_s=lambda: settings.bounds.grace_s - MARGIN_S - REPLY_RESERVE_S,
         )
         relays = RelayClient(
             own=lambda: membership.own,
--- a/src/wagtailpoint/daemon/steering_stop.py
+++ b/src/wagtailpoint/daemon/steering_stop.py
@@ -18,15 +18,12 @@
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.stop_admission import StopAdmission
-from wagtailpoint.proxy.stop_clock import StopClock
+from wagtailpoint.proxy.stop_clock import MARGIN_S, StopClock
 
 MIN_SERVING_S: Final = 4.0
 """Minimum time of service after SIGTERM, if the grace period allows: twice the TTL of lookups, as
 some callers cache a lookup for longer than its TTL."""
 
-MARGIN_S: Final = 0.5
-"""The process ends this much earlier than the platform would kill it."""
-
 MIN_FINISHING_S: Final = 1.0
 """Time for the last open requests after connections are no longer accepted."""
 
--- a/src/wagtailpoint/proxy/stop_clock.py
+++ b/src/wagtailpoint/proxy/stop_clock.py
@@ -1,11 +1,15 @@
 """How long the planned stop of this instance has run, and how long the process goes on."""
 
 import math
+from typing import Final
 
 import trio
 
 from wagtailpoint.ports.clock import Clock
 
+MARGIN_S: Final = 0.5
+"""The process ends this much earlier than the platform would kill it."""
+
 
 class StopClock:
     """Measures the planned stop of an instance, which has one at most."""
--- a/src/wagtailpoint/relay/confirmations.py
+++ b/src/wagtailpoint/relay/confirmations.py
@@ -12,10 +12,6 @@
 from wagtailpoint.membership import Membership
 from wagtailpoint.ports.peers import Peers, Received, register_message
 
-GOES_ON_S: Final = 5.25
-"""Time for which a relay goes on after it has said so: it may be told to stop right then, and ends
-5.5 s later. The rest is for the way back of an answer."""
-
 CONFIRMED_FOR_S: Final = 1.0
 """Time after a question that was answered in which any request may be sent, however long its
 timeout."""
@@ -65,6 +61,7 @@
         membership: Membership,
         is_leaving: Callable[[], bool],
         in_use: Callable[[], Collection[str]],
+        goes_on_s: Callable[[], float],
     ) -> None:
         """Initialise without any confirmation.
 
@@ -73,11 +70,14 @@
             membership: The known instances.
             is_leaving: Whether this instance is stopping.
             in_use: Returns the relays of the open connections, as in ``OpenedStream.relay``.
+            goes_on_s: Returns for how many seconds an instance goes on to pass answers back after
+                it was asked; it may be told to stop right then.
         """
         self._peers = peers
         self._membership = membership
         self._is_leaving = is_leaving
         self._in_use = in_use
+        self._goes_on_s = goes_on_s
         self._asked_at: dict[str, float] = {}
         peers.handle(RelayQuestion, self._answer)
         peers.handle(RelayState, self._record_state)
@@ -104,7 +104,7 @@
             return False
         return (
             ends_by is None
-            or ends_by <= asked_at + GOES_ON_S
+            or ends_by <= asked_at + self._goes_on_s()
             or trio.current_time() - asked_at < CONFIRMED_FOR_S
         )
 
--- a/tests/common/relay_parts.py
+++ b/tests/common/relay_parts.py
@@ -13,6 +13,9 @@
 from wagtailpoint.relay.client import RelayClient
 from wagtailpoint.relay.confirmations import RelayConfirmations
 
+GOES_ON_S = 5.25
+"""Time for which a relay goes on after a question, in seconds."""
+
 
 def make_confirmations(
     peers: FakePeers,
@@ -30,6 +33,7 @@
         membership=cast(Membership, membership),
         is_leaving=is_leaving,
         in_use=in_use,
+        goes_on_s=lambda: GOES_ON_S,
     )
 
 
--- a/tests/cover/test_relay_confirmations.py
+++ b/tests/cover/test_relay_confirmations.py
@@ -9,7 +9,7 @@
 from trio.testing import MockClock
 
 from tests.common.fake_peers import FakeNetwork, FakePeers
-from tests.common.relay_parts import make_confirmations, make_relay_client
+from tests.common.relay_parts import GOES_ON_S, make_confirmations, make_relay_client
 from tests.common.scripted_server import scripted_server
 from tests.common.steering_parts import make_distances, make_peer, make_server
 from tests.cover.test_relay import LIMIT_S, RELAY_PORT, RelayCase, echo
@@ -23,7 +23,6 @@
 from wagtailpoint.relay.confirmations import (
     ASK_INTERVAL_S,
     CONFIRMED_FOR_S,
-    GOES_ON_S,
     KEPT_FOR_S,
 )
 from wagtailpoint.relay.reachability import PathCheck, Reachability
--- a/tests/cover/test_steering_stop.py
+++ b/tests/cover/test_steering_stop.py
@@ -10,8 +10,9 @@
 from trio.testing import MockClock
 
 from tests.common.fake_clock import TrioClock
-from wagtailpoint.daemon.steering_stop import LAST_REPLIES_S, MARGIN_S, SteeringStop
+from wagtailpoint.daemon.steering_stop import LAST_REPLIES_S, SteeringStop
 from wagtailpoint.daemon.stop_signal import STOP_SIGNALS
+from wagtailpoint.proxy.stop_clock import MARGIN_S
 
 
 class Parts:
--- a/tests/integration/test_planned_stops.py
+++ b/tests/integration/test_planned_stops.py
@@ -12,12 +12,12 @@
 from tests.common.staying_callers import CallerHabits
 from tests.common.steering_group import Instance
 from tests.common.stop_group import GRACE_S, Stop, StopGroup, stop_group
-from wagtailpoint.daemon.steering_stop import MARGIN_S
 from wagtailpoint.proxy.stop_admission import (
     MARGIN_FACTOR_AT_MOST_ONCE,
     MIN_SAMPLES_AT_MOST_ONCE,
     REPLY_RESERVE_S,
 )
+from wagtailpoint.proxy.stop_clock import MARGIN_S
 
 LIMIT_S = 150.0
 LONG_WORK = CallerHabits(min_work_s=0.7, max_work_s=3.1)
