A hedged send that starts after the answer ends at once

The request waited on its connection for the one before it, which had been answered and was not over.

Cause, from both logs: after a pause of the process the answer of the silent server and the time of the hedge were due in the same tick (sent-beside, then the answer). The answer cancelled the sends that had started; the hedged one started after it, ran on until it was answered or its deadline came, and held the connection, beside one run in vain. A send that starts now finds out that the request has been answered and is cancelled before it sends anything.

--- a/src/wagtailpoint/proxy/hedged_exchange.py
+++ b/src/wagtailpoint/proxy/hedged_exchange.py
@@ -23,6 +23,16 @@
         self.scopes: dict[str, trio.CancelScope] = {}
         self.all_ended = trio.Event()
 
+    def begin(self, server_id: str) -> trio.CancelScope:
+        """Return the cancel scope of a new send, cancelled already if the reply was claimed.
+
+        The task of a send may start after another send, in the same moment, was answered.
+        """
+        scope = self.scopes[server_id] = trio.CancelScope()
+        if self.answered_by is not None:
+            scope.cancel()
+        return scope
+
     def claim(self, server_id: str) -> bool:
         """Claim the reply and cancel the other sends; return False if it was already claimed."""
         if self.answered_by is not None:
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -205,8 +205,7 @@
     ) -> None:
         server_id = choice.entry.server_id
         try:
-            with trio.CancelScope() as scope:
-                hedged.scopes[server_id] = scope
+            with hedged.begin(server_id):
                 outcome = await self._send_once(hedged, context, choice, caller)
                 if outcome is not None:
                     hedged.outcome = outcome
