A signal of the first of two freezes counts from there, also if hardly anything ran between them

A standstill of half a second or more now reaches back to those that had ended less than half a second before its beginning, and no further, so that a process that lacks processor time all the while is not taken for one that was stopped long ago.

--- a/src/wagtailpoint/daemon/loop_activity.py
+++ b/src/wagtailpoint/daemon/loop_activity.py
@@ -17,10 +17,19 @@
 
 
 class Standstill(NamedTuple):
-    """A time in which the event loop should have run and did not, in seconds of the clock."""
+    """A time in which the event loop should have run and did not.
+
+    Attributes:
+        began_at: Its beginning, in seconds of the clock.
+        ended_at: Its end.
+        earliest_cause_at: The earliest time at which a signal that is handled just after it may
+            have been sent. That is earlier than its beginning if it began just after another one
+            and was so long that nothing of that one may have been handled.
+    """
 
     began_at: float
     ended_at: float
+    earliest_cause_at: float
 
 
 class LoopActivity(trio.abc.Instrument):
@@ -57,15 +66,22 @@
             Seconds of the clock.
         """
         self._forget_standstills(self._clock.monotonic())
-        return min((each.began_at for each in self._standstills), default=self._last_ran_at)
+        causes = (each.earliest_cause_at for each in self._standstills)
+        return min(causes, default=self._last_ran_at)
 
     def _record_run(self, expected_s: float) -> None:
         now = self._clock.monotonic()
         if now - self._last_ran_at > expected_s + STANDSTILL_S:
-            self._forget_standstills(now)
-            self._standstills.append(Standstill(self._last_ran_at, now))
+            self._record_standstill(self._last_ran_at, now)
         self._last_ran_at = now
 
+    def _record_standstill(self, began_at: float, ended_at: float) -> None:
+        self._forget_standstills(began_at)
+        cause_at = began_at
+        if ended_at - began_at >= DELIVERY_S:
+            cause_at = min((each.began_at for each in self._standstills), default=began_at)
+        self._standstills.append(Standstill(began_at, ended_at, cause_at))
+
     def _forget_standstills(self, now: float) -> None:
         while self._standstills and now - self._standstills[0].ended_at >= DELIVERY_S:
             self._standstills.popleft()
