--- a/src/wagtailpoint/proxy/answer_times.py
+++ b/src/wagtailpoint/proxy/answer_times.py
@@ -5,7 +5,7 @@
 import trio
 
 RETENTION_S: Final = 60.0
-"""Requests of at least half of this time are considered, and of twice that at most."""
+"""A request is considered for this time at most, and for half of it at least."""
 
 MAX_ROUTES: Final = 10_000
 """Maximum number of routes with times. Routes come and go with the configuration."""
