Load reports with a pace: the machine's expected pace counts in the choice of a server

Cause: a load report with a fourth number, the pace of the server's machine, was discarded as a whole, so that such a server seemed idle.

Change: LoadReport has the pace, and parse_load moves to placement/load_report.py. Malformed reports are ignored, counted as load-report.malformed and logged once per start of a server. The expected pace of a machine is estimated from its last report, its mean and a decay learned from pairs of successive reports (placement/machine_pace.py, pace_decay.py). The weigher multiplies service times by it; a measured service time is divided by the pace estimated for its whole interval before it updates the route's cost and the server's slowness.

--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -27,9 +27,9 @@
 from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.entry_counts import FixedEntryCounts
+from wagtailpoint.placement.load_report import LoadReport
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.region_mix import RegionMix
-from wagtailpoint.placement.server_load import LoadReport
 from wagtailpoint.ports.backend import BackendAddress
 from wagtailpoint.routing.table import HostRoute, RouteKind, SplitPart
 
--- a/src/wagtailpoint/placement/choice.py
+++ b/src/wagtailpoint/placement/choice.py
@@ -5,7 +5,7 @@
 
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.placement.expectation import Expectation
-from wagtailpoint.placement.server_load import LoadReport
+from wagtailpoint.placement.load_report import NORMAL_PACE, LoadReport
 from wagtailpoint.routing.table import HostRoute, ServicePolicy
 
 FREE_SLOT_SPEEDUP_FRACTION: Final = 0.5
@@ -54,6 +54,7 @@
         expected: The expected latency and loss.
         occupancy: The estimated number of requests there.
         report_age_s: The age of the backend server's newest load report, in seconds.
+        pace: The expected pace of its machine, as a multiple of the normal time of work.
     """
 
     entry: ServerEntry
@@ -63,6 +64,7 @@
     expected: Expectation
     occupancy: float
     report_age_s: float
+    pace: float = NORMAL_PACE
 
 
 class Declined(NamedTuple):
--- a/src/wagtailpoint/placement/estimates.py
+++ b/src/wagtailpoint/placement/estimates.py
@@ -4,6 +4,7 @@
 
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.placement.key_reuse import KeyReuse
+from wagtailpoint.placement.machine_pace import MachinePaces
 from wagtailpoint.placement.route_costs import MeanServiceTime, RouteCost
 from wagtailpoint.placement.server_load import ServerLoad
 from wagtailpoint.placement.warm_keys import WarmKeys
@@ -23,6 +24,12 @@
         self._costs: dict[tuple[str, str], RouteCost] = {}
         self._means: dict[str, MeanServiceTime] = {}
         self._reuse: dict[str, KeyReuse] = {}
+        self._paces = MachinePaces()
+
+    @property
+    def paces(self) -> MachinePaces:
+        """The paces of the machines of backend servers."""
+        return self._paces
 
     def load_of(self, entry: ServerEntry) -> ServerLoad:
         """Return the estimated load and health of a backend server."""
@@ -77,3 +84,4 @@
         if load is not None and load.in_flight == 0:
             del self._loads[start]
         self._warm.pop(start, None)
+        self._paces.remove(start)
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -91,6 +91,10 @@
         """Return the estimated load and health of a backend server since its start."""
         return self._estimates.load_of(entry)
 
+    def reports_pace(self, service: str) -> bool:
+        """Return whether backend servers of a service state the pace of their machines."""
+        return self._estimates.paces.is_reported(service)
+
     def record_request(self, demand: Demand) -> None:
         """Record a request of a caller."""
         cost = self._estimates.cost_of(demand.route, demand.service)
@@ -266,6 +270,8 @@
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
         if seen.report is not None:
             load.record_report(seen.report, now, round_trip_s)
+            measured_at = now - round_trip_s / 2
+            self._estimates.paces.record(entry.service, entry.start, seen.report, measured_at)
         # Shedding is correct for a full backend server, and a failure of one with free slots.
         is_full = seen.report is not None and seen.report.running >= seen.report.slots
         load.record_answer(now, failed=seen.failed or (seen.shed and not is_full))
@@ -274,13 +280,26 @@
             return
         service_s = max(0.001, seen.latency_s - round_trip_s)
         expected_s = max(0.001, choice.expected.latency_s - round_trip_s)
-        load.record_latency(service_s, expected_s, now)
+        pace = self._pace_while_run(entry, now, service_s, round_trip_s)
+        load.record_latency(service_s, expected_s * pace / choice.pace, now)
         self._estimates.warm_of(entry).record(demand.key, now)
         if choice.occupancy < entry.slots - 1:
             self._estimates.record_answer(
-                demand.route, demand.service, service_s, seen.reply_bytes, now
+                demand.route, demand.service, service_s / pace, seen.reply_bytes, now
             )
 
+    def _pace_while_run(
+        self, entry: ServerEntry, now: float, service_s: float, round_trip_s: float
+    ) -> float:
+        """Return the estimated pace of a machine while it ran a request that was just answered.
+
+        The report that came with the answer only tells the pace at the end of the service time.
+        """
+        ended_at = now - round_trip_s / 2
+        return self._estimates.paces.during(
+            entry.service, entry.start, ended_at - service_s, ended_at
+        )
+
     def _is_suspect(self, entry: ServerEntry, now: float) -> bool:
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
         return self.load_of(entry).is_suspect(now, round_trip_s)
--- a/src/wagtailpoint/placement/server_load.py
+++ b/src/wagtailpoint/placement/server_load.py
@@ -3,6 +3,8 @@
 import math
 from typing import Final, NamedTuple
 
+from wagtailpoint.placement.load_report import LoadReport
+
 MEAN_WEIGHT: Final = 0.15
 """Weight of a new load report in the mean."""
 
@@ -47,30 +49,6 @@
 to it wait until their deadlines."""
 
 
-class LoadReport(NamedTuple):
-    """The load report that a backend server sends with a response.
-
-    Attributes:
-        running: The number of requests that it runs.
-        waiting: The number of requests in its queue.
-        slots: The number of requests that it can run at the same time.
-    """
-
-    running: int
-    waiting: int
-    slots: int
-
-
-def parse_load(value: bytes | None) -> LoadReport | None:
-    """Parse a load report ``RUNNING,WAITING,SLOTS``; return None if it has another form."""
-    if value is None:
-        return None
-    parts = value.split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
-        return None
-    return LoadReport(*(int(part) for part in parts))
-
-
 class InFlightRequest(NamedTuple):
     """A request of this instance that the backend server has not answered yet.
 
--- a/src/wagtailpoint/placement/weigher.py
+++ b/src/wagtailpoint/placement/weigher.py
@@ -97,7 +97,12 @@
             if not self._cold.may_send(entry.start, region, cold_per_s(demand.policy)):
                 return Declined(entry, "cold", occupancy, report_age_s)
             slowness *= COLD_FACTOR
-        service_s = cost.service_s(now) * slowness
+        normal_s = cost.service_s(now)
+        # The pace in the middle of the service time: it changes within the time of a request.
+        runs_at = now + round_trip_s / 2 + normal_s / 2
+        pace = self._estimates.paces.expected(demand.service, entry.start, runs_at)
+        slowness *= pace
+        service_s = normal_s * slowness
         ahead_s = self._estimates.mean_service_s(demand.service, now)
         agreed = self._is_agreed(demand, ranked, position)
         cached = self._cached_chance(demand, ranked, agreed, now)
@@ -118,7 +123,7 @@
         expected = expect(prospect, objective_s=max(demand.objective_remaining_s, MIN_OBJECTIVE_S))
         if expected.wait_s > _max_wait_s(demand.route, service_s):
             return Declined(entry, "full", occupancy, report_age_s)
-        return Choice(entry, region, ranked.rank, cached, expected, occupancy, report_age_s)
+        return Choice(entry, region, ranked.rank, cached, expected, occupancy, report_age_s, pace)
 
     def _cached_chance(self, demand: Demand, ranked: Ranked, agreed: bool, now: float) -> float:
         warm = self._estimates.warm_of(ranked.candidate.entry)
--- a/src/wagtailpoint/proxy/observed_reply.py
+++ b/src/wagtailpoint/proxy/observed_reply.py
@@ -1,19 +1,21 @@
 """What a response tells of the backend server that sent it."""
 
 from wagtailpoint.placement.choice import Observation
-from wagtailpoint.placement.server_load import parse_load
+from wagtailpoint.placement.load_report import LoadReport
 from wagtailpoint.proxy.backend_connection import BackendReply
 from wagtailpoint.proxy.headers import HeaderNames, header_value
 
 
-def observe_reply(reply: BackendReply, names: HeaderNames, latency_s: float) -> Observation:
-    """Return the observation that a response makes after ``latency_s`` seconds."""
+def observe_reply(
+    reply: BackendReply, names: HeaderNames, latency_s: float, report: LoadReport | None
+) -> Observation:
+    """Return the observation of a response that came after ``latency_s`` seconds."""
     cold = header_value(reply.headers, names.cold_ms)
     return Observation(
         latency_s=latency_s,
         reply_bytes=len(reply.body),
         failed=reply.status >= 500 and not reply.not_run,
         shed=reply.not_run,
-        report=parse_load(header_value(reply.headers, names.load)),
+        report=report,
         cold_s=int(cold) / 1000 if cold is not None and cold.isdigit() else 0.0,
     )
--- a/src/wagtailpoint/proxy/request_log.py
+++ b/src/wagtailpoint/proxy/request_log.py
@@ -7,6 +7,7 @@
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import LatencyKey, Metrics
 from wagtailpoint.placement.choice import Choice, Declined
+from wagtailpoint.placement.load_report import NORMAL_PACE
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
 from wagtailpoint.proxy.headers import HeaderNames, header_text, header_value
 from wagtailpoint.proxy.request_context import Outcome, RequestContext
@@ -132,5 +133,6 @@
         "cached": choice.cached,
         "expected_ms": round(1000 * choice.expected.latency_s),
         "occupancy": round(choice.occupancy, 1),
+        **({"pace": round(choice.pace, 2)} if choice.pace != NORMAL_PACE else {}),
         "report_age_s": round(min(choice.report_age_s, MAX_LOGGED_AGE_S), 2),
     }
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -257,7 +257,9 @@
                 self._limits.record_answer(
                     entry.start.key, reply.headers, self._names.limit, sent_at
                 )
-            seen = observe_reply(reply, self._names, trio.current_time() - began)
+            latency_s = trio.current_time() - began
+            report = self._announcements.read_load(entry, reply.headers)
+            seen = observe_reply(reply, self._names, latency_s, report)
             if reply.rest is None:
                 self._placement.record_answer(demand, choice, seen)
             context.load_report = header_value(reply.headers, self._names.load) or b""
--- a/src/wagtailpoint/proxy/server_announcements.py
+++ b/src/wagtailpoint/proxy/server_announcements.py
@@ -1,5 +1,6 @@
 """What backend servers announce about themselves in the heads of their responses."""
 
+from collections import OrderedDict
 from collections.abc import Callable
 from http import HTTPStatus
 from typing import Final
@@ -10,11 +11,15 @@
 from wagtailpoint.limits.requested_backoff import RequestedBackoffs, read_backoff
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
+from wagtailpoint.placement.load_report import LoadReport, parse_load
 from wagtailpoint.ports.backend import Headers
 from wagtailpoint.proxy.headers import HeaderNames, header_value
 
 LEAVES: Final = b"1"
 
+MAX_LOGGED_STARTS: Final = 4096
+"""Number of starts that are remembered as logged for a malformed load report."""
+
 
 class ServerAnnouncements:
     """Reads what the responses of backend servers announce."""
@@ -43,6 +48,7 @@
         self._tell_relay = tell_relay
         self._names = names
         self._metrics = metrics
+        self._logged: OrderedDict[ServerStart, None] = OrderedDict()
 
     def record_head(
         self, entry: ServerEntry, status: int, headers: Headers, *, relay: str = ""
@@ -82,3 +88,26 @@
             )
             return None
         return backoff.ok_value
+
+    def read_load(self, entry: ServerEntry, headers: Headers) -> LoadReport | None:
+        """Return the load report of a response; None if there is none or it is malformed.
+
+        Malformed reports are counted, and logged once for each start of a backend server.
+        """
+        value = header_value(headers, self._names.load)
+        if value is None:
+            return None
+        report = parse_load(value)
+        if isinstance(report, Err):
+            self._metrics.count("load-report.malformed")
+            self._log_malformed(entry, report.err_value)
+            return None
+        return report.ok_value
+
+    def _log_malformed(self, entry: ServerEntry, error: str) -> None:
+        if entry.start in self._logged:
+            return
+        self._logged[entry.start] = None
+        if len(self._logged) > MAX_LOGGED_STARTS:
+            self._logged.popitem(last=False)
+        log_event("load-report-malformed", level="WARNING", server=entry.server_id, error=error)
--- a/tests/cover/test_placement.py
+++ b/tests/cover/test_placement.py
@@ -22,8 +22,8 @@
 from wagtailpoint.placement.choice import Choice, Demand, NotPlaced, Observation
 from wagtailpoint.placement.entry_counts import FixedEntryCounts
 from wagtailpoint.placement.expectation import Prospect, expect
+from wagtailpoint.placement.load_report import LoadReport
 from wagtailpoint.placement.placement import Placement
-from wagtailpoint.placement.server_load import LoadReport
 
 DOMAINS = ("a-1", "a-2", "b-1")
 
