Affinity keys are shared in proportion to slots, by weighted rendezvous hashing

Cause: each backend server ranked first for the same share of the keys, whatever its slots. Change: order_by_distance ranks by -ln(u) / slots. Equal slots are compared by the hash, which is today's order. Distances that differ by less than 1e-12 of their value are compared by decimal logarithms, so that the order does not depend on a machine's mathematical library. The hashes of a key are kept over changes of the fleet, and the orders of a service while its candidates are equal.

--- a/bench/moves_by_change.py
+++ b/bench/moves_by_change.py
@@ -159,9 +159,9 @@
     return sum(abs(after.get(name, 0.0) - before.get(name, 0.0)) for name in {*before, *after}) / 2
 
 
-def measure_order_us(servers: int) -> float:
+def measure_order_us(servers: int, slots: Sequence[int]) -> float:
     """Return the median time of the first order of a key, in microseconds."""
-    ranking = _rank(make_servers(servers))
+    ranking = _rank(make_servers(servers, slots))
     took = []
     for key in range(COST_KEYS):
         began = time.perf_counter()
@@ -170,15 +170,16 @@
     return 1e6 * median(took)
 
 
-def measure_change_us(servers: int) -> float:
+def measure_change_us(servers: int, slots: Sequence[int]) -> float:
     """Return the median time of a key's order after a server was added, in microseconds."""
-    entries = make_servers(servers)
+    entries = make_servers(servers, slots)
     fleet = Fleet(region_of=REGION_OF)
     fleet.update(entries.values())
     ranking = Ranking(fleet=fleet, own_domain=OWN_DOMAIN, own_region=REGION_OF[OWN_DOMAIN])
     for key in range(COST_KEYS):
         ranking.order_candidates("desk", str(key), None)
-    fleet.update(_add(entries).values())
+    added = make_entry(9999, slots=slots[0], domain=OWN_DOMAIN)
+    fleet.update([*entries.values(), added])
     took = []
     for key in range(COST_KEYS):
         began = time.perf_counter()
@@ -211,9 +212,11 @@
                 for old, new in zip(before, after, strict=True)
             )
             lines.append(f"{name:20} {scope:7} {100 * least:7.2f} {100 * moved / keys:8.2f}")
-    lines.append("servers  first order of a key us  after an added server us")
+    lines.append("servers  slots  first order of a key us  after an added server us")
     for count in COST_SERVERS:
-        lines.append(f"{count:7} {measure_order_us(count):24.0f} {measure_change_us(count):25.0f}")
+        for name, slots in (("equal", (9,)), ("mixed", SLOTS)):
+            first_us, changed_us = measure_order_us(count, slots), measure_change_us(count, slots)
+            lines.append(f"{count:7}  {name} {first_us:23.0f} {changed_us:25.0f}")
     logger.enable("wagtailpoint")
     return lines
 
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -5,11 +5,17 @@
 
 from wagtailpoint.discovery.fleet import Candidate, Fleet
 from wagtailpoint.placement.choice import Demand
+from wagtailpoint.placement.key_hashes import KeyHashes
+from wagtailpoint.placement.weighted_order import order_by_distance
 from wagtailpoint.rendezvous import rendezvous_score
 
 MAX_CACHED_ORDERS: Final = 8192
 """Maximum number of keys with a cached order; each takes about 1 KB."""
 
+MAX_CACHED_HASHES: Final = 1 << 20
+"""Number of hashes of keys with backend servers beyond which they are dropped; each takes 8 bytes.
+They are kept when backend servers change, while the orders are not."""
+
 MAX_GLOBAL_CANDIDATES: Final = 6
 MAX_LOCAL_CANDIDATES: Final = 3
 """Maximum numbers of candidates for one key: of all backend servers, and of this instance's failure
@@ -18,6 +24,8 @@
 
 _FULL_SCALE: Final = float(1 << 64)
 
+IsUsable = Callable[[Candidate], bool]
+
 
 class Ranked(NamedTuple):
     """A candidate for one affinity key.
@@ -49,11 +57,80 @@
     ranked: Sequence[Ranked]
 
 
+class _ServiceOrders:
+    """The candidates of one service, and the orders of its keys."""
+
+    def __init__(self, *, own_domain: str, own_region: str) -> None:
+        self._own_domain = own_domain
+        self._own_region = own_region
+        self._candidates: tuple[Candidate, ...] = ()
+        self._slots: list[int] = []
+        self._max_in_region = 0
+        self._max_in_domain = 0
+        self.hashes = KeyHashes()
+        self.generation = -1
+        self.orders: dict[tuple[str, frozenset[str] | None], KeyOrder] = {}
+
+    def set_candidates(self, candidates: tuple[Candidate, ...]) -> None:
+        """Set the candidates by id; drop the orders if any candidate has changed."""
+        if candidates == self._candidates:
+            return
+        self._candidates = candidates
+        self._slots = [candidate.entry.slots for candidate in candidates]
+        in_region = sum(candidate.region == self._own_region for candidate in candidates)
+        in_domain = sum(
+            candidate.entry.failure_domain == self._own_domain for candidate in candidates
+        )
+        self._max_in_region = min(in_region, MAX_LOCAL_CANDIDATES)
+        self._max_in_domain = min(in_domain, MAX_LOCAL_CANDIDATES)
+        self.hashes.set_servers([candidate.entry.server_id for candidate in candidates])
+        self.orders = {}
+
+    def order(
+        self, key: str, home_regions: frozenset[str] | None, is_usable: IsUsable | None = None
+    ) -> list[Ranked]:
+        """Return the first candidates for a key of all, of the own region and failure domain."""
+        hashes, slots, allowed = self.hashes.hashes_of(key), self._slots, self._candidates
+        if home_regions is not None or is_usable is not None:
+            places = [
+                place
+                for place, candidate in enumerate(allowed)
+                if (home_regions is None or candidate.region in home_regions)
+                and (is_usable is None or is_usable(candidate))
+            ]
+            hashes = [hashes[place] for place in places]
+            slots = [slots[place] for place in places]
+            allowed = tuple(allowed[place] for place in places)
+        ranked: list[Ranked] = []
+        in_region_count = in_domain_count = 0
+        for rank, place in enumerate(order_by_distance(hashes, slots)):
+            if (
+                rank >= MAX_GLOBAL_CANDIDATES
+                and in_region_count >= self._max_in_region
+                and in_domain_count >= self._max_in_domain
+            ):
+                break
+            candidate = allowed[place]
+            in_domain = candidate.entry.failure_domain == self._own_domain
+            in_region = candidate.region == self._own_region
+            if (
+                rank < MAX_GLOBAL_CANDIDATES
+                or (in_region and in_region_count < MAX_LOCAL_CANDIDATES)
+                or (in_domain and in_domain_count < MAX_LOCAL_CANDIDATES)
+            ):
+                is_first_in_region = in_region and not in_region_count
+                ranked.append(Ranked(candidate, rank, in_domain, in_region, is_first_in_region))
+            in_region_count += in_region
+            in_domain_count += in_domain
+        return ranked
+
+
 class Ranking:
-    """Orders the candidates of a service by rendezvous hashing.
+    """Orders the candidates of a service by weighted rendezvous hashing.
 
-    When a backend server is added or removed, only the keys for which it ranks first are assigned
-    another first backend server; all other keys keep theirs and its cache.
+    Each candidate ranks first for a share of the keys that is proportional to its slots. When a
+    backend server is added, removed or gets another number of slots, only the keys that it gains or
+    loses are assigned another first backend server; all other keys keep theirs and its cache.
     """
 
     def __init__(self, *, fleet: Fleet, own_domain: str, own_region: str) -> None:
@@ -67,57 +144,45 @@
         self._fleet = fleet
         self._own_domain = own_domain
         self._own_region = own_region
-        self._generation = -1
-        self._orders: dict[tuple[str, str, frozenset[str] | None], KeyOrder] = {}
+        self._services: dict[str, _ServiceOrders] = {}
 
     def order_candidates(
         self, service: str, key: str, home_regions: frozenset[str] | None
     ) -> KeyOrder:
         """Return the candidates for a key, in ``home_regions`` only unless that is None."""
-        if self._generation != self._fleet.generation or len(self._orders) > MAX_CACHED_ORDERS:
-            self._orders = {}
-            self._generation = self._fleet.generation
-        found = self._orders.get((service, key, home_regions))
+        orders = self._updated_orders(service)
+        found = orders.orders.get((key, home_regions))
         if found is None:
+            self._limit_memory()
             position = rendezvous_score(key, "") / _FULL_SCALE
-            found = KeyOrder(position, tuple(self._order(service, key, home_regions)))
-            self._orders[service, key, home_regions] = found
+            found = KeyOrder(position, tuple(orders.order(key, home_regions)))
+            orders.orders[key, home_regions] = found
         return found
 
-    def order_where(self, demand: Demand, is_usable: Callable[[Candidate], bool]) -> list[Ranked]:
+    def order_where(self, demand: Demand, is_usable: IsUsable) -> list[Ranked]:
         """Return the candidates for a demand, chosen among those that fulfil a condition."""
-        return self._order(demand.service, demand.key, demand.route.home_regions, is_usable)
-
-    def _order(
-        self,
-        service: str,
-        key: str,
-        home_regions: frozenset[str] | None,
-        is_usable: Callable[[Candidate], bool] = lambda candidate: True,
-    ) -> list[Ranked]:
-        allowed = [
-            candidate
-            for candidate in self._fleet.candidates(service)
-            if (home_regions is None or candidate.region in home_regions) and is_usable(candidate)
-        ]
-        allowed.sort(key=lambda candidate: -rendezvous_score(key, candidate.entry.server_id))
-        first_in_region = next(
-            (candidate for candidate in allowed if candidate.region == self._own_region), None
-        )
-        ranked = [
-            Ranked(
-                candidate=candidate,
-                rank=rank,
-                in_domain=candidate.entry.failure_domain == self._own_domain,
-                in_region=candidate.region == self._own_region,
-                is_first_in_region=candidate is first_in_region,
+        orders = self._updated_orders(demand.service)
+        return orders.order(demand.key, demand.route.home_regions, is_usable)
+
+    def _updated_orders(self, service: str) -> _ServiceOrders:
+        orders = self._services.get(service)
+        if orders is None:
+            orders = self._services[service] = _ServiceOrders(
+                own_domain=self._own_domain, own_region=self._own_region
             )
-            for rank, candidate in enumerate(allowed)
-        ]
-        near = [candidate for candidate in ranked if candidate.in_region][:MAX_LOCAL_CANDIDATES]
-        nearest = [candidate for candidate in ranked if candidate.in_domain][:MAX_LOCAL_CANDIDATES]
-        kept = {candidate.rank for candidate in (*ranked[:MAX_GLOBAL_CANDIDATES], *near, *nearest)}
-        return [ranked[rank] for rank in sorted(kept)]
+        if orders.generation != self._fleet.generation:
+            orders.set_candidates(self._fleet.candidates(service))
+            orders.generation = self._fleet.generation
+        return orders
+
+    def _limit_memory(self) -> None:
+        kept = self._services.values()
+        if sum(len(orders.orders) for orders in kept) >= MAX_CACHED_ORDERS:
+            for orders in kept:
+                orders.orders.clear()
+        if sum(orders.hashes.count for orders in kept) >= MAX_CACHED_HASHES:
+            for orders in kept:
+                orders.hashes.clear()
 
 
 def select_preferred(usable: Sequence[Ranked]) -> list[Ranked]:
