--- a/src/wagtailpoint/daemon/main.py
+++ b/src/wagtailpoint/daemon/main.py
@@ -1,6 +1,7 @@
 """Command line of ``wagtailpointd``."""
 
 import faulthandler
+import gc
 import os
 import signal
 import sys
@@ -14,7 +15,6 @@
 from wagtailpoint.errors import InvalidInput
 from wagtailpoint.observe.log import configure_log, log_event
 from wagtailpoint.platform.settings import SETTINGS_VARIABLE, read_node_settings
-from wagtailpoint.settings import read_settings
 
 EXIT_INVALID_SETTINGS = 2
 
@@ -49,7 +49,9 @@
     # Imported here because an instance on the platform does not need these modules, and starts in
     # half the time without them.
     from wagtailpoint.daemon.instance import run_instance
+    from wagtailpoint.settings import read_settings
 
+    _end_imports()
     settings = read_settings(settings_file)
     if isinstance(settings, Err):
         _exit_with_mistakes(settings.err_value)
@@ -67,6 +69,7 @@
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     from wagtailpoint.daemon.steering import run_steering_instance
 
+    _end_imports()
     settings = read_node_settings(settings_file)
     if isinstance(settings, Err):
         _exit_with_mistakes(settings.err_value)
@@ -78,6 +81,12 @@
     _exit_at_once()
 
 
+def _end_imports() -> None:
+    """Exclude imported objects from garbage collection, which would visit each of them."""
+    gc.freeze()
+    gc.enable()
+
+
 def _exit_at_once() -> NoReturn:
     """End the process without the interpreter's clean-up.
 
