--- a/bench/processor_time.py
+++ b/bench/processor_time.py
@@ -81,9 +81,8 @@
         server = await stack.enter_async_context(scripted_server(_backend))
         store.put("config", "main", _config())
         for number in range(SERVERS):
-            address = str(server) if number == 0 else f"127.250.{number}.1:9"
-            service = "desk" if number == 0 else "vault"
-            store.put("servers", f"i-{number}", server_document(address, Service=service))
+            service = "vault" if number % 2 else "desk"
+            store.put("servers", f"i-{number}", server_document(str(server), Service=service))
         (instance,) = await stack.enter_async_context(steering_group(endpoint, 1))
         with trio.fail_after(_READY_TIMEOUT_S):
             while "event=ready" not in instance.process.log:  # noqa: ASYNC110 - other process
@@ -99,7 +98,7 @@
             )
 
         async def change(number: int) -> None:
-            document = server_document(f"127.250.9.1:{number + 1}", Service="vault")
+            document = server_document(str(server), Service="vault", Sequence=number + 5)
             store.put("servers", "i-9", document)
             await trio.sleep(0.02)
 
--- a/src/wagtailpoint/limits/allowance_sharing.py
+++ b/src/wagtailpoint/limits/allowance_sharing.py
@@ -13,6 +13,7 @@
 from result import Ok
 
 from wagtailpoint.limits.allowance import Allowance, AllowanceBucket
+from wagtailpoint.limits.allowance_backlog import AllowanceBacklog
 from wagtailpoint.limits.allowance_slots import AllowanceSlots, Slot, all_slots, slots_for_workspace
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.peers import Peers, Received, register_message
@@ -32,6 +33,10 @@
 UNANSWERED_DELAY_S: Final = 0.5
 """Delay before an instance that did not answer or does not hold the slot is asked again."""
 
+RECENTLY_EMPTY_S: Final = 1.0
+"""Time after a bucket was empty in which it is asked by one request at a time, as further answers
+at the same moment would also be that it is empty."""
+
 MAX_TOKENS_PER_GRANT: Final = 8
 """Maximum number of tokens in one grant."""
 
@@ -111,9 +116,13 @@
         """Return the number of tokens expected to be used during the lifetime of a new grant."""
         return max(1, min(MAX_TOKENS_PER_GRANT, int(GRANT_TTL_S * self._rate)))
 
+    def has_granted(self, now: float) -> bool:
+        """Return whether an unspent token of the latest grant is left."""
+        return self._granted_tokens > 0 and now < self._granted_until
+
     def take_granted(self, now: float) -> bool:
         """Take an unspent token of the latest grant; return whether there was one."""
-        if self._granted_tokens == 0 or now >= self._granted_until:
+        if not self.has_granted(now):
             return False
         self._granted_tokens -= 1
         return True
@@ -174,6 +183,9 @@
         self._demands: dict[str, _Demand] = {}
         self._empty_until: dict[tuple[str, Slot], float] = {}
         self._unanswered_until: dict[Slot, float] = {}
+        self._questions: dict[tuple[str, Slot], trio.Event] = {}
+        self._backlogs: dict[str, AllowanceBacklog] = {}
+        self._slots_by_workspace: dict[str, list[Slot]] = {}
         peers.handle(AllowanceQuestion, self._handle_question)
 
     async def run(self) -> None:
@@ -191,19 +203,56 @@
         demand = self._demands.setdefault(workspace, _Demand())
         demand.record_request(now)
         if demand.take_granted(now):
+            self.backlog(workspace).record_granted()
             return SpendResult(True, 0.0, "ahead")
         min_wait_s = math.inf
         told = []
         for slot in self._slots_in_order(workspace):
             wait_s = await self._spend_from(workspace, slot, demand)
             if wait_s == 0.0:
+                self.backlog(workspace).record_granted()
                 return SpendResult(True, 0.0, slot.name)
             min_wait_s = min(min_wait_s, wait_s)
             told.append(f"{slot.region}:{wait_s:.3f}s")
         return SpendResult(False, min_wait_s, ",".join(told))
 
+    def known_wait_s(self, workspace: str) -> float:
+        """Return for how long a workspace is known to be over its allowance, in seconds.
+
+        Asks nobody. It is 0 if a token may be available: an unspent one is left, or a holder may be
+        asked. It is also 0 if no holder has answered, since then nothing is known.
+        """
+        demand = self._demands.get(workspace)
+        now = self._clock.monotonic()
+        if demand is None or demand.has_granted(now):
+            return 0.0
+        min_wait_s = math.inf
+        for slot in self._slots_of(workspace):
+            wait_s = self._empty_until.get((workspace, slot), 0.0) - now
+            if wait_s > 0.0:
+                min_wait_s = min(min_wait_s, wait_s)
+            elif wait_s > -RECENTLY_EMPTY_S and (workspace, slot) in self._questions:
+                min_wait_s = min(min_wait_s, MIN_EMPTY_DELAY_S)
+            elif now >= self._unanswered_until.get(slot, 0.0):
+                return 0.0
+        return min_wait_s if min_wait_s < math.inf else 0.0
+
+    def backlog(self, workspace: str) -> AllowanceBacklog:
+        """Return the callers of a workspace who wait here or were told to come back."""
+        backlog = self._backlogs.get(workspace)
+        if backlog is None:
+            backlog = self._backlogs[workspace] = AllowanceBacklog(monotonic=self._clock.monotonic)
+        return backlog
+
+    def _slots_of(self, workspace: str) -> list[Slot]:
+        slots = self._slots_by_workspace.get(workspace)
+        if slots is None:
+            slots = list(slots_for_workspace(workspace, self._regions))
+            self._slots_by_workspace[workspace] = slots
+        return slots
+
     def _slots_in_order(self, workspace: str) -> list[Slot]:
-        slots = list(slots_for_workspace(workspace, self._regions))
+        slots = list(self._slots_of(workspace))
         self._random.shuffle(slots)
         return sorted(slots, key=lambda slot: slot.region != self._own_region)
 
@@ -214,19 +263,34 @@
             0 if a token was granted, otherwise the time in seconds until one is available;
             infinite without an answer.
         """
-        asked_at = self._clock.monotonic()
-        remaining_s = self._empty_until.get((workspace, slot), 0.0) - asked_at
-        if remaining_s > 0.0:
-            return remaining_s
+        key = (workspace, slot)
+        while True:
+            asked_at = self._clock.monotonic()
+            remaining_s = self._empty_until.get(key, -math.inf) - asked_at
+            if remaining_s > 0.0:
+                return remaining_s
+            question = self._questions.get(key)
+            if question is None or remaining_s < -RECENTLY_EMPTY_S:
+                break
+            await question.wait()
+            if demand.take_granted(self._clock.monotonic()):
+                return 0.0
         if asked_at < self._unanswered_until.get(slot, 0.0):
             return math.inf
-        answer = await self._request_tokens(workspace, slot, demand.tokens_wanted())
+        question = self._questions[key] = trio.Event()
+        try:
+            answer = await self._request_tokens(workspace, slot, demand.tokens_wanted())
+        finally:
+            # A later question may have taken the place of this one.
+            if self._questions.get(key) is question:
+                del self._questions[key]
+            question.set()
         if not answer.held or self._clock.monotonic() - asked_at > GRANT_TTL_S:
             self._unanswered_until[slot] = asked_at + UNANSWERED_DELAY_S
             return math.inf
         if answer.tokens == 0:
             wait_s = max(MIN_EMPTY_DELAY_S, answer.wait_s)
-            self._empty_until[workspace, slot] = self._clock.monotonic() + wait_s
+            self._empty_until[key] = self._clock.monotonic() + wait_s
             return wait_s
         demand.keep(answer.tokens - 1, asked_at + GRANT_TTL_S)
         return 0.0
--- a/src/wagtailpoint/observe/log.py
+++ b/src/wagtailpoint/observe/log.py
@@ -120,9 +120,7 @@
     """
     # Checked here, as a line that the sink would drop costs nearly as much as one it writes.
     sink = _output.sink
-    if sink is not None and (
-        logger.level(level).no < _output.level_no or not sink.admits(event)
-    ):
+    if sink is not None and (logger.level(level).no < _output.level_no or not sink.admits(event)):
         return
     # Fields given to `log` cost less than those of `bind`; loguru adds both to the line.
     _CALLER_LOGGER.log(level, event, **fields)
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -4,15 +4,14 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from random import Random
-from typing import Protocol
 from urllib.parse import urlsplit
 
 import trio
 
-from wagtailpoint.limits.allowance_sharing import SpendResult
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.choice import NotPlaced
+from wagtailpoint.proxy.allowance_gate import AllowanceGate, Allowances
 from wagtailpoint.proxy.answer_times import AnswerTimes
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
 from wagtailpoint.proxy.caller_input import CallerGone
@@ -45,18 +44,6 @@
 
 DEADLINE_PATTERN = re.compile(rb"[0-9]{1,12}(\.[0-9]{1,6})?")
 
-ALLOWANCE_WAIT_FRACTION = 0.1
-"""Maximum wait for the next token of the workspace, as a fraction of the route's latency objective.
-"""
-
-
-class Allowances(Protocol):
-    """The request allowances of workspaces, which all instances share."""
-
-    async def spend(self, workspace: str) -> SpendResult:
-        """Count a request against the allowance of a workspace."""
-        ...
-
 
 class Dispatcher:
     """Serves callers' requests by sending them to backend servers."""
@@ -95,7 +82,6 @@
         self._sender = sender
         self._quarantine = quarantine
         self._key_check = key_check
-        self._allowances = allowances
         self._stop_clock = stop_clock
         self._stop_admission = stop_admission
         self._answer_times = answer_times
@@ -103,6 +89,7 @@
         self._metrics = metrics
         self._log = RequestLog(names=names, metrics=metrics, stop_clock=stop_clock)
         self._refusals = RefusalFactory(random=random)
+        self._gate = AllowanceGate(allowances=allowances, refusals=self._refusals, names=names)
         self._split = SplitChooser(random=random)
         self._open_requests = 0
         self._serving: dict[RequestContext, trio.CancelScope] = {}
@@ -170,6 +157,12 @@
         if length is not None and length > table.bounds.body_bytes:
             await caller.reply(HTTPStatus.REQUEST_ENTITY_TOO_LARGE, (), b"body too long\n")
             return
+        early = self._gate.known_refusal(route, access, self._timeout_s(request, route))
+        if early is not None:
+            # Refused before its body is read, which the connection then discards.
+            outcome = await early.send(caller)
+            self._log.write_refused_early(request, table, route, outcome)
+            return
         service = self._split.choose(route)
         context = RequestContext(
             request=request, table=table, route=route, service=service, key=key, workspace=access
@@ -260,7 +253,7 @@
                     context, caller, self._no_room_refusal(context, "deadline")
                 )
             if not context.allowance_spent:
-                refusal = await self._spend_allowance(context)
+                refusal = await self._gate.spend(context)
                 if refusal is not None:
                     return await self._give_up(context, caller, refusal)
                 # The choice may be outdated after the wait for the allowance.
@@ -289,31 +282,6 @@
     def _no_room_refusal(self, context: RequestContext, reason: str) -> Refusal:
         return self._refusals.no_room(reason, context.remaining_s)
 
-    async def _spend_allowance(self, context: RequestContext) -> Refusal | None:
-        """Count a request against its workspace's allowance, after a short wait if necessary.
-
-        Returns:
-            The refusal if the allowance is used up or unknown, otherwise None.
-        """
-        spent = await self._allowances.spend(context.workspace_name)
-        if (
-            not spent.granted
-            and spent.wait_s <= ALLOWANCE_WAIT_FRACTION * context.route.objective_s
-        ):
-            await trio.sleep(spent.wait_s)
-            spent = await self._allowances.spend(context.workspace_name)
-        context.allowance_spent = spent.granted
-        if spent.granted:
-            return None
-        log_event(
-            "allowance-refused",
-            id=header_text(header_value(context.request.headers, self._names.request_id)),
-            workspace=context.workspace_name,
-            told=spent.told,
-            config=context.table.version,
-        )
-        return self._refusals.over_allowance(spent, context.remaining_s)
-
     async def _read_body(self, context: RequestContext, caller: CallerExchange) -> bool:
         """Read the body ahead; return False if it does not arrive before the deadline."""
         if not has_body(context.request.headers):
--- a/src/wagtailpoint/proxy/refusal.py
+++ b/src/wagtailpoint/proxy/refusal.py
@@ -53,6 +53,11 @@
             return [(b"retry-after", f"{self.retry_after_s:.3f}".encode())]
         return [CHALLENGE] if self.status is HTTPStatus.UNAUTHORIZED else []
 
+    @property
+    def is_over_allowance(self) -> bool:
+        """Whether the workspace is over its allowance."""
+        return self.status is HTTPStatus.TOO_MANY_REQUESTS
+
     async def send(self, caller: CallerExchange) -> Outcome:
         """Send the reply and return the outcome."""
         await caller.reply(self.status, self.headers, f"not run: {self.reason}\n".encode())
--- a/src/wagtailpoint/proxy/request_log.py
+++ b/src/wagtailpoint/proxy/request_log.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from wagtailpoint.observe.log import log_event
+from wagtailpoint.observe.log import admits_line, log_event
 from wagtailpoint.observe.metrics import LatencyKey, Metrics
 from wagtailpoint.placement.choice import Choice, Declined
 from wagtailpoint.proxy.caller_exchange import CallerExchange, IncomingRequest
@@ -12,7 +12,13 @@
 from wagtailpoint.proxy.request_context import Outcome, RequestContext
 from wagtailpoint.proxy.stop_clock import StopClock
 from wagtailpoint.routing.access import AccessRefusal
+from wagtailpoint.routing.table import HostRoute, RouteTable
 from wagtailpoint.routing.workspaces import abbreviate_digest
+from wagtailpoint.verdict import Verdict
+
+NOT_RUN_BUDGET: Final = "request-not-run"
+"""Budget of lines on requests that were not run. While thousands are refused per second, the lines
+of requests that ran must not be dropped for theirs."""
 
 MAX_LOGGED_AGE_S: Final = 999.0
 """Logged as the age of load reports that were never received."""
@@ -54,6 +60,8 @@
         self._metrics.record_latency(
             LatencyKey("request", "", route, "", outcome.verdict.value, outcome.result), elapsed_s
         )
+        if outcome.verdict is Verdict.NOT_RUN and not admits_line(NOT_RUN_BUDGET):
+            return
         fields = self._stop_fields(request)
         if context is not None:
             fields |= {"route": route, "service": context.service, "config": context.table.version}
@@ -80,6 +88,31 @@
             **_choice_log_fields(context.last_choice if context is not None else None),
         )
 
+    def write_refused_early(
+        self, request: IncomingRequest, table: RouteTable, route: HostRoute, outcome: Outcome
+    ) -> None:
+        """Write the line of a request that was refused before its dispatch began, and count it."""
+        elapsed_s = trio.current_time() - request.arrived_at
+        self._metrics.count(f"request.{outcome.result}")
+        self._metrics.count(f"request.early.{outcome.result}")
+        verdict = outcome.verdict.value
+        self._metrics.record_latency(
+            LatencyKey("request", "", route.name, "", verdict, outcome.result), elapsed_s
+        )
+        if not admits_line(NOT_RUN_BUDGET):
+            return
+        log_event(
+            "request",
+            id=header_text(header_value(request.headers, self._names.request_id)),
+            status=outcome.status,
+            result=outcome.result,
+            verdict=verdict,
+            ms=round(1000 * elapsed_s, 1),
+            early=True,
+            route=route.name,
+            config=table.version,
+        )
+
     def _stop_fields(self, request: IncomingRequest) -> dict[str, Any]:
         """Return how long the stop has run, and had when a request arrived; nothing before."""
         if not self._stop_clock.has_begun:
@@ -94,6 +127,8 @@
         self, request: IncomingRequest, refusal: AccessRefusal, key: bytes | None
     ) -> None:
         """Write the line of a request that may not run by the key that it carries."""
+        if not admits_line(NOT_RUN_BUDGET):
+            return
         log_event(
             "key-refused",
             id=header_text(header_value(request.headers, self._names.request_id)),
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -12,6 +12,7 @@
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.freshness import Freshness
+from wagtailpoint.limits.allowance_backlog import AllowanceBacklog
 from wagtailpoint.limits.allowance_sharing import SpendResult
 from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.limits.requested_backoff import RequestedBackoffs
@@ -196,16 +197,30 @@
         tokens: The tokens left for all workspaces together.
         wait_s: The wait reported when no token is left, in seconds.
         spent: The workspaces of the counted requests.
+        known_over_s: For how long all workspaces are known to be over their allowance, in seconds.
+        questions: The number of attempts to spend a token.
     """
 
     def __init__(self) -> None:
         self.tokens = 1000
         self.wait_s = 2.0
         self.spent: list[str] = []
+        self.known_over_s = 0.0
+        self.questions = 0
+        self._backlogs: dict[str, AllowanceBacklog] = {}
+
+    def known_wait_s(self, workspace: str) -> float:
+        """Return the wait that the test has set."""
+        return self.known_over_s
+
+    def backlog(self, workspace: str) -> AllowanceBacklog:
+        """Return the backlog of a workspace."""
+        return self._backlogs.setdefault(workspace, AllowanceBacklog(monotonic=trio.current_time))
 
     async def spend(self, workspace: str) -> SpendResult:
         """Spend a token for a request."""
         await trio.lowlevel.checkpoint()
+        self.questions += 1
         if not self.tokens:
             return SpendResult(False, self.wait_s, "scripted")
         self.tokens -= 1
