--- a/src/wagtailpoint/limits/allowance_backlog.py
+++ b/src/wagtailpoint/limits/allowance_backlog.py
@@ -66,4 +66,5 @@
         return claims / max(MIN_RATE_PER_S, self._rate_at(now))
 
     def _rate_at(self, now: float) -> float:
-        return self._rate * 0.5 ** ((now - self._decayed_at) / RATE_HALF_LIFE_S)
+        decay = math.exp2(-(now - self._decayed_at) / RATE_HALF_LIFE_S)
+        return self._rate * decay
