--- a/bench/system_model.py
+++ b/bench/system_model.py
@@ -210,6 +210,7 @@
             cached_fraction=CachedFraction(fleet=fleet, entries=entries),
             mix=RegionMix(max_shift=lambda: MAX_SHIFT_FRACTION, random=self._random),
             entries=entries,
+            metrics=Metrics(),
         )
 
     async def _run_callers(
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -301,6 +301,7 @@
                 random=self._random,
             ),
             entries=self._role.nearby_counts,
+            metrics=self._metrics,
         )
 
     def _make_dispatcher(self) -> Dispatcher:
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -9,6 +9,7 @@
 from wagtailpoint.discovery.fleet import Candidate, Fleet
 from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.limits.requested_backoff import RequestedBackoffs
+from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.cached_fraction import CachedFraction
 from wagtailpoint.placement.choice import (
     BACKING_OFF,
@@ -25,6 +26,7 @@
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.entry_counts import EntryCounts
 from wagtailpoint.placement.estimates import Estimates
+from wagtailpoint.placement.key_moves import KeyMoves
 from wagtailpoint.placement.ranking import Ranked, Ranking, select_preferred
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.placement.server_load import InFlightRequest, ServerLoad
@@ -52,6 +54,7 @@
         cached_fraction: CachedFraction,
         mix: RegionMix,
         entries: EntryCounts,
+        metrics: Metrics,
     ) -> None:
         """Initialise the placement without estimates.
 
@@ -64,6 +67,7 @@
             cached_fraction: The fraction of keys to cache in each failure domain.
             mix: Limits how fast requests shift between regions.
             entries: The numbers of instances that share the callers.
+            metrics: Receives the counts of moved keys.
         """
         self._fleet = fleet
         self._distances = distances
@@ -86,6 +90,13 @@
             estimates=self._estimates,
             entries=entries,
         )
+        self._key_moves = KeyMoves(
+            fleet=fleet,
+            distances=distances,
+            cached_fraction=cached_fraction,
+            metrics=metrics,
+            is_skipped=self._is_skipped,
+        )
 
     def load_of(self, entry: ServerEntry) -> ServerLoad:
         """Return the estimated load and health of a backend server since its start."""
@@ -249,6 +260,7 @@
         entry = choice.entry
         now = trio.current_time()
         self._mix.record(choice.region, now)
+        self._key_moves.record(demand, entry.server_id)
         if self._fleet.is_cold(entry.start):
             self._cold.record_sent(entry.start, choice.region, cold_per_s(demand.policy))
         expected_stay_s = choice.expected.wait_s + choice.expected.service_s
@@ -285,6 +297,15 @@
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
         return self.load_of(entry).is_suspect(now, round_trip_s)
 
+    def _is_skipped(self, entry: ServerEntry) -> bool:
+        now = trio.current_time()
+        return (
+            not self._backoffs.may_send(entry.start.key)
+            or not self._may_send_by_limit(entry)
+            or self._is_suspect(entry, now)
+            or self.load_of(entry).is_failing(now)
+        )
+
     def servers_to_probe(self) -> list[ServerEntry]:
         """Return the unreachable backend servers whose backoff has expired."""
         now = trio.current_time()
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -154,8 +154,7 @@
         found = orders.orders.get((key, home_regions))
         if found is None:
             self._limit_memory()
-            position = rendezvous_score(key, "") / _FULL_SCALE
-            found = KeyOrder(position, tuple(orders.order(key, home_regions)))
+            found = KeyOrder(position_of(key), tuple(orders.order(key, home_regions)))
             orders.orders[key, home_regions] = found
         return found
 
@@ -185,6 +184,11 @@
                 orders.hashes.clear()
 
 
+def position_of(key: str) -> float:
+    """Return the position of a key among all keys of a service, uniform from 0 to 1."""
+    return rendezvous_score(key, "") / _FULL_SCALE
+
+
 def select_preferred(usable: Sequence[Ranked]) -> list[Ranked]:
     """Return the usable candidates that a request should go to, the one with the lowest rank first.
 
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -122,6 +122,7 @@
     instances: int = 1,
     limits: LimitPacing | None = None,
     backoffs: RequestedBackoffs | None = None,
+    metrics: Metrics | None = None,
 ) -> Placement:
     """Return the placement of an instance in the failure domain ``a-1``."""
     entries = FixedEntryCounts(everywhere=instances, in_region=instances, in_domain=1)
@@ -137,6 +138,7 @@
         cached_fraction=CachedFraction(fleet=fleet, entries=entries),
         mix=RegionMix(max_shift=lambda: MAX_SHIFT, random=Random(1)),
         entries=entries,
+        metrics=metrics or Metrics(),
     )
 
 
