--- a/bench/moves_by_change.py
+++ b/bench/moves_by_change.py
@@ -25,8 +25,8 @@
 SERVERS: Final = 24
 SHORT_KEYS: Final = 4000
 FULL_KEYS: Final = 20_000
-COST_SERVERS: Final = (36, 129, 400)
-COST_KEYS: Final = 1000
+COST_SERVERS: Final = (36, 129, 400, 2000)
+COST_KEYS: Final = 400
 SCOPES: Final = ("all", "region", "domain")
 
 Servers = Mapping[str, ServerEntry]
@@ -189,7 +189,11 @@
 
 
 def run(short: bool) -> list[str]:
-    """Count the moves of each change."""
+    """Count the moves of each change.
+
+    Raises:
+        AssertionError: A restart under the old id moves keys.
+    """
     logger.disable("wagtailpoint")
     keys = SHORT_KEYS if short else FULL_KEYS
     servers = make_servers(SERVERS)
@@ -211,6 +215,7 @@
                 getattr(old, scope) != getattr(new, scope)
                 for old, new in zip(before, after, strict=True)
             )
+            assert least or not moved, f"{name}: moved {moved} keys, expected none"
             lines.append(f"{name:20} {scope:7} {100 * least:7.2f} {100 * moved / keys:8.2f}")
     lines.append("servers  slots  first order of a key us  after an added server us")
     for count in COST_SERVERS:
