--- a/tests/cover/test_weighted_order.py
+++ b/tests/cover/test_weighted_order.py
@@ -123,6 +123,30 @@
         first = placed.order_candidates("desk", "0", None).ranked[0].candidate
         self.assertEqual(first.entry, fleet.entries[first.entry.server_id])
 
+    def test_draining_and_evacuation_move_only_the_keys_of_those_servers(self) -> None:
+        """Guards against servers that stay but lose keys because another one drains."""
+        entries = [
+            make_server(f"i-{number}", slots=2 + number % 5, failure_domain=DOMAINS[number % 3])
+            for number in range(24)
+        ]
+        placed = make_ranking(fleet := make_fleet(entries))
+        before = {str(key): ordered_ids(placed, str(key))[:6] for key in range(400)}
+
+        def check(gone: set[str]) -> None:
+            for key, order in before.items():
+                stay = [server_id for server_id in order if server_id not in gone]
+                self.assertEqual(ordered_ids(placed, key)[: len(stay)], stay)
+
+        drained = [entries[4]._replace(draining=True), entries[7]._replace(draining=True)]
+        fleet.apply_changes(drained, gone=[])
+        check({"i-4", "i-7"})
+        fleet.apply_changes([entries[4], entries[7]], gone=[])
+        check(set())
+        fleet.evacuate(frozenset(["b-1"]), {})
+        check({entry.server_id for entry in entries if entry.failure_domain == "b-1"})
+        fleet.evacuate(frozenset(), {})
+        check(set())
+
     def test_changed_entry_is_used_though_the_order_stays(self) -> None:
         """Guards against requests to the former address of a server."""
         entries = [make_server(f"i-{number}") for number in range(3)]
