--- a/tests/cover/test_weighted_order.py
+++ b/tests/cover/test_weighted_order.py
@@ -5,6 +5,7 @@
 from random import Random
 from unittest import mock
 
+import trio
 from loguru import logger
 
 from tests.common.steering_parts import REGION_OF, make_server
@@ -144,7 +145,11 @@
         check(set())
         fleet.evacuate(frozenset(["b-1"]), {})
         check({entry.server_id for entry in entries if entry.failure_domain == "b-1"})
-        fleet.evacuate(frozenset(), {})
+
+        async def reinstate() -> None:
+            fleet.evacuate(frozenset(), {})
+
+        trio.run(reinstate)
         check(set())
 
     def test_changed_entry_is_used_though_the_order_stays(self) -> None:
--- a/tests/nocover/test_key_shares.py
+++ b/tests/nocover/test_key_shares.py
@@ -27,7 +27,8 @@
 MAX_MOVES_RATIO = 1.2
 DOMAINS = ("a-1", "a-2", "b-1")
 
-# Slots within a factor of 2 of each other keep the smallest share above 1 % with 40 servers.
+# Servers with less than MIN_SHARE of the slots have too few keys for a bound; slots from 3 to 6 keep
+# the shares of all servers above it or close to it.
 SLOTS = st.sampled_from((3, 4, 5, 6)) | st.sampled_from((2, 16)) | st.integers(2, 16)
 FLEETS = st.lists(SLOTS, min_size=MIN_SERVERS, max_size=SERVERS - 1)
 
