Requests without room wait at the instance where services report a pace or settings ask for it

Cause: a request whose first choices are full is refused at once, whatever its urgency, although room comes free within milliseconds.

Enabled by QueueingSwitch (a reported pace, or Terms.Contracts with pressure), otherwise as before.

--- a/src/wagtailpoint/admission/room_queue.py
+++ b/src/wagtailpoint/admission/room_queue.py
@@ -165,7 +165,7 @@
         self._by_service.setdefault(turn.service, {})[waiting] = None
         self._count += 1
         self._bytes += turn.body_bytes
-        displaced = []
+        displaced: list[Waiting[Owner]] = []
         while self._count > self._max_waiting or self._bytes > self._max_bytes:
             last = max(
                 (other for queued in self._by_service.values() for other in queued),
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -14,11 +14,14 @@
 from wagtailpoint.daemon.entry_pages import EntryPages
 from wagtailpoint.daemon.entry_role import EntryRole
 from wagtailpoint.daemon.followers import follower_gauges, make_followers
+from wagtailpoint.daemon.own_fact import make_own_fact
 from wagtailpoint.daemon.probes import make_probes
+from wagtailpoint.daemon.queueing_switch import QueueingSwitch
 from wagtailpoint.daemon.removed_servers import RemovedServers
 from wagtailpoint.daemon.server_limits import ServerLimits
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.shared_announcements import SharedAnnouncements
+from wagtailpoint.daemon.shared_bounds import SharedBounds
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.daemon.steering_stop import SteeringStop
 from wagtailpoint.daemon.store_state import StoreState
@@ -35,13 +38,12 @@
 from wagtailpoint.idempotency.binding import new_incarnation
 from wagtailpoint.limits.bound_senders import BoundSenders
 from wagtailpoint.membership import Membership, MembershipSettings
-from wagtailpoint.membership.member import Fact
 from wagtailpoint.node_settings import NodeSettings
 from wagtailpoint.observe.hlc import HybridClock
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.cached_fraction import CachedFraction
-from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
+from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.region_mix import RegionMix
@@ -50,10 +52,10 @@
 from wagtailpoint.platform.settings import read_node_settings
 from wagtailpoint.platform.store import ObjectStore
 from wagtailpoint.ports.peers import PeerAddress
-from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
+from wagtailpoint.proxy.room_waiting import RoomWaiting
 from wagtailpoint.proxy.sender import Sender
-from wagtailpoint.proxy.shared_retry_budget import RetryBound, SharedRetryBudget
+from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
 
 STORE_TIMEOUT_S = 1.2
@@ -73,6 +75,7 @@
         self._settings_file = SettingsFile(
             path=settings_file, settings=settings, read=read_node_settings
         )
+        self._shared = SharedBounds(settings_file=self._settings_file)
         self._random = Random()
         self._metrics = Metrics()
         clock = SystemClock()
@@ -101,16 +104,7 @@
         )
         seeds = [PeerAddress(seed.address, seed.port) for seed in settings.seeds]
         self._membership = Membership(
-            own=Fact(
-                address=settings.callers.address,
-                port=settings.callers.port,
-                peer_port=settings.peers.port,
-                region=settings.region,
-                failure_domain=settings.failure_domain,
-                incarnation=incarnation,
-                sequence=int(clock.wall() * 1000),
-                capacity=settings.capacity,
-            ),
+            own=make_own_fact(settings, incarnation=incarnation, wall_s=clock.wall()),
             peers=self._peers,
             clock=clock,
             random=self._random,
@@ -216,8 +210,17 @@
             metrics=self._metrics,
             random=self._random,
         )
+        self._queueing = QueueingSwitch(bounds=lambda: self._settings_file.bounds)
         self._placement = self._make_placement()
         self._paths.on_change(self._placement.record_path_change)
+        self._sender = self._make_sender()
+        self._room = RoomWaiting(
+            sender=self._sender,
+            is_enabled=self._queueing.is_on,
+            stop_admission=self._stop.admission,
+            metrics=self._metrics,
+            random=self._random,
+        )
         self._dispatcher = self._make_dispatcher()
         self._pages = EntryPages(
             lookup_ttl_max_s=lambda: self._settings_file.bounds.lookup_ttl_max_s,
@@ -227,7 +230,13 @@
             peers=self._peers,
             gauges=self._gauges,
         )
-        self._servers = self._make_servers()
+        self._servers = make_caller_servers(
+            settings=settings,
+            handle_request=self._dispatcher.handle,
+            pages=self._pages,
+            bounds=self._bounds,
+            is_leaving=lambda: self._stop.is_leaving,
+        )
 
     async def run(self) -> None:
         """Run until a graceful stop is complete."""
@@ -269,6 +278,7 @@
                     ),
                     self._removed.run,
                     self._role.report_load,
+                    self._room.run,
                     self._settings_file.run,
                 ]
                 for task in tasks:
@@ -292,7 +302,7 @@
         return Placement(
             fleet=self._fleet,
             distances=self._distances,
-            cold=ColdPacing(bound=self._cold_bound, count_senders=self._senders.count_senders),
+            cold=ColdPacing(bound=self._shared.cold, count_senders=self._senders.count_senders),
             limits=self._limits.pacing,
             backoffs=self._announcements.backoffs,
             cached_fraction=CachedFraction(fleet=self._fleet, entries=self._role.nearby_counts),
@@ -303,12 +313,12 @@
             entries=self._role.nearby_counts,
         )
 
-    def _make_dispatcher(self) -> Dispatcher:
-        sender = Sender(
+    def _make_sender(self) -> Sender:
+        return Sender(
             takes_work=self._fleet.takes_work,
             placement=self._placement,
             pool=self._paths.pool,
-            budget=SharedRetryBudget(bound=self._retry_bound, divisor=self._role.bound_divisor),
+            budget=SharedRetryBudget(bound=self._shared.retry, divisor=self._role.bound_divisor),
             quarantine=self._quarantine.local,
             key_check=self._workspaces.key_check,
             limits=self._limits.stated,
@@ -318,9 +328,12 @@
             stop_admission=self._stop.admission,
             names=HEADER_NAMES,
         )
+
+    def _make_dispatcher(self) -> Dispatcher:
         return Dispatcher(
             table=lambda: self._state.table,
-            sender=sender,
+            sender=self._sender,
+            room=self._room,
             quarantine=self._quarantine.local,
             key_check=self._workspaces.key_check,
             allowances=self._workspaces.allowances,
@@ -332,23 +345,6 @@
             random=self._random,
         )
 
-    def _make_servers(self) -> list[CallerServer]:
-        return make_caller_servers(
-            settings=self._settings,
-            handle_request=self._dispatcher.handle,
-            pages=self._pages,
-            bounds=self._bounds,
-            is_leaving=lambda: self._stop.is_leaving,
-        )
-
-    def _cold_bound(self) -> ColdBound:
-        bounds = self._settings_file.bounds
-        return ColdBound(bounds.cold_overage, bounds.cold_slack)
-
-    def _retry_bound(self) -> RetryBound:
-        bounds = self._settings_file.bounds
-        return RetryBound(bounds.retry_ratio, bounds.retry_slack)
-
     def _bounds(self) -> CallerBounds:
         table = self._state.table
         return table.bounds if table is not None else DEFAULT_CALLER_BOUNDS
@@ -363,6 +359,7 @@
     def _gauges(self) -> dict[str, float]:
         return {
             "open_requests": self._dispatcher.open_requests,
+            "waiting_requests": self._room.waiting,
             "caller_connections": self._servers[0].connections,
             "backend_servers": len(self._fleet.entries),
             "unusable_server_entries": self._state.unusable_entries,
--- a/src/wagtailpoint/node_settings.py
+++ b/src/wagtailpoint/node_settings.py
@@ -45,6 +45,7 @@
         key_lag_max_s: Seconds after the removal of a key from which no instance runs a request with
             it; infinite if instances without a connection to the store may continue to.
         allowance_slack: Requests that a workspace may send beyond its allowance in a window.
+        queues_requests: Requests for which no backend server has room wait at the instance.
     """
 
     grace_s: float
@@ -57,6 +58,7 @@
     lookup_ttl_max_s: float
     key_lag_max_s: float = math.inf
     allowance_slack: float = 0.0
+    queues_requests: bool = False
 
 
 class NodeSettings(NamedTuple):
--- a/src/wagtailpoint/platform/settings.py
+++ b/src/wagtailpoint/platform/settings.py
@@ -19,6 +19,9 @@
 LINK_MBPS_PER_CORE: Final = 30.0
 """Link load of one core, in Mbit/s: 300 requests per second of 12 KB, in both directions."""
 
+PRESSURE_CONTRACT: Final = "pressure"
+"""Listed by deployments whose callers compete for capacity: requests then wait for room."""
+
 
 class _Limits(msgspec.Struct):
     MaxFds: int
@@ -76,6 +79,8 @@
 
 class _Terms(msgspec.Struct):
     Bounds: _Bounds
+    # Names of what the deployment has agreed on; of any form, as only known names matter.
+    Contracts: Any = None
 
 
 class _File(msgspec.Struct):
@@ -154,10 +159,15 @@
             lookup_ttl_max_s=bounds.ttl_max_s,
             key_lag_max_s=_key_lag_max_s(bounds),
             allowance_slack=bounds.QuotaSlack,
+            queues_requests=_lists_pressure(wire.Terms.Contracts),
         ),
     )
 
 
+def _lists_pressure(contracts: Any) -> bool:
+    return isinstance(contracts, list) and PRESSURE_CONTRACT in contracts
+
+
 def _key_lag_max_s(bounds: _Bounds) -> float:
     if bounds.RevokeS is None or not bounds.RevokeStrict:
         return math.inf
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -27,6 +27,7 @@
 from wagtailpoint.proxy.refusal import Refusal, RefusalFactory
 from wagtailpoint.proxy.request_context import Outcome, RequestContext
 from wagtailpoint.proxy.request_log import RequestLog
+from wagtailpoint.proxy.room_waiting import RoomWaiting
 from wagtailpoint.proxy.sender import MIN_EXCHANGE_S, Sender
 from wagtailpoint.proxy.stop_admission import StopAdmission
 from wagtailpoint.proxy.stop_clock import StopClock
@@ -66,6 +67,7 @@
         *,
         table: Callable[[], RouteTable | None],
         sender: Sender,
+        room: RoomWaiting,
         quarantine: Quarantine,
         key_check: KeyCheck,
         allowances: Allowances,
@@ -81,6 +83,7 @@
         Args:
             table: Returns the route table in force; None before a configuration is known.
             sender: Sends requests to backend servers.
+            room: Holds requests for which no backend server has room.
             quarantine: Tells which requests must not be sent.
             key_check: Finds the workspace of a request and whether it may run.
             allowances: The request allowances of workspaces.
@@ -93,6 +96,7 @@
         """
         self._table = table
         self._sender = sender
+        self._room = room
         self._quarantine = quarantine
         self._key_check = key_check
         self._allowances = allowances
@@ -218,6 +222,7 @@
                 return await self._serve(context, caller)
             finally:
                 del self._serving[context]
+                self._room.release(context)
         if caller.is_reply_begun:
             raise CallerGone
         outcome = await self._give_up(context, caller, self._refusals.stopping())
@@ -248,18 +253,20 @@
             refusal = self._refusal(context)
             if refusal is not None:
                 return await self._give_up(context, caller, refusal)
-            chosen = self._sender.choose(context)
+            chosen = self._room.choose(context)
             if isinstance(chosen, NotPlaced):
                 context.declined = chosen.declined
-                refusal = self._refusals.no_room(
-                    chosen.reason, context.remaining_s, room_in_s=chosen.retry_after_s
-                )
+                refusal = await self._wait_for_room(context, chosen)
+                if refusal is None:
+                    continue
                 return await self._give_up(context, caller, refusal)
             if context.remaining_s < MIN_EXCHANGE_S:
                 return await self._give_up(
                     context, caller, self._no_room_refusal(context, "deadline")
                 )
             if not context.allowance_spent:
+                # Others may use the room, as this may take longer than their wait.
+                self._room.release(context)
                 refusal = await self._spend_allowance(context)
                 if refusal is not None:
                     return await self._give_up(context, caller, refusal)
@@ -273,6 +280,16 @@
                     context, caller, self._no_room_refusal(context, "failed")
                 )
 
+    async def _wait_for_room(self, context: RequestContext, result: NotPlaced) -> Refusal | None:
+        """Wait for room where requests may; return the refusal if the request has to end."""
+        if not self._room.may_wait(context, result):
+            return self._refusals.no_room(
+                result.reason, context.remaining_s, room_in_s=result.retry_after_s
+            )
+        refusal = await self._room.wait(context, result)
+        # Another reason may have come up meanwhile, which says more to the caller.
+        return None if refusal is None else self._refusal(context) or refusal
+
     def _refusal(self, context: RequestContext) -> Refusal | None:
         """Return the refusal of a request that must not be sent now, or None if it may be sent."""
         if not self._stop_admission.admits(context):
--- a/src/wagtailpoint/proxy/request_context.py
+++ b/src/wagtailpoint/proxy/request_context.py
@@ -77,6 +77,7 @@
         load_report: The load report of the last response, for the log.
         declined: The backend servers that had no room at the last choice, for the log.
         connect_s: The total time spent on opening connections, in seconds, for the log.
+        room_wait_s: The total time spent waiting for room at a backend server, in seconds.
         relay: The instance that relayed the last send and the number of the connection there, for
             the log; empty if the send was direct.
     """
@@ -112,6 +113,7 @@
         self.load_report = b""
         self.declined: Sequence[Declined] = ()
         self.connect_s = 0.0
+        self.room_wait_s = 0.0
         self.relay = ""
 
     @property
--- a/src/wagtailpoint/proxy/request_log.py
+++ b/src/wagtailpoint/proxy/request_log.py
@@ -64,6 +64,8 @@
             fields["load"] = header_text(context.load_report)
             fields["declined"] = ",".join(map(_format_declined, context.declined))
             fields["connect_ms"] = round(1000 * context.connect_s, 1)
+            if context.room_wait_s:
+                fields["room_wait_ms"] = round(1000 * context.room_wait_s, 1)
             fields["digest"] = context.fingerprint
             if context.relay:
                 fields["relay"] = context.relay
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 from http import HTTPStatus
+from typing import Protocol
 
 import trio
 
@@ -10,26 +11,13 @@
 from wagtailpoint.limits.requested_backoff import RequestedBackoffs
 from wagtailpoint.limits.stated_limit import StatedLimits
 from wagtailpoint.observe.log import log_event
-from wagtailpoint.placement.choice import (
-    BACKING_OFF,
-    LIMITED,
-    Choice,
-    NotPlaced,
-)
+from wagtailpoint.placement.choice import BACKING_OFF, LIMITED, Choice, NotPlaced
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.ports.backend import BodyBroken, FailureReason
-from wagtailpoint.proxy.backend_connection import (
-    BackendConnection,
-    BackendReply,
-    ExchangeFailed,
-)
+from wagtailpoint.proxy.backend_connection import BackendConnection, BackendReply, ExchangeFailed
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.caller_exchange import CallerExchange
-from wagtailpoint.proxy.headers import (
-    HeaderNames,
-    header_text,
-    header_value,
-)
+from wagtailpoint.proxy.headers import HeaderNames, header_text, header_value
 from wagtailpoint.proxy.hedged_exchange import HedgeDelays, HedgedExchange
 from wagtailpoint.proxy.key_check import KeyCheck
 from wagtailpoint.proxy.observed_reply import observe_reply
@@ -58,6 +46,17 @@
 MIN_HEDGE_DELAY_S = 0.15
 
 
+class ExchangeObserver(Protocol):
+    """Is told when exchanges with backend servers begin and end."""
+
+    def __call__(self, context: RequestContext, entry: ServerEntry, *, has_begun: bool) -> None:
+        """Record the begin or the end of an exchange."""
+
+
+def _ignore_exchange(context: RequestContext, entry: ServerEntry, *, has_begun: bool) -> None:
+    """Ignore exchanges, as long as nothing is told of them."""
+
+
 class Sender:
     """Sends requests to backend servers and records the results."""
 
@@ -106,8 +105,13 @@
         self._stop_admission = stop_admission
         self._names = names
         self._hedge_delays = HedgeDelays()
+        self._record_exchange: ExchangeObserver = _ignore_exchange
         reachability.on_change(self._hedge_if_cut_off)
 
+    def on_exchange_change(self, observer: ExchangeObserver) -> None:
+        """Register what is told of the begin and the end of each exchange."""
+        self._record_exchange = observer
+
     def record_request(self, context: RequestContext) -> None:
         """Record the arrival of a caller's request."""
         self._budget.record_request(context.service)
@@ -236,6 +240,7 @@
         context.tried_servers.append(entry.server_id)
         context.send_count += 1
         underway = self._placement.record_send(demand, choice)
+        self._record_exchange(context, entry, has_begun=True)
         self._quarantine.record_started(context.fingerprint)
         connection: BackendConnection | None = None
         began = trio.current_time()
@@ -279,6 +284,7 @@
         finally:
             self._quarantine.record_ended(context.fingerprint)
             self._placement.record_end(entry, underway)
+            self._record_exchange(context, entry, has_begun=False)
             if connection is not None:
                 await self._pool.release(entry.start, connection)
         # Sent after the release, so that a reply waiting for earlier replies on the caller's
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -34,6 +34,7 @@
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.key_check import KeyCheck
+from wagtailpoint.proxy.room_waiting import RoomWaiting
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.proxy.server_announcements import ServerAnnouncements
 from wagtailpoint.proxy.shared_retry_budget import RetryBound, SharedRetryBudget
@@ -233,6 +234,9 @@
         stop_clock: Measures the planned stop.
         answer_times: The times that requests took.
         stop_admission: Says which requests a stopping instance still accepts.
+        queues_requests: Whether requests without room wait.
+        metrics: The counts of waiting requests.
+        room: Holds requests without room.
     """
 
     def __init__(self, table: RouteTable | None) -> None:
@@ -255,28 +259,39 @@
         self.answer_times = AnswerTimes()
         self.stop_admission = StopAdmission(clock=self.stop_clock, times=self.answer_times)
         self.key_check = KeyCheck(table=lambda: self.table, is_proved=lambda: self.is_proved)
-        self.dispatcher = Dispatcher(
-            table=lambda: self.table,
-            sender=Sender(
-                takes_work=self.fleet.takes_work,
-                placement=self.placement,
-                pool=self.pool,
-                budget=self.budget,
-                quarantine=self.quarantine,
-                key_check=self.key_check,
-                limits=self.limits,
+        self.queues_requests = False
+        sender = Sender(
+            takes_work=self.fleet.takes_work,
+            placement=self.placement,
+            pool=self.pool,
+            budget=self.budget,
+            quarantine=self.quarantine,
+            key_check=self.key_check,
+            limits=self.limits,
+            backoffs=self.backoffs,
+            announcements=ServerAnnouncements(
                 backoffs=self.backoffs,
-                announcements=ServerAnnouncements(
-                    backoffs=self.backoffs,
-                    record_leaving=lambda start: self.announced_leaving.append(start),
-                    tell_relay=lambda relay, server: None,
-                    names=HEADER_NAMES,
-                    metrics=Metrics(),
-                ),
-                reachability=self.reachability,
-                stop_admission=self.stop_admission,
+                record_leaving=lambda start: self.announced_leaving.append(start),
+                tell_relay=lambda relay, server: None,
                 names=HEADER_NAMES,
+                metrics=Metrics(),
             ),
+            reachability=self.reachability,
+            stop_admission=self.stop_admission,
+            names=HEADER_NAMES,
+        )
+        self.metrics = Metrics()
+        self.room = RoomWaiting(
+            sender=sender,
+            is_enabled=lambda service: self.queues_requests,
+            stop_admission=self.stop_admission,
+            metrics=self.metrics,
+            random=Random(1),
+        )
+        self.dispatcher = Dispatcher(
+            table=lambda: self.table,
+            sender=sender,
+            room=self.room,
             quarantine=self.quarantine,
             key_check=self.key_check,
             allowances=self.allowances,
@@ -299,6 +314,7 @@
             max_connections=50,
         )
         async with trio.open_nursery() as nursery:
+            nursery.start_soon(self.room.run)
             await nursery.start(server.run)
             await test(endpoint)
             nursery.cancel_scope.cancel()
