--- a/src/wagtailpoint/admission/room_queue.py
+++ b/src/wagtailpoint/admission/room_queue.py
@@ -1,6 +1,6 @@
 """Requests that wait until a backend server has room for them, in the order of their turns."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Final, Generic, NamedTuple, TypeVar
 
 from wagtailpoint.admission.recent_admissions import RecentAdmissions
@@ -234,9 +234,16 @@
 
     def count_before(self, turn: Turn, now: float) -> int:
         """Return the number of waiting requests of the same service that rank before a new one."""
-        own = self._new_rank(turn, now)
-        queued = self._by_service.get(turn.service, ())
-        return sum(self._rank(other, now) < own for other in queued)
+        queued = self._by_service.get(turn.service)
+        if not queued:
+            return 0
+        levels = self._levels(turn.service, queued, now)
+        own_level = self._admissions.level(turn.service, turn.workspace, now)
+        own = (turn.priority, own_level, turn.deadline)
+        return sum(
+            (other.turn.priority, levels[other.turn.workspace], other.turn.deadline) <= own
+            for other in queued
+        )
 
     def is_behind_by_share(self, turn: Turn, now: float) -> bool:
         """Return whether requests wait that rank before one only by their workspaces' shares."""
@@ -293,7 +300,7 @@
                 waiting.servers |= {result.server}
         return found
 
-    def _levels(self, service: str, queued: list[Waiting[Owner]], now: float) -> dict[str, int]:
+    def _levels(self, service: str, queued: Iterable[Waiting[Owner]], now: float) -> dict[str, int]:
         workspaces = {waiting.turn.workspace for waiting in queued}
         return {name: self._admissions.level(service, name, now) for name in workspaces}
 
