--- a/bench/soak/__main__.py
+++ b/bench/soak/__main__.py
@@ -10,7 +10,16 @@
 import trio
 
 from bench.soak.deployment import FAILURE_DOMAINS
-from bench.soak.schedule import FAULTS, AnyStep, FaultKind, draw_all, draw_schedule
+from bench.soak.schedule import (
+    FAULTS,
+    LOADS,
+    AnyStep,
+    FaultKind,
+    Load,
+    draw_all,
+    draw_loads,
+    draw_schedule,
+)
 from bench.soak.soak import Report, run_soak
 
 
@@ -33,6 +42,13 @@
     multiple=True,
     help="Only inject these faults; may be repeated.",
 )
+@click.option(
+    "--load",
+    "loads",
+    type=click.Choice(LOADS),
+    multiple=True,
+    help="Add backend servers that share their machines, or workspaces of which one floods.",
+)
 @click.option(
     "--slack", type=click.FloatRange(min=1), default=1.0, help="Factor on all time bounds."
 )
@@ -48,6 +64,7 @@
     seconds: float,
     instances: int,
     faults: tuple[FaultKind, ...],
+    loads: tuple[Load, ...],
     slack: float,
     logs: Path | None,
     show: bool,
@@ -68,10 +85,12 @@
                 instances=instances,
                 domains=len(FAILURE_DOMAINS),
             )
+        more = draw_loads(seed=number, seconds=seconds, instances=instances, loads=loads)
+        steps = sorted([*steps, *more], key=lambda step: step.at_s)
         if show:
             for step in steps:
                 click.echo(f"  {step}")
-        report = trio.run(_run, number, steps, seconds, instances, slack, logs)
+        report = trio.run(_run, number, steps, seconds, instances, loads, slack, logs)
         click.echo(
             f"seed {number}: {len(steps)} steps, {report.sent} requests, "
             f"statuses {dict(sorted(report.statuses.items()))}, {len(report.violations)} findings"
@@ -90,11 +109,18 @@
     steps: Sequence[AnyStep],
     seconds: float,
     instances: int,
+    loads: Sequence[Load],
     slack: float,
     logs: Path | None,
 ) -> Report:
     return await run_soak(
-        seed=seed, steps=steps, seconds=seconds, instances=instances, slack=slack, logs=logs
+        seed=seed,
+        steps=steps,
+        seconds=seconds,
+        instances=instances,
+        loads=loads,
+        slack=slack,
+        logs=logs,
     )
 
 
--- a/bench/soak/caller.py
+++ b/bench/soak/caller.py
@@ -1,5 +1,6 @@
 """Callers of a soak, which reuse each connection until the instance closes it."""
 
+import math
 from random import Random
 from typing import Final, NamedTuple
 
@@ -16,6 +17,7 @@
 from bench.soak.instance import Instance
 from bench.soak.planned_stops import Ended
 from bench.soak.routes import READ_TIMEOUT_S, WRITE_TIMEOUT_S
+from bench.soak.workspaces import authorization
 
 MEAN_PAUSE_S: Final = 0.05
 DEADLINE_MS: Final = "2000"
@@ -48,6 +50,7 @@
         findings: Findings,
         random: Random,
         mean_pause_s: float = MEAN_PAUSE_S,
+        until_s: float = math.inf,
     ) -> None:
         """Initialise the caller; ``run`` starts it.
 
@@ -58,6 +61,7 @@
             findings: Records requests and answers.
             random: The source of choices.
             mean_pause_s: The mean time between an answer and the next request, in seconds.
+            until_s: The trio time after which it sends no more, in seconds.
         """
         self._name = name
         self._instance = instance
@@ -65,12 +69,13 @@
         self._findings = findings
         self._random = random
         self._mean_pause_s = mean_pause_s
+        self._until_s = until_s
         self._sent = 0
         self._started_s = 0.0
 
     async def run(self) -> None:
-        """Connect and send until cancelled."""
-        while True:
+        """Connect and send until cancelled or ``until_s``."""
+        while trio.current_time() < self._until_s:
             self._started_s = trio.current_time()
             try:
                 with trio.fail_after(ANSWER_TIMEOUT_S):
@@ -91,6 +96,8 @@
                 return
             parser.start_next_cycle()
             await trio.sleep(self._random.uniform(0.0, 2 * self._mean_pause_s))
+            if trio.current_time() >= self._until_s:
+                return
 
     async def _send_one(self, stream: trio.SocketStream, parser: h11.Connection) -> None:
         self._sent += 1
@@ -146,7 +153,12 @@
 
 def encode_request(drawn: DrawnRequest, parser: h11.Connection) -> bytes:
     """Encode a request, and advance the state of the parser."""
-    headers = [("Host", HOST), ("X-Attempt-Id", drawn.request_id), ("X-Deadline-Ms", DEADLINE_MS)]
+    headers = [
+        ("Host", HOST),
+        ("X-Attempt-Id", drawn.request_id),
+        ("X-Deadline-Ms", DEADLINE_MS),
+        ("Authorization", authorization(drawn.request_id)),
+    ]
     if drawn.method == "POST":
         headers.append(("Content-Length", "0"))
     head = h11.Request(method=drawn.method, target=drawn.target, headers=headers)
--- a/bench/soak/crashing.py
+++ b/bench/soak/crashing.py
@@ -8,7 +8,7 @@
 
 from bench.soak.caller import DrawnRequest, encode_request, read_answer
 from bench.soak.deployment import CALLER_PORT, CRASHING, Deployment
-from bench.soak.findings import ANSWER_TIMEOUT_S, Findings, SentRequest
+from bench.soak.findings import ANSWER_TIMEOUT_S, NOT_RUN, Findings, SentRequest
 
 CRASHING_REQUESTS: Final = 2
 """The number of different crashing requests in a soak."""
@@ -59,5 +59,5 @@
             self._findings.violations.append(
                 f"{drawn.request_id} was answered with 200 although it crashes backend servers"
             )
-        if status == 503:
+        if status in NOT_RUN:
             self._findings.refused.add(drawn.request_id)
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -2,7 +2,7 @@
 
 import json
 import math
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator, Collection, Sequence
 from contextlib import asynccontextmanager
 from itertools import count
 from pathlib import Path
@@ -23,8 +23,11 @@
 
 from bench.soak.findings import Crash, CutPeriod, Findings, LimitPeriod, RestPeriod, Run, TurnedAway
 from bench.soak.instance import Instance
+from bench.soak.machine import SLOTS, Machine
 from bench.soak.planned_stops import Period, Work, WorkEnd
-from bench.soak.routes import LONG_SERVICE, SERVICE, long_route, route
+from bench.soak.routes import LONG_SERVICE, SERVICE, make_routes
+from bench.soak.schedule import MACHINES, WORKSPACES, Load
+from bench.soak.workspaces import tenants
 from wagtailpoint.node_settings import Endpoint
 
 HOST: Final = "ficu95.example"
@@ -39,10 +42,6 @@
 """The least number of backend servers of a service; with more instances, one for each."""
 
 LONG_CONCURRENCY: Final = 8
-MAX_SERVICE_S: Final = 0.05
-SLOW: Final = "/slow-"
-"""A target with this text and a number asks for so many milliseconds of work."""
-
 
 CRASH_DOWNTIME_S: Final = 1.3
 """The time after a crash until the backend server runs again."""
@@ -69,7 +68,15 @@
 class Deployment:
     """Runs the parts of a soak; writes to the store for the operator and backend servers."""
 
-    def __init__(self, *, instances: int, findings: Findings, random: Random, folder: Path) -> None:
+    def __init__(
+        self,
+        *,
+        instances: int,
+        findings: Findings,
+        random: Random,
+        folder: Path,
+        loads: Collection[Load],
+    ) -> None:
         """Initialise the deployment; ``serve`` starts it."""
         self.store = UsersStore()
         self.instances: list[Instance] = []
@@ -86,6 +93,8 @@
         self._active_resets = 0
         self._limits: dict[str, float] = {}
         self._resting: set[str] = set()
+        self._loads = loads
+        self._shared_machines: list[Machine] = []
 
     @asynccontextmanager
     async def serve(self) -> AsyncIterator[None]:
@@ -185,6 +194,10 @@
         await trio.sleep(duration_s)
         self._resting.discard(name)
 
+    async def slow_machine(self, duration_s: float) -> None:
+        """Make the machine of a backend server run slower."""
+        await self._random.choice(self._shared_machines).slow_down(duration_s)
+
     async def return_store(self, away_s: float) -> None:
         """Make the store return to its copy; its writers then write again what it has lost."""
         await self.store.go_away_and_return(away_s)
@@ -240,18 +253,24 @@
         changes |= {"Service": service, "Zone": self._domains[address]}
         if service == LONG_SERVICE:
             changes["MaxConcurrency"] = LONG_CONCURRENCY
+        elif MACHINES in self._loads:
+            changes["MaxConcurrency"] = SLOTS
         return server_document(address, **changes)
 
     async def _serve_backend(
         self, failure_domain: str, service: str, *, task_status: Any = trio.TASK_STATUS_IGNORED
     ) -> None:
         """Serve a backend server, which restarts ``CRASH_DOWNTIME_S`` after each crash."""
+        shared = service == SERVICE and MACHINES in self._loads
+        machine = Machine(shared=shared, random=self._random)
+        if shared:
+            self._shared_machines.append(machine)
         while True:
             crashed = trio.Event()
 
             async def answer_all(stream: ScriptedStream, crashed: trio.Event = crashed) -> None:
                 with self._partition.track(stream.stream):
-                    await self._answer_all(stream, crashed)
+                    await self._answer_all(stream, crashed, machine)
 
             async with scripted_server(answer_all) as address:
                 self._domains[str(address)] = failure_domain
@@ -275,18 +294,11 @@
 
     def _write_document(self) -> None:
         document = unsplit_config_document(f"{self.version:08x}")
+        if WORKSPACES in self._loads:
+            document["Tenants"] = tenants()
         (host,) = document["VirtualHosts"]
-        read, write = host["PathRoutes"]
-        host["PathRoutes"] = [
-            route(read, "read", "/read/"),
-            route(write, "write", "/write/"),
-            long_route(read, "long-read", "/long-read/"),
-            long_route(write, "long-write", "/long-write/"),
-            *(
-                route(read, f"added-{version}", f"/added-{version}/")
-                for version in range(FIRST_VERSION, self.version + 1)
-            ),
-        ]
+        versions = range(FIRST_VERSION, self.version + 1)
+        host["PathRoutes"] = make_routes(*host["PathRoutes"], versions=versions)
         self.store.put("config", "main", document)
 
     def _write_settings(self, number: int, addresses: list[str]) -> Path:
@@ -302,12 +314,14 @@
         file.write_text(json.dumps(document))
         return file
 
-    async def _answer_all(self, stream: ScriptedStream, crashed: trio.Event) -> None:
+    async def _answer_all(
+        self, stream: ScriptedStream, crashed: trio.Event, machine: Machine
+    ) -> None:
         while request := await stream.request():
             head = request.partition(b"\r\n\r\n")[0].decode()
             line, *headers = head.split("\r\n")
             if line.split(" ")[1] == HEALTH_PATH:
-                await stream.send(response(b""))
+                await stream.send(response(b"", *machine.load_headers))
                 continue
             fields = dict(header.lower().split(": ", 1) for header in headers)
             request_id, server_id = fields["x-attempt-id"], fields["x-expect-instance"]
@@ -318,13 +332,21 @@
                 sender = stream.stream.socket.getpeername()[0]
                 await stream.send(self._turn_away(server_id, sender, request_id))
                 continue
+            if machine.is_full:
+                headers = [f"X-Attempt-Id: {request_id}", "X-Not-Executed: full"]
+                headers += machine.load_headers
+                await stream.send(response(b"", *headers, status="503 Service Unavailable"))
+                continue
             self._findings.runs.append(Run(request_id, server_id, trio.current_time()))
             target = line.split(" ")[1]
-            if not await self._work(stream, request_id, server_id, target, crashed):
-                return
+            async with machine.slots:
+                if not await self._work(stream, request_id, server_id, target, crashed, machine):
+                    return
             body = f"{request_id} {target}".encode()
             limit = self._limits.get(server_id)
-            stated = [] if limit is None else [f"Server-Limit: {limit}"]
+            stated = machine.load_headers
+            if limit is not None:
+                stated.append(f"Server-Limit: {limit}")
             if server_id in self._findings.drained_s:
                 stated.append("Server-Leaving: 1")
             await stream.send(response(body, f"X-Attempt-Id: {request_id}", *stated))
@@ -336,6 +358,7 @@
         server_id: str,
         target: str,
         crashed: trio.Event,
+        machine: Machine,
     ) -> bool:
         """Work on a request; return whether it is to be answered."""
         end = WorkEnd.BROKE_OFF
@@ -343,7 +366,7 @@
             # A cut has closed the connection before the request was read from its buffer.
             return False
         try:
-            with trio.move_on_after(_service_s(target, self._random.uniform(0.0, MAX_SERVICE_S))):
+            with trio.move_on_after(machine.draw_service_s(target)):
                 await trio.lowlevel.wait_readable(stream.stream.socket)
                 end = WorkEnd.LEFT
                 return False
@@ -372,10 +395,3 @@
             self._findings.rest_periods.append(RestPeriod(server_id, instance, now, now + rest_s))
             headers.append(f"Retry-After: {rest_s}")
         return response(b"", *headers, status="503 Service Unavailable")
-
-
-def _service_s(target: str, drawn_s: float) -> float:
-    """Return how long a backend server works, in seconds."""
-    if SLOW not in target:
-        return drawn_s
-    return float(target.partition(SLOW)[2].partition("/")[0]) / 1000
--- a/bench/soak/findings.py
+++ b/bench/soak/findings.py
@@ -8,7 +8,7 @@
 
 import trio
 
-from bench.soak.planned_stops import Period, StopChecks
+from bench.soak.planned_stops import Ended, Period, StopChecks
 
 SETTLE_S: Final = 4.0
 """The time after the last disturbance until an instance must meet its guarantees again."""
@@ -38,6 +38,12 @@
 """The statuses of requests that were served; 404 for routes that are probed before they are there.
 """
 
+NOT_RUN: Final = (408, 421, 429, 503)
+"""The statuses which guarantee that a request has not run and never will."""
+
+MAX_PAST_TIMEOUT_S: Final = 0.5
+"""The time past its route's timeout in which every request must have been answered."""
+
 ANSWER_TIMEOUT_S: Final = 3.0
 """The time for which callers wait for an answer."""
 
@@ -207,7 +213,7 @@
         self.answered[request_id] = status
         if status == 200 and body != f"{request_id} {target}".encode():
             self.violations.append(f"{request_id} got the answer of another request: {body!r}")
-        if status == 503:
+        if status in NOT_RUN:
             self.refused.add(request_id)
         if status == 503 and b"quarantined" in body:
             self.violations.append(f"{request_id}: {target} was refused as quarantined")
@@ -255,7 +261,7 @@
                 self.violations.append(f"{request_id} ran although no caller sent it")
             elif not sent.idempotent and count > 1:
                 self.violations.append(f"{request_id} {sent} ran {count} times")
-            elif not sent.idempotent and request_id in self.refused:
+            elif request_id in self.refused:
                 self.violations.append(f"{request_id} {sent} ran although it was refused")
         for run in self.runs:
             self._check_drained(run)
@@ -264,8 +270,18 @@
             self._check_crashes([crash for crash in self.crashes if crash.target == target])
         for request_id in self.cut_requests & counts.keys():
             self._check_cut_request(request_id, self.sent[request_id])
+        for ended in self.stop_checks.ended:
+            self._check_answered_in_time(ended)
         self.violations += self.stop_checks.violations()
 
+    def _check_answered_in_time(self, ended: Ended) -> None:
+        """Check that a request ended in time at an instance whose process ran on."""
+        took_s = ended.ended_s - ended.sent_s
+        if took_s <= ended.limit_s + MAX_PAST_TIMEOUT_S * self._slack or ended.queued:
+            return
+        if self._ran_on(ended.instance, ended.sent_s, ended.ended_s):
+            self.violations.append(f"{ended}: ended {took_s:.2f} s after it was sent")
+
     def _check_periods(self) -> None:
         for period in self.limit_periods:
             self._check_limit(period)
--- a/bench/soak/long_caller.py
+++ b/bench/soak/long_caller.py
@@ -11,6 +11,7 @@
 from bench.soak.instance import Instance
 from bench.soak.planned_stops import Ended
 from bench.soak.routes import LONG_TIMEOUT_S
+from bench.soak.workspaces import authorization
 
 MIN_WORK_S: Final = 0.05
 MAX_SHORT_WORK_S: Final = 0.4
@@ -152,6 +153,7 @@
         f"Host: {HOST}",
         f"X-Attempt-Id: {request.request_id}",
         f"X-Deadline-Ms: {DEADLINE_MS}",
+        f"Authorization: {authorization(request.request_id)}",
         *(["Content-Length: 0"] if request.method == "POST" else []),
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n"
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -1,5 +1,6 @@
 """Draws the schedule of faults and planned work of a soak from a seed."""
 
+from collections.abc import Collection
 from random import Random
 from typing import Final, Literal, NamedTuple, get_args
 
@@ -54,6 +55,23 @@
 RELOAD: Final[Literal["reload"]] = "reload"
 MAX_UNRELOADED_S: Final = 6.0
 
+Load = Literal["machines", "workspaces"]
+LOADS: Final[tuple[Load, ...]] = get_args(Load)
+MACHINES, WORKSPACES = LOADS
+"""Backend servers that share their machines, and callers of several workspaces."""
+
+SLOW_MACHINE: Final[Literal["slow-machine"]] = "slow-machine"
+MAX_UNSLOWED_S: Final = 0.4
+MIN_SLOW_S: Final = 0.1
+MAX_SLOW_S: Final = 0.8
+"""The times between two machines that become slower, and for which one is."""
+
+FLOOD: Final[Literal["flood"]] = "flood"
+MAX_UNFLOODED_S: Final = 4.0
+MIN_FLOOD_S: Final = 0.5
+MAX_FLOOD_S: Final = 4.0
+"""The times between two floods of one instance by a workspace, and of one flood."""
+
 MAX_GAP_S: Final = 2.0
 MAX_FAULT_S: Final = 4.0
 CONFIG_FRACTION: Final = 0.4
@@ -71,7 +89,11 @@
     """
 
     at_s: float
-    kind: FaultKind | Literal["config", "backend-reset", "limit", "rest", "store-return", "reload"]
+    kind: (
+        FaultKind
+        | Literal["config", "backend-reset", "limit", "rest", "store-return", "reload"]
+        | Literal["slow-machine", "flood"]
+    )
     instance: int
     duration_s: float
 
@@ -293,3 +315,27 @@
         *draw_reloads(seed=seed, seconds=seconds, instances=instances),
     ]
     return sorted(steps, key=lambda step: step.at_s)
+
+
+def draw_loads(
+    *, seed: int, seconds: float, instances: int, loads: Collection[Load]
+) -> list[AnyStep]:
+    """Draw when machines are slower and a workspace floods, apart from the seed's other steps.
+
+    Args:
+        seed: The seed.
+        seconds: The duration of the soak.
+        instances: The number of instances.
+        loads: The kinds of load for which steps are drawn.
+    """
+    steps: list[AnyStep] = []
+    for load, kind, max_gap_s, min_s, max_s in (
+        (MACHINES, SLOW_MACHINE, MAX_UNSLOWED_S, MIN_SLOW_S, MAX_SLOW_S),
+        (WORKSPACES, FLOOD, MAX_UNFLOODED_S, MIN_FLOOD_S, MAX_FLOOD_S),
+    ):
+        random = Random(f"{seed}-{kind}")
+        at_s = 0.0
+        while load in loads and (at_s := at_s + random.uniform(0.02, max_gap_s)) < seconds:
+            duration_s = min(random.uniform(min_s, max_s), seconds - at_s)
+            steps.append(Step(at_s, kind, random.randrange(instances), duration_s))
+    return sorted(steps, key=lambda step: step.at_s)
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -1,7 +1,7 @@
 """Runs a schedule of faults on a deployment while callers use it, and checks guarantees."""
 
 import time
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from pathlib import Path
 from random import Random
 from tempfile import TemporaryDirectory
@@ -18,16 +18,20 @@
 from bench.soak.long_caller import LongCaller
 from bench.soak.schedule import (
     BACKEND_FAULT,
+    FLOOD,
     LIMIT,
     RELOAD,
     REST,
     RETURN,
+    SLOW_MACHINE,
     AnyStep,
     CutStep,
+    Load,
     Step,
     StopsStep,
 )
 from bench.soak.stopping import Stopper
+from bench.soak.workspaces import FLOODING
 
 CALLERS_PER_INSTANCE: Final = 2
 USUAL_INSTANCES: Final = 10
@@ -38,6 +42,10 @@
 MAX_LONG_CALLERS_PER_INSTANCE: Final = 4
 """The number of callers whose requests take long, of all instances and of one."""
 
+FLOODING_CALLERS: Final = 8
+FLOODING_PAUSE_S: Final = 0.01
+"""The number of callers that flood an instance, and the mean pause of each."""
+
 START_LIMIT_S: Final = 60.0
 WARM_UP_S: Final = 6.0
 STORE_DELAY_S: Final = 0.3
@@ -73,6 +81,7 @@
     seconds: float,
     instances: int,
     slack: float,
+    loads: Collection[Load] = (),
     logs: Path | None = None,
 ) -> Report:
     """Run a deployment under faults, until it has recovered from all of them.
@@ -83,13 +92,18 @@
         seconds: The duration of the schedule in seconds.
         instances: The number of instances.
         slack: The factor on all time bounds.
+        loads: The kinds of load to add.
         logs: The folder for the logs of the instances; None to discard them.
     """
     random = Random(seed)
     findings = Findings(instances=instances, slack=slack)
     with TemporaryDirectory() as folder:
         deployment = Deployment(
-            instances=instances, findings=findings, random=random, folder=Path(folder)
+            instances=instances,
+            findings=findings,
+            random=random,
+            folder=Path(folder),
+            loads=loads,
         )
         soak = _Soak(
             seed=seed, deployment=deployment, findings=findings, random=random, slack=slack
@@ -242,6 +256,8 @@
         elif step.kind in ("pause", "kill", "stop"):
             async with instance.lock:
                 await self._disturb_process(instance, step)
+        elif step.kind == FLOOD:
+            await self._flood(instance, step.duration_s)
         elif step.kind in ("store-cut", "store-freeze", "store-delay"):
             await self._disturb_store(instance, step)
         else:
@@ -258,11 +274,28 @@
             await self._deployment.state_limit(step.duration_s)
         elif step.kind == REST:
             await self._deployment.ask_for_rest(step.duration_s)
+        elif step.kind == SLOW_MACHINE:
+            await self._deployment.slow_machine(step.duration_s)
         elif step.kind == RETURN:
             await self._return_store(step.duration_s)
         else:
             await self._refuse_store_calls(step.duration_s)
 
+    async def _flood(self, instance: Instance, duration_s: float) -> None:
+        now = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for number in range(FLOODING_CALLERS):
+                caller = Caller(
+                    name=f"{FLOODING}-{instance.number}-{now:.3f}-{number}",
+                    instance=instance,
+                    deployment=self._deployment,
+                    findings=self._findings,
+                    random=Random(self._random.random()),
+                    mean_pause_s=FLOODING_PAUSE_S,
+                    until_s=now + duration_s,
+                )
+                nursery.start_soon(caller.run)
+
     async def _return_store(self, copy_age_s: float) -> None:
         self._deployment.store.keep_copy()
         await trio.sleep(copy_age_s)
