--- a/bench/run.py
+++ b/bench/run.py
@@ -24,6 +24,7 @@
     "hedging",
     "locality",
     "placement",
+    "choices",
     "moves",
     "entry",
     "capacity",
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -317,9 +317,7 @@
     return sorted(steps, key=lambda step: step.at_s)
 
 
-def draw_loads(
-    *, seed: int, seconds: float, instances: int, loads: Collection[Load]
-) -> list[AnyStep]:
+def draw_loads(*, seed: int, seconds: float, instances: int, loads: Collection[Load]) -> list[Step]:
     """Draw when machines are slower and a workspace floods, apart from the seed's other steps.
 
     Args:
@@ -328,7 +326,7 @@
         instances: The number of instances.
         loads: The kinds of load for which steps are drawn.
     """
-    steps: list[AnyStep] = []
+    steps: list[Step] = []
     for load, kind, max_gap_s, min_s, max_s in (
         (MACHINES, SLOW_MACHINE, MAX_UNSLOWED_S, MIN_SLOW_S, MAX_SLOW_S),
         (WORKSPACES, FLOOD, MAX_UNFLOODED_S, MIN_FLOOD_S, MAX_FLOOD_S),
