Command that explains where an instance would send a request

Cause: operators could see a decision only in the log of a request that was sent.

Change: `wagtailpoint explain` asks the metrics endpoint of an instance on the platform (`GET /explain`). Placement.explain lets a copy of the placement choose by the same code, with a weigher that keeps its results and an order that is not cached; estimates are read and not updated.

Ruled out: a second decision procedure for explanations, which would diverge. Not included: API keys, allowances, quarantine and stop of the instance.

--- a/src/wagtailpoint/cli/main.py
+++ b/src/wagtailpoint/cli/main.py
@@ -4,6 +4,7 @@
 
 from wagtailpoint.cli.config_commands import apply, check, delete, diff, get, history, revert
 from wagtailpoint.cli.entry_commands import lookup, status, timeline
+from wagtailpoint.cli.explain_command import explain
 from wagtailpoint.cli.log_commands import versions
 from wagtailpoint.cli.move_commands import drain, move
 from wagtailpoint.cli.quarantine_commands import quarantine
@@ -34,6 +35,7 @@
     delete,
     diff,
     drain,
+    explain,
     get,
     history,
     lookup,
--- a/src/wagtailpoint/daemon/entry_pages.py
+++ b/src/wagtailpoint/daemon/entry_pages.py
@@ -3,7 +3,10 @@
 from collections.abc import Callable
 from http import HTTPStatus
 
+import msgspec
+
 from wagtailpoint.daemon.metrics_page import collect_metrics, metrics_text
+from wagtailpoint.daemon.routing_explainer import RoutingExplainer, parse_explain
 from wagtailpoint.lookup.entry_choice import EntryChoice
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.log import log_event
@@ -41,6 +44,7 @@
         metrics: Metrics,
         peers: Peers,
         gauges: Callable[[], dict[str, float]],
+        explainer: RoutingExplainer,
     ) -> None:
         """Initialise the pages.
 
@@ -51,6 +55,7 @@
             metrics: Counts and latencies of this instance.
             peers: Links to the peers, for their message counts.
             gauges: Returns the current values of the gauges.
+            explainer: Explains where a request would be sent.
         """
         self._lookup_ttl_max_s = lookup_ttl_max_s
         self._entries = entries
@@ -58,6 +63,7 @@
         self._metrics = metrics
         self._peers = peers
         self._gauges = gauges
+        self._explainer = explainer
 
     async def handle(self, request: IncomingRequest, caller: CallerExchange) -> None:
         """Answer a readiness check or a lookup."""
@@ -78,7 +84,12 @@
         await caller.reply(HTTPStatus.OK, JSON, encode_lookup(entries, self._ttl_s()))
 
     async def handle_metrics(self, request: IncomingRequest, caller: CallerExchange) -> None:
-        """Answer with all metrics in the Prometheus text format."""
+        """Answer with all metrics in the Prometheus text format, or with an explanation."""
+        query = parse_explain(request.target)
+        if query is not None:
+            explanation = msgspec.json.encode(self._explainer.explain(query))
+            await caller.reply(HTTPStatus.OK, JSON, explanation)
+            return
         snapshot = await collect_metrics(self._metrics, self._peers.counts, self._gauges())
         headers = ((b"content-type", CONTENT_TYPE),)
         await caller.reply(HTTPStatus.OK, headers, metrics_text(snapshot))
--- a/src/wagtailpoint/daemon/settings_file.py
+++ b/src/wagtailpoint/daemon/settings_file.py
@@ -11,6 +11,8 @@
 from wagtailpoint.errors import InvalidInput
 from wagtailpoint.node_settings import NodeSettings, ServiceBounds
 from wagtailpoint.observe.log import log_event
+from wagtailpoint.placement.cold_pacing import ColdBound
+from wagtailpoint.proxy.shared_retry_budget import RetryBound
 
 POLL_INTERVAL_S: Final = 2.0
 """The file may change without a signal, so it is also polled."""
@@ -46,6 +48,14 @@
         """The operators' bounds that are in force."""
         return self._settings.bounds
 
+    def cold_bound(self) -> ColdBound:
+        """Return the bound on requests to cold backend servers."""
+        return ColdBound(self.bounds.cold_overage, self.bounds.cold_slack)
+
+    def retry_bound(self) -> RetryBound:
+        """Return the bound on repeated sends."""
+        return RetryBound(self.bounds.retry_ratio, self.bounds.retry_slack)
+
     async def run(self) -> None:
         """Reload the file on SIGHUP and periodically, until cancelled."""
         with trio.open_signal_receiver(signal.SIGHUP) as signals:
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -16,6 +16,7 @@
 from wagtailpoint.daemon.followers import follower_gauges, make_followers
 from wagtailpoint.daemon.probes import make_probes
 from wagtailpoint.daemon.removed_servers import RemovedServers
+from wagtailpoint.daemon.routing_explainer import RoutingExplainer
 from wagtailpoint.daemon.server_limits import ServerLimits
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.shared_announcements import SharedAnnouncements
@@ -41,7 +42,7 @@
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.cached_fraction import CachedFraction
-from wagtailpoint.placement.cold_pacing import ColdBound, ColdPacing
+from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.region_mix import RegionMix
@@ -53,8 +54,7 @@
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.sender import Sender
-from wagtailpoint.proxy.shared_retry_budget import RetryBound, SharedRetryBudget
-from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
+from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
 
 STORE_TIMEOUT_S = 1.2
 """Time-out of calls to the store, which answers in 4 ms and up to 100 times slower under overload.
@@ -226,6 +226,11 @@
             metrics=self._metrics,
             peers=self._peers,
             gauges=self._gauges,
+            explainer=RoutingExplainer(
+                table=lambda: self._state.table,
+                placement=self._placement,
+                reachability=self._paths.reachability,
+            ),
         )
         self._servers = self._make_servers()
 
@@ -292,7 +297,9 @@
         return Placement(
             fleet=self._fleet,
             distances=self._distances,
-            cold=ColdPacing(bound=self._cold_bound, count_senders=self._senders.count_senders),
+            cold=ColdPacing(
+                bound=self._settings_file.cold_bound, count_senders=self._senders.count_senders
+            ),
             limits=self._limits.pacing,
             backoffs=self._announcements.backoffs,
             cached_fraction=CachedFraction(fleet=self._fleet, entries=self._role.nearby_counts),
@@ -308,7 +315,9 @@
             takes_work=self._fleet.takes_work,
             placement=self._placement,
             pool=self._paths.pool,
-            budget=SharedRetryBudget(bound=self._retry_bound, divisor=self._role.bound_divisor),
+            budget=SharedRetryBudget(
+                bound=self._settings_file.retry_bound, divisor=self._role.bound_divisor
+            ),
             quarantine=self._quarantine.local,
             key_check=self._workspaces.key_check,
             limits=self._limits.stated,
@@ -337,22 +346,10 @@
             settings=self._settings,
             handle_request=self._dispatcher.handle,
             pages=self._pages,
-            bounds=self._bounds,
+            bounds=self._state.caller_bounds,
             is_leaving=lambda: self._stop.is_leaving,
         )
 
-    def _cold_bound(self) -> ColdBound:
-        bounds = self._settings_file.bounds
-        return ColdBound(bounds.cold_overage, bounds.cold_slack)
-
-    def _retry_bound(self) -> RetryBound:
-        bounds = self._settings_file.bounds
-        return RetryBound(bounds.retry_ratio, bounds.retry_slack)
-
-    def _bounds(self) -> CallerBounds:
-        table = self._state.table
-        return table.bounds if table is not None else DEFAULT_CALLER_BOUNDS
-
     def _count_alive(self) -> int:
         return sum(member.state != "dead" for member in self._membership.members())
 
--- a/src/wagtailpoint/daemon/store_state.py
+++ b/src/wagtailpoint/daemon/store_state.py
@@ -12,7 +12,7 @@
 from wagtailpoint.platform.documents import CONFIG_NAME, decode_config, decode_server
 from wagtailpoint.ports.platform import StoredObject
 from wagtailpoint.revision import Revision
-from wagtailpoint.routing.table import RouteTable
+from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds, RouteTable
 
 
 class StoreState:
@@ -43,6 +43,10 @@
         """Whether the newest configuration could be decoded and therefore is in force."""
         return self._is_config_readable
 
+    def caller_bounds(self) -> CallerBounds:
+        """Return the limits on callers' requests that are in force."""
+        return self._table.bounds if self._table is not None else DEFAULT_CALLER_BOUNDS
+
     def apply_config(self, objects: Mapping[str, StoredObject]) -> None:
         """Put a newer configuration in force; ignore an older or unreadable one."""
         stored = objects.get(CONFIG_NAME)
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -1,5 +1,6 @@
 """Choice of a backend server: affinity, load, distance and failures, weighed as one loss."""
 
+import copy
 from collections.abc import Sequence
 from typing import Final
 
@@ -25,6 +26,13 @@
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.placement.entry_counts import EntryCounts
 from wagtailpoint.placement.estimates import Estimates
+from wagtailpoint.placement.explanation import (
+    NOT_CONSIDERED,
+    UNREACHABLE,
+    Explanation,
+    RecordingWeigher,
+    make_explanation,
+)
 from wagtailpoint.placement.ranking import Ranked, Ranking, select_preferred
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.placement.server_load import InFlightRequest, ServerLoad
@@ -77,7 +85,7 @@
         self._ranking = Ranking(
             fleet=fleet, own_domain=distances.failure_domain, own_region=distances.region
         )
-        self._weigher = Weigher(
+        self._weigher: Weigher | RecordingWeigher = Weigher(
             fleet=fleet,
             distances=distances,
             cold=cold,
@@ -139,6 +147,38 @@
             return NotPlaced("too late")
         return best
 
+    def explain(self, demand: Demand) -> Explanation:
+        """Return what ``choose`` would return now and why, without changing what it returns next.
+
+        A copy of this placement chooses, with an order of its own that is not cached.
+        """
+        twin = copy.copy(self)
+        twin._ranking = self._ranking.without_cache()
+        recording = RecordingWeigher(weigher=self._weigher)
+        twin._weigher = recording
+        chosen = twin.choose(demand)
+        order = twin._ranking.order_candidates(
+            demand.service, demand.key, demand.route.home_regions
+        )
+        options = recording.options | {
+            option.candidate.entry.server_id: option for option in order.ranked
+        }
+        now = trio.current_time()
+        passed_over = {
+            server_id: self._pass_over(option, now)
+            for server_id, option in options.items()
+            if server_id not in recording.results
+        }
+        return make_explanation(chosen, options.values(), recording.results | passed_over)
+
+    def _pass_over(self, option: Ranked, now: float) -> Declined:
+        """Return why a candidate was not weighed."""
+        (declined,) = self._decline([option], now)
+        if not self._may_send_by_backoff(option):
+            return declined
+        suspect = self._is_suspect(option.candidate.entry, now)
+        return declined._replace(reason=UNREACHABLE if suspect else NOT_CONSIDERED)
+
     def _promote_substitutes(self, ranked: Sequence[Ranked]) -> Sequence[Ranked]:
         """Give the next candidates the ranks of those that state a limit or requested a backoff.
 
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -70,6 +70,10 @@
         self._generation = -1
         self._orders: dict[tuple[str, str, frozenset[str] | None], KeyOrder] = {}
 
+    def without_cache(self) -> "Ranking":
+        """Return a ranking of the same servers with an empty cache of its own."""
+        return Ranking(fleet=self._fleet, own_domain=self._own_domain, own_region=self._own_region)
+
     def order_candidates(
         self, service: str, key: str, home_regions: frozenset[str] | None
     ) -> KeyOrder:
--- a/src/wagtailpoint/proxy/request_demand.py
+++ b/src/wagtailpoint/proxy/request_demand.py
@@ -5,6 +5,12 @@
 from wagtailpoint.placement.choice import Demand
 from wagtailpoint.proxy.headers import header_text, header_value
 from wagtailpoint.proxy.request_context import RequestContext
+from wagtailpoint.routing.table import HostRoute
+
+
+def placement_key(route: HostRoute, affinity: str, target: str) -> str:
+    """Return the key by which a request is placed; its target if it has no affinity key."""
+    return f"{route.prefix}{affinity}" if affinity and route.sticky else target
 
 
 def make_demand(context: RequestContext, affinity: bytes) -> Demand:
@@ -20,7 +26,7 @@
         route=route,
         service=context.service,
         policy=context.table.services.get(context.service),
-        key=f"{route.prefix}{header_text(key)}" if key else context.request.target,
+        key=placement_key(route, header_text(key) if key else "", context.request.target),
         tried=context.tried_servers,
         remaining_s=context.remaining_s,
         objective_remaining_s=context.request.arrived_at + route.objective_s - trio.current_time(),
