--- a/bench/run.py
+++ b/bench/run.py
@@ -24,6 +24,7 @@
     "hedging",
     "locality",
     "placement",
+    "choices",
     "moves",
     "moves_by_change",
     "key_policies",
--- a/src/wagtailpoint/daemon/queueing_switch.py
+++ b/src/wagtailpoint/daemon/queueing_switch.py
@@ -12,19 +12,18 @@
     then shares with others, or where the settings say so for all services.
     """
 
-    def __init__(self, *, bounds: Callable[[], ServiceBounds]) -> None:
-        """Initialise without reports.
+    def __init__(
+        self, *, bounds: Callable[[], ServiceBounds], reports_pace: Callable[[str], bool]
+    ) -> None:
+        """Initialise the switch.
 
         Args:
             bounds: Returns the operators' bounds in force.
+            reports_pace: Returns whether backend servers of a service have reported a pace.
         """
         self._bounds = bounds
-        self._paced: set[str] = set()
-
-    def record_pace_reported(self, service: str) -> None:
-        """Record that a backend server of a configured service has reported a pace."""
-        self._paced.add(service)
+        self._reports_pace = reports_pace
 
     def is_on(self, service: str) -> bool:
         """Return whether requests of a service may wait."""
-        return service in self._paced or self._bounds().queues_requests
+        return self._reports_pace(service) or self._bounds().queues_requests
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -18,10 +18,10 @@
 from wagtailpoint.daemon.probes import make_probes
 from wagtailpoint.daemon.queueing_switch import QueueingSwitch
 from wagtailpoint.daemon.removed_servers import RemovedServers
+from wagtailpoint.daemon.routing_explainer import RoutingExplainer
 from wagtailpoint.daemon.server_limits import ServerLimits
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.shared_announcements import SharedAnnouncements
-from wagtailpoint.daemon.shared_bounds import SharedBounds
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.daemon.steering_stop import SteeringStop
 from wagtailpoint.daemon.store_state import StoreState
@@ -56,7 +56,6 @@
 from wagtailpoint.proxy.room_waiting import RoomWaiting
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
-from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds
 
 STORE_TIMEOUT_S = 1.2
 """Time-out of calls to the store, which answers in 4 ms and up to 100 times slower under overload.
@@ -75,7 +74,6 @@
         self._settings_file = SettingsFile(
             path=settings_file, settings=settings, read=read_node_settings
         )
-        self._shared = SharedBounds(settings_file=self._settings_file)
         self._random = Random()
         self._metrics = Metrics()
         clock = SystemClock()
@@ -210,8 +208,10 @@
             metrics=self._metrics,
             random=self._random,
         )
-        self._queueing = QueueingSwitch(bounds=lambda: self._settings_file.bounds)
         self._placement = self._make_placement()
+        self._queueing = QueueingSwitch(
+            bounds=lambda: self._settings_file.bounds, reports_pace=self._placement.reports_pace
+        )
         self._paths.on_change(self._placement.record_path_change)
         self._sender = self._make_sender()
         self._room = RoomWaiting(
@@ -229,12 +229,17 @@
             metrics=self._metrics,
             peers=self._peers,
             gauges=self._gauges,
+            explainer=RoutingExplainer(
+                table=lambda: self._state.table,
+                placement=self._placement,
+                reachability=self._paths.reachability,
+            ),
         )
         self._servers = make_caller_servers(
             settings=settings,
             handle_request=self._dispatcher.handle,
             pages=self._pages,
-            bounds=self._bounds,
+            bounds=self._state.caller_bounds,
             is_leaving=lambda: self._stop.is_leaving,
         )
 
@@ -302,7 +307,9 @@
         return Placement(
             fleet=self._fleet,
             distances=self._distances,
-            cold=ColdPacing(bound=self._shared.cold, count_senders=self._senders.count_senders),
+            cold=ColdPacing(
+                bound=self._settings_file.cold_bound, count_senders=self._senders.count_senders
+            ),
             limits=self._limits.pacing,
             backoffs=self._announcements.backoffs,
             cached_fraction=CachedFraction(fleet=self._fleet, entries=self._role.nearby_counts),
@@ -319,7 +326,9 @@
             takes_work=self._fleet.takes_work,
             placement=self._placement,
             pool=self._paths.pool,
-            budget=SharedRetryBudget(bound=self._shared.retry, divisor=self._role.bound_divisor),
+            budget=SharedRetryBudget(
+                bound=self._settings_file.retry_bound, divisor=self._role.bound_divisor
+            ),
             quarantine=self._quarantine.local,
             key_check=self._workspaces.key_check,
             limits=self._limits.stated,
@@ -346,10 +355,6 @@
             random=self._random,
         )
 
-    def _bounds(self) -> CallerBounds:
-        table = self._state.table
-        return table.bounds if table is not None else DEFAULT_CALLER_BOUNDS
-
     def _count_alive(self) -> int:
         return sum(member.state != "dead" for member in self._membership.members())
 
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -171,6 +171,10 @@
         context = RequestContext(
             request=request, table=table, route=route, service=service, key=key, workspace=access
         )
+        caller_timeout_s = self._caller_timeout_s(request)
+        context.caller_deadline = request.arrived_at + (
+            route.timeout_s if caller_timeout_s is None else caller_timeout_s
+        )
         context.deadline = request.arrived_at + self._timeout_s(request, route)
         answered = False
         try:
@@ -328,10 +332,17 @@
 
     def _timeout_s(self, request: IncomingRequest, route: HostRoute) -> float:
         """Return the shorter of the caller's remaining time and the route's timeout, in seconds."""
+        caller_timeout_s = self._caller_timeout_s(request)
+        if caller_timeout_s is None:
+            return route.timeout_s
+        return min(route.timeout_s, caller_timeout_s)
+
+    def _caller_timeout_s(self, request: IncomingRequest) -> float | None:
+        """Return the time for which the caller still waits, in seconds; None if it is not known."""
         value = header_value(request.headers, self._names.deadline_ms)
         if value is None or not DEADLINE_PATTERN.fullmatch(value):
-            return route.timeout_s
-        return min(route.timeout_s, float(value) / 1000)
+            return None
+        return float(value) / 1000
 
 
 def _path(target: str) -> str:
--- a/src/wagtailpoint/proxy/request_context.py
+++ b/src/wagtailpoint/proxy/request_context.py
@@ -63,6 +63,8 @@
         allowance_spent: Whether the request was counted against the workspace's allowance, or needs
             none.
         deadline: Trio time by which the reply is due, in seconds.
+        caller_deadline: Trio time until which the caller waits, in seconds, which may be later than
+            ``deadline``. It is earlier for a retry than for a first attempt.
         process_ends_at: Trio time by which backend servers have to answer since a planned stop ends
             the process, in seconds; infinite without a stop.
         body: The part of the body that was read ahead.
@@ -100,6 +102,7 @@
         self.workspace = workspace
         self.allowance_spent = workspace is None or workspace.allowance is None
         self.deadline = 0.0
+        self.caller_deadline = 0.0
         self.process_ends_at = math.inf
         self.body = ReadBody(b"", None)
         self._fingerprint = ""
--- a/src/wagtailpoint/proxy/room_waiting.py
+++ b/src/wagtailpoint/proxy/room_waiting.py
@@ -251,7 +251,7 @@
         service=context.service,
         priority=context.route.priority,
         workspace=context.workspace_name,
-        deadline=context.deadline,
+        deadline=context.caller_deadline,
         body_bytes=len(context.body.read),
     )
 
--- a/tests/cover/test_room_retry_after.py
+++ b/tests/cover/test_room_retry_after.py
@@ -87,9 +87,10 @@
 
     def test_reported_pace_enables_its_service_only(self) -> None:
         bounds = self.decode()
-        switch = QueueingSwitch(bounds=lambda: bounds)
+        paced: set[str] = set()
+        switch = QueueingSwitch(bounds=lambda: bounds, reports_pace=paced.__contains__)
         self.assertFalse(switch.is_on("desk"))
-        switch.record_pace_reported("desk")
+        paced.add("desk")
         self.assertTrue(switch.is_on("desk"))
         self.assertFalse(switch.is_on("vault"))
         bounds = bounds._replace(queues_requests=True)
