--- a/bench/choices.py
+++ b/bench/choices.py
@@ -23,8 +23,8 @@
 
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.placement.choice import Choice, Demand, Observation
-from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.load_report import LoadReport
+from wagtailpoint.placement.placement import Placement
 
 CANDIDATES = (36, 129, 400)
 BOUND_CANDIDATES = 129
