--- a/src/wagtailpoint/placement/choice.py
+++ b/src/wagtailpoint/placement/choice.py
@@ -55,6 +55,7 @@
         occupancy: The estimated number of requests there.
         report_age_s: The age of the backend server's newest load report, in seconds.
         pace: The expected pace of its machine, as a multiple of the normal time of work.
+        occupied_ratio: The expected ratio of the service time to that at a nearly idle server.
     """
 
     entry: ServerEntry
@@ -65,6 +66,7 @@
     occupancy: float
     report_age_s: float
     pace: float = NORMAL_PACE
+    occupied_ratio: float = 1.0
 
 
 class Declined(NamedTuple):
--- a/src/wagtailpoint/placement/estimates.py
+++ b/src/wagtailpoint/placement/estimates.py
@@ -4,7 +4,9 @@
 
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.placement.key_reuse import KeyReuse
+from wagtailpoint.placement.load_report import NORMAL_PACE
 from wagtailpoint.placement.machine_pace import MachinePaces
+from wagtailpoint.placement.occupied_service import OccupiedService
 from wagtailpoint.placement.route_costs import MeanServiceTime, RouteCost
 from wagtailpoint.placement.server_load import ServerLoad
 from wagtailpoint.placement.warm_keys import WarmKeys
@@ -19,28 +21,54 @@
     """Estimates by start of a backend server and by route."""
 
     def __init__(self) -> None:
-        self._loads: dict[ServerStart, ServerLoad] = {}
-        self._warm: dict[ServerStart, WarmKeys] = {}
+        self._loads: dict[tuple[str, int], ServerLoad] = {}
+        self._warm: dict[tuple[str, int], WarmKeys] = {}
         self._costs: dict[tuple[str, str], RouteCost] = {}
         self._means: dict[str, MeanServiceTime] = {}
         self._reuse: dict[str, KeyReuse] = {}
         self._paces = MachinePaces()
+        self._occupied: dict[str, OccupiedService] = {}
 
     @property
     def paces(self) -> MachinePaces:
         """The paces of the machines of backend servers."""
         return self._paces
 
+    def expected_pace(self, entry: ServerEntry, at: float) -> float:
+        """Return the expected pace of a backend server's machine at a time from now on."""
+        if not self._paces.is_reported(entry.service):
+            return NORMAL_PACE
+        return self._paces.expected(entry.service, (entry.server_id, entry.started_ms), at)
+
+    def occupied(self, service: str) -> OccupiedService | None:
+        """Return how service times grow with the occupancy; None if no growth was measured."""
+        occupied = self._occupied.get(service)
+        return None if occupied is None or occupied.is_uniform else occupied
+
+    def record_occupied(
+        self, service: str, fraction: float, service_s: float, normal_s: float
+    ) -> None:
+        """Record a service time at an occupancy, as in ``OccupiedService.record``.
+
+        Only services whose backend servers state the pace of their machines are measured. Elsewhere
+        the load of other users of a machine, which is unknown, would count as that of the server.
+        """
+        if self._paces.is_reported(service):
+            self._occupied.setdefault(service, OccupiedService()).record(
+                fraction, service_s, normal_s
+            )
+
     def load_of(self, entry: ServerEntry) -> ServerLoad:
         """Return the estimated load and health of a backend server."""
-        load = self._loads.get(entry.start)
+        # A plain tuple equals the start, and is made several times faster.
+        load = self._loads.get((entry.server_id, entry.started_ms))
         if load is None:
             load = self._loads[entry.start] = ServerLoad()
         return load
 
     def warm_of(self, entry: ServerEntry) -> WarmKeys:
         """Return the affinity keys that a backend server has answered lately."""
-        warm = self._warm.get(entry.start)
+        warm = self._warm.get((entry.server_id, entry.started_ms))
         if warm is None:
             warm = self._warm[entry.start] = WarmKeys()
         return warm
--- a/src/wagtailpoint/placement/expectation.py
+++ b/src/wagtailpoint/placement/expectation.py
@@ -64,6 +64,8 @@
         reply_bytes: The size of the answer.
         crosses_domain: The request goes to another failure domain of the same region.
         crosses_region: The request goes to another region.
+        others_delay: The sum of the delays that it causes to the requests there, as a multiple of
+            the mean service time.
     """
 
     service_s: float
@@ -78,6 +80,7 @@
     reply_bytes: float
     crosses_domain: bool
     crosses_region: bool
+    others_delay: float = 0.0
 
 
 class Expectation(NamedTuple):
@@ -114,7 +117,7 @@
         latency_s=prospect.round_trip_s + wait_s + service_s,
         service_s=service_s,
         wait_s=wait_s,
-        loss=loss + _transfer_loss(prospect),
+        loss=loss + _transfer_loss(prospect) + _delay_loss(prospect, objective_s),
     )
 
 
@@ -136,6 +139,14 @@
     )
 
 
+def _delay_loss(prospect: Prospect, objective_s: float) -> float:
+    """Return the loss by the delay of others, who may be late and hold their slots for longer."""
+    if not prospect.others_delay:
+        return 0.0
+    lateness = LATE_LOSS * prospect.ahead_service_s / objective_s
+    return prospect.others_delay * (lateness + prospect.utilisation**SCARCITY_EXPONENT)
+
+
 def _late_probability(
     ahead_s: float, service_s: float, spread_s: float, objective_s: float
 ) -> float:
--- a/src/wagtailpoint/placement/machine_pace.py
+++ b/src/wagtailpoint/placement/machine_pace.py
@@ -4,7 +4,6 @@
 from collections import deque
 from typing import Final, NamedTuple
 
-from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.placement.load_report import NORMAL_PACE, LoadReport
 from wagtailpoint.placement.pace_decay import MIN_GAP_S, PaceDecay
 
@@ -131,18 +130,19 @@
 class MachinePaces:
     """The paces of the machines of all backend servers whose reports state them.
 
-    Backend servers of a service whose reports never stated a pace are at the normal pace.
+    A backend server is given by its ``ServerStart``, or a plain tuple that equals it. Those of a
+    service whose reports never stated a pace are at the normal pace.
     """
 
     def __init__(self) -> None:
         self._services: dict[str, ServicePace] = {}
-        self._machines: dict[ServerStart, MachinePace] = {}
+        self._machines: dict[tuple[str, int], MachinePace] = {}
 
     def is_reported(self, service: str) -> bool:
         """Return whether backend servers of a service have stated the pace of their machines."""
         return service in self._services
 
-    def expected(self, service: str, start: ServerStart, at: float) -> float:
+    def expected(self, service: str, start: tuple[str, int], at: float) -> float:
         """Return the expected pace of a backend server's machine at a time from now on."""
         known = self._services.get(service)
         if known is None:
@@ -150,7 +150,9 @@
         machine = self._machines.get(start)
         return known.mean if machine is None else machine.expected(at)
 
-    def during(self, service: str, start: ServerStart, begins_at: float, ends_at: float) -> float:
+    def during(
+        self, service: str, start: tuple[str, int], begins_at: float, ends_at: float
+    ) -> float:
         """Return the estimated mean pace of a backend server's machine in a past interval."""
         known = self._services.get(service)
         if known is None:
@@ -158,7 +160,7 @@
         machine = self._machines.get(start)
         return known.mean if machine is None else machine.during(begins_at, ends_at)
 
-    def record(self, service: str, start: ServerStart, report: LoadReport, at: float) -> None:
+    def record(self, service: str, start: tuple[str, int], report: LoadReport, at: float) -> None:
         """Record a load report, measured at the time ``at``."""
         known = self._services.get(service)
         if known is None:
@@ -170,6 +172,6 @@
             machine = self._machines[start] = MachinePace(service=known)
         machine.record(report.pace, at)
 
-    def remove(self, start: ServerStart) -> None:
+    def remove(self, start: tuple[str, int]) -> None:
         """Remove a backend server that is gone or has restarted."""
         self._machines.pop(start, None)
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -29,7 +29,7 @@
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.placement.server_load import InFlightRequest, ServerLoad
 from wagtailpoint.placement.utilisation import Utilisation
-from wagtailpoint.placement.weigher import Weigher, cold_per_s
+from wagtailpoint.placement.weigher import WARM_CACHED_CHANCE, Weigher, cold_per_s
 
 MAX_SPILLOVER_UTILISATION: Final = 0.3
 """Maximum utilisation of a service's slots at which a request may spill over to another backend
@@ -283,9 +283,28 @@
         pace = self._pace_while_run(entry, now, service_s, round_trip_s)
         load.record_latency(service_s, expected_s * pace / choice.pace, now)
         self._estimates.warm_of(entry).record(demand.key, now)
-        if choice.occupancy < entry.slots - 1:
+        self._record_service_time(demand, choice, seen, service_s / pace, now)
+
+    def _record_service_time(
+        self, demand: Demand, choice: Choice, seen: Observation, service_s: float, now: float
+    ) -> None:
+        """Record the service time of an answer, at the normal pace of its machine."""
+        slots = choice.entry.slots
+        occupied = self._estimates.occupied(demand.service)
+        report = seen.report
+        if report is None or choice.occupancy > slots - 1 or report.waiting:
+            # The time may include a wait for a slot.
+            fraction = None
+        else:
+            fraction = (choice.occupancy + 1 + report.running) / 2 / slots
+            if choice.cached >= WARM_CACHED_CHANCE:
+                normal_s = self._estimates.cost_of(demand.route, demand.service).service_s(now)
+                self._estimates.record_occupied(demand.service, fraction, service_s, normal_s)
+        if choice.occupancy < slots - 1:
+            if occupied is not None:
+                service_s /= choice.occupied_ratio if fraction is None else occupied.ratio(fraction)
             self._estimates.record_answer(
-                demand.route, demand.service, service_s / pace, seen.reply_bytes, now
+                demand.route, demand.service, service_s, seen.reply_bytes, now
             )
 
     def _pace_while_run(
--- a/src/wagtailpoint/placement/weigher.py
+++ b/src/wagtailpoint/placement/weigher.py
@@ -100,8 +100,13 @@
         normal_s = cost.service_s(now)
         # The pace in the middle of the service time: it changes within the time of a request.
         runs_at = now + round_trip_s / 2 + normal_s / 2
-        pace = self._estimates.paces.expected(demand.service, entry.start, runs_at)
+        pace = self._estimates.expected_pace(entry, runs_at)
         slowness *= pace
+        occupied = self._estimates.occupied(demand.service)
+        ratio, others_delay = 1.0, 0.0
+        if occupied is not None:
+            ratio, others_delay = occupied.effect(occupancy, entry.slots)
+            slowness *= ratio
         service_s = normal_s * slowness
         ahead_s = self._estimates.mean_service_s(demand.service, now)
         agreed = self._is_agreed(demand, ranked, position)
@@ -119,11 +124,14 @@
             reply_bytes=cost.reply_bytes,
             crosses_domain=ranked.in_region and not ranked.in_domain,
             crosses_region=not ranked.in_region,
+            others_delay=others_delay,
         )
         expected = expect(prospect, objective_s=max(demand.objective_remaining_s, MIN_OBJECTIVE_S))
         if expected.wait_s > _max_wait_s(demand.route, service_s):
             return Declined(entry, "full", occupancy, report_age_s)
-        return Choice(entry, region, ranked.rank, cached, expected, occupancy, report_age_s, pace)
+        return Choice(
+            entry, region, ranked.rank, cached, expected, occupancy, report_age_s, pace, ratio
+        )
 
     def _cached_chance(self, demand: Demand, ranked: Ranked, agreed: bool, now: float) -> float:
         warm = self._estimates.warm_of(ranked.candidate.entry)
--- a/tests/cover/test_region_mix.py
+++ b/tests/cover/test_region_mix.py
@@ -19,8 +19,8 @@
 )
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.placement.choice import Choice, Demand, Observation
-from wagtailpoint.placement.placement import Placement
 from wagtailpoint.placement.load_report import LoadReport
+from wagtailpoint.placement.placement import Placement
 
 FEW_PER_S = 8
 """Request rate of one of many instances."""
