--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -71,9 +71,8 @@
     def __init__(self, *, settings: NodeSettings, settings_file: Path) -> None:
         """Construct the parts."""
         self._settings = settings
-        self._settings_file = SettingsFile(
-            path=settings_file, settings=settings, read=read_node_settings
-        )
+        read = read_node_settings
+        self._settings_file = SettingsFile(path=settings_file, settings=settings, read=read)
         self._random = Random()
         self._metrics = Metrics()
         clock = SystemClock()
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -35,11 +35,13 @@
     make_explanation,
 )
 from wagtailpoint.placement.key_moves import KeyMoves
-from wagtailpoint.placement.ranking import Ranked, Ranking, select_preferred
+from wagtailpoint.placement.ranking import Ranked, Ranking, select_preferred, select_untried
 from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.placement.server_load import InFlightRequest, ServerLoad
+from wagtailpoint.placement.service_samples import record_service_time
+from wagtailpoint.placement.substitutes import promote_substitutes
 from wagtailpoint.placement.utilisation import Utilisation
-from wagtailpoint.placement.weigher import WARM_CACHED_CHANCE, Weigher, cold_per_s
+from wagtailpoint.placement.weigher import Weigher, cold_per_s
 
 MAX_SPILLOVER_UTILISATION: Final = 0.3
 """Maximum utilisation of a service's slots at which a request may spill over to another backend
@@ -131,14 +133,14 @@
         backing_off = [option for option in ranked if not self._may_send_by_backoff(option)]
         if backing_off:
             ranked = [option for option in ranked if option not in backing_off]
-            if not _untried(ranked, demand):
+            if not select_untried(ranked, demand.tried):
                 ranked = self._ranking.order_where(demand, self._may_send_by_backoff)
         # If all backend servers are suspect, the fault may be at this instance: ignore the
         # suspicion.
         reachable = [
             option for option in ranked if not self._is_suspect(option.candidate.entry, now)
         ] or ranked
-        untried = _untried(reachable, demand)
+        untried = select_untried(reachable, demand.tried)
         if not untried:
             return self._not_placed(backing_off, now)
         preferred = self._preferred_servers(ranked, reachable, now)
@@ -195,30 +197,13 @@
         return declined._replace(reason=UNREACHABLE if suspect else NOT_CONSIDERED)
 
     def _promote_substitutes(self, ranked: Sequence[Ranked]) -> Sequence[Ranked]:
-        """Give the next candidates the ranks of those that state a limit or requested a backoff.
-
-        All instances know the limits, and those with a backoff skip the same candidates, so they
-        agree on the substitutes, which soon have the objects cached.
-        """
         if not self._limits.has_any and not self._backoffs.has_any:
             return ranked
-        unlimited = [
-            option
-            for option in ranked
-            if not self._limits.has_limit(option.candidate.entry.start.key)
-            and self._may_send_by_backoff(option)
-        ]
-        if len(unlimited) in (0, len(ranked)):
-            return ranked
-        first = unlimited[0]
-        near = next((option for option in unlimited if option.in_region), None)
-        return [
-            option._replace(
-                rank=0 if option is first else option.rank,
-                is_first_in_region=option.is_first_in_region or option is near,
-            )
-            for option in ranked
-        ]
+        return promote_substitutes(
+            ranked,
+            lambda option: self._limits.has_limit(option.candidate.entry.start.key)
+            or not self._may_send_by_backoff(option),
+        )
 
     def _may_send_by_backoff(self, option: Ranked | Candidate) -> bool:
         candidate = option.candidate if isinstance(option, Ranked) else option
@@ -335,29 +320,7 @@
         pace = self._pace_while_run(entry, now, service_s, round_trip_s)
         load.record_latency(service_s, expected_s * pace / choice.pace, now)
         self._estimates.warm_of(entry).record(demand.key, now)
-        self._record_service_time(demand, choice, seen, service_s / pace, now)
-
-    def _record_service_time(
-        self, demand: Demand, choice: Choice, seen: Observation, service_s: float, now: float
-    ) -> None:
-        """Record the service time of an answer, at the normal pace of its machine."""
-        slots = choice.entry.slots
-        occupied = self._estimates.occupied(demand.service)
-        report = seen.report
-        if report is None or choice.occupancy > slots - 1 or report.waiting:
-            # The time may include a wait for a slot.
-            fraction = None
-        else:
-            fraction = (choice.occupancy + 1 + report.running) / 2 / slots
-            if choice.cached >= WARM_CACHED_CHANCE:
-                normal_s = self._estimates.cost_of(demand.route, demand.service).service_s(now)
-                self._estimates.record_occupied(demand.service, fraction, service_s, normal_s)
-        if choice.occupancy < slots - 1:
-            if occupied is not None:
-                service_s /= choice.occupied_ratio if fraction is None else occupied.ratio(fraction)
-            self._estimates.record_answer(
-                demand.route, demand.service, service_s, seen.reply_bytes, now
-            )
+        record_service_time(self._estimates, demand, choice, seen, service_s / pace, now)
 
     def _pace_while_run(
         self, entry: ServerEntry, now: float, service_s: float, round_trip_s: float
@@ -424,10 +387,6 @@
         self._cold.remove(start)
 
 
-def _untried(ranked: Sequence[Ranked], demand: Demand) -> list[Ranked]:
-    return [option for option in ranked if option.candidate.entry.server_id not in demand.tried]
-
-
 def _are_kept_back(weighed: Sequence[Choice | Declined], backing_off: Sequence[Ranked]) -> bool:
     """Return whether no server can take a request, and a stated limit or a backoff is a reason.
 
--- a/src/wagtailpoint/placement/ranking.py
+++ b/src/wagtailpoint/placement/ranking.py
@@ -1,6 +1,6 @@
 """Order of the backend servers for an affinity key, the same on every instance."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Final, NamedTuple
 
 from wagtailpoint.discovery.fleet import Candidate, Fleet
@@ -204,3 +204,8 @@
     nearest = [candidate for candidate in usable if candidate.in_domain][:1]
     near = [candidate for candidate in usable if candidate.in_region][:1]
     return list(dict.fromkeys((*first, *nearest, *near)))
+
+
+def select_untried(ranked: Sequence[Ranked], tried: Collection[str]) -> list[Ranked]:
+    """Return the candidates whose ids are not among those that a request was sent to before."""
+    return [option for option in ranked if option.candidate.entry.server_id not in tried]
--- a/src/wagtailpoint/proxy/sender.py
+++ b/src/wagtailpoint/proxy/sender.py
@@ -3,7 +3,6 @@
 from collections.abc import AsyncIterator, Callable
 from functools import partial
 from http import HTTPStatus
-from typing import Protocol
 
 import trio
 
@@ -17,6 +16,7 @@
 from wagtailpoint.proxy.backend_connection import BackendConnection, BackendReply, ExchangeFailed
 from wagtailpoint.proxy.backend_pool import BackendPool
 from wagtailpoint.proxy.caller_exchange import CallerExchange
+from wagtailpoint.proxy.exchange_observer import ExchangeObserver, ignore_exchange
 from wagtailpoint.proxy.headers import HeaderNames, header_text, header_value
 from wagtailpoint.proxy.hedged_exchange import HedgeDelays, HedgedExchange
 from wagtailpoint.proxy.key_check import KeyCheck
@@ -46,17 +46,6 @@
 MIN_HEDGE_DELAY_S = 0.15
 
 
-class ExchangeObserver(Protocol):
-    """Is told when exchanges with backend servers begin and end."""
-
-    def __call__(self, context: RequestContext, entry: ServerEntry, *, has_begun: bool) -> None:
-        """Record the begin or the end of an exchange."""
-
-
-def _ignore_exchange(context: RequestContext, entry: ServerEntry, *, has_begun: bool) -> None:
-    """Ignore exchanges, as long as nothing is told of them."""
-
-
 class Sender:
     """Sends requests to backend servers and records the results."""
 
@@ -105,7 +94,7 @@
         self._stop_admission = stop_admission
         self._names = names
         self._hedge_delays = HedgeDelays()
-        self._record_exchange: ExchangeObserver = _ignore_exchange
+        self._record_exchange: ExchangeObserver = ignore_exchange
         reachability.on_change(self._hedge_if_cut_off)
 
     def on_exchange_change(self, observer: ExchangeObserver) -> None:
