--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -24,7 +24,7 @@
 from wagtailpoint.daemon.shared_announcements import SharedAnnouncements
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
 from wagtailpoint.daemon.steering_stop import SteeringStop
-from wagtailpoint.daemon.store_state import StoreState
+from wagtailpoint.daemon.store_state import STORE_TIMEOUT_S, StoreState
 from wagtailpoint.daemon.workspace_rules import WorkspaceRules
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.fleet import Fleet
@@ -57,10 +57,6 @@
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
 
-STORE_TIMEOUT_S = 1.2
-"""Time-out of calls to the store, which answers in 4 ms and up to 100 times slower under overload.
-Short, so that calls lost in an outage end soon after the store has recovered."""
-
 URGENT_LOAD_STEP = 0.25
 """A larger change of load is broadcast at once, because more entries may be needed."""
 
@@ -71,8 +67,9 @@
     def __init__(self, *, settings: NodeSettings, settings_file: Path) -> None:
         """Construct the parts."""
         self._settings = settings
-        read = read_node_settings
-        self._settings_file = SettingsFile(path=settings_file, settings=settings, read=read)
+        self._settings_file = SettingsFile(
+            path=settings_file, settings=settings, read=read_node_settings
+        )
         self._random = Random()
         self._metrics = Metrics()
         clock = SystemClock()
@@ -208,14 +205,14 @@
             random=self._random,
         )
         self._placement = self._make_placement()
-        self._queueing = QueueingSwitch(
+        queueing = QueueingSwitch(
             bounds=lambda: self._settings_file.bounds, reports_pace=self._placement.reports_pace
         )
         self._paths.on_change(self._placement.record_path_change)
         self._sender = self._make_sender()
         self._room = RoomWaiting(
             sender=self._sender,
-            is_enabled=self._queueing.is_on,
+            is_enabled=queueing.is_on,
             stop_admission=self._stop.admission,
             metrics=self._metrics,
             random=self._random,
--- a/src/wagtailpoint/daemon/store_state.py
+++ b/src/wagtailpoint/daemon/store_state.py
@@ -14,6 +14,10 @@
 from wagtailpoint.revision import Revision
 from wagtailpoint.routing.table import DEFAULT_CALLER_BOUNDS, CallerBounds, RouteTable
 
+STORE_TIMEOUT_S = 1.2
+"""Time-out of calls to the store, which answers in 4 ms and up to 100 times slower under overload.
+Short, so that calls lost in an outage end soon after the store has recovered."""
+
 
 class StoreState:
     """Decodes the objects that followers read, and puts them in force."""
