--- a/tests/nocover/test_follower_faults.py
+++ b/tests/nocover/test_follower_faults.py
@@ -17,7 +17,7 @@
 from tests.common.fake_platform import FakePlatform, WatchAnswer
 from tests.common.fixed_membership import FixedMembership
 from tests.common.object_store import ObjectStore
-from wagtailpoint.daemon.steering import STORE_TIMEOUT_S
+from wagtailpoint.daemon.store_state import STORE_TIMEOUT_S
 from wagtailpoint.discovery.confirmation import Confirmation
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.freshness import Freshness
