bench.entry measures lookups beside stalled callers and without by turns

Cause: the listed failure (2.50 times the median, at most 2.0, 0.68 and 0.27 ms) compared lookups beside stalled callers with lookups measured some seconds earlier; a second whole run and two plays of the users' bench began and ended meanwhile.

Change: both series alternate, like the others of this bench; the bound of 2.0 stays.

--- a/bench/entry.py
+++ b/bench/entry.py
@@ -31,6 +31,9 @@
 MAX_MEMORY_RATIO = 1.4
 MAX_STALLED_RATIO = 2.0
 
+WITHOUT_STALLED = "lookup without stalled"
+BESIDE_STALLED = "lookup beside stalled"
+
 BALANCE = b"GET /deposits/balance/7 HTTP/1.1\r\nHost: e\r\nWagtailpoint-Workspace: surakkha\r\n\r\n"
 LOOKUP = b"GET /v1/lookup?workspace=surakkha&address=10.16.0.9 HTTP/1.1\r\nHost: e\r\n\r\n"
 RELEASE = (
@@ -101,7 +104,7 @@
             for series in measured.values():
                 series.exchange()
         rows = {name: series.result() for name, series in measured.items()}
-        rows["lookup beside stalled"] = _measure_beside_stalled(entry, idle_us, count)
+        rows |= _measure_stalled(entry, idle_us, count)
         memory = _measure_memory(running)
     table = _table(rows, memory, idle_us)
     _check(rows, memory, table)
@@ -139,17 +142,22 @@
     )
 
 
-def _measure_beside_stalled(entry: EntryProcess, idle_us: float, count: int) -> Exchanges:
-    """Measure lookups while other callers stall in their headers, their body or their reply."""
+def _measure_stalled(entry: EntryProcess, idle_us: float, count: int) -> dict[str, Exchanges]:
+    """Measure lookups beside callers that stall in their headers, body or reply, and without.
+
+    Both alternate, as load that begins on the machine between them would change their ratio.
+    """
     stalled = [STALLED_HEAD] * 100 + [STALLED_BODY] * 50 + [LONG_DOWNLOAD] * 10
-    lookups = _RequestSeries(entry.pid, entry.place, LOOKUP, idle_us)
-    with ExitStack() as stack:
-        for request in stalled:
-            connection = stack.enter_context(socket.create_connection(entry.place))
-            connection.sendall(request)
-        for _ in range(count // REQUESTS_PER_CONNECTION):
-            lookups.exchange()
-    return lookups.result()
+    without = _RequestSeries(entry.pid, entry.place, LOOKUP, idle_us)
+    beside = _RequestSeries(entry.pid, entry.place, LOOKUP, idle_us)
+    for _ in range(count // REQUESTS_PER_CONNECTION):
+        without.exchange()
+        with ExitStack() as stack:
+            for request in stalled:
+                connection = stack.enter_context(socket.create_connection(entry.place))
+                connection.sendall(request)
+            beside.exchange()
+    return {WITHOUT_STALLED: without.result(), BESIDE_STALLED: beside.result()}
 
 
 class _RequestSeries:
@@ -281,7 +289,7 @@
             MAX_LATENCY_RATIO,
         ),
         "median latency of a lookup beside stalled callers to that without": (
-            rows["lookup beside stalled"].p50_ms / lookup.p50_ms,
+            rows[BESIDE_STALLED].p50_ms / rows[WITHOUT_STALLED].p50_ms,
             MAX_STALLED_RATIO,
         ),
         "memory with open requests to that without": (
