Named instances of a region exchange load reports and demand; fractions of keys stay within a band

Change, for services whose servers report a pace or where Contracts lists pressure: load-news messages with the reports that differ from what a peer was told last, within 1 KB per second; the demand of the region is the mean of its named instances; fractions of keys move only when the needed fraction differs by more than 0.1. The half-life of a report follows the mean service time where a pace is reported. All else is unchanged where the exchange is off.

ServerLoad.record_end takes the time now; two tests pass it.

--- a/src/wagtailpoint/daemon/entry_role.py
+++ b/src/wagtailpoint/daemon/entry_role.py
@@ -30,6 +30,7 @@
                 membership knows all of them.
         """
         self._membership = membership
+        self._instances = instances
         own = membership.own
         self._choice = EntryChoice(members=membership.members)
         self._nearby_counts = NearbyEntryCounts(
@@ -52,6 +53,15 @@
         """The numbers of entries near this instance."""
         return self._nearby_counts
 
+    @property
+    def gauges(self) -> dict[str, float]:
+        """The current values of the gauges."""
+        return {
+            "instances": self._instances.value,
+            "entries": len(self._choice.all),
+            "load": self._membership.own.load,
+        }
+
     def is_entry(self) -> bool:
         """Return whether lookups name this instance as an entry."""
         return self._choice.includes(self._address)
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -22,7 +22,9 @@
 from wagtailpoint.daemon.server_limits import ServerLimits
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.daemon.shared_announcements import SharedAnnouncements
+from wagtailpoint.daemon.shared_loads import SharedLoads
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
+from wagtailpoint.daemon.steering_placement import make_placement
 from wagtailpoint.daemon.steering_stop import SteeringStop
 from wagtailpoint.daemon.store_state import STORE_TIMEOUT_S, StoreState
 from wagtailpoint.daemon.workspace_rules import WorkspaceRules
@@ -42,11 +44,7 @@
 from wagtailpoint.observe.hlc import HybridClock
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
-from wagtailpoint.placement.cached_fraction import CachedFraction
-from wagtailpoint.placement.cold_pacing import ColdPacing
 from wagtailpoint.placement.distances import Distances
-from wagtailpoint.placement.placement import Placement
-from wagtailpoint.placement.region_mix import RegionMix
 from wagtailpoint.platform.documents import CONFIG_KIND
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.platform.settings import read_node_settings
@@ -74,11 +72,10 @@
         self._metrics = Metrics()
         clock = SystemClock()
         self._stop = SteeringStop(clock=clock)
-        hybrid = HybridClock(wall=clock.wall)
         incarnation = int(new_incarnation(), 16)
         self._peers = NngPeers(
             address=PeerAddress(settings.peers.address, settings.peers.port, incarnation),
-            hybrid_clock=hybrid,
+            hybrid_clock=HybridClock(wall=clock.wall),
             clock=clock,
         )
         self._era = StoreEra(metrics=self._metrics)
@@ -204,9 +201,31 @@
             metrics=self._metrics,
             random=self._random,
         )
-        self._placement = self._make_placement()
         queueing = QueueingSwitch(
-            bounds=lambda: self._settings_file.bounds, reports_pace=self._placement.reports_pace
+            bounds=lambda: self._settings_file.bounds,
+            reports_pace=lambda service: self._placement.estimates.paces.is_reported(service),
+        )
+        self._loads = SharedLoads(
+            role=self._role,
+            peers=self._peers,
+            membership=self._membership,
+            fleet=self._fleet,
+            distances=self._distances,
+            is_enabled=queueing.is_on,
+            metrics=self._metrics,
+            random=self._random,
+        )
+        self._placement = make_placement(
+            fleet=self._fleet,
+            distances=self._distances,
+            settings_file=self._settings_file,
+            senders=self._senders,
+            limits=self._limits.pacing,
+            backoffs=self._announcements.backoffs,
+            loads=self._loads,
+            role=self._role,
+            metrics=self._metrics,
+            random=self._random,
         )
         self._paths.on_change(self._placement.record_path_change)
         self._sender = self._make_sender()
@@ -265,6 +284,7 @@
                     self._sharing.run,
                     self._quarantine.run,
                     self._limits.run,
+                    self._loads.run,
                     self._announcements.run,
                     self._workspaces.run,
                     self._store_check.run,
@@ -299,24 +319,6 @@
                 serving.cancel_scope.cancel()
             nursery.cancel_scope.cancel()
 
-    def _make_placement(self) -> Placement:
-        return Placement(
-            fleet=self._fleet,
-            distances=self._distances,
-            cold=ColdPacing(
-                bound=self._settings_file.cold_bound, count_senders=self._senders.count_senders
-            ),
-            limits=self._limits.pacing,
-            backoffs=self._announcements.backoffs,
-            cached_fraction=CachedFraction(fleet=self._fleet, entries=self._role.nearby_counts),
-            mix=RegionMix(
-                max_shift=lambda: self._settings_file.bounds.region_shift_max,
-                random=self._random,
-            ),
-            entries=self._role.nearby_counts,
-            metrics=self._metrics,
-        )
-
     def _make_sender(self) -> Sender:
         return Sender(
             takes_work=self._fleet.takes_work,
@@ -366,11 +368,10 @@
             "backend_servers": len(self._fleet.entries),
             "unusable_server_entries": self._state.unusable_entries,
             "unreachable_servers": self._placement.unreachable_count,
-            "instances": self._instance_count.value,
-            "entries": len(self._role.choice.all),
-            "load": self._membership.own.load,
+            **self._role.gauges,
             **self._paths.gauges,
             **self._limits.gauges,
+            **self._loads.gauges,
             **self._announcements.gauges,
             **self._quarantine.gauges,
             **self._workspaces.gauges,
--- a/src/wagtailpoint/placement/cached_fraction.py
+++ b/src/wagtailpoint/placement/cached_fraction.py
@@ -2,13 +2,14 @@
 
 import math
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Final
 
 import trio
 
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.placement.entry_counts import EntryCounts
+from wagtailpoint.placement.region_demand import RegionDemand
 
 INITIAL_UTILISATION: Final = 0.6
 """Utilisation of the service's slots that is assumed before any demand was measured, spread evenly
@@ -37,6 +38,13 @@
 """Maximum change of a region's fraction per update. It is lower than ``MAX_STEP`` because the
 requests of a key that moves run in another region."""
 
+STABLE_BAND: Final = 0.1
+"""A shared demand moves a fraction only if the fraction that it needs differs by more than this.
+Smaller differences are mostly noise, and each key that moves meets a cold cache."""
+
+REACHED_DIFFERENCE: Final = 0.01
+"""Difference below which a fraction that follows the demand counts as equal to what it needs."""
+
 
 class _ServiceDemand:
     """Slots of one service that the callers of this instance use, as a decaying average."""
@@ -46,6 +54,8 @@
         self.decayed_at = now
         self.fractions: dict[str, float] = {}
         self.region_fractions: dict[str, float] = {}
+        self.following_domains: set[str] = set()
+        self.following_regions: set[str] = set()
         self.updated_at = -math.inf
 
     def decay(self, now: float) -> None:
@@ -62,18 +72,31 @@
     found in a cache, and all requests would take three times as long. So a fixed fraction of the
     keys is served there, and the others elsewhere, where their objects are cached.
 
-    All failure domains are assumed to have the demand of this instance's own.
+    All failure domains are assumed to have the demand of this instance's own. Where the instances
+    of a region share their demands, their mean replaces this instance's demand, and the fractions
+    stay as they are while the fraction that the demand needs is close to them.
     """
 
-    def __init__(self, *, fleet: Fleet, entries: EntryCounts) -> None:
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        entries: EntryCounts,
+        demand: RegionDemand | None = None,
+        is_shared: Callable[[str], bool] = lambda service: False,
+    ) -> None:
         """Initialise the demand as unknown for all services.
 
         Args:
             fleet: The backend servers.
             entries: The numbers of instances that share the callers.
+            demand: What the other instances of the region told of their demand.
+            is_shared: Returns whether instances share their demand of a service.
         """
         self._fleet = fleet
         self._entries = entries
+        self._shared = demand if demand is not None else RegionDemand()
+        self._is_shared = is_shared
         self._demands: dict[str, _ServiceDemand] = {}
 
     def record_request(self, service: str, service_s: float) -> None:
@@ -85,6 +108,13 @@
         # use.
         demand.slots += service_s * math.log(2) / RATE_HALF_LIFE_S
 
+    def own_slots(self, service: str) -> float:
+        """Return the number of slots that this instance's callers use, as a decaying average."""
+        now = trio.current_time()
+        demand = self._get_demand(service, now)
+        demand.decay(now)
+        return demand.slots
+
     def domain_fraction(self, service: str, failure_domain: str) -> float:
         """Return the fraction of the keys, 0 to 1, to cache in a failure domain."""
         return self._get_updated_demand(service).fractions.get(failure_domain, 1.0)
@@ -120,20 +150,59 @@
             domains[entry.failure_domain] += entry.slots
             regions[region] += entry.slots
         is_first_update = demand.updated_at == -math.inf
-        in_domain = demand.slots * self._entries.in_domain / TARGET_UTILISATION
-        in_region = demand.slots * self._entries.in_region / REGION_TARGET_UTILISATION
-        _step_towards(demand.fractions, domains, in_domain, 1.0 if is_first_update else MAX_STEP)
+        domain_step = 1.0 if is_first_update else MAX_STEP
+        region_step = 1.0 if is_first_update else MAX_REGION_STEP
+        is_shared = self._is_shared(service)
+        domain_slots = region_slots = demand.slots
+        if is_shared:
+            domain_slots = self._shared.domain_mean(service, demand.slots, now)
+            region_slots = self._shared.region_mean(service, demand.slots, now)
         _step_towards(
-            demand.region_fractions, regions, in_region, 1.0 if is_first_update else MAX_REGION_STEP
+            demand.fractions,
+            _needed_fractions(domains, domain_slots * self._entries.in_domain / TARGET_UTILISATION),
+            domain_step,
+            demand.following_domains if is_shared else None,
+        )
+        _step_towards(
+            demand.region_fractions,
+            _needed_fractions(
+                regions, region_slots * self._entries.in_region / REGION_TARGET_UTILISATION
+            ),
+            region_step,
+            demand.following_regions if is_shared else None,
         )
         demand.updated_at = now
 
 
+def _needed_fractions(slots: Mapping[str, int], needed_slots: float) -> dict[str, float]:
+    """Return the fraction of the keys that the slots of each failure domain or region can serve."""
+    return {place: min(1.0, count / max(0.01, needed_slots)) for place, count in slots.items()}
+
+
 def _step_towards(
-    fractions: dict[str, float], slots: Mapping[str, int], needed_slots: float, step: float
+    fractions: dict[str, float],
+    needed: Mapping[str, float],
+    step: float,
+    following: set[str] | None,
 ) -> None:
-    """Move the fraction of each failure domain or region towards what its slots can serve."""
-    for place, available in slots.items():
-        fraction = min(1.0, available / max(0.01, needed_slots))
-        previous = fractions.get(place, fraction)
-        fractions[place] = previous + max(-step, min(step, fraction - previous))
+    """Move the fraction of each failure domain or region towards the needed one.
+
+    Args:
+        fractions: The present fractions by failure domain or region.
+        needed: The needed fractions.
+        step: The maximum change.
+        following: The failure domains or regions that follow their need until it is reached; the
+            others stay as they are within a band. None if all follow.
+    """
+    for place, fraction in needed.items():
+        previous = fractions.setdefault(place, fraction)
+        if following is None or _is_following(place, fraction - previous, following):
+            fractions[place] = previous + max(-step, min(step, fraction - previous))
+
+
+def _is_following(place: str, difference: float, following: set[str]) -> bool:
+    if abs(difference) > STABLE_BAND:
+        following.add(place)
+    elif abs(difference) < REACHED_DIFFERENCE:
+        following.discard(place)
+    return place in following
--- a/src/wagtailpoint/placement/estimates.py
+++ b/src/wagtailpoint/placement/estimates.py
@@ -1,14 +1,15 @@
 """Estimates that one instance keeps of backend servers and routes."""
 
+from collections.abc import Callable
 from typing import Final
 
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.placement.key_reuse import KeyReuse
-from wagtailpoint.placement.load_report import NORMAL_PACE
+from wagtailpoint.placement.load_report import NORMAL_PACE, LoadReport
 from wagtailpoint.placement.machine_pace import MachinePaces
 from wagtailpoint.placement.occupied_service import OccupiedService
 from wagtailpoint.placement.route_costs import MeanServiceTime, RouteCost
-from wagtailpoint.placement.server_load import ServerLoad
+from wagtailpoint.placement.server_load import REPORT_HALF_LIFE_S, ServerLoad
 from wagtailpoint.placement.warm_keys import WarmKeys
 from wagtailpoint.routing.table import HostRoute
 
@@ -16,6 +17,9 @@
 """Maximum number of routes with estimates. Routes come and go with the configuration; the estimates
 of removed routes must not fill the memory."""
 
+ReportCallback = Callable[[ServerEntry, LoadReport, float], None]
+"""Receives a backend server, its load report, and when it was written, in seconds."""
+
 
 class Estimates:
     """Estimates by start of a backend server and by route."""
@@ -28,6 +32,7 @@
         self._reuse: dict[str, KeyReuse] = {}
         self._paces = MachinePaces()
         self._occupied: dict[str, OccupiedService] = {}
+        self._report_callbacks: list[ReportCallback] = []
 
     @property
     def paces(self) -> MachinePaces:
@@ -66,6 +71,46 @@
             load = self._loads[entry.start] = ServerLoad()
         return load
 
+    def on_report(self, callback: ReportCallback) -> None:
+        """Call ``callback`` with each load report that comes with a response to this instance."""
+        self._report_callbacks.append(callback)
+
+    def record_report(
+        self, entry: ServerEntry, report: LoadReport, now: float, round_trip_s: float
+    ) -> None:
+        """Record a load report that came with a response at ``now``."""
+        self.load_of(entry).record_report(report, now, round_trip_s)
+        measured_at = now - round_trip_s / 2
+        self._paces.record(entry.service, entry.start, report, measured_at)
+        for callback in self._report_callbacks:
+            callback(entry, report, measured_at)
+
+    def record_peer_report(
+        self, entry: ServerEntry, report: LoadReport, measured_at: float, round_trip_s: float
+    ) -> bool:
+        """Record a load report that another instance received.
+
+        Args:
+            entry: The backend server.
+            report: The report.
+            measured_at: When the server wrote it, in seconds.
+            round_trip_s: The round-trip time between this instance and the server.
+
+        Returns:
+            Whether it is newer than what is known, and was recorded.
+        """
+        if not self.load_of(entry).record_peer_report(report, measured_at, round_trip_s):
+            return False
+        self._paces.record(entry.service, entry.start, report, measured_at)
+        return True
+
+    def occupancy(self, entry: ServerEntry, now: float, round_trip_s: float) -> float:
+        """Return the estimated number of requests that a request finds at a backend server."""
+        half_life_s = REPORT_HALF_LIFE_S
+        if self._paces.is_reported(entry.service):
+            half_life_s = max(half_life_s, self.mean_service_s(entry.service, now) or 0.0)
+        return self.load_of(entry).occupancy(now, round_trip_s, half_life_s)
+
     def warm_of(self, entry: ServerEntry) -> WarmKeys:
         """Return the affinity keys that a backend server has answered lately."""
         warm = self._warm.get((entry.server_id, entry.started_ms))
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -108,14 +108,15 @@
             is_skipped=self._is_skipped,
         )
 
+    @property
+    def estimates(self) -> Estimates:
+        """The estimates of backend servers and routes."""
+        return self._estimates
+
     def load_of(self, entry: ServerEntry) -> ServerLoad:
         """Return the estimated load and health of a backend server since its start."""
         return self._estimates.load_of(entry)
 
-    def reports_pace(self, service: str) -> bool:
-        """Return whether backend servers of a service state the pace of their machines."""
-        return self._estimates.paces.is_reported(service)
-
     def record_request(self, demand: Demand) -> None:
         """Record a request of a caller."""
         cost = self._estimates.cost_of(demand.route, demand.service)
@@ -225,9 +226,10 @@
         declined = []
         for option in backing_off:
             entry = option.candidate.entry
-            load = self.load_of(entry)
-            occupancy = load.occupancy(now, self._distances.round_trip_s(entry.failure_domain))
-            declined.append(Declined(entry, BACKING_OFF, occupancy, load.report_age_s(now)))
+            round_trip_s = self._distances.round_trip_s(entry.failure_domain)
+            occupancy = self._estimates.occupancy(entry, now, round_trip_s)
+            age_s = self.load_of(entry).report_age_s(now)
+            declined.append(Declined(entry, BACKING_OFF, occupancy, age_s))
         return declined
 
     def _preferred_servers(
@@ -297,7 +299,7 @@
 
     def record_end(self, entry: ServerEntry, request: InFlightRequest) -> None:
         """Record that a request has ended, whatever its result."""
-        self.load_of(entry).record_end(request)
+        self.load_of(entry).record_end(request, trio.current_time())
 
     def record_answer(self, demand: Demand, choice: Choice, seen: Observation) -> None:
         """Record an answer; must be called before ``record_end``."""
@@ -306,9 +308,7 @@
         load = self.load_of(entry)
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
         if seen.report is not None:
-            load.record_report(seen.report, now, round_trip_s)
-            measured_at = now - round_trip_s / 2
-            self._estimates.paces.record(entry.service, entry.start, seen.report, measured_at)
+            self._estimates.record_report(entry, seen.report, now, round_trip_s)
         # Shedding is correct for a full backend server, and a failure of one with free slots.
         is_full = seen.report is not None and seen.report.running >= seen.report.slots
         load.record_answer(now, failed=seen.failed or (seen.shed and not is_full))
--- a/src/wagtailpoint/placement/server_load.py
+++ b/src/wagtailpoint/placement/server_load.py
@@ -1,6 +1,7 @@
 """Estimated load and health of one backend server, as seen by one instance."""
 
 import math
+from collections import deque
 from typing import Final, NamedTuple
 
 from wagtailpoint.placement.load_report import LoadReport
@@ -10,7 +11,12 @@
 
 REPORT_HALF_LIFE_S: Final = 0.15
 """Half-life of a load report against the mean: after about two service times other requests have
-come."""
+come. Where instances exchange reports, the half-life is the mean service time of the service, as
+long requests keep their slots for longer."""
+
+RECENTLY_ENDED: Final = 16
+"""Number of ended requests that are remembered: a report of another instance, which is older than
+its arrival, may still count them."""
 
 MEAN_HALF_LIFE_S: Final = 3.0
 """Half-life of the other instances' load without a new report: a backend server that was full must
@@ -72,6 +78,7 @@
 
     def __init__(self) -> None:
         self._in_flight: list[InFlightRequest] = []
+        self._ended: deque[tuple[float, float]] = deque(maxlen=RECENTLY_ENDED)
         self._others = 0.0
         self._others_mean = 0.0
         self._reported_at = -math.inf
@@ -94,11 +101,13 @@
         """The time of the last answer."""
         return self._heard_at
 
-    def occupancy(self, now: float, round_trip_s: float) -> float:
+    def occupancy(
+        self, now: float, round_trip_s: float, report_half_life_s: float = REPORT_HALF_LIFE_S
+    ) -> float:
         """Return the estimated number of requests that a request sent at ``now`` finds there."""
         age_s = now - self._reported_at
         mean = self._others_mean * _decay_factor(age_s, MEAN_HALF_LIFE_S)
-        others = mean + (self._others - mean) * _decay_factor(age_s, REPORT_HALF_LIFE_S)
+        others = mean + (self._others - mean) * _decay_factor(age_s, report_half_life_s)
         return others + sum(
             _is_at_server(request, now, round_trip_s)
             for request in self._in_flight
@@ -153,9 +162,10 @@
         self._in_flight.append(request)
         return request
 
-    def record_end(self, request: InFlightRequest) -> None:
-        """Record that a request has ended, whatever its result."""
+    def record_end(self, request: InFlightRequest, now: float) -> None:
+        """Record that a request has ended at ``now``, whatever its result."""
         self._in_flight.remove(request)
+        self._ended.append((request.sent_at, now))
 
     def record_report(self, report: LoadReport, now: float, round_trip_s: float) -> None:
         """Record a load report that came with a response.
@@ -167,10 +177,39 @@
                 ``now`` are not counted in the report.
         """
         counted_requests = sum(request.sent_at <= now - round_trip_s for request in self._in_flight)
-        self._others = max(0, report.running + report.waiting - max(1, counted_requests))
-        mean = self._others_mean * _decay_factor(now - self._reported_at, MEAN_HALF_LIFE_S)
+        self._record_others(report, max(1, counted_requests), now)
+
+    def record_peer_report(
+        self, report: LoadReport, measured_at: float, round_trip_s: float
+    ) -> bool:
+        """Record a load report that another instance received.
+
+        Args:
+            report: The load report.
+            measured_at: The time when the backend server wrote it.
+            round_trip_s: The round-trip time between this instance and the backend server.
+
+        Returns:
+            Whether it is newer than the newest one so far, and was recorded.
+        """
+        arrived_at = measured_at + round_trip_s / 2
+        if arrived_at <= self._reported_at:
+            return False
+        sent_before = measured_at - round_trip_s / 2
+        counted_requests = sum(request.sent_at <= sent_before for request in self._in_flight)
+        counted_requests += sum(
+            sent_at <= sent_before and arrived_at < ended_at for sent_at, ended_at in self._ended
+        )
+        self._record_others(report, counted_requests, arrived_at)
+        return True
+
+    def _record_others(self, report: LoadReport, own_requests: int, reported_at: float) -> None:
+        """Record the requests of other instances in a report."""
+        self._others = max(0, report.running + report.waiting - own_requests)
+        age_s = reported_at - self._reported_at
+        mean = self._others_mean * _decay_factor(age_s, MEAN_HALF_LIFE_S)
         self._others_mean = mean + MEAN_WEIGHT * (self._others - mean)
-        self._reported_at = now
+        self._reported_at = reported_at
 
     def record_answer(self, now: float, *, failed: bool) -> None:
         """Record an answer; ``failed`` if it is a failure of the backend server itself."""
--- a/src/wagtailpoint/placement/utilisation.py
+++ b/src/wagtailpoint/placement/utilisation.py
@@ -35,7 +35,7 @@
         for candidate in self._fleet.candidates(service):
             entry = candidate.entry
             round_trip_s = self._distances.round_trip_s(entry.failure_domain)
-            used += min(entry.slots, self._estimates.load_of(entry).occupancy(now, round_trip_s))
+            used += min(entry.slots, self._estimates.occupancy(entry, now, round_trip_s))
             slots += entry.slots
         utilisation = used / slots if slots else 0.0
         self._cached[service] = (now, utilisation)
--- a/src/wagtailpoint/placement/weigher.py
+++ b/src/wagtailpoint/placement/weigher.py
@@ -88,7 +88,7 @@
         load = self._estimates.load_of(entry)
         cost = self._estimates.cost_of(demand.route, demand.service)
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
-        occupancy = load.occupancy(now, round_trip_s)
+        occupancy = self._estimates.occupancy(entry, now, round_trip_s)
         report_age_s = load.report_age_s(now)
         slowness = load.slowness(now)
         if self._limits.has_any and not self._limits.may_send(entry.start.key, region):
--- a/tests/cover/test_learned.py
+++ b/tests/cover/test_learned.py
@@ -23,7 +23,7 @@
         underway = load.record_send(10.0, 0.5)
         load.record_report(LoadReport(3, 2, 3), 10.0, 0.0)
         self.assertAlmostEqual(load.occupancy(10.0, 0.0), 5.0)
-        load.record_end(underway)
+        load.record_end(underway, 10.0)
         self.assertAlmostEqual(load.occupancy(10.0, 0.0), 4.0)
         self.assertLess(load.occupancy(11.0, 0.0), 1.5)
 
--- a/tests/cover/test_path_change.py
+++ b/tests/cover/test_path_change.py
@@ -22,7 +22,7 @@
         self.load.record_send(11.0, STAY_S)
         self.assertEqual(self.load.occupancy(11.01, ROUND_TRIP_S), 1)
         for request in stuck:
-            self.load.record_end(request)
+            self.load.record_end(request, 11.01)
 
     def test_silence_on_a_lost_path_is_forgotten(self) -> None:
         """Guards against backend servers that are avoided although others reach them."""
