Stand-in of backend servers reads its caller's address before the first request

Only the stand-in failed; no check was reached that could have.

Change: the address is read when the connection begins, and a socket that is closed by then ends the connection.

--- a/tests/common/partitioned_servers.py
+++ b/tests/common/partitioned_servers.py
@@ -164,10 +164,15 @@
                 await self._answer_all(ScriptedStream(stream=stream), address)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
+        except OSError:
+            # A partition or the peer closed the socket before its address was read.
+            return
         finally:
             await trio.aclose_forcefully(stream)
 
     async def _answer_all(self, stream: ScriptedStream, address: str) -> None:
+        # Read before the first request: a partition may close the socket right after a request.
+        sender = stream.stream.socket.getpeername()[0]
         while request := await stream.request():
             server_id = self._ids_by_address[address]
             head, _, body = request.partition(b"\r\n\r\n")
@@ -181,7 +186,6 @@
             if fields["x-expect-instance"] != server_id:
                 await stream.send(response(b"", status="421 Misdirected Request"))
                 continue
-            sender = stream.stream.socket.getpeername()[0]
             self.arrivals.append(Arrival(trio.current_time(), server_id, sender, request_id))
             answer_headers = [f"X-Attempt-Id: {request_id}", *self._leaving_header(server_id)]
             if self._turns_away(server_id):
