--- a/tests/cover/test_region_demand.py
+++ b/tests/cover/test_region_demand.py
@@ -18,7 +18,7 @@
 
 SERVICE = "desk"
 REGION_OF = {f"{region}-{number}": region for region in "abc" for number in (1, 2)}
-REGION = "a"
+DOMAIN, REGION = "a-1", "a"
 INSTANCES = 6
 SERVICE_S = 1.0
 TELL_INTERVAL_S = 1.0
@@ -59,6 +59,10 @@
         self._next_arrivals = [0.0] * INSTANCES
         self._told_at = 0.0
 
+    def domain_fractions(self) -> Sequence[float]:
+        """Return the fraction of each instance's own failure domain."""
+        return [each.fractions.domain_fraction(SERVICE, DOMAIN) for each in self.instances]
+
     async def step(self, rate: float) -> Sequence[float]:
         """Let the arrivals of one update interval pass; return the fractions of the region."""
         await trio.sleep(UPDATE_INTERVAL_S)
@@ -76,8 +80,9 @@
         for sender, instance in zip(PEERS, self.instances, strict=True):
             slots = instance.fractions.own_slots(SERVICE)
             for receiver, other in zip(PEERS, self.instances, strict=True):
+                in_domain = (sender in PEERS[::2]) == (receiver in PEERS[::2])
                 if receiver != sender:
-                    other.demand.record(sender, SERVICE, slots, now, in_domain=False)
+                    other.demand.record(sender, SERVICE, slots, now, in_domain=in_domain)
 
 
 class SharedFractionTest(unittest.TestCase):
@@ -86,7 +91,10 @@
         self.addCleanup(logger.enable, "wagtailpoint")
 
     def follow(self, rate: float, seconds: float, *, is_shared: bool = True) -> list[list[float]]:
-        """Return the fractions of all instances at each update after settling."""
+        """Return the fractions of each update after settling.
+
+        Each row has those of the region on all instances, then those of their failure domain.
+        """
 
         async def run() -> list[list[float]]:
             region = Region(fleet=make_fleet(), is_shared=is_shared)
@@ -94,7 +102,7 @@
             while trio.current_time() < seconds + SETTLING_S:
                 fractions = await region.step(rate)
                 if trio.current_time() > SETTLING_S:
-                    followed.append(list(fractions))
+                    followed.append([*fractions, *region.domain_fractions()])
             return followed
 
         return trio.run(run, clock=MockClock(autojump_threshold=0))
@@ -114,7 +122,8 @@
     def test_instances_of_a_region_agree(self) -> None:
         """Guards against keys that are cached at two servers as instances disagree."""
         followed = self.follow(20.0, 300.0)
-        apart = sum(max(fractions) - min(fractions) > 0.1 for fractions in followed)
+        of_region = [fractions[:INSTANCES] for fractions in followed]
+        apart = sum(max(fractions) - min(fractions) > 0.1 for fractions in of_region)
         self.assertLess(apart / len(followed), 0.1)
 
     def test_steady_demand_shifts_few_requests_between_regions(self) -> None:
@@ -122,7 +131,7 @@
         followed = self.follow(20.0, 300.0)
         window = round(2.0 / UPDATE_INTERVAL_S)
         shares = [
-            sum(map(sum, followed[at : at + window])) / (window * INSTANCES)
+            sum(sum(row[:INSTANCES]) for row in followed[at : at + window]) / (window * INSTANCES)
             for at in range(len(followed) - window)
         ]
         for earlier, later in zip(shares, shares[window:], strict=False):
