Reserved room is kept from later requests; a refusal names the share only for the same servers

Cause: review of the room queue. (1) Where the only waiting request was given room, the queue was empty until its task went on, and a request that arrived at that moment took the room: has_before looked at waiting requests only. (2) A refusal stated 'workspace' if a request of another workspace waited anywhere in the service, also for other backend servers. (3) Where the switch was turned off between the grant and the send, the reservation lasted until the end of the exchange, and was in force if the switch was turned on again.

Change: has_before counts requests with reserved room at the server; is_behind_by_share takes the servers; the begin of an exchange always ends the reservation.

Tests for the three failed before the change. New tests that passed at once: order of deadlines longer than the route's time-out, a failure domain evacuated during the wait, with and without another one.

--- a/src/wagtailpoint/admission/room_queue.py
+++ b/src/wagtailpoint/admission/room_queue.py
@@ -219,18 +219,23 @@
         )
 
     def has_before(self, turn: Turn, server: str, now: float) -> bool:
-        """Return whether a request of equal or smaller rank waits for a backend server.
+        """Return whether a request of smaller rank waits for a server, or has room reserved there.
 
         Args:
             turn: The turn of a request that arrives.
             server: The id of the backend server.
             now: The current time in seconds.
         """
-        queued = self._by_service.get(turn.service)
-        if not queued:
+        others = [
+            other for other in self._by_service.get(turn.service, ()) if server in other.servers
+        ]
+        others += [other for other, reserved in self._reserved.items() if reserved == server]
+        if not others:
             return False
         own = self._new_rank(turn, now)
-        return any(server in other.servers and self._rank(other, now) < own for other in queued)
+        return any(
+            other.turn.service == turn.service and self._rank(other, now) < own for other in others
+        )
 
     def count_before(self, turn: Turn, now: float) -> int:
         """Return the number of waiting requests of the same service that rank before a new one."""
@@ -245,13 +250,20 @@
             for other in queued
         )
 
-    def is_behind_by_share(self, turn: Turn, now: float) -> bool:
-        """Return whether requests wait that rank before one only by their workspaces' shares."""
+    def is_behind_by_share(self, turn: Turn, servers: frozenset[str], now: float) -> bool:
+        """Return whether requests of workspaces with smaller shares wait for the same room.
+
+        Args:
+            turn: The turn of a request that does not wait.
+            servers: The ids of the backend servers without room for it; empty if not known.
+            now: The current time in seconds.
+        """
         level = self._admissions.level(turn.service, turn.workspace, now)
         if level == 0:
             return False
         return any(
             other.turn.priority == turn.priority
+            and not (servers and other.servers and servers.isdisjoint(other.servers))
             and self._admissions.level(turn.service, other.turn.workspace, now) < level
             for other in self._by_service.get(turn.service, ())
         )
--- a/src/wagtailpoint/proxy/room_waiting.py
+++ b/src/wagtailpoint/proxy/room_waiting.py
@@ -108,7 +108,7 @@
         if not self._is_enabled(context.service) or isinstance(chosen, NotPlaced):
             return chosen
         self._record_expectation(context, chosen)
-        if context in self._granted or not len(self._queue):
+        if context in self._granted:
             return chosen
         server = chosen.entry.server_id
         turn = _turn(context)
@@ -138,17 +138,18 @@
         self.release(context)
         now = trio.current_time()
         turn = _turn(context)
+        servers = _servers(result)
         leave_at, is_late = self._leave_at(context)
         if leave_at <= now:
-            return self._refuse(context, turn, is_late=is_late)
+            return self._refuse(context, turn, servers, is_late=is_late)
         waiter = _Waiter(context, trio.Event(), trio.Event())
-        entered = self._queue.enter(turn, waiter, _servers(result), now)
+        entered = self._queue.enter(turn, waiter, servers, now)
         for displaced in entered.displaced:
             displaced.owner.displaced.set()
             displaced.owner.ended.set()
         waiting = entered.waiting
         if waiting is None:
-            return self._refuse(context, turn, is_late=False)
+            return self._refuse(context, turn, servers, is_late=False)
         self._metrics.count("room-queue.waited")
         self._entered.set()
         try:
@@ -158,9 +159,9 @@
             self._queue.leave(waiting)
             context.room_wait_s += trio.current_time() - now
         if waiter.displaced.is_set():
-            return self._refuse(context, turn, is_late=False)
+            return self._refuse(context, turn, waiting.servers, is_late=False)
         if not waiter.ended.is_set():
-            return self._refuse(context, turn, is_late=is_late)
+            return self._refuse(context, turn, waiting.servers, is_late=is_late)
         return None
 
     def release(self, context: RequestContext) -> None:
@@ -176,14 +177,15 @@
         self, context: RequestContext, entry: ServerEntry, *, has_begun: bool
     ) -> None:
         """Record that an exchange began, which uses the reserved room, or ended."""
-        if not self._is_enabled(context.service):
-            return
-        now = trio.current_time()
+        is_enabled = self._is_enabled(context.service)
         if has_begun:
-            self._queue.record_admission(context.service, context.workspace_name, now)
-            self._retry_after.record_found(context.service, now)
+            if is_enabled:
+                now = trio.current_time()
+                self._queue.record_admission(context.service, context.workspace_name, now)
+                self._retry_after.record_found(context.service, now)
+            # Also where the switch was turned off since: the room is in use from now on.
             self.release(context)
-        elif len(self._queue):
+        elif is_enabled and len(self._queue):
             self._offer(context.service, entry.server_id)
 
     def _offer(self, service: str, server: str = "") -> None:
@@ -228,10 +230,12 @@
         mean_s = self._expected_s.setdefault(key, possible_s)
         self._expected_s[key] = mean_s + EXPECTATION_WEIGHT * (possible_s - mean_s)
 
-    def _refuse(self, context: RequestContext, turn: Turn, *, is_late: bool) -> Refusal:
+    def _refuse(
+        self, context: RequestContext, turn: Turn, servers: frozenset[str], *, is_late: bool
+    ) -> Refusal:
         now = trio.current_time()
         reason = LATE if is_late else NO_ROOM
-        if not is_late and self._queue.is_behind_by_share(turn, now):
+        if not is_late and self._queue.is_behind_by_share(turn, servers, now):
             reason = SHARE
         self._metrics.count(f"room-queue.refused.{reason.replace(' ', '-')}")
         retry_after_s = self._retry_after.next_s(
--- a/tests/cover/test_room_queue.py
+++ b/tests/cover/test_room_queue.py
@@ -119,6 +119,18 @@
         self.assertEqual(self.queue.release(first), "")
         self.assertEqual(self.offer("i-1", server="i-1"), ["second"])
 
+    def test_reserved_room_is_kept_from_requests_that_rank_behind(self) -> None:
+        """Guards against a new request that takes the room just given to one that waited."""
+        first = self.enter("first", deadline=9.0)
+        assert first is not None
+        self.assertEqual(self.offer("i-1"), ["first"])
+        self.assertTrue(self.queue.has_before(make_turn(), "i-1", 0.0))
+        self.assertFalse(self.queue.has_before(make_turn(priority=0), "i-1", 0.0))
+        self.assertFalse(self.queue.has_before(make_turn(), "i-2", 0.0))
+        self.assertFalse(self.queue.has_before(make_turn(service="vault"), "i-1", 0.0))
+        self.queue.release(first)
+        self.assertFalse(self.queue.has_before(make_turn(), "i-1", 0.0))
+
     def test_request_may_leave_without_room(self) -> None:
         self.enter("late")
         left = self.queue.offer(SERVICE, lambda waiting: Found(""), 0.0)
@@ -128,12 +140,20 @@
     def test_share_as_the_reason_to_wait(self) -> None:
         for _ in range(8):
             self.queue.record_admission(SERVICE, "big", 0.0)
-        self.assertFalse(self.queue.is_behind_by_share(make_turn(workspace="big"), 0.0))
+        big = make_turn(workspace="big")
+        self.assertFalse(self.queue.is_behind_by_share(big, FULL, 0.0))
         self.enter("small", workspace="small")
-        self.assertTrue(self.queue.is_behind_by_share(make_turn(workspace="big"), 0.0))
-        self.assertFalse(self.queue.is_behind_by_share(make_turn(workspace="big", priority=0), 0.0))
+        self.assertTrue(self.queue.is_behind_by_share(big, FULL, 0.0))
+        self.assertFalse(self.queue.is_behind_by_share(big._replace(priority=0), FULL, 0.0))
         self.assertEqual(self.queue.count_before(make_turn(workspace="big"), 0.0), 1)
 
+    def test_share_is_no_reason_where_others_wait_for_other_servers(self) -> None:
+        """Guards against a refusal for a share although no other workspace waits for the room."""
+        for _ in range(8):
+            self.queue.record_admission(SERVICE, "big", 0.0)
+        self.enter("small", frozenset(("i-2",)), workspace="small")
+        self.assertFalse(self.queue.is_behind_by_share(make_turn(workspace="big"), FULL, 0.0))
+
 
 class Caller(NamedTuple):
     """A request in the replay of a burst."""
--- a/tests/cover/test_room_waiting.py
+++ b/tests/cover/test_room_waiting.py
@@ -1,16 +1,18 @@
 """Requests that wait at the instance until a backend server has room, and what ends their wait."""
 
 from collections.abc import Awaitable, Callable
+from copy import copy
 from functools import partial
 from unittest.mock import patch
 
 import trio
 
-from tests.common.dispatcher_case import Backend, DispatcherCase, get, ok
+from tests.common.dispatcher_case import Backend, DispatcherCase, get, ok, silent
 from tests.common.steering_parts import SteeringParts, make_route, make_server, make_table
 from wagtailpoint.admission.room_queue import MAX_WAITING
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.placement.choice import Choice, Declined, Demand, NotPlaced
+from wagtailpoint.proxy.request_context import RequestContext
 from wagtailpoint.proxy.room_waiting import MAX_WAIT_FRACTION
 from wagtailpoint.routing.table import RouteTable
 from wagtailpoint.routing.workspaces import WorkspacePolicy, key_digest
@@ -189,6 +191,100 @@
         self.assertEqual(backend.requests, [])
         self.assertLess(took_s, HOLD_S / 2)
 
+    def test_evacuated_failure_domain(self) -> None:
+        """Guards against a send to a failure domain that was evacuated during the wait."""
+        backend = Backend(ok)
+
+        def evacuate() -> None:
+            self.parts.fleet.evacuate(frozenset(["a-1"]), {})
+            self.full = set()
+
+        reply, took_s = self.run_waiting(backend, get("/r/x"), evacuate)
+        self.assertTrue(reply.startswith(b"HTTP/1.1 503"), reply)
+        self.assertTrue(reply.endswith(b"not run: no backend server\n"), reply)
+        self.assertEqual(backend.requests, [])
+        self.assertLess(took_s, HOLD_S / 2)
+
+    def test_evacuated_failure_domain_with_another_one(self) -> None:
+        """Guards against a request that is refused although another failure domain has room."""
+        backends = [Backend(ok), Backend(ok)]
+        self.full = {"i-1"}
+        replies: list[bytes] = []
+
+        async def test(endpoint: Endpoint) -> None:
+            first, second = self.parts.fleet.entries.values()
+            other = second._replace(failure_domain="a-2")
+            self.parts.fleet.update([first, other])
+            self.full = {"i-1", "i-2"}
+
+            async def send() -> None:
+                replies.append(await self.reply(endpoint, get("/r/x")))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send)
+                await self.wait_for(lambda: self.parts.room.waiting == 1)
+                self.parts.fleet.evacuate(frozenset(["a-1"]), {})
+                self.full = set()
+
+        scripts = {"i-1": backends[0].script, "i-2": backends[1].script}
+        self.run_with(scripts, test)
+        self.assertTrue(replies[0].startswith(b"HTTP/1.1 200"), replies)
+        self.assertEqual([len(backend.requests) for backend in backends], [0, 1])
+
+    def test_room_given_to_the_last_waiting_request_is_kept_for_it(self) -> None:
+        """Guards against a request that arrives before the one with the room goes on, and takes it.
+
+        No request waits at that moment, as the only one has left the queue.
+        """
+        room = self.parts.room
+        offer = room._offer
+        results: list[Choice | NotPlaced] = []
+        arrived: list[RequestContext] = []
+
+        def offer_and_arrive(service: str, server: str = "") -> None:
+            offer(service, server)
+            if room._queue.is_reserved("i-1") and not arrived:
+                (granted,) = room._granted
+                arrived.append(copy(granted))
+                results.append(room.choose(arrived[0]))
+
+        backend = Backend(ok)
+        with patch.object(room, "_offer", offer_and_arrive):
+            reply, _ = self.run_waiting(backend, get("/r/x"), self.full_no_more)
+        self.assertTrue(reply.startswith(b"HTTP/1.1 200"), reply)
+        (result,) = results
+        assert isinstance(result, NotPlaced)
+        self.assertEqual([declined.reason for declined in result.declined], ["queued"])
+
+    def test_switch_turned_off_and_on_during_a_send(self) -> None:
+        """Guards against a reservation that outlasts the begin of its exchange.
+
+        While the exchange lasts, nobody else would get the free slots of that server.
+        """
+        self.full = {"i-1"}
+        queue = self.parts.room._queue
+        offer = queue.offer
+
+        def offer_and_turn_off(*args, **options):
+            found = offer(*args, **options)
+            if found:
+                self.parts.queues_requests = False
+            return found
+
+        async def test(endpoint: Endpoint) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self.reply, endpoint, get("/r/x"))
+                await self.wait_for(lambda: self.parts.room.waiting == 1)
+                self.full = set()
+                await self.wait_for(lambda: len(backend.requests) == 1)
+                self.parts.queues_requests = True
+                self.assertFalse(queue.is_reserved("i-1"))
+                nursery.cancel_scope.cancel()
+
+        backend = Backend(silent)
+        with patch.object(queue, "offer", offer_and_turn_off):
+            self.run_with({"i-1": backend.script}, test)
+
     def test_new_server(self) -> None:
         """Guards against a wait for full backend servers although a new one has room."""
         backend = Backend(ok)
@@ -245,17 +341,32 @@
         """Guards against urgent requests and returning callers that wait behind new ones."""
         urgent = make_route("u", objective_s=OBJECTIVE_S, timeout_s=8.0, priority=0)
         self.use_table(make_table(ROUTE, urgent))
+        targets = self.targets_in_order(
+            get("/r/new"), get("/r/returned", "X-Deadline-Ms: 4000"), get("/u/urgent")
+        )
+        self.assertEqual(targets, ["/u/urgent", "/r/returned", "/r/new"])
+
+    def test_order_of_deadlines_longer_than_the_timeout(self) -> None:
+        """Guards against returning callers who lose their place as their deadlines are cut.
+
+        All of these deadlines are later than the time-out of the route, which only the last caller
+        waits for.
+        """
+        targets = self.targets_in_order(
+            get("/r/new", "X-Deadline-Ms: 30000"),
+            get("/r/returned", "X-Deadline-Ms: 12000"),
+            get("/r/returned-twice", "X-Deadline-Ms: 9000"),
+            get("/r/unstated"),
+        )
+        self.assertEqual(targets, ["/r/unstated", "/r/returned-twice", "/r/returned", "/r/new"])
+
+    def targets_in_order(self, *requests: bytes) -> list[str]:
+        """Let requests wait, sent one after another; return their targets in the order of sends."""
         self.full = {"i-1"}
 
         async def test(endpoint: Endpoint) -> None:
             async with trio.open_nursery() as nursery:
-                for count, request in enumerate(
-                    (
-                        get("/r/new"),
-                        get("/r/returned", "X-Deadline-Ms: 4000"),
-                        get("/u/urgent"),
-                    )
-                ):
+                for count, request in enumerate(requests):
                     nursery.start_soon(self.reply, endpoint, request)
                     await self.wait_for(partial(self.are_waiting, count + 1))
                 self.full = set()
@@ -265,5 +376,4 @@
             self.parts.placement, "record_send", wraps=self.parts.placement.record_send
         ) as sends:
             self.run_with({"i-1": Backend(ok).script}, test)
-        targets = [call.args[0].key for call in sends.call_args_list]
-        self.assertEqual(targets, ["/u/urgent", "/r/returned", "/r/new"])
+        return [call.args[0].key for call in sends.call_args_list]
