--- a/tests/common/steering_group.py
+++ b/tests/common/steering_group.py
@@ -91,6 +91,7 @@
     count: int,
     *,
     failure_domains: Sequence[str] = ("a-1",),
+    contracts: Sequence[str] = (),
     module: str = "wagtailpoint.daemon",
     environment: Callable[[str], Mapping[str, str]] = lambda address: {},
 ) -> AsyncIterator[list[Instance]]:
@@ -100,6 +101,7 @@
         store: The store.
         count: The number of instances.
         failure_domains: Their failure domains, in turn.
+        contracts: The contracts that their settings list.
         module: The module that runs an instance.
         environment: Returns variables for the process of the instance with an address.
     """
@@ -116,6 +118,8 @@
             )
             document["Self"]["Zone"] = failure_domain
             document["Self"]["Region"] = document["Network"]["Zones"][failure_domain]
+            if contracts:
+                document["Terms"]["Contracts"] = list(contracts)
             file.write_text(json.dumps(document))
             variables = {"WAGTAILPOINT_NODE_FILE": str(file), **environment(address)}
             process = ModuleProcess(module=module, environment=variables)
--- a/tests/common/stop_group.py
+++ b/tests/common/stop_group.py
@@ -147,6 +147,7 @@
     slots: int = SLOTS,
     object_bytes: int | None = None,
     warm_up_s: float = WARM_UP_S,
+    contracts: Sequence[str] = (),
     seed: int = 1,
 ) -> AsyncIterator[StopGroup]:
     """Run a group of instances with their callers.
@@ -159,6 +160,7 @@
         slots: How many requests each backend server runs at once.
         object_bytes: The size of an answer; None for the usual one.
         warm_up_s: The time for which callers use the group before a test, in seconds.
+        contracts: The contracts that the instances' settings list.
         seed: The seed of the callers and backend servers.
     """
     with TemporaryDirectory() as folder:
@@ -179,6 +181,7 @@
                     endpoint,
                     instances,
                     failure_domains=FAILURE_DOMAINS,
+                    contracts=contracts,
                     module="tests.common.positioned_instance",
                     environment=partition.environment,
                 ) as running:
