Load exchange: nothing is used or sent where it is off; state and bytes stay bounded

Cause: review of the load exchange. (1) An instance whose switch was off for a service used the reports and demands of peers, which changed its choices and, by a stated pace, turned its switch on. (2) Demands were sent until the restart after the switch was turned off or the service was gone. (3) Demands of any name were kept: 1,024 names took the places of all services. (4) Where nobody is told (instance not named, or alone in its region) reports of ended server starts were kept for ever. (5) Demands were counted as 24 bytes whatever the service's name: 30 services with names of 50 bytes gave 2,374 bytes/s where 1,024 are allowed. (6) A report with the stated age 0 of a distant server dated from the future, and its load was extrapolated above its value. (7) keys-moved was also logged where no service exchanges loads.

Change: both sides ask the switch, and names must be those of backend servers' services; old reports are removed at each interval; bytes count names; the age of a told report is at least half a round trip; keys-moved is logged only where a service exchanges loads.

--- a/src/wagtailpoint/daemon/shared_loads.py
+++ b/src/wagtailpoint/daemon/shared_loads.py
@@ -78,11 +78,8 @@
     def gauges(self) -> dict[str, float]:
         """The smallest fraction of a service's keys that this region keeps; 1 without sharing."""
         region = self._distances.region
-        services = {entry.service for entry in self._fleet.entries.values()}
         fractions = [
-            self._fraction.region_fraction(service, region)
-            for service in services
-            if self._is_enabled(service)
+            self._fraction.region_fraction(service, region) for service in self._shared_services()
         ]
         return {"min_region_fraction": min(fractions, default=1.0)}
 
@@ -96,6 +93,11 @@
             nursery.start_soon(self._exchange.run)
             nursery.start_soon(self._log_moves)
 
+    def _shared_services(self) -> list[str]:
+        """Return the services whose loads are exchanged."""
+        services = {entry.service for entry in self._fleet.entries.values()}
+        return [service for service in services if self._is_enabled(service)]
+
     async def _log_moves(self) -> None:
         logged: dict[str, int] = {}
         while True:
@@ -110,6 +112,6 @@
                 for reason, count in sorted(counts.items())
                 if count > logged.get(reason, 0)
             }
-            if moved:
+            if moved and self._shared_services():
                 log_event("keys-moved", **moved)
             logged = counts
--- a/src/wagtailpoint/placement/load_exchange.py
+++ b/src/wagtailpoint/placement/load_exchange.py
@@ -35,9 +35,10 @@
 BURST_BYTES: Final = 1024
 ENVELOPE_BYTES: Final = 70
 REPORT_BYTES: Final = 12
-DEMAND_BYTES: Final = 24
-"""Bound on what an instance sends, and the sizes of encoded messages that it counts with. All
-control messages of an instance together have to stay below 3 KB a second."""
+DEMAND_BYTES: Final = 20
+"""Bound on what an instance sends, and the sizes of encoded messages that it counts with, those of
+demands without the names of their services. All control messages of an instance together have to
+stay below 3 KB a second."""
 
 MAX_RECEIVED_AGE_S: Final = 2.0
 MAX_REQUESTS: Final = 100_000
@@ -111,6 +112,7 @@
         self._budget_at = 0.0
         self._due_at = 0.0
         self._servers: dict[int, ServerEntry] = {}
+        self._fleet_services: set[str] = set()
         self._servers_generation = -1
         peers.handle(LoadNewsMessage, self._on_message)
 
@@ -140,6 +142,7 @@
 
     def tell(self, now: float) -> None:
         """Tell the other named instances what has changed, as far as the bytes last."""
+        self._news.remove_old(now)
         named = {member.address: member for member in self._entries.all}
         if self._own_address not in named:
             self._update_peers([])
@@ -160,10 +163,12 @@
         demands: dict[str, float] = {}
         if now - self._demand_told_at.get(peer, -DEMAND_INTERVAL_S) >= DEMAND_INTERVAL_S:
             demands = {
-                service: round(self._own_slots(service), 1) for service in sorted(self._services)
+                service: round(self._own_slots(service), 1)
+                for service in sorted(self._services)
+                if self._is_shared(service)
             }
             self._demand_told_at[peer] = now
-        size = ENVELOPE_BYTES + DEMAND_BYTES * len(demands)
+        size = ENVELOPE_BYTES + sum(DEMAND_BYTES + len(name.encode()) for name in demands)
         max_servers = max(0, int((self._budget_bytes - size) / REPORT_BYTES))
         reports = self._news.select(peer, now, max_servers)
         if not reports and not demands:
@@ -218,7 +223,9 @@
             return
         in_domain = member.failure_domain == self._distances.failure_domain
         for service, slots in demands.items():
-            if not self._demand.record(sender, service, slots, now, in_domain=in_domain):
+            if not self._is_shared(service) or not self._demand.record(
+                sender, service, slots, now, in_domain=in_domain
+            ):
                 self._metrics.count("load-news.ignored")
 
     def _apply(self, told: ServerReport, now: float) -> bool:
@@ -227,6 +234,8 @@
         age_s = told.age / AGE_SCALE
         if entry is None or not 0 <= age_s <= MAX_RECEIVED_AGE_S or not _is_plausible(told):
             return False
+        if not self._is_enabled(entry.service):
+            return False
         report = LoadReport(
             told.running,
             told.waiting,
@@ -235,15 +244,25 @@
             has_pace=told.pace > 0,
         )
         round_trip_s = self._distances.round_trip_s(entry.failure_domain)
+        # A report that came by another instance is no newer than one that would have come directly.
+        age_s = max(age_s, round_trip_s / 2)
         return self._estimates.record_peer_report(entry, report, now - age_s, round_trip_s)
 
     def _entry_of(self, server: int) -> ServerEntry | None:
+        self._refresh_servers()
+        return self._servers.get(server)
+
+    def _is_shared(self, service: str) -> bool:
+        """Return whether the demand of a service is exchanged, which has backend servers."""
+        self._refresh_servers()
+        return service in self._fleet_services and self._is_enabled(service)
+
+    def _refresh_servers(self) -> None:
         if self._servers_generation != self._fleet.generation:
             self._servers_generation = self._fleet.generation
-            self._servers = {
-                server_hash(entry.start.key): entry for entry in self._fleet.entries.values()
-            }
-        return self._servers.get(server)
+            entries = self._fleet.entries.values()
+            self._servers = {server_hash(entry.start.key): entry for entry in entries}
+            self._fleet_services = {entry.service for entry in entries}
 
 
 def _is_plausible(told: ServerReport) -> bool:
--- a/src/wagtailpoint/placement/load_news.py
+++ b/src/wagtailpoint/placement/load_news.py
@@ -81,7 +81,7 @@
             now: The current time in seconds.
             max_servers: The maximum number of reports.
         """
-        self._remove_old(now)
+        self.remove_old(now)
         told = self._told.setdefault(peer, {})
         changes = []
         for server, known in self._known.items():
@@ -98,7 +98,8 @@
         for peer in [peer for peer in self._told if peer not in present]:
             del self._told[peer]
 
-    def _remove_old(self, now: float) -> None:
+    def remove_old(self, now: float) -> None:
+        """Remove the reports that are too old to be told at ``now``, in seconds."""
         old = [
             server for server, known in self._known.items() if now - known.measured_at > MAX_AGE_S
         ]
