Utilisation looks up the half-life of load reports once per service

Cause: the estimate of a service's utilisation visits all of its servers every 0.1 s, and looked up the mean service time for each of them.

--- a/src/wagtailpoint/placement/estimates.py
+++ b/src/wagtailpoint/placement/estimates.py
@@ -104,11 +104,15 @@
         self._paces.record(entry.service, entry.start, report, measured_at)
         return True
 
+    def report_half_life_s(self, service: str, now: float) -> float:
+        """Return the half-life of a load report of a service's backend servers, in seconds."""
+        if not self._paces.is_reported(service):
+            return REPORT_HALF_LIFE_S
+        return max(REPORT_HALF_LIFE_S, self.mean_service_s(service, now) or 0.0)
+
     def occupancy(self, entry: ServerEntry, now: float, round_trip_s: float) -> float:
         """Return the estimated number of requests that a request finds at a backend server."""
-        half_life_s = REPORT_HALF_LIFE_S
-        if self._paces.is_reported(entry.service):
-            half_life_s = max(half_life_s, self.mean_service_s(entry.service, now) or 0.0)
+        half_life_s = self.report_half_life_s(entry.service, now)
         return self.load_of(entry).occupancy(now, round_trip_s, half_life_s)
 
     def warm_of(self, entry: ServerEntry) -> WarmKeys:
--- a/src/wagtailpoint/placement/utilisation.py
+++ b/src/wagtailpoint/placement/utilisation.py
@@ -31,11 +31,13 @@
         known = self._cached.get(service)
         if known is not None and now - known[0] < UPDATE_INTERVAL_S:
             return known[1]
+        half_life_s = self._estimates.report_half_life_s(service, now)
         used, slots = 0.0, 0
         for candidate in self._fleet.candidates(service):
             entry = candidate.entry
             round_trip_s = self._distances.round_trip_s(entry.failure_domain)
-            used += min(entry.slots, self._estimates.occupancy(entry, now, round_trip_s))
+            load = self._estimates.load_of(entry)
+            used += min(entry.slots, load.occupancy(now, round_trip_s, half_life_s))
             slots += entry.slots
         utilisation = used / slots if slots else 0.0
         self._cached[service] = (now, utilisation)
