An instance short of processor time refuses requests that it can't answer in time

Cause: on instances with a fraction of a core, tasks that are ready wait longer than requests may, and every request is answered late, also those that another instance could have served.

Change: LoopDelay measures at each turn of the event loop how late its tasks run; a freeze and the work that waited through it don't count. While the delay exceeds an eighth of a route's objective, LoopOverload refuses a new request if twice the delay and the shortest recent time of the route exceed the time left, before its body is read. The load that the instance reports is at least the delay divided by a quarter of the shortest objective. All of it is on only where requests of a service may wait for room.

The construction of sender, room queue and dispatcher moves to daemon/request_path.py.

--- a/src/wagtailpoint/daemon/entry_role.py
+++ b/src/wagtailpoint/daemon/entry_role.py
@@ -66,18 +66,29 @@
         """Return whether lookups name this instance as an entry."""
         return self._choice.includes(self._address)
 
+    def has_alternative(self) -> bool:
+        """Return whether lookups name another instance to the callers of its failure domain."""
+        own = self._membership.own
+        nearest = self._choice.nearest(own.failure_domain, own.region)
+        return any(entry.address != self._address for entry in nearest)
+
     def bound_divisor(self) -> float:
         """Return by what to divide a common bound to get this instance's share; at least 1."""
         return self._bound_share.divisor
 
-    async def report_load(self) -> None:
-        """Publish the processor load of this instance periodically, until cancelled."""
+    async def report_load(self, delay_load: Callable[[], float]) -> None:
+        """Publish the load of this instance periodically, until cancelled.
+
+        Args:
+            delay_load: Returns the load by the delay of the event loop, from 0 to 1. The larger one
+                of it and the processor load is published.
+        """
         load = ProcessorLoad()
         trio.lowlevel.add_instrument(load)
         overloaded = False
         while True:
             await trio.sleep(LOAD_INTERVAL_S)
-            value = load.read()
+            value = max(load.read(), delay_load())
             if overloaded != (value >= OVERLOADED_LOAD):
                 overloaded = not overloaded
                 event = "overload-begins" if overloaded else "overload-ends"
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -18,6 +18,7 @@
 from wagtailpoint.daemon.probes import make_probes
 from wagtailpoint.daemon.queueing_switch import QueueingSwitch
 from wagtailpoint.daemon.removed_servers import RemovedServers
+from wagtailpoint.daemon.request_path import make_request_path
 from wagtailpoint.daemon.routing_explainer import RoutingExplainer
 from wagtailpoint.daemon.server_limits import ServerLimits
 from wagtailpoint.daemon.settings_file import SettingsFile
@@ -46,14 +47,9 @@
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.platform.documents import CONFIG_KIND
-from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.platform.settings import read_node_settings
 from wagtailpoint.platform.store import ObjectStore
 from wagtailpoint.ports.peers import PeerAddress
-from wagtailpoint.proxy.dispatcher import Dispatcher
-from wagtailpoint.proxy.room_waiting import RoomWaiting
-from wagtailpoint.proxy.sender import Sender
-from wagtailpoint.proxy.shared_retry_budget import SharedRetryBudget
 
 URGENT_LOAD_STEP = 0.25
 """A larger change of load is broadcast at once, because more entries may be needed."""
@@ -228,15 +224,22 @@
             random=self._random,
         )
         self._paths.on_change(self._placement.record_path_change)
-        self._sender = self._make_sender()
-        self._room = RoomWaiting(
-            sender=self._sender,
-            is_enabled=queueing.is_on,
-            stop_admission=self._stop.admission,
+        self._requests = make_request_path(
+            state=self._state,
+            fleet=self._fleet,
+            placement=self._placement,
+            paths=self._paths,
+            workspaces=self._workspaces,
+            limits=self._limits,
+            announcements=self._announcements,
+            quarantine=self._quarantine,
+            settings_file=self._settings_file,
+            role=self._role,
+            stop=self._stop,
+            queueing=queueing,
             metrics=self._metrics,
             random=self._random,
         )
-        self._dispatcher = self._make_dispatcher()
         self._pages = EntryPages(
             lookup_ttl_max_s=lambda: self._settings_file.bounds.lookup_ttl_max_s,
             entries=self._role.choice,
@@ -252,7 +255,7 @@
         )
         self._servers = make_caller_servers(
             settings=settings,
-            handle_request=self._dispatcher.handle,
+            handle_request=self._requests.dispatcher.handle,
             pages=self._pages,
             bounds=self._state.caller_bounds,
             is_leaving=lambda: self._stop.is_leaving,
@@ -273,6 +276,7 @@
         log_event("stopped")
 
     async def _run_until_stopped(self) -> None:
+        self._requests.protection.start()
         async with trio.open_nursery() as nursery:
             async with trio.open_nursery() as serving:
                 tasks: list[Callable[[], Awaitable[None]]] = [
@@ -298,8 +302,8 @@
                         random=self._random,
                     ),
                     self._removed.run,
-                    self._role.report_load,
-                    self._room.run,
+                    partial(self._role.report_load, self._requests.protection.load),
+                    self._requests.room.run,
                     self._settings_file.run,
                 ]
                 for task in tasks:
@@ -313,46 +317,12 @@
                     registration=self._registration,
                     workspaces=self._workspaces,
                     servers=self._servers,
-                    dispatcher=self._dispatcher,
+                    dispatcher=self._requests.dispatcher,
                     paths=self._paths,
                 )
                 serving.cancel_scope.cancel()
             nursery.cancel_scope.cancel()
 
-    def _make_sender(self) -> Sender:
-        return Sender(
-            takes_work=self._fleet.takes_work,
-            placement=self._placement,
-            pool=self._paths.pool,
-            budget=SharedRetryBudget(
-                bound=self._settings_file.retry_bound, divisor=self._role.bound_divisor
-            ),
-            quarantine=self._quarantine.local,
-            key_check=self._workspaces.key_check,
-            limits=self._limits.stated,
-            backoffs=self._announcements.backoffs,
-            announcements=self._announcements.local,
-            reachability=self._paths.reachability,
-            stop_admission=self._stop.admission,
-            names=HEADER_NAMES,
-        )
-
-    def _make_dispatcher(self) -> Dispatcher:
-        return Dispatcher(
-            table=lambda: self._state.table,
-            sender=self._sender,
-            room=self._room,
-            quarantine=self._quarantine.local,
-            key_check=self._workspaces.key_check,
-            allowances=self._workspaces.allowances,
-            stop_clock=self._stop.clock,
-            stop_admission=self._stop.admission,
-            answer_times=self._stop.times,
-            names=HEADER_NAMES,
-            metrics=self._metrics,
-            random=self._random,
-        )
-
     def _count_alive(self) -> int:
         return sum(member.state != "dead" for member in self._membership.members())
 
@@ -362,13 +332,14 @@
 
     def _gauges(self) -> dict[str, float]:
         return {
-            "open_requests": self._dispatcher.open_requests,
-            "waiting_requests": self._room.waiting,
+            "open_requests": self._requests.dispatcher.open_requests,
+            "waiting_requests": self._requests.room.waiting,
             "caller_connections": self._servers[0].connections,
             "backend_servers": len(self._fleet.entries),
             "unusable_server_entries": self._state.unusable_entries,
             "unreachable_servers": self._placement.unreachable_count,
             **self._role.gauges,
+            **self._requests.protection.gauges,
             **self._paths.gauges,
             **self._limits.gauges,
             **self._loads.gauges,
--- a/src/wagtailpoint/proxy/caller_connection.py
+++ b/src/wagtailpoint/proxy/caller_connection.py
@@ -194,7 +194,8 @@
 
     def _closes_after(self, exchange: CallerExchange) -> bool:
         """Whether the reply to an exchange must announce the end of the connection."""
-        return self._is_leaving() and exchange is self._last_exchange
+        ends = self._is_leaving() or exchange.wants_close
+        return ends and exchange is self._last_exchange
 
     async def _next_exchange(self) -> CallerExchange | None:
         """Wait for the next request; return None if the connection ends first."""
--- a/src/wagtailpoint/proxy/caller_exchange.py
+++ b/src/wagtailpoint/proxy/caller_exchange.py
@@ -93,6 +93,7 @@
         self._request_read = trio.Event()
         self._finished = trio.Event()
         self._waited_s = 0.0
+        self._wants_close = False
         if not self._has_body:
             # The parser reports the end of the request only when asked for the next event. Without
             # this the request would count as unread, and the reply would close the connection.
@@ -128,6 +129,11 @@
         """Whether the caller uses HTTP/1.0, where the end of the connection may end a body."""
         return self._parser.their_http_version == b"1.0"
 
+    @property
+    def wants_close(self) -> bool:
+        """Whether the connection should end with the reply, if no later request was started."""
+        return self._wants_close
+
     @property
     def waited_s(self) -> float:
         """Time for which the reply waited for the replies before it, in seconds."""
@@ -152,6 +158,10 @@
             raise CallerGone
         self._previous = None
 
+    def close_after_reply(self) -> None:
+        """End the connection with the reply to this exchange, if no later request was started."""
+        self._wants_close = True
+
     def mark_finished(self) -> None:
         """Mark the exchange as ended, with or without a complete reply."""
         self._request_read.set()
--- a/src/wagtailpoint/proxy/dispatcher.py
+++ b/src/wagtailpoint/proxy/dispatcher.py
@@ -23,6 +23,7 @@
     header_value,
 )
 from wagtailpoint.proxy.key_check import KeyCheck
+from wagtailpoint.proxy.overload_gate import OverloadGate
 from wagtailpoint.proxy.refusal import Refusal, RefusalFactory
 from wagtailpoint.proxy.request_context import Outcome, RequestContext
 from wagtailpoint.proxy.request_log import RequestLog
@@ -61,6 +62,7 @@
         stop_clock: StopClock,
         stop_admission: StopAdmission,
         answer_times: AnswerTimes,
+        overload: OverloadGate,
         names: HeaderNames,
         metrics: Metrics,
         random: Random,
@@ -77,6 +79,7 @@
             stop_clock: Measures the planned stop of this instance.
             stop_admission: Says which requests a stopping instance still accepts.
             answer_times: Receives the times that requests take.
+            overload: Refuses requests that this instance can't answer in time.
             names: The deployment's header names.
             metrics: Receives counts and latencies.
             random: The source of jitter for ``Retry-After`` and of service choices.
@@ -89,6 +92,7 @@
         self._stop_clock = stop_clock
         self._stop_admission = stop_admission
         self._answer_times = answer_times
+        self._overload = overload
         self._names = names
         self._metrics = metrics
         self._log = RequestLog(names=names, metrics=metrics, stop_clock=stop_clock)
@@ -168,6 +172,12 @@
             self._log.write_refused_early(request, table, route, outcome)
             return
         service = self._split.choose(route)
+        deadline = request.arrived_at + self._timeout_s(request, route)
+        overloaded = self._overload.refusal(route, service, deadline)
+        if overloaded is not None:
+            outcome = await self._overload.send(overloaded, caller)
+            self._log.write_refused_early(request, table, route, outcome)
+            return
         context = RequestContext(
             request=request, table=table, route=route, service=service, key=key, workspace=access
         )
@@ -175,7 +185,7 @@
         context.caller_deadline = request.arrived_at + (
             route.timeout_s if caller_timeout_s is None else caller_timeout_s
         )
-        context.deadline = request.arrived_at + self._timeout_s(request, route)
+        context.deadline = deadline
         answered = False
         try:
             outcome = await self._serve_until_ended(context, caller)
@@ -195,11 +205,13 @@
     def _record_time(
         self, context: RequestContext, caller: CallerExchange, *, answered: bool
     ) -> None:
+        elapsed_s = trio.current_time() - context.request.arrived_at - caller.waited_s
         if answered or context.verdict is not Verdict.NOT_RUN:
-            elapsed_s = trio.current_time() - context.request.arrived_at - caller.waited_s
             self._answer_times.record(
                 context.route.name, context.service, elapsed_s, answered=answered
             )
+        if answered:
+            self._overload.record_answer(context.route, context.service, elapsed_s)
 
     def _record_abandoned(
         self, request: IncomingRequest, context: RequestContext, caller: CallerExchange
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -8,6 +8,7 @@
 from tests.common.fake_clock import TrioClock
 from tests.common.relay_parts import make_relay_client
 from tests.common.sockets import loopback_address
+from wagtailpoint.admission.loop_overload import LoopOverload
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.follower import KindFollower
@@ -35,6 +36,7 @@
 from wagtailpoint.proxy.caller_server import CallerServer
 from wagtailpoint.proxy.dispatcher import Dispatcher
 from wagtailpoint.proxy.key_check import KeyCheck
+from wagtailpoint.proxy.overload_gate import OverloadGate
 from wagtailpoint.proxy.room_waiting import RoomWaiting
 from wagtailpoint.proxy.sender import Sender
 from wagtailpoint.proxy.server_announcements import ServerAnnouncements
@@ -251,8 +253,11 @@
         stop_clock: Measures the planned stop.
         answer_times: The times that requests took.
         stop_admission: Says which requests a stopping instance still accepts.
-        queues_requests: Whether requests without room wait.
+        queues_requests: Whether requests without room wait, and those that are late are refused.
+        loop_delay_s: The delay of the event loop that is measured, in seconds.
+        has_alternative: Whether lookups name another instance.
         metrics: The counts of waiting requests.
+        request_metrics: The counts of requests.
         room: Holds requests without room.
     """
 
@@ -277,6 +282,8 @@
         self.stop_admission = StopAdmission(clock=self.stop_clock, times=self.answer_times)
         self.key_check = KeyCheck(table=lambda: self.table, is_proved=lambda: self.is_proved)
         self.queues_requests = False
+        self.loop_delay_s = 0.0
+        self.has_alternative = True
         sender = Sender(
             takes_work=self.fleet.takes_work,
             placement=self.placement,
@@ -298,6 +305,7 @@
             names=HEADER_NAMES,
         )
         self.metrics = Metrics()
+        self.request_metrics = Metrics()
         self.room = RoomWaiting(
             sender=sender,
             is_enabled=lambda service: self.queues_requests,
@@ -315,8 +323,13 @@
             stop_clock=self.stop_clock,
             stop_admission=self.stop_admission,
             answer_times=self.answer_times,
+            overload=OverloadGate(
+                overload=LoopOverload(delay_s=lambda now: self.loop_delay_s, random=Random(1)),
+                is_enabled=lambda service: self.queues_requests,
+                has_alternative=lambda: self.has_alternative,
+            ),
             names=HEADER_NAMES,
-            metrics=Metrics(),
+            metrics=self.request_metrics,
             random=Random(1),
         )
 
