After a start an instance sends a server its share of the slots until it knows loads

Cause: after a loss of all instances nobody knows a load, and all callers arrive at once. Each instance takes the servers to be empty but for its own requests, so their sum fills the queues of the preferred servers.

Change: StartRamp bounds an instance's requests in flight at a server to 1.5 times the slots divided by the instances that send to it, at least 1, until the loads of half of the service's servers are known, for 5 s at most. A candidate above the bound is declined as full: the next one is taken, or the request waits in the room queue. It is sent 50 ms before the queue would reject it. The bound holds only where requests may wait; cold servers keep their pacing. A peer's report from before the instance was ready ends it, as others served then.

--- a/src/wagtailpoint/daemon/shared_loads.py
+++ b/src/wagtailpoint/daemon/shared_loads.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from wagtailpoint.admission.start_ramp import StartRamp
 from wagtailpoint.daemon.entry_role import EntryRole
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.membership import Membership
@@ -53,6 +54,11 @@
         self._distances = distances
         self._is_enabled = is_enabled
         self._metrics = metrics
+        self._membership = membership
+        self._ramp = StartRamp(
+            is_enabled=is_enabled, count_servers=lambda service: len(fleet.candidates(service))
+        )
+        membership.on_change(self._begin_ramp)
         demand = RegionDemand()
         self._fraction = CachedFraction(
             fleet=fleet, entries=role.nearby_counts, demand=demand, is_shared=is_enabled
@@ -74,6 +80,11 @@
         """The fractions of keys that failure domains and regions keep for their callers."""
         return self._fraction
 
+    @property
+    def ramp(self) -> StartRamp:
+        """The bound on the requests to a backend server after a loss of all instances."""
+        return self._ramp
+
     @property
     def gauges(self) -> dict[str, float]:
         """The smallest fraction of a service's keys that this region keeps; 1 without sharing."""
@@ -84,11 +95,22 @@
             for service in services
             if self._is_enabled(service)
         ]
-        return {"min_region_fraction": min(fractions, default=1.0)}
+        now = trio.current_time()
+        return {
+            "min_region_fraction": min(fractions, default=1.0),
+            "bounded_services": sum(self._ramp.is_active(service, now) for service in services),
+        }
 
     def set_estimates(self, estimates: Estimates) -> None:
         """Set the estimates that receive the reports of others."""
         self._exchange.set_estimates(estimates, self._fraction.own_slots)
+        estimates.on_report(self._ramp.record_report)
+        estimates.on_peer_report(self._ramp.record_peer_report)
+
+    def _begin_ramp(self) -> None:
+        """Begin the bound once this instance is ready."""
+        if not self._ramp.has_begun and self._membership.own.state != "starting":
+            self._ramp.begin(trio.current_time())
 
     async def run(self) -> None:
         """Exchange loads, and log how many keys moved, until cancelled."""
--- a/src/wagtailpoint/daemon/steering_placement.py
+++ b/src/wagtailpoint/daemon/steering_placement.py
@@ -53,6 +53,7 @@
         mix=RegionMix(max_shift=lambda: settings_file.bounds.region_shift_max, random=random),
         entries=role.nearby_counts,
         metrics=metrics,
+        ramp=loads.ramp,
     )
     loads.set_estimates(placement.estimates)
     return placement
--- a/src/wagtailpoint/placement/choice.py
+++ b/src/wagtailpoint/placement/choice.py
@@ -135,3 +135,15 @@
     if choice.occupancy < choice.entry.slots:
         return expected.latency_s - FREE_SLOT_SPEEDUP_FRACTION * expected.service_s > remaining_s
     return expected.latency_s > remaining_s
+
+
+def are_kept_back(weighed: Sequence[Choice | Declined], *, is_backing_off: bool) -> bool:
+    """Return whether no server can take a request, and a stated limit or a backoff is a reason.
+
+    They, and not the load, then keep the request from its servers, and others may have room.
+    """
+    if any(isinstance(option, Choice) for option in weighed):
+        return False
+    return is_backing_off or any(
+        isinstance(option, Declined) and option.reason == LIMITED for option in weighed
+    )
--- a/src/wagtailpoint/placement/estimates.py
+++ b/src/wagtailpoint/placement/estimates.py
@@ -33,6 +33,7 @@
         self._paces = MachinePaces()
         self._occupied: dict[str, OccupiedService] = {}
         self._report_callbacks: list[ReportCallback] = []
+        self._peer_report_callbacks: list[ReportCallback] = []
 
     @property
     def paces(self) -> MachinePaces:
@@ -75,6 +76,10 @@
         """Call ``callback`` with each load report that comes with a response to this instance."""
         self._report_callbacks.append(callback)
 
+    def on_peer_report(self, callback: ReportCallback) -> None:
+        """Call ``callback`` with each recorded load report that another instance received."""
+        self._peer_report_callbacks.append(callback)
+
     def record_report(
         self, entry: ServerEntry, report: LoadReport, now: float, round_trip_s: float
     ) -> None:
@@ -102,6 +107,8 @@
         if not self.load_of(entry).record_peer_report(report, measured_at, round_trip_s):
             return False
         self._paces.record(entry.service, entry.start, report, measured_at)
+        for callback in self._peer_report_callbacks:
+            callback(entry, report, measured_at)
         return True
 
     def occupancy(self, entry: ServerEntry, now: float, round_trip_s: float) -> float:
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from wagtailpoint.admission.start_ramp import StartRamp
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.discovery.fleet import Candidate, Fleet
 from wagtailpoint.limits.limit_pacing import LimitPacing
@@ -14,12 +15,12 @@
 from wagtailpoint.placement.cached_fraction import CachedFraction
 from wagtailpoint.placement.choice import (
     BACKING_OFF,
-    LIMITED,
     Choice,
     Declined,
     Demand,
     NotPlaced,
     Observation,
+    are_kept_back,
     expected_loss,
     is_too_late,
 )
@@ -65,6 +66,7 @@
         mix: RegionMix,
         entries: EntryCounts,
         metrics: Metrics,
+        ramp: StartRamp | None = None,
     ) -> None:
         """Initialise the placement without estimates.
 
@@ -78,6 +80,7 @@
             mix: Limits how fast requests shift between regions.
             entries: The numbers of instances that share the callers.
             metrics: Receives the counts of moved keys.
+            ramp: Bounds the requests to a backend server after a loss of all instances.
         """
         self._fleet = fleet
         self._distances = distances
@@ -99,6 +102,7 @@
             cached_fraction=cached_fraction,
             estimates=self._estimates,
             entries=entries,
+            ramp=ramp,
         )
         self._key_moves = KeyMoves(
             fleet=fleet,
@@ -154,7 +158,7 @@
         if not weighable and utilisation < MAX_SPILLOVER_UTILISATION:
             weighable = untried[:1]
         weighed = [weigh(option) for option in weighable]
-        if _are_kept_back(weighed, backing_off):
+        if are_kept_back(weighed, is_backing_off=bool(backing_off)):
             weighed += [weigh(option) for option in untried if option not in weighable]
         choices = [option for option in weighed if isinstance(option, Choice)]
         if not choices:
@@ -385,15 +389,3 @@
         """Remove a backend server that is gone or has restarted."""
         self._estimates.remove(start)
         self._cold.remove(start)
-
-
-def _are_kept_back(weighed: Sequence[Choice | Declined], backing_off: Sequence[Ranked]) -> bool:
-    """Return whether no server can take a request, and a stated limit or a backoff is a reason.
-
-    They, and not the load, then keep the request from its servers, and others may have room.
-    """
-    if any(isinstance(option, Choice) for option in weighed):
-        return False
-    return bool(backing_off) or any(
-        isinstance(option, Declined) and option.reason == LIMITED for option in weighed
-    )
--- a/src/wagtailpoint/placement/weigher.py
+++ b/src/wagtailpoint/placement/weigher.py
@@ -2,6 +2,7 @@
 
 from typing import Final
 
+from wagtailpoint.admission.start_ramp import StartRamp, can_wait
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.limits.limit_pacing import LimitPacing
 from wagtailpoint.placement.cached_fraction import CachedFraction
@@ -52,6 +53,7 @@
         cached_fraction: CachedFraction,
         estimates: Estimates,
         entries: EntryCounts,
+        ramp: StartRamp | None = None,
     ) -> None:
         """Initialise the weigher.
 
@@ -63,6 +65,7 @@
             cached_fraction: The fraction of keys to cache in each failure domain.
             estimates: This instance's estimates of backend servers and routes.
             entries: The numbers of instances that share the callers.
+            ramp: Bounds the requests to a backend server after a loss of all instances.
         """
         self._fleet = fleet
         self._distances = distances
@@ -71,6 +74,7 @@
         self._cached_fraction = cached_fraction
         self._estimates = estimates
         self._entries = entries
+        self._ramp = ramp
 
     def weigh(
         self, demand: Demand, ranked: Ranked, position: float, utilisation: float, now: float
@@ -97,6 +101,8 @@
             if not self._cold.may_send(entry.start, region, cold_per_s(demand.policy)):
                 return Declined(entry, "cold", occupancy, report_age_s)
             slowness *= COLD_FACTOR
+        elif not self._may_send_by_ramp(demand, ranked, position, now):
+            return Declined(entry, "full", occupancy, report_age_s)
         normal_s = cost.service_s(now)
         # The pace in the middle of the service time: it changes within the time of a request.
         runs_at = now + round_trip_s / 2 + normal_s / 2
@@ -133,6 +139,20 @@
             entry, region, ranked.rank, cached, expected, occupancy, report_age_s, pace, ratio
         )
 
+    def _may_send_by_ramp(
+        self, demand: Demand, ranked: Ranked, position: float, now: float
+    ) -> bool:
+        """Return whether the bound after a loss of all instances allows a request now."""
+        if self._ramp is None or not self._ramp.is_active(demand.service, now):
+            return True
+        if not can_wait(demand.route.objective_s, demand.objective_remaining_s, demand.remaining_s):
+            return True
+        entry, region = ranked.candidate
+        kept = position < self._cached_fraction.region_fraction(demand.service, region)
+        is_for_region = ranked.in_region and (kept or ranked.rank > 0)
+        senders = self._entries.in_region if is_for_region else self._entries.everywhere
+        return self._ramp.may_send(entry, self._estimates.load_of(entry).in_flight, senders, now)
+
     def _cached_chance(self, demand: Demand, ranked: Ranked, agreed: bool, now: float) -> float:
         warm = self._estimates.warm_of(ranked.candidate.entry)
         if not demand.route.sticky or warm.is_warm(demand.key, now):
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -8,6 +8,7 @@
 from tests.common.fake_clock import TrioClock
 from tests.common.relay_parts import make_relay_client
 from tests.common.sockets import loopback_address
+from wagtailpoint.admission.start_ramp import StartRamp
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.follower import KindFollower
@@ -125,6 +126,7 @@
     limits: LimitPacing | None = None,
     backoffs: RequestedBackoffs | None = None,
     metrics: Metrics | None = None,
+    ramp: StartRamp | None = None,
 ) -> Placement:
     """Return the placement of an instance in the failure domain ``a-1``."""
     entries = FixedEntryCounts(everywhere=instances, in_region=instances, in_domain=1)
@@ -141,6 +143,7 @@
         mix=RegionMix(max_shift=lambda: MAX_SHIFT, random=Random(1)),
         entries=entries,
         metrics=metrics or Metrics(),
+        ramp=ramp,
     )
 
 
