--- a/src/wagtailpoint/daemon/shared_loads.py
+++ b/src/wagtailpoint/daemon/shared_loads.py
@@ -88,10 +88,8 @@
     @property
     def gauges(self) -> dict[str, float]:
         """The smallest fraction of a service's keys that this region keeps; 1 without sharing."""
-        region = self._distances.region
-        fractions = [
-            self._fraction.region_fraction(service, region) for service in self._shared_services()
-        ]
+        region, services = self._distances.region, self._shared_services()
+        fractions = [self._fraction.region_fraction(service, region) for service in services]
         now = trio.current_time()
         return {
             "min_region_fraction": min(fractions, default=1.0),
