Requests that only the bound after a start holds are sent at the end of their wait

Cause: the room queue gives a server to one request per selection, and one that finds a server full keeps it from those after it. So a request that the bound delays, or one behind such a request, could reach the end of its wait and be rejected with 503 although its server has room. The bound must reject nobody.

Change: while the bound is in force for a service, a request at the end of its wait selects once more and goes out of turn if the placement has room. Otherwise the order holds as before. SharedLoads begins the bound when the instance leaves the state "starting", and has the gauge bounded_services.

--- a/src/wagtailpoint/daemon/shared_loads.py
+++ b/src/wagtailpoint/daemon/shared_loads.py
@@ -95,12 +95,15 @@
             for service in services
             if self._is_enabled(service)
         ]
-        now = trio.current_time()
         return {
             "min_region_fraction": min(fractions, default=1.0),
-            "bounded_services": sum(self._ramp.is_active(service, now) for service in services),
+            "bounded_services": sum(self.is_bounded(service) for service in services),
         }
 
+    def is_bounded(self, service: str) -> bool:
+        """Return whether the requests to a service's servers are bounded after a start."""
+        return self._ramp.is_active(service, trio.current_time())
+
     def set_estimates(self, estimates: Estimates) -> None:
         """Set the estimates that receive the reports of others."""
         self._exchange.set_estimates(estimates, self._fraction.own_slots)
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -80,10 +80,7 @@
         )
         self._era = StoreEra(metrics=self._metrics)
         self._platform = ObjectStore(
-            address=settings.store,
-            timeout_s=STORE_TIMEOUT_S,
-            metrics=self._metrics,
-            era=self._era,
+            address=settings.store, timeout_s=STORE_TIMEOUT_S, metrics=self._metrics, era=self._era
         )
         self._store_check = StoreCheck(store=self._platform, random=self._random)
         self._registration = Registration(
@@ -232,6 +229,7 @@
         self._room = RoomWaiting(
             sender=self._sender,
             is_enabled=queueing.is_on,
+            is_bounded=self._loads.is_bounded,
             stop_admission=self._stop.admission,
             metrics=self._metrics,
             random=self._random,
--- a/src/wagtailpoint/proxy/room_waiting.py
+++ b/src/wagtailpoint/proxy/room_waiting.py
@@ -60,6 +60,7 @@
         metrics: Metrics,
         random: Random,
         queue: RoomQueue[_Waiter] | None = None,
+        is_bounded: Callable[[str], bool] = lambda service: False,
     ) -> None:
         """Initialise without waiting requests.
 
@@ -70,12 +71,15 @@
             metrics: Receives counts.
             random: The source of jitter.
             queue: The order of the requests; by default one with the usual bounds.
+            is_bounded: Returns whether requests of a service may wait although their servers have
+                room, by the bound after a loss of all instances.
         """
         self._sender = sender
         self._is_enabled = is_enabled
         self._stop_admission = stop_admission
         self._metrics = metrics
         self._queue = queue if queue is not None else RoomQueue[_Waiter]()
+        self._is_bounded = is_bounded
         self._retry_after = RoomRetryAfter(random=random)
         self._refusals = RefusalFactory(random=random)
         self._granted: dict[RequestContext, Waiting[_Waiter]] = {}
@@ -159,9 +163,13 @@
             context.room_wait_s += trio.current_time() - now
         if waiter.displaced.is_set():
             return self._refuse(context, turn, is_late=False)
-        if not waiter.ended.is_set():
-            return self._refuse(context, turn, is_late=is_late)
-        return None
+        if waiter.ended.is_set():
+            return None
+        if self._is_bounded(context.service) and isinstance(self._sender.choose(context), Choice):
+            # The bound alone held this request, or those before it: it goes out of turn.
+            self._granted[context] = waiting
+            return None
+        return self._refuse(context, turn, is_late=is_late)
 
     def release(self, context: RequestContext) -> None:
         """End the reservation of room for a request that is not sent now, if there is one."""
--- a/tests/cover/test_room_waiting.py
+++ b/tests/cover/test_room_waiting.py
@@ -102,6 +102,20 @@
         self.assertGreater(took_s, HOLD_S / 2)
         self.assertEqual(self.parts.metrics.counts["room-queue.refused.no-room"], 1)
 
+    def test_bound_after_a_start_refuses_nobody(self) -> None:
+        """Guards against refusals only because requests before hold the turn at a bounded server.
+
+        Without the bound the order holds, and the request without a turn is refused as before.
+        """
+        for is_bounded, status in ((True, b"200"), (False, b"503")):
+            with self.subTest(is_bounded=is_bounded):
+                self.use_table(make_table(ROUTE))
+                self.parts.room._is_bounded = {"desk": is_bounded}.__getitem__
+                with patch.object(self.parts.room._queue, "offer", lambda *args: []):
+                    reply, took_s = self.run_waiting(Backend(ok), get("/r/x"), self.full_no_more)
+                self.assertTrue(reply.startswith(b"HTTP/1.1 " + status), reply)
+                self.assertGreater(took_s, HOLD_S / 2)
+
     def test_disabled_queue_refuses_at_once(self) -> None:
         """Guards against a change of what deployments without shared machines see."""
         self.full = {"i-1"}
--- a/tests/cover/test_start_ramp.py
+++ b/tests/cover/test_start_ramp.py
@@ -8,7 +8,15 @@
 from loguru import logger
 from trio.testing import MockClock
 
-from tests.common.steering_parts import REGION_OF, make_placement, make_route, make_server
+from tests.common.fake_peers import FakeNetwork
+from tests.common.member_group import Instance
+from tests.common.steering_parts import (
+    REGION_OF,
+    make_distances,
+    make_placement,
+    make_route,
+    make_server,
+)
 from wagtailpoint.admission.start_ramp import (
     MAX_DURATION_S,
     RELEASE_MARGIN_S,
@@ -16,10 +24,14 @@
     StartRamp,
     can_wait,
 )
+from wagtailpoint.daemon.entry_role import EntryRole
+from wagtailpoint.daemon.shared_loads import SharedLoads
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.discovery.fleet import Fleet
+from wagtailpoint.discovery.instance_count import InstanceCount
+from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.placement.choice import Choice, Demand, NotPlaced, Observation
-from wagtailpoint.placement.estimates import ReportCallback
+from wagtailpoint.placement.estimates import Estimates, ReportCallback
 from wagtailpoint.placement.load_report import LoadReport
 from wagtailpoint.placement.placement import Placement
 from wagtailpoint.proxy.room_waiting import MAX_WAIT_FRACTION, OFFER_INTERVAL_S
@@ -329,5 +341,47 @@
         self.assertEqual(RELEASE_MARGIN_S, 2 * OFFER_INTERVAL_S)
 
 
+class SharedLoadsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+
+    def test_begins_when_the_instance_is_ready(self) -> None:
+        """Guards against a bound that never begins, or begins before the configuration is known."""
+
+        async def test() -> None:
+            network = FakeNetwork()
+            instance = Instance(
+                network=network, address="127.0.0.1", region="a", seed=1, wall_s=1000.0
+            )
+            fleet = Fleet(region_of=REGION_OF)
+            fleet.update([make_server(f"i-{n}", slots=SLOTS) for n in range(2)])
+            loads = SharedLoads(
+                role=EntryRole(
+                    membership=instance.membership,
+                    instances=InstanceCount(alive=lambda: 1, registered=lambda: 1),
+                    registered=lambda: 1,
+                ),
+                peers=instance.peers,
+                membership=instance.membership,
+                fleet=fleet,
+                distances=make_distances(),
+                is_enabled=lambda service: True,
+                metrics=Metrics(),
+                random=Random(1),
+            )
+            estimates = Estimates()
+            loads.set_estimates(estimates)
+            instance.membership.publish(load=0.5)
+            self.assertFalse(loads.is_bounded("desk"))
+            instance.membership.publish(state="live")
+            self.assertTrue(loads.is_bounded("desk"))
+            self.assertEqual(loads.gauges["bounded_services"], 1)
+            estimates.record_report(fleet.entries["i-0"], REPORT, trio.current_time(), 0.002)
+            self.assertFalse(loads.is_bounded("desk"))
+
+        trio.run(test, clock=MockClock(autojump_threshold=0))
+
+
 if __name__ == "__main__":
     unittest.main()
