--- a/src/wagtailpoint/daemon/request_path.py
+++ b/src/wagtailpoint/daemon/request_path.py
@@ -1,5 +1,6 @@
 """Construction of the request path of an instance on the platform."""
 
+from collections.abc import Callable
 from random import Random
 from typing import NamedTuple
 
@@ -52,6 +53,7 @@
     role: EntryRole,
     stop: SteeringStop,
     queueing: QueueingSwitch,
+    is_bounded: Callable[[str], bool],
     metrics: Metrics,
     random: Random,
 ) -> RequestPath:
@@ -70,6 +72,7 @@
         role: The instances that lookups name.
         stop: The graceful stop.
         queueing: For which services requests may wait, and are refused by an overloaded instance.
+        is_bounded: Returns whether requests to a service's servers are bounded after a start.
         metrics: Receives counts and latencies.
         random: The source of jitter.
     """
@@ -90,6 +93,7 @@
     room = RoomWaiting(
         sender=sender,
         is_enabled=queueing.is_on,
+        is_bounded=is_bounded,
         stop_admission=stop.admission,
         metrics=metrics,
         random=random,
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -76,10 +76,7 @@
         )
         self._era = StoreEra(metrics=self._metrics)
         self._platform = ObjectStore(
-            address=settings.store,
-            timeout_s=STORE_TIMEOUT_S,
-            metrics=self._metrics,
-            era=self._era,
+            address=settings.store, timeout_s=STORE_TIMEOUT_S, metrics=self._metrics, era=self._era
         )
         self._store_check = StoreCheck(store=self._platform, random=self._random)
         self._registration = Registration(
@@ -237,6 +234,7 @@
             role=self._role,
             stop=self._stop,
             queueing=queueing,
+            is_bounded=self._loads.is_bounded,
             metrics=self._metrics,
             random=self._random,
         )
