In a severe overload of the event loop, less urgent requests are refused first

Cause: refusing only what can't be answered before its deadline lets the delay settle at the deadline.

Change: while the delay is over half of the shortest objective for over a second, requests of the least urgent priority are refused for which twice the delay and the shortest time of the route exceed the objective, and those of one more priority each further second. One in four of a priority is still accepted.

--- a/src/wagtailpoint/daemon/overload_protection.py
+++ b/src/wagtailpoint/daemon/overload_protection.py
@@ -38,7 +38,11 @@
         self._is_enabled = is_enabled
         self._delay = delay if delay is not None else LoopDelay()
         self._gate = OverloadGate(
-            overload=LoopOverload(delay_s=self._delay.read, random=random),
+            overload=LoopOverload(
+                delay_s=self._delay.read,
+                shortest_objective_s=self._objective_s,
+                random=random,
+            ),
             is_enabled=is_enabled,
             has_alternative=has_alternative,
         )
--- a/tests/common/steering_parts.py
+++ b/tests/common/steering_parts.py
@@ -324,7 +324,11 @@
             stop_admission=self.stop_admission,
             answer_times=self.answer_times,
             overload=OverloadGate(
-                overload=LoopOverload(delay_s=lambda now: self.loop_delay_s, random=Random(1)),
+                overload=LoopOverload(
+                    delay_s=lambda now: self.loop_delay_s,
+                    shortest_objective_s=lambda: 0.3,
+                    random=Random(1),
+                ),
                 is_enabled=lambda service: self.queues_requests,
                 has_alternative=lambda: self.has_alternative,
             ),
--- a/tests/cover/test_loop_overload.py
+++ b/tests/cover/test_loop_overload.py
@@ -13,8 +13,10 @@
 from tests.common.steering_parts import make_route
 from wagtailpoint.admission.loop_overload import LoopOverload
 from wagtailpoint.daemon.loop_delay import LoopDelay
+from wagtailpoint.routing.table import HostRoute
 
 ROUTE = make_route(objective_s=0.709)
+URGENT = make_route("u", objective_s=0.709, priority=0)
 SERVICE_S = 0.25
 PROCESSOR_S = 0.020
 REFUSAL_S = 0.004
@@ -30,12 +32,16 @@
         late: Those answered later.
         refused: Those refused.
         max_retry_fraction: The longest ``Retry-After``, relative to the time left.
+        urgent_in_time: Those of the urgent route that were answered in time.
+        urgent_refused: Those of it that were refused.
     """
 
     in_time: int
     late: int
     refused: int
     max_retry_fraction: float
+    urgent_in_time: int
+    urgent_refused: int
 
 
 class Replay:
@@ -46,15 +52,22 @@
     arrives.
     """
 
-    def __init__(self, *, per_s: float, is_protected: bool, seed: int = 4) -> None:
+    def __init__(
+        self, *, per_s: float, is_protected: bool, urgent_fraction: float, seed: int
+    ) -> None:
         self._random = Random(seed)
         self._per_s = per_s
         self._is_protected = is_protected
+        self._urgent_fraction = urgent_fraction
         self._clock = MockClock()
         self._delay = LoopDelay()
-        self._overload = LoopOverload(delay_s=self._delay.read, random=self._random)
-        self._responses: list[tuple[float, float, float]] = []
-        self._played = Played(0, 0, 0, 0.0)
+        self._overload = LoopOverload(
+            delay_s=self._delay.read,
+            shortest_objective_s=lambda: ROUTE.objective_s,
+            random=self._random,
+        )
+        self._responses: list[tuple[float, float, float, HostRoute]] = []
+        self._played = Played(0, 0, 0, 0.0, 0, 0)
 
     def run(self) -> Played:
         async def run() -> Played:
@@ -70,7 +83,7 @@
             at += self._random.expovariate(self._per_s)
             arrivals.append(at)
         while arrivals or self._responses:
-            self._responses.sort()
+            self._responses.sort(key=lambda each: each[0])
             next_at = min(
                 self._responses[0][0] if self._responses else math.inf, *arrivals, math.inf
             )
@@ -88,35 +101,46 @@
             arrivals.popleft()
         for arrived_at in ready:
             self._send(arrived_at)
-        for _, arrived_at, read_at in responses:
-            self._answer(arrived_at, read_at)
+        for _, arrived_at, read_at, route in responses:
+            self._answer(arrived_at, read_at, route)
 
     def _send(self, arrived_at: float) -> None:
         now = trio.current_time()
-        rejected = self._overload.refusal(ROUTE, DEADLINE_S, now) if self._is_protected else None
+        is_urgent = self._random.random() < self._urgent_fraction
+        route = URGENT if is_urgent else ROUTE
+        rejected = self._overload.refusal(route, DEADLINE_S, now) if self._is_protected else None
         if rejected is not None:
             longest = max(self._played.max_retry_fraction, rejected.retry_after_s / DEADLINE_S)
             self._played = self._played._replace(
-                refused=self._played.refused + 1, max_retry_fraction=longest
+                refused=self._played.refused + 1,
+                max_retry_fraction=longest,
+                urgent_refused=self._played.urgent_refused + is_urgent,
             )
             self._clock.jump(REFUSAL_S)
             return
         self._clock.jump(PROCESSOR_S / 2)
-        self._responses.append((trio.current_time() + SERVICE_S, arrived_at, now))
+        self._responses.append((trio.current_time() + SERVICE_S, arrived_at, now, route))
 
-    def _answer(self, arrived_at: float, read_at: float) -> None:
+    def _answer(self, arrived_at: float, read_at: float, route: HostRoute) -> None:
         self._clock.jump(PROCESSOR_S / 2)
         now = trio.current_time()
-        self._overload.record_answer(ROUTE, now - read_at, now)
+        self._overload.record_answer(route, now - read_at, now)
         if now <= arrived_at + DEADLINE_S:
-            self._played = self._played._replace(in_time=self._played.in_time + 1)
+            self._played = self._played._replace(
+                in_time=self._played.in_time + 1,
+                urgent_in_time=self._played.urgent_in_time + (route is URGENT),
+            )
         else:
             self._played = self._played._replace(late=self._played.late + 1)
 
 
-def play(*, per_s: float, is_protected: bool, seed: int = 4) -> Played:
+def play(
+    *, per_s: float, is_protected: bool, urgent_fraction: float = 0.0, seed: int = 4
+) -> Played:
     """Return what callers get who send some requests a second for 20 s."""
-    return Replay(per_s=per_s, is_protected=is_protected, seed=seed).run()
+    return Replay(
+        per_s=per_s, is_protected=is_protected, urgent_fraction=urgent_fraction, seed=seed
+    ).run()
 
 
 class LoopOverloadReplayTest(unittest.TestCase):
@@ -128,9 +152,19 @@
         self.assertGreater(without.late, without.in_time)
         played = play(per_s=100.0, is_protected=True)
         self.assertGreater(played.in_time, 2 * without.in_time, played)
-        self.assertLess(played.late, without.late / 2, played)
+        self.assertLess(played.late, (played.in_time + played.late) / 10, played)
         self.assertLessEqual(played.max_retry_fraction, 1 / 3)
 
+    def test_urgent_requests_are_served_before_others(self) -> None:
+        """Guards against urgent requests that are late in an overload by less urgent ones."""
+        without = play(per_s=100.0, is_protected=False, urgent_fraction=0.2)
+        played = play(per_s=100.0, is_protected=True, urgent_fraction=0.2)
+        self.assertGreater(played.urgent_in_time, 2 * without.urgent_in_time, played)
+        urgent = played.urgent_in_time + played.urgent_refused
+        others = played.in_time + played.refused - urgent
+        others_refused = played.refused - played.urgent_refused
+        self.assertLess(played.urgent_refused / urgent, others_refused / others / 2, played)
+
     def test_instance_with_enough_time_refuses_none(self) -> None:
         self.assertEqual(play(per_s=35.0, is_protected=True).refused, 0)
 
@@ -138,7 +172,11 @@
 class LoopOverloadTest(unittest.TestCase):
     def setUp(self) -> None:
         self.delay_s = 0.0
-        self.overload = LoopOverload(delay_s=lambda now: self.delay_s, random=Random(2))
+        self.overload = LoopOverload(
+            delay_s=lambda now: self.delay_s,
+            shortest_objective_s=lambda: ROUTE.objective_s,
+            random=Random(2),
+        )
 
     def is_refused(self, remaining_s: float, now: float = 0.0) -> bool:
         return self.overload.refusal(ROUTE, remaining_s, now) is not None
@@ -184,6 +222,49 @@
             self.overload.record_answer(ROUTE, 1.0, float(now))
             self.assertTrue(self.is_refused(0.9, float(now)))
 
+    def refused_of(self, count: int, now: float, *, priority: int) -> int:
+        """Return how many of some requests are refused that are answered after their objective."""
+        route = ROUTE._replace(priority=priority)
+        refused = [self.overload.refusal(route, 5.0, now) for _ in range(count)]
+        return sum(each is not None for each in refused)
+
+    def test_severe_overload_limits_less_urgent_requests_first(self) -> None:
+        """Guards against urgent requests that are refused while less urgent ones are accepted."""
+        self.delay_s = 0.4
+        refused = []
+        for now in (0.0, 0.9, 1.1, 2.0, 2.2):
+            refused.append([self.refused_of(8, now, priority=priority) for priority in (0, 2)])
+        self.assertEqual(refused, [[0, 0], [0, 0], [0, 6], [0, 6], [6, 6]])
+
+    def test_one_request_in_four_of_each_priority_is_accepted(self) -> None:
+        """Guards against a delay measured wrongly that lets an instance refuse all requests."""
+        self.delay_s = 0.4
+        for now in range(20):
+            for priority in (0, 1, 2):
+                self.assertLessEqual(self.refused_of(40, float(now), priority=priority), 30)
+
+    def test_request_with_enough_of_its_objective_left_is_accepted(self) -> None:
+        self.delay_s = 0.4
+        for now in range(5):
+            self.refused_of(4, float(now), priority=2)
+        slow = ROUTE._replace(name="slow", objective_s=2.5, priority=2)
+        self.assertIsNone(self.overload.refusal(slow, 5.0, 5.0))
+
+    def test_limits_end_after_the_overload(self) -> None:
+        """Guards against limits that stay in force after a burst."""
+        for now, delay_s in (
+            (0.0, 0.4),
+            (1.1, 0.4),
+            (2.2, 0.4),
+            (3.0, 0.0),
+            (4.1, 0.0),
+            (5.2, 0.0),
+        ):
+            self.delay_s = delay_s
+            self.refused_of(4, now, priority=2)
+        self.delay_s = 0.4
+        self.assertEqual(self.refused_of(4, 6.0, priority=2), 0)
+
     def test_old_times_are_forgotten(self) -> None:
         """Guards against refusals by the times of a backend server that has long been faster."""
         self.overload.record_answer(ROUTE, 5.0, 0.0)
