Only backend servers that were unreachable are checked for the end of their backoff

Every instance, also on standby, looked through all backend servers five times a second for one whose backoff has expired. The probe now waits until a backend server becomes unreachable, and then checks only those that did.

The first new test fails when the wait is not ended, the second when a new start is not told from the one before it.

--- a/src/wagtailpoint/placement/estimates.py
+++ b/src/wagtailpoint/placement/estimates.py
@@ -71,6 +71,11 @@
             load = self._loads[entry.start] = ServerLoad()
         return load
 
+    def resting_until(self, start: ServerStart) -> float | None:
+        """Return the end of the backoff of an unreachable backend server; None if it has none."""
+        load = self._loads.get(start)
+        return None if load is None else load.resting_until
+
     def on_report(self, callback: ReportCallback) -> None:
         """Call ``callback`` with each load report that comes with a response to this instance."""
         self._report_callbacks.append(callback)
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -40,6 +40,7 @@
 from wagtailpoint.placement.server_load import InFlightRequest, ServerLoad
 from wagtailpoint.placement.service_samples import record_service_time
 from wagtailpoint.placement.substitutes import promote_substitutes
+from wagtailpoint.placement.unreachable_servers import UnreachableServers
 from wagtailpoint.placement.utilisation import Utilisation
 from wagtailpoint.placement.weigher import Weigher, cold_per_s
 
@@ -87,6 +88,7 @@
         self._cached_fraction = cached_fraction
         self._mix = mix
         self._estimates = Estimates()
+        self._unreachable = UnreachableServers(fleet=fleet, estimates=self._estimates)
         self._utilisation = Utilisation(fleet=fleet, distances=distances, estimates=self._estimates)
         self._ranking = Ranking(
             fleet=fleet, own_domain=distances.failure_domain, own_region=distances.region
@@ -349,23 +351,20 @@
 
     def servers_to_probe(self) -> list[ServerEntry]:
         """Return the unreachable backend servers whose backoff has expired."""
-        now = trio.current_time()
-        return [
-            entry
-            for entry in self._fleet.entries.values()
-            if (until := self.load_of(entry).resting_until) is not None and now >= until
-        ]
+        return self._unreachable.expired(trio.current_time())
+
+    async def wait_unreachable(self) -> None:
+        """Wait until a backend server may be unreachable."""
+        await self._unreachable.wait_any()
 
     @property
     def unreachable_count(self) -> int:
         """The number of backend servers that this instance could not reach lately."""
-        return sum(
-            self.load_of(entry).resting_until is not None for entry in self._fleet.entries.values()
-        )
+        return self._unreachable.count
 
     def record_unreachable(self, entry: ServerEntry) -> float:
         """Record a backend server as unreachable; return its backoff in seconds."""
-        return self.load_of(entry).record_unreachable(trio.current_time())
+        return self._unreachable.record(entry, trio.current_time())
 
     def record_reachable(self, entry: ServerEntry) -> None:
         """Record that a connection to a backend server opened after its backoff."""
--- a/src/wagtailpoint/proxy/reachability_probe.py
+++ b/src/wagtailpoint/proxy/reachability_probe.py
@@ -36,6 +36,7 @@
         """Probe unreachable backend servers until cancelled."""
         async with trio.open_nursery() as nursery:
             while True:
+                await self._placement.wait_unreachable()
                 for entry in self._placement.servers_to_probe():
                     # Marked as unreachable first, so that it is not probed twice at a time.
                     self._placement.record_unreachable(entry)
--- a/tests/cover/test_reach_probe.py
+++ b/tests/cover/test_reach_probe.py
@@ -81,3 +81,32 @@
             self.assertEqual(self.pool.probed_at, [])
 
         self.run_with(test)
+
+    def test_backend_server_is_probed_after_a_time_without_any_to_probe(self) -> None:
+        """Guards against a probe that waits on after a backend server became unreachable."""
+
+        async def test(placement: Placement) -> None:
+            for _ in range(2):
+                await trio.sleep(30.0)
+                self.pool.probed_at.clear()
+                self.pool.is_reachable = True
+                placement.record_unreachable(self.fleet.entries["i-1"])
+                self.assertEqual(placement.unreachable_count, 1)
+                await trio.sleep(5.0)
+                self.assertEqual(len(self.pool.probed_at), 1)
+                self.assertFalse(self.is_paused(placement))
+                self.assertEqual(placement.unreachable_count, 0)
+
+        self.run_with(test)
+
+    def test_new_start_of_an_unreachable_backend_server_is_not_probed(self) -> None:
+        """Guards against probes of a new start for failures of the one before it."""
+
+        async def test(placement: Placement) -> None:
+            placement.record_unreachable(self.fleet.entries["i-1"])
+            self.fleet.update([make_server("i-1", started_ms=5)])
+            self.assertEqual(placement.unreachable_count, 0)
+            await trio.sleep(5.0)
+            self.assertEqual(self.pool.probed_at, [])
+
+        self.run_with(test)
