Headers are found without a generator, and the retry budget's maximum is computed once

In a profile of 400 served requests, `header_value` was called 10,800 times, and `SharedRetryBudget.record_request` computed the maximum of the budget twice for each request, as the default of a lookup that needs none. That counts the instances each time and took 38 of 3,500 ms under the profiler.

--- a/src/wagtailpoint/proxy/headers.py
+++ b/src/wagtailpoint/proxy/headers.py
@@ -51,7 +51,11 @@
 
 def header_value(headers: Headers, name: bytes) -> bytes | None:
     """Return the first value of a header, given its name in lower case; None if it is absent."""
-    return next((value for key, value in headers if key == name), None)
+    # Called some 30 times per request; a generator takes several times as long.
+    for key, value in headers:
+        if key == name:
+            return value
+    return None
 
 
 def end_to_end_headers(
--- a/src/wagtailpoint/proxy/shared_retry_budget.py
+++ b/src/wagtailpoint/proxy/shared_retry_budget.py
@@ -45,7 +45,9 @@
     def record_request(self, service: str) -> None:
         """Record a request for a service, which adds to its budget."""
         earned = SAFETY_FRACTION * self._bound().ratio
-        self._tokens[service] = min(self._max_tokens(), self._tokens_of(service) + earned)
+        max_tokens = self._max_tokens()
+        tokens = self._tokens.get(service, max_tokens / 2)
+        self._tokens[service] = min(max_tokens, tokens + earned)
 
     def take(self, service: str) -> bool:
         """Spend one retry; return False if none is available."""
@@ -60,7 +62,8 @@
         return self._tokens_of(service)
 
     def _tokens_of(self, service: str) -> float:
-        return self._tokens.get(service, self._max_tokens() / 2)
+        tokens = self._tokens.get(service)
+        return self._max_tokens() / 2 if tokens is None else tokens
 
     def _max_tokens(self) -> float:
         return max(1.0, SAFETY_FRACTION * self._bound().slack / max(1.0, self._divisor()))
