Load exchange: standstills of half a second are found wherever they begin in an interval

Cause: the standstill was measured from the time when the timer was due, up to 0.3 s after the interval began, so standstills of 0.5 to 0.8 s could be missed, and reports that waited meanwhile were used with the age that their sender stated: 3 of 5 in the test, which jumps the clock by 0.55 s.

Change: it is measured from the begin of the interval. So reports are also dropped where the event loop is late by more than 0.2 to 0.3 s.

The test of a long standstill sets the renamed attribute.

--- a/src/wagtailpoint/placement/load_exchange.py
+++ b/src/wagtailpoint/placement/load_exchange.py
@@ -1,5 +1,6 @@
 """Exchange of load reports and demand between the instances of a region that lookups name."""
 
+import math
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 from typing import Final, NamedTuple
@@ -110,7 +111,7 @@
         self._demand_told_at: dict[PeerAddress, float] = {}
         self._budget_bytes = float(BURST_BYTES)
         self._budget_at = 0.0
-        self._due_at = 0.0
+        self._ran_at = math.inf
         self._servers: dict[int, ServerEntry] = {}
         self._fleet_services: set[str] = set()
         self._servers_generation = -1
@@ -130,10 +131,9 @@
     async def run(self) -> None:
         """Tell the others periodically, until cancelled."""
         while True:
-            delay_s = SEND_INTERVAL_S * self._random.uniform(0.8, 1.2)
-            self._due_at = trio.current_time() + delay_s
-            await trio.sleep_until(self._due_at)
-            if trio.current_time() - self._due_at > STANDSTILL_S:
+            self._ran_at = trio.current_time()
+            await trio.sleep(SEND_INTERVAL_S * self._random.uniform(0.8, 1.2))
+            if self._stood_still(trio.current_time()):
                 # Handles what waited in the links before it goes on.
                 await trio.sleep(SEND_INTERVAL_S)
                 self._metrics.count("load-news.standstill")
@@ -207,7 +207,7 @@
         message: LoadNewsMessage = received.message
         self._metrics.count("load-news.received")
         now = trio.current_time()
-        if self._due_at and now - self._due_at > STANDSTILL_S:
+        if self._stood_still(now):
             self._metrics.count("load-news.ignored", len(message.reports))
             return
         self._record_demands(received.sender, message.demands, now)
@@ -215,6 +215,13 @@
             is_used = self._apply(ServerReport(*told), now)
             self._metrics.count("load-news.used" if is_used else "load-news.ignored")
 
+    def _stood_still(self, now: float) -> bool:
+        """Return whether the process may have stood still since the last interval began.
+
+        A standstill can begin at any time in an interval, so the whole of it counts.
+        """
+        return now - self._ran_at > STANDSTILL_S
+
     def _record_demands(
         self, sender: PeerAddress, demands: Mapping[str, float], now: float
     ) -> None:
--- a/tests/cover/test_load_exchange.py
+++ b/tests/cover/test_load_exchange.py
@@ -66,7 +66,12 @@
         self.fleet.update(self.servers)
 
     def run_with(
-        self, test: Callable[[], Awaitable[None]], *, instances: int = 6, on: bool = True
+        self,
+        test: Callable[[], Awaitable[None]],
+        *,
+        instances: int = 6,
+        on: bool = True,
+        clock: MockClock | None = None,
     ) -> None:
         addresses = [f"10.0.0.{number}" for number in range(1, instances + 1)]
         members = tuple(make_peer(address, capacity=1.0) for address in addresses)
@@ -89,7 +94,7 @@
                 await test()
                 nursery.cancel_scope.cancel()
 
-        trio.run(run, clock=MockClock(autojump_threshold=0))
+        trio.run(run, clock=clock or MockClock(autojump_threshold=0))
 
     def answer(self, instance: Instance, number: int, occupancy: int) -> None:
         instance.estimates.record_report(
@@ -302,7 +307,7 @@
         async def test() -> None:
             first, second, *_ = self.instances
             await trio.sleep(1.0)
-            second.exchange._due_at = trio.current_time() - 3.0
+            second.exchange._ran_at = trio.current_time() - 3.0
             first.peers.send(
                 second.peers.address,
                 LoadNewsMessage([ServerReport(server_hash(self.key(3)), 9, 9, 100, 0)], {}),
@@ -313,6 +318,29 @@
 
         self.run_with(test)
 
+    def test_short_standstill(self) -> None:
+        """Guards against a standstill that is missed as it began before the timer was due."""
+        clock = MockClock(autojump_threshold=0)
+
+        async def test() -> None:
+            first, second, *_ = self.instances
+            await trio.sleep(1.0)
+            told = ServerReport(server_hash(self.key(3)), 9, 9, 100, 0)
+            for _ in range(5):
+                # The timer is at another place between two intervals each time.
+                await trio.sleep(1.07)
+                first.peers.send(second.peers.address, LoadNewsMessage([told], {}))
+                clock.jump(0.55)
+            await trio.sleep(0.05)
+            self.assertEqual(second.metrics.counts["load-news.received"], 5)
+            self.assertEqual(second.metrics.counts["load-news.used"], 0)
+            await trio.sleep(1.0)
+            first.peers.send(second.peers.address, LoadNewsMessage([told], {}))
+            await trio.sleep(0.05)
+            self.assertEqual(second.metrics.counts["load-news.used"], 1)
+
+        self.run_with(test, clock=clock)
+
     def key(self, number: int) -> str:
         return self.servers[number].start.key
 
