--- a/tests/cover/test_shared_loads.py
+++ b/tests/cover/test_shared_loads.py
@@ -63,7 +63,7 @@
         """Guards against a new log line for deployments that did not ask for the exchange."""
         self.on = False
         self.assertEqual(self.logged_moves(), [])
-        self.assertEqual(self.loads.gauges, {"min_region_fraction": 1.0})
+        self.assertEqual(self.loads.gauges, {"min_region_fraction": 1.0, "bounded_services": 0})
 
 
 if __name__ == "__main__":
