--- a/src/wagtailpoint/daemon/shared_loads.py
+++ b/src/wagtailpoint/daemon/shared_loads.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from wagtailpoint.admission.start_ramp import StartRamp
 from wagtailpoint.daemon.entry_role import EntryRole
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.membership import Membership
@@ -53,6 +54,11 @@
         self._distances = distances
         self._is_enabled = is_enabled
         self._metrics = metrics
+        self._membership = membership
+        self._ramp = StartRamp(
+            is_enabled=is_enabled, count_servers=lambda service: len(fleet.candidates(service))
+        )
+        membership.on_change(self._begin_ramp)
         demand = RegionDemand()
         self._fraction = CachedFraction(
             fleet=fleet, entries=role.nearby_counts, demand=demand, is_shared=is_enabled
@@ -74,21 +80,35 @@
         """The fractions of keys that failure domains and regions keep for their callers."""
         return self._fraction
 
+    @property
+    def ramp(self) -> StartRamp:
+        """The bound on the requests to a backend server after a loss of all instances."""
+        return self._ramp
+
     @property
     def gauges(self) -> dict[str, float]:
         """The smallest fraction of a service's keys that this region keeps; 1 without sharing."""
-        region = self._distances.region
-        services = {entry.service for entry in self._fleet.entries.values()}
-        fractions = [
-            self._fraction.region_fraction(service, region)
-            for service in services
-            if self._is_enabled(service)
-        ]
-        return {"min_region_fraction": min(fractions, default=1.0)}
+        region, services = self._distances.region, self._shared_services()
+        fractions = [self._fraction.region_fraction(service, region) for service in services]
+        return {
+            "min_region_fraction": min(fractions, default=1.0),
+            "bounded_services": sum(self.is_bounded(service) for service in services),
+        }
+
+    def is_bounded(self, service: str) -> bool:
+        """Return whether the requests to a service's servers are bounded after a start."""
+        return self._ramp.is_active(service, trio.current_time())
 
     def set_estimates(self, estimates: Estimates) -> None:
         """Set the estimates that receive the reports of others."""
         self._exchange.set_estimates(estimates, self._fraction.own_slots)
+        estimates.on_report(self._ramp.record_report)
+        estimates.on_peer_report(self._ramp.record_peer_report)
+
+    def _begin_ramp(self) -> None:
+        """Begin the bound once this instance is ready."""
+        if not self._ramp.has_begun and self._membership.own.state != "starting":
+            self._ramp.begin(trio.current_time())
 
     async def run(self) -> None:
         """Exchange loads, and log how many keys moved, until cancelled."""
@@ -96,6 +116,11 @@
             nursery.start_soon(self._exchange.run)
             nursery.start_soon(self._log_moves)
 
+    def _shared_services(self) -> list[str]:
+        """Return the services whose loads are exchanged."""
+        services = {entry.service for entry in self._fleet.entries.values()}
+        return [service for service in services if self._is_enabled(service)]
+
     async def _log_moves(self) -> None:
         logged: dict[str, int] = {}
         while True:
@@ -110,6 +135,6 @@
                 for reason, count in sorted(counts.items())
                 if count > logged.get(reason, 0)
             }
-            if moved:
+            if moved and self._shared_services():
                 log_event("keys-moved", **moved)
             logged = counts
--- a/src/wagtailpoint/placement/estimates.py
+++ b/src/wagtailpoint/placement/estimates.py
@@ -33,6 +33,7 @@
         self._paces = MachinePaces()
         self._occupied: dict[str, OccupiedService] = {}
         self._report_callbacks: list[ReportCallback] = []
+        self._peer_report_callbacks: list[ReportCallback] = []
 
     @property
     def paces(self) -> MachinePaces:
@@ -71,10 +72,19 @@
             load = self._loads[entry.start] = ServerLoad()
         return load
 
+    def resting_until(self, start: ServerStart) -> float | None:
+        """Return the end of the backoff of an unreachable backend server; None if it has none."""
+        load = self._loads.get(start)
+        return None if load is None else load.resting_until
+
     def on_report(self, callback: ReportCallback) -> None:
         """Call ``callback`` with each load report that comes with a response to this instance."""
         self._report_callbacks.append(callback)
 
+    def on_peer_report(self, callback: ReportCallback) -> None:
+        """Call ``callback`` with each recorded load report that another instance received."""
+        self._peer_report_callbacks.append(callback)
+
     def record_report(
         self, entry: ServerEntry, report: LoadReport, now: float, round_trip_s: float
     ) -> None:
@@ -102,13 +112,19 @@
         if not self.load_of(entry).record_peer_report(report, measured_at, round_trip_s):
             return False
         self._paces.record(entry.service, entry.start, report, measured_at)
+        for callback in self._peer_report_callbacks:
+            callback(entry, report, measured_at)
         return True
 
+    def report_half_life_s(self, service: str, now: float) -> float:
+        """Return the half-life of a load report of a service's backend servers, in seconds."""
+        if not self._paces.is_reported(service):
+            return REPORT_HALF_LIFE_S
+        return max(REPORT_HALF_LIFE_S, self.mean_service_s(service, now) or 0.0)
+
     def occupancy(self, entry: ServerEntry, now: float, round_trip_s: float) -> float:
         """Return the estimated number of requests that a request finds at a backend server."""
-        half_life_s = REPORT_HALF_LIFE_S
-        if self._paces.is_reported(entry.service):
-            half_life_s = max(half_life_s, self.mean_service_s(entry.service, now) or 0.0)
+        half_life_s = self.report_half_life_s(entry.service, now)
         return self.load_of(entry).occupancy(now, round_trip_s, half_life_s)
 
     def warm_of(self, entry: ServerEntry) -> WarmKeys:
--- a/src/wagtailpoint/placement/placement.py
+++ b/src/wagtailpoint/placement/placement.py
@@ -6,6 +6,7 @@
 
 import trio
 
+from wagtailpoint.admission.start_ramp import StartRamp
 from wagtailpoint.discovery.entries import ServerEntry, ServerStart
 from wagtailpoint.discovery.fleet import Candidate, Fleet
 from wagtailpoint.limits.limit_pacing import LimitPacing
@@ -14,12 +15,12 @@
 from wagtailpoint.placement.cached_fraction import CachedFraction
 from wagtailpoint.placement.choice import (
     BACKING_OFF,
-    LIMITED,
     Choice,
     Declined,
     Demand,
     NotPlaced,
     Observation,
+    are_kept_back,
     expected_loss,
     is_too_late,
 )
@@ -40,6 +41,7 @@
 from wagtailpoint.placement.server_load import InFlightRequest, ServerLoad
 from wagtailpoint.placement.service_samples import record_service_time
 from wagtailpoint.placement.substitutes import promote_substitutes
+from wagtailpoint.placement.unreachable_servers import UnreachableServers
 from wagtailpoint.placement.utilisation import Utilisation
 from wagtailpoint.placement.weigher import Weigher, cold_per_s
 
@@ -65,6 +67,7 @@
         mix: RegionMix,
         entries: EntryCounts,
         metrics: Metrics,
+        ramp: StartRamp | None = None,
     ) -> None:
         """Initialise the placement without estimates.
 
@@ -78,6 +81,7 @@
             mix: Limits how fast requests shift between regions.
             entries: The numbers of instances that share the callers.
             metrics: Receives the counts of moved keys.
+            ramp: Bounds the requests to a backend server after a loss of all instances.
         """
         self._fleet = fleet
         self._distances = distances
@@ -87,6 +91,7 @@
         self._cached_fraction = cached_fraction
         self._mix = mix
         self._estimates = Estimates()
+        self._unreachable = UnreachableServers(fleet=fleet, estimates=self._estimates)
         self._utilisation = Utilisation(fleet=fleet, distances=distances, estimates=self._estimates)
         self._ranking = Ranking(
             fleet=fleet, own_domain=distances.failure_domain, own_region=distances.region
@@ -99,6 +104,7 @@
             cached_fraction=cached_fraction,
             estimates=self._estimates,
             entries=entries,
+            ramp=ramp,
         )
         self._key_moves = KeyMoves(
             fleet=fleet,
@@ -154,7 +160,7 @@
         if not weighable and utilisation < MAX_SPILLOVER_UTILISATION:
             weighable = untried[:1]
         weighed = [weigh(option) for option in weighable]
-        if _are_kept_back(weighed, backing_off):
+        if are_kept_back(weighed, is_backing_off=bool(backing_off)):
             weighed += [weigh(option) for option in untried if option not in weighable]
         choices = [option for option in weighed if isinstance(option, Choice)]
         if not choices:
@@ -349,23 +355,20 @@
 
     def servers_to_probe(self) -> list[ServerEntry]:
         """Return the unreachable backend servers whose backoff has expired."""
-        now = trio.current_time()
-        return [
-            entry
-            for entry in self._fleet.entries.values()
-            if (until := self.load_of(entry).resting_until) is not None and now >= until
-        ]
+        return self._unreachable.expired(trio.current_time())
+
+    async def wait_unreachable(self) -> None:
+        """Wait until a backend server may be unreachable."""
+        await self._unreachable.wait_any()
 
     @property
     def unreachable_count(self) -> int:
         """The number of backend servers that this instance could not reach lately."""
-        return sum(
-            self.load_of(entry).resting_until is not None for entry in self._fleet.entries.values()
-        )
+        return self._unreachable.count
 
     def record_unreachable(self, entry: ServerEntry) -> float:
         """Record a backend server as unreachable; return its backoff in seconds."""
-        return self.load_of(entry).record_unreachable(trio.current_time())
+        return self._unreachable.record(entry, trio.current_time())
 
     def record_reachable(self, entry: ServerEntry) -> None:
         """Record that a connection to a backend server opened after its backoff."""
@@ -385,15 +388,3 @@
         """Remove a backend server that is gone or has restarted."""
         self._estimates.remove(start)
         self._cold.remove(start)
-
-
-def _are_kept_back(weighed: Sequence[Choice | Declined], backing_off: Sequence[Ranked]) -> bool:
-    """Return whether no server can take a request, and a stated limit or a backoff is a reason.
-
-    They, and not the load, then keep the request from its servers, and others may have room.
-    """
-    if any(isinstance(option, Choice) for option in weighed):
-        return False
-    return bool(backing_off) or any(
-        isinstance(option, Declined) and option.reason == LIMITED for option in weighed
-    )
