--- a/review/common/store.py
+++ b/review/common/store.py
@@ -10,6 +10,7 @@
 from common.http import Request, Response, serve_http
 
 PAGE_SIZE = 500
+PAGE_BYTES = 1_048_576
 HISTORY_S = 20.0
 MAX_WAIT_S = 30.0
 
@@ -93,11 +94,15 @@
 
     def _list(self, kind: str, after: str) -> Response:
         names = sorted(name for found, name in self._objects if found == kind and name > after)
-        page = names[:PAGE_SIZE]
-        items = b",".join(_encode(name, self._objects[kind, name]) for name in page)
-        more = b"true" if len(names) > PAGE_SIZE else b"false"
+        items: list[bytes] = []
+        for name in names[:PAGE_SIZE]:
+            item = _encode(name, self._objects[kind, name])
+            if items and sum(map(len, items)) + len(item) > PAGE_BYTES:
+                break
+            items.append(item)
+        more = b"true" if len(names) > len(items) else b"false"
         end = f',"StoreRevision":{self._revision}}}'.encode()
-        return Response(200, b'{"items":[' + items + b'],"HasMore":' + more + end)
+        return Response(200, b'{"items":[' + b",".join(items) + b'],"HasMore":' + more + end)
 
     async def _watch(self, kind: str, since: int, query: dict[str, str]) -> Response:
         until = time.monotonic() + min(MAX_WAIT_S, int(query.get("WaitMs", "0")) / 1000)
