Store: read each object alone, whatever is wrong with the others

Cause: the answer to a listing or a watch was decoded as one document. Its items were kept as raw text, but the decoder recurses into raw text, too, and validates its strings, so that one item failed the whole answer: with a RecursionError, which nobody caught and which left the nursery of the process, or with a DecodeError, which counts as an outage of the store, again at each call. The logs of the case show both (`RecursionError ... deserializing an object`; `store-lost ... invalid utf-16 surrogate pair`).

Change: a document that can't be decoded as a whole is split into its parts by brackets and strings, without recursion and without reading them; each part is decoded alone, and any error of the decoder concerns that part only. An object whose content can't be read keeps name and revision and has no value, so that it does not look removed: it names no backend server, an evacuation is in force, a configuration does not replace the one in force. Counted and logged once for each revision.

Ruled out: catching RecursionError where the answer is decoded. It keeps the process and loses the page.

Related paths that had the same cause: a single read, the answer to a refused write, fields beside the content, and the product's own object API.

Tests: test_unreadable_objects (each path), test_json_parts.

--- a/src/wagtailpoint/adapters/object_calls.py
+++ b/src/wagtailpoint/adapters/object_calls.py
@@ -15,6 +15,7 @@
 import trio
 from result import Err, Ok, Result
 
+from wagtailpoint.adapters.json_parts import decode_parts
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
 from wagtailpoint.tcp_options import LIVENESS_OPTIONS
 
@@ -41,7 +42,7 @@
 )
 
 
-_T = TypeVar("_T")
+_Struct = TypeVar("_Struct", bound=msgspec.Struct)
 
 
 class Call(NamedTuple):
@@ -174,16 +175,26 @@
         return Err(OutcomeUnknown(message) if may_have_sent else PlatformUnavailable(message))
 
 
-def decode_answer(answer: Answer, wire_type: type[_T]) -> Result[_T, PlatformUnavailable]:
-    """Decode the body of a successful answer."""
+def decode_answer(answer: Answer, wire_type: type[_Struct]) -> Result[_Struct, PlatformUnavailable]:
+    """Decode the body of a successful answer; parts of type ``Raw`` are left undecoded."""
+    return read_body(answer).and_then(
+        lambda body: decode_parts(body, wire_type).map_err(unreadable_error)
+    )
+
+
+def read_body(answer: Answer) -> Result[str, PlatformUnavailable]:
+    """Return the body of a successful answer.
+
+    Invalid UTF-8 is replaced, so that it makes only the object that contains it unreadable.
+    """
     if answer.status // 100 != 2:
         return Err(refusal_error(answer))
-    try:
-        # Invalid UTF-8 is replaced, so that it makes only the object that contains it unreadable.
-        body = answer.body.decode(errors="replace")
-        return Ok(msgspec.json.decode(body, type=wire_type))
-    except msgspec.DecodeError as error:
-        return Err(PlatformUnavailable(f"the platform's answer can't be decoded: {error}"))
+    return Ok(answer.body.decode(errors="replace"))
+
+
+def unreadable_error(reason: str) -> PlatformUnavailable:
+    """Return the error for an answer that can't be decoded."""
+    return PlatformUnavailable(f"the platform's answer can't be decoded: {reason}")
 
 
 def refusal_error(answer: Answer) -> PlatformUnavailable:
--- a/src/wagtailpoint/adapters/platform_http.py
+++ b/src/wagtailpoint/adapters/platform_http.py
@@ -3,12 +3,13 @@
 from collections.abc import Sequence
 from http import HTTPStatus
 from types import TracebackType
-from typing import Any, Literal, Self, TypedDict
+from typing import Any, Literal, Self
 from urllib.parse import quote, urlencode
 
 import msgspec
 from result import Err, Ok, Result
 
+from wagtailpoint.adapters.json_parts import decode_parts, decode_value
 from wagtailpoint.adapters.object_calls import (
     Answer,
     Call,
@@ -17,6 +18,7 @@
     refusal_error,
 )
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.platform import (
     Conflict,
     ListedInstance,
@@ -28,41 +30,41 @@
 from wagtailpoint.revision import Revision
 
 
-class _WireObject(TypedDict):
+class _WireObject(msgspec.Struct):
     kind: str
     name: str
     version: int
-    value: Any
+    value: msgspec.Raw
 
 
-class _WireWritten(TypedDict):
+class _WireWritten(msgspec.Struct):
     kind: str
     name: str
     version: int
 
 
-class _WireListing(TypedDict):
+class _WireListing(msgspec.Struct):
     version: int
-    objects: list[_WireObject]
+    objects: list[msgspec.Raw]
 
 
-class _WireEvent(TypedDict):
+class _WireEvent(msgspec.Struct):
     action: Literal["put", "delete"]
-    object: _WireObject
+    object: msgspec.Raw
 
 
-class _WireBatch(TypedDict):
+class _WireBatch(msgspec.Struct):
     version: int
-    events: list[_WireEvent]
+    events: list[msgspec.Raw]
 
 
-class _WireInstance(TypedDict):
+class _WireInstance(msgspec.Struct):
     address: str
     failure_domain: str
     state: Literal["live", "leaving"]
 
 
-class _WireInstances(TypedDict):
+class _WireInstances(msgspec.Struct):
     instances: list[_WireInstance]
 
 
@@ -108,7 +110,7 @@
         if answer.status != HTTPStatus.OK:
             return Err(refusal_error(answer))
         return decode_answer(answer, _WireObject).and_then(
-            lambda wire: _stored_object(wire, kind, name)
+            lambda wire: _requested_object(wire, kind, name)
         )
 
     async def list(
@@ -117,9 +119,7 @@
         """Read all objects of a kind; ``may_be_stale`` has no effect on this store."""
         outcome = await self._calls.read(Call("GET", f"/objects/{_quoted(kind)}"))
         return outcome.and_then(lambda answer: decode_answer(answer, _WireListing)).map(
-            lambda wire: Listing(
-                _revision(wire["version"]), [_to_stored(entry) for entry in wire["objects"]]
-            )
+            lambda wire: Listing(_revision(wire.version), _read_objects(wire.objects))
         )
 
     async def put(
@@ -128,7 +128,7 @@
         """Write an object if it is at ``if_version`` (``ABSENT``: if it does not exist)."""
         target = f"{_object_path(kind, name)}?if_version={if_version.number}"
         outcome = await self._write(Call("PUT", target, msgspec.json.encode(value)), kind, name)
-        return outcome.map(lambda wire: StoredObject(kind, name, _revision(wire["version"]), value))
+        return outcome.map(lambda wire: StoredObject(kind, name, _revision(wire.version), value))
 
     async def delete(
         self, *, kind: str, name: str, if_version: Revision
@@ -149,11 +149,8 @@
             return Err(WatchTooOld(f"no events since version {from_version}; list again"))
         return decode_answer(outcome.ok_value, _WireBatch).map(
             lambda wire: WatchBatch(
-                _revision(wire["version"]),
-                [
-                    WatchEvent(entry["action"], _to_stored(entry["object"]))
-                    for entry in wire["events"]
-                ],
+                _revision(wire.version),
+                _read_events(wire.events),
             )
         )
 
@@ -161,7 +158,10 @@
         """Read the platform's list of live and leaving instances."""
         outcome = await self._calls.read(Call("GET", "/instances"))
         return outcome.and_then(lambda answer: decode_answer(answer, _WireInstances)).map(
-            lambda wire: [ListedInstance(**entry) for entry in wire["instances"]]
+            lambda wire: [
+                ListedInstance(entry.address, entry.failure_domain, entry.state)
+                for entry in wire.instances
+            ]
         )
 
     async def _write(
@@ -189,7 +189,40 @@
 
 
 def _to_stored(wire: _WireObject) -> StoredObject:
-    return StoredObject(wire["kind"], wire["name"], _revision(wire["version"]), wire["value"])
+    """Return an object; its value is None if it can't be read."""
+    value = decode_value(wire.value)
+    if isinstance(value, Err):
+        _log_unreadable(f"{wire.kind}/{wire.name}", value.err_value)
+    return StoredObject(wire.kind, wire.name, _revision(wire.version), value.unwrap_or(None))
+
+
+def _read_objects(wire: Sequence[msgspec.Raw]) -> list[StoredObject]:
+    """Read objects one by one, without those whose names can't be read."""
+    found = []
+    for item in wire:
+        decoded = decode_parts(item, _WireObject)
+        if isinstance(decoded, Err):
+            _log_unreadable("", decoded.err_value)
+            continue
+        found.append(_to_stored(decoded.ok_value))
+    return found
+
+
+def _read_events(wire: Sequence[msgspec.Raw]) -> list[WatchEvent]:
+    """Read events one by one, without those of objects whose names can't be read."""
+    events = []
+    for item in wire:
+        decoded = decode_parts(item, _WireEvent)
+        if isinstance(decoded, Err):
+            _log_unreadable("", decoded.err_value)
+            continue
+        found = _read_objects([decoded.ok_value.object])
+        events += [WatchEvent(decoded.ok_value.action, stored) for stored in found]
+    return events
+
+
+def _log_unreadable(name: str, error: str) -> None:
+    log_event("object-unreadable", level="WARNING", name=name, error=error)
 
 
 def _quoted(part: str) -> str:
@@ -202,26 +235,27 @@
 
 def _is_about(wire: _WireObject | _WireWritten, kind: str, name: str) -> bool:
     """Return whether an answer is for the requested object, not for another request."""
-    return (wire["kind"], wire["name"]) == (kind, name)
+    return (wire.kind, wire.name) == (kind, name)
 
 
-def _stored_object(
+def _requested_object(
     wire: _WireObject, kind: str, name: str
 ) -> Result[StoredObject | None, PlatformUnavailable]:
     if not _is_about(wire, kind, name):
-        return Err(
-            PlatformUnavailable(f"requested {kind}/{name}, the answer is for {wire['name']}")
-        )
+        return Err(PlatformUnavailable(f"requested {kind}/{name}, the answer is for {wire.name}"))
     return Ok(_to_stored(wire))
 
 
 def _conflict(
     answer: Answer, kind: str, name: str
 ) -> Result[_WireWritten, Conflict | OutcomeUnknown | PlatformUnavailable]:
-    try:
-        current = msgspec.json.decode(answer.body, type=_WireObject | None)
-    except msgspec.DecodeError as error:
-        return Err(OutcomeUnknown(f"the platform's answer to a conflict can't be decoded: {error}"))
-    if current is not None and not _is_about(current, kind, name):
-        return Err(OutcomeUnknown(f"wrote {kind}/{name}, the answer is for {current['name']}"))
-    return Err(Conflict(_to_stored(current) if current else None))
+    if answer.body == b"null":
+        return Err(Conflict(None))
+    decoded = decode_parts(answer.body.decode(errors="replace"), _WireObject)
+    if isinstance(decoded, Err):
+        reason = f"the platform's answer to a conflict can't be decoded: {decoded.err_value}"
+        return Err(OutcomeUnknown(reason))
+    current = decoded.ok_value
+    if not _is_about(current, kind, name):
+        return Err(OutcomeUnknown(f"wrote {kind}/{name}, the answer is for {current.name}"))
+    return Err(Conflict(_to_stored(current)))
--- a/src/wagtailpoint/config/reader.py
+++ b/src/wagtailpoint/config/reader.py
@@ -91,6 +91,8 @@
         if outcome.ok_value is None:
             # The object was written before the head that refers to it, so the read was stale.
             return Err(PlatformUnavailable(f"stale read: {kind}/{name} is not visible yet"))
+        if outcome.ok_value.value is None:
+            return Err(PlatformUnavailable(f"{kind}/{name} can't be read"))
         return Ok(outcome.ok_value.value)
 
     async def read_manifests_after(
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -3,7 +3,7 @@
 import re
 from collections.abc import Sequence
 from http import HTTPStatus
-from typing import Any, Final, TypeVar
+from typing import Any, Final
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -14,12 +14,15 @@
     Call,
     ObjectCalls,
     decode_answer,
+    read_body,
+    unreadable_error,
 )
+from wagtailpoint.adapters.unreadable_objects import UnreadableObjects
 from wagtailpoint.discovery.store_era import StoreEra
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
 from wagtailpoint.node_settings import Endpoint
-from wagtailpoint.observe.log import log_event
 from wagtailpoint.observe.metrics import Metrics
+from wagtailpoint.platform.wire_objects import WireEvents, WireObjects, WirePage
 from wagtailpoint.ports.platform import (
     ABSENT,
     Conflict,
@@ -28,7 +31,6 @@
     Page,
     StoredObject,
     WatchBatch,
-    WatchEvent,
 )
 from wagtailpoint.revision import Revision
 
@@ -39,37 +41,6 @@
 
 _OBJECTS = "/api/objects"
 
-_T = TypeVar("_T")
-
-
-class _Metadata(msgspec.Struct):
-    Name: str
-    # The store's revision at the object's last change; each change of any object raises it.
-    Revision: int = 0
-
-
-class _Object(msgspec.Struct):
-    Metadata: _Metadata
-    Spec: Any = None
-
-
-class _Items(msgspec.Struct):
-    # Decoded one by one: the store is open to any writer, and an invalid object must not hide the
-    # others.
-    items: list[msgspec.Raw]
-    HasMore: bool
-    StoreRevision: int
-
-
-class _Event(msgspec.Struct):
-    Object: _Object
-    Deleted: bool = False
-
-
-class _Events(msgspec.Struct):
-    events: list[msgspec.Raw]
-    StoreRevision: int
-
 
 class ObjectStore:
     """Client of the platform's object store; a watch covers one kind of object."""
@@ -89,6 +60,7 @@
         self._calls = ObjectCalls(addresses=[address], timeout_s=timeout_s)
         self._era = era
         self._metrics = metrics
+        self._objects = WireObjects(unreadable=UnreadableObjects(metrics=metrics))
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -105,9 +77,7 @@
         answer = outcome.ok_value
         if answer.status == HTTPStatus.NOT_FOUND:
             return Ok(None)
-        return decode_answer(answer, _Object).map(
-            lambda wire: _to_stored_object(kind, wire, _era_of(answer))
-        )
+        return self._read_object(answer, kind)
 
     async def peek(self, *, kind: str, after: str) -> Result[Page, PlatformUnavailable]:
         """Read one page of names after ``after`` at low cost; it may be some seconds old."""
@@ -149,21 +119,14 @@
         outcome = await self._read(call, may_be_stale=may_be_stale)
         if isinstance(outcome, Err):
             return outcome
-        decoded_page = decode_answer(outcome.ok_value, _Items)
+        decoded_page = decode_answer(outcome.ok_value, WirePage)
         if isinstance(decoded_page, Err):
             return decoded_page
         wire, era = decoded_page.ok_value, _era_of(outcome.ok_value)
-        items = _decode_valid(kind, wire.items, _Object)
+        objects = self._objects.read_all(kind, wire.items, era)
         # A page without a valid object has no name from which to continue.
-        last = items[-1].Metadata.Name if wire.HasMore and items else None
-        return Ok(
-            Page(
-                Revision(era, wire.StoreRevision),
-                [_to_stored_object(kind, item, era) for item in items],
-                after,
-                last,
-            )
-        )
+        last = objects[-1].name if wire.HasMore and objects else None
+        return Ok(Page(Revision(era, wire.StoreRevision), objects, after, last))
 
     async def put(
         self, *, kind: str, name: str, value: Any, if_version: Revision
@@ -184,10 +147,8 @@
         outcome = await self._write(call, kind, if_version)
         if isinstance(outcome, Err):
             return outcome
-        written = decode_answer(outcome.ok_value, _Object)
-        if isinstance(written, Err):
-            return Err(OutcomeUnknown(str(written.err_value)))
-        return Ok(_to_stored_object(kind, written.ok_value, _era_of(outcome.ok_value)))
+        written = self._read_object(outcome.ok_value, kind)
+        return written.map_err(lambda error: OutcomeUnknown(str(error)))
 
     async def delete(
         self, *, kind: str, name: str, if_version: Revision
@@ -211,16 +172,10 @@
         if outcome.ok_value.status == HTTPStatus.GONE:
             return Err(WatchTooOld(f"no events since version {from_version}; list again"))
         era = _era_of(outcome.ok_value)
-        return decode_answer(outcome.ok_value, _Events).map(
+        return decode_answer(outcome.ok_value, WireEvents).map(
             lambda wire: WatchBatch(
                 Revision(era, wire.StoreRevision),
-                [
-                    WatchEvent(
-                        "delete" if event.Deleted else "put",
-                        _to_stored_object(kind, event.Object, era),
-                    )
-                    for event in _decode_valid(kind, wire.events, _Event)
-                ],
+                self._objects.read_events(kind, wire.events, era),
             )
         )
 
@@ -264,23 +219,28 @@
         if not self._is_current(answer):
             return Err(OutcomeUnknown(f"{call.target}: an answer from before the return"))
         if answer.status == HTTPStatus.CONFLICT:
-            return _conflict(answer, kind)
+            return self._conflict(answer, kind)
         if answer.status // 100 != 2:
             return Err(OutcomeUnknown(f"{call.method} {call.target}: status {answer.status}"))
         if if_version not in (ABSENT, Revision(_era_of(answer), if_version.number)):
             return Err(OutcomeUnknown(f"{call.target}: the store returned before the write"))
         return Ok(answer)
 
+    def _read_object(self, answer: Answer, kind: str) -> Result[StoredObject, PlatformUnavailable]:
+        """Read the object that is the body of a successful answer."""
+        body = read_body(answer)
+        if isinstance(body, Err):
+            return body
+        read = self._objects.read(kind, msgspec.Raw(body.ok_value), _era_of(answer))
+        return read.map_err(unreadable_error)
 
-def _decode_valid(kind: str, raw_values: Sequence[msgspec.Raw], wire_type: type[_T]) -> list[_T]:
-    """Decode the valid objects or events, and log the others."""
-    decoded = []
-    for raw in raw_values:
-        try:
-            decoded.append(msgspec.json.decode(raw, type=wire_type))
-        except msgspec.DecodeError as error:
-            log_event("object-unreadable", level="WARNING", kind=kind, error=error)
-    return decoded
+    def _conflict(self, answer: Answer, kind: str) -> Err[Conflict | OutcomeUnknown]:
+        text = answer.body.decode(errors="replace")
+        current = self._objects.read(kind, msgspec.Raw(text), _era_of(answer))
+        if isinstance(current, Err):
+            reason = f"the store's answer to a conflict can't be decoded: {current.err_value}"
+            return Err(OutcomeUnknown(reason))
+        return Err(Conflict(current.ok_value))
 
 
 def _path(*parts: str) -> str:
@@ -291,15 +251,3 @@
     """Return the era of the store's contents that an answer shows; 0 if it does not say."""
     value = answer.header(ERA_HEADER) or b""
     return int(value) if _ERA.fullmatch(value) else 0
-
-
-def _to_stored_object(kind: str, wire: _Object, era: int) -> StoredObject:
-    return StoredObject(kind, wire.Metadata.Name, Revision(era, wire.Metadata.Revision), wire.Spec)
-
-
-def _conflict(answer: Answer, kind: str) -> Err[Conflict | OutcomeUnknown]:
-    try:
-        current = msgspec.json.decode(answer.body, type=_Object)
-    except msgspec.DecodeError as error:
-        return Err(OutcomeUnknown(f"the store's answer to a conflict can't be decoded: {error}"))
-    return Err(Conflict(_to_stored_object(kind, current, _era_of(answer))))
--- /dev/null
+++ b/src/wagtailpoint/platform/wire_objects.py
@@ -0,0 +1,98 @@
+"""Reading of objects in the answers of the platform's store, which is open to any writer."""
+
+import zlib
+from collections.abc import Sequence
+from typing import Annotated, Any, Final, Literal
+
+import msgspec
+from result import Err, Ok, Result
+
+from wagtailpoint.adapters.json_parts import decode_parts, decode_value
+from wagtailpoint.adapters.unreadable_objects import UnreadableObjects
+from wagtailpoint.ports.platform import StoredObject, WatchEvent
+from wagtailpoint.revision import Revision
+
+_MAX_REVISION: Final = (1 << 63) - 1
+
+
+class WirePage(msgspec.Struct):
+    """A page of a listing; its objects are decoded one by one."""
+
+    items: list[msgspec.Raw]
+    HasMore: bool
+    StoreRevision: int
+
+
+class WireEvents(msgspec.Struct):
+    """The answer to a watch; its events are decoded one by one."""
+
+    events: list[msgspec.Raw]
+    StoreRevision: int
+
+
+class _Metadata(msgspec.Struct):
+    Name: str
+    # The store's revision at the object's last change; each change of any object raises it.
+    Revision: Annotated[int, msgspec.Meta(ge=0, le=_MAX_REVISION)] = 0
+
+
+class _Object(msgspec.Struct):
+    Metadata: _Metadata
+    Spec: msgspec.Raw = msgspec.Raw(b"null")
+
+
+class _Event(msgspec.Struct):
+    Object: msgspec.Raw
+    Deleted: bool = False
+
+
+class WireObjects:
+    """Reads objects and events, each without regard to the others.
+
+    An object whose content can't be read has the value None. Its name may say enough, as that of
+    an evacuation does; and without it the object would look removed.
+    """
+
+    def __init__(self, *, unreadable: UnreadableObjects) -> None:
+        """Initialise the reader.
+
+        Args:
+            unreadable: Counts and logs what can't be read.
+        """
+        self._unreadable = unreadable
+
+    def read(self, kind: str, wire: msgspec.Raw, era: int) -> Result[StoredObject, str]:
+        """Read an object.
+
+        Returns:
+            The object, or why not even its name and revision can be read.
+        """
+        decoded = decode_parts(wire, _Object)
+        if isinstance(decoded, Err):
+            self._unreadable.record(kind, "", zlib.crc32(wire), decoded.err_value)
+            return decoded
+        found = decoded.ok_value
+        revision = Revision(era, found.Metadata.Revision)
+        value: Result[Any, str] = decode_value(found.Spec)
+        if isinstance(value, Err):
+            self._unreadable.record(kind, found.Metadata.Name, revision, value.err_value)
+        return Ok(StoredObject(kind, found.Metadata.Name, revision, value.unwrap_or(None)))
+
+    def read_all(self, kind: str, wire: Sequence[msgspec.Raw], era: int) -> list[StoredObject]:
+        """Read the objects of a page, without those whose names can't be read."""
+        found = [self.read(kind, item, era) for item in wire]
+        return [stored.ok_value for stored in found if isinstance(stored, Ok)]
+
+    def read_events(self, kind: str, wire: Sequence[msgspec.Raw], era: int) -> list[WatchEvent]:
+        """Read the events of a watch, without those of objects whose names can't be read."""
+        events = []
+        for item in wire:
+            event = decode_parts(item, _Event)
+            if isinstance(event, Err):
+                self._unreadable.record(kind, "", zlib.crc32(item), event.err_value)
+                continue
+            stored = self.read(kind, event.ok_value.Object, era)
+            if isinstance(stored, Ok):
+                action: Literal["put", "delete"] = "delete" if event.ok_value.Deleted else "put"
+                events.append(WatchEvent(action, stored.ok_value))
+        return events
--- a/tests/common/users_store.py
+++ b/tests/common/users_store.py
@@ -78,6 +78,10 @@
         self._objects[kind, name] = stored
         self._record_event(kind, {"Object": stored, "Deleted": False})
 
+    def add_field(self, kind: str, name: str, field: str, value: Any) -> None:
+        """Add a field beside the spec of an object, without a new revision."""
+        self._objects[kind, name][field] = value
+
     def delete(self, kind: str, name: str) -> None:
         """Remove an object."""
         self._revision += 1
