Peers: pass on only what a message can hold, and survive one that can't be sent

Cause: JSON has integers of any length, MessagePack has 64 bits. Watchers send entries to their region as they lie in the store. The log ends with `OverflowError: can't serialize ints` from peer_codec.encode, called by WatchSharing.answer_waiting in the task of the store's follower; only the errors of a handler were caught, not those of its reply or of a later answer.

Change: content with such an integer counts as unreadable where the store is read, as nested content does. Second line: a message that can't be encoded is dropped, counted and logged as a fault of the program, and one that can't be decoded is dropped whatever the decoder raises. With the first line no known input reaches the second.

Ruled out: another encoding of such an integer. No instance could use it.

Related paths: replies to questions, late answers of watchers, states for an instance that has lost the store, proofs: all go through DispatchingPeers._send. What an older version sends arrives through peer_codec.decode, which raised RecursionError for nested values.

Tests: test_integer_that_no_message_can_hold (the store), test_change_that_cannot_be_sent_ends_no_instance (watchers), test_message_that_cannot_be_encoded_is_dropped and test_nested_message_is_counted_and_ignored (peers).

--- a/src/wagtailpoint/adapters/json_parts.py
+++ b/src/wagtailpoint/adapters/json_parts.py
@@ -48,8 +48,8 @@
     """Decode a value of any form.
 
     Returns:
-        The value, or the reason why it is unusable: it can't be decoded, or is nested in more than
-        ``MAX_NESTING`` levels.
+        The value, or the reason why it is unusable: it can't be decoded, is nested in more than
+        ``MAX_NESTING`` levels, or has an integer that instances can't send each other.
     """
     decoded = decode(text, Any)
     if isinstance(decoded, Err):
@@ -59,6 +59,11 @@
     may_be_deep = encoded.count(b"[") + encoded.count(b"{") > MAX_NESTING
     if may_be_deep and not _is_flat(decoded.ok_value):
         return Err(f"nested in more than {MAX_NESTING} levels")
+    try:
+        # JSON has integers of any length, MessagePack only those of 64 bits.
+        msgspec.msgpack.encode(decoded.ok_value)
+    except Exception as error:
+        return Err(describe(error))
     return decoded
 
 
--- a/src/wagtailpoint/adapters/peer_codec.py
+++ b/src/wagtailpoint/adapters/peer_codec.py
@@ -102,7 +102,11 @@
     number: int,
     reply_to: int,
 ) -> bytes:
-    """Encode a message with its envelope."""
+    """Encode a message with its envelope.
+
+    Raises:
+        OverflowError, RecursionError, TypeError: A value in the message can't be encoded.
+    """
     envelope = Envelope(
         kind=get_message_kind(type(message)),
         address=sender.address,
@@ -125,7 +129,8 @@
     """
     try:
         envelope = _envelope_decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except Exception:
+        # Not only `MsgspecError`: nesting raises RecursionError.
         meter.record_dropped("undecodable")
         return None
     if envelope.to_incarnation not in (own_incarnation, ANY_INCARNATION):
@@ -138,7 +143,7 @@
     meter.record_received(envelope.kind, len(data))
     try:
         return Delivery(envelope, _body_decoder(envelope.kind, message_type).decode(envelope.body))
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except Exception:
         meter.record_dropped("undecodable")
         return None
 
--- a/src/wagtailpoint/adapters/peer_dispatch.py
+++ b/src/wagtailpoint/adapters/peer_dispatch.py
@@ -100,14 +100,26 @@
         """Record that a peer did not answer a request within its timeout."""
 
     def _send(self, to: PeerAddress, message: Message, *, number: int, reply_to: int) -> bool:
-        data = encode(
-            message,
-            sender=self._address,
-            to=to,
-            stamp=self._clock.now(),
-            number=number,
-            reply_to=reply_to,
-        )
+        # The sending task follows the store or answers peers, and has to survive one message.
+        try:
+            data = encode(
+                message,
+                sender=self._address,
+                to=to,
+                stamp=self._clock.now(),
+                number=number,
+                reply_to=reply_to,
+            )
+        except Exception as error:
+            self._meter.record_dropped("unencodable")
+            log_event(
+                "peer-message-unencodable",
+                level="ERROR",
+                kind=get_message_kind(type(message)),
+                to=to,
+                error=repr(error),
+            )
+            return False
         if len(data) > MAX_MESSAGE_BYTES:
             self._meter.record_dropped("too-large")
             return False
--- a/tests/common/odd_values.py
+++ b/tests/common/odd_values.py
@@ -8,12 +8,18 @@
 SURROGATE: Final = r'"\udcff"'
 """Valid JSON, but no character: how Python writes a byte that is not UTF-8."""
 
+LARGE_INTEGER: Final = str(2**127)
+"""Valid JSON, but more than the 64 bits of an integer in MessagePack."""
+
 UNREADABLE: Final = (
     NESTED,
     '{"a":' * 5000 + "1" + "}" * 5000,
     "[" * 100 + "]" * 100,
     SURROGATE,
     r'{"\ud800":1}',
+    LARGE_INTEGER,
+    f'{{"Id":-{LARGE_INTEGER}}}',
+    f"[{2**64}]",
     "1e999",
     "1" * 5000,
     "NaN",
--- a/tests/common/watch_sharing_case.py
+++ b/tests/common/watch_sharing_case.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import trio
 from loguru import logger
@@ -136,12 +137,12 @@
 
         trio.run(run, clock=MockClock(autojump_threshold=0))
 
-    async def put(self, name: str, value: str = "") -> None:
+    async def put(self, name: str, value: Any = "") -> None:
         """Store an object and answer the watches."""
         await self.put_unheard(name, value)
         self.answer_watches()
 
-    async def put_unheard(self, name: str, value: str = "") -> None:
+    async def put_unheard(self, name: str, value: Any = "") -> None:
         """Store an object without answering the watches that wait."""
         (await self.operator.put(kind=KIND, name=name, value=value, if_version=ABSENT)).unwrap()
 
--- a/tests/cover/test_peers.py
+++ b/tests/cover/test_peers.py
@@ -1,18 +1,22 @@
 """Messages between instances: envelopes, drops and requests, in memory and over sockets."""
 
 import unittest
+from functools import partial
 from random import Random
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
+import msgspec
 import trio
 import trio.testing
+from loguru import logger
 from result import Err, Ok
 
 from tests.common.fake_clock import FakeClock
 from tests.common.fake_peers import FakeNetwork, FakePeers
 from wagtailpoint.adapters.clock import SystemClock
+from wagtailpoint.adapters.peer_codec import Envelope
 from wagtailpoint.adapters.peers_nng import MAX_UNANSWERED_REQUESTS, MIN_REDIAL_AGE_S, NngPeers
-from wagtailpoint.observe.hlc import HybridClock
+from wagtailpoint.observe.hlc import HybridClock, Stamp
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.peers import (
     MAX_MESSAGE_BYTES,
@@ -36,16 +40,29 @@
     number: int
 
 
+class Anything(NamedTuple):
+    value: Any
+
+
 register_message("test-question", Question)
 register_message("test-answer", Answer)
 register_message("test-unheard", Unheard)
+register_message("test-anything", Anything)
 
 
 def answer(received: Received) -> Answer:
     return Answer(received.message.text.upper())
 
 
+def answer_with(value: Any, _: Received) -> Anything:
+    return Anything(value)
+
+
 class MessagesInMemoryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+
     def run_pair(self, scenario) -> None:
         async def main() -> None:
             network = FakeNetwork()
@@ -126,6 +143,48 @@
 
         self.run_pair(scenario)
 
+    def test_nested_message_is_counted_and_ignored(self) -> None:
+        """Guards against instances that end for a nested value that a peer passes on."""
+
+        async def scenario(network: FakeNetwork, first: Peers, second: Peers) -> None:
+            second.handle(Question, answer)
+            envelope = Envelope(
+                kind="test-anything",
+                address=first.address.address,
+                port=first.address.port,
+                incarnation=first.address.incarnation,
+                to_incarnation=second.address.incarnation,
+                stamp=Stamp(0, 0),
+                number=0,
+                reply_to=0,
+                body=msgspec.Raw(b"\x91" * 5000 + b"\xc0"),
+            )
+            network.carry("127.0.0.1", second.address, msgspec.msgpack.encode(envelope))
+            reply = await first.request(second.address, Question("a"), timeout_s=1)
+            self.assertTrue(reply.is_ok())
+            self.assertEqual(second.counts.dropped, {"undecodable": 1})
+
+        self.run_pair(scenario)
+
+    def test_message_that_cannot_be_encoded_is_dropped(self) -> None:
+        """Guards against watchers that end when they answer with a value they can't encode."""
+
+        async def scenario(network: FakeNetwork, first: Peers, second: Peers) -> None:
+            nested: list[Any] = []
+            for _ in range(5000):
+                nested = [nested]
+            for value in (2**127, nested, object()):
+                second.handle(Question, partial(answer_with, value))
+                reply = await first.request(second.address, Question("a"), timeout_s=1)
+                self.assertEqual(reply, Err(PeerFailure.TIMEOUT))
+                self.assertFalse(first.send(second.address, Anything(value)))
+            self.assertEqual(second.counts.dropped, {"unencodable": 3})
+            second.handle(Question, answer)
+            reply = await first.request(second.address, Question("a"), timeout_s=1)
+            self.assertTrue(reply.is_ok())
+
+        self.run_pair(scenario)
+
     def test_oversized_message_is_refused_by_the_sender(self) -> None:
         async def scenario(network: FakeNetwork, first: Peers, second: Peers) -> None:
             self.assertFalse(first.send(second.address, Question("x" * MAX_MESSAGE_BYTES)))
--- a/tests/cover/test_unreadable_objects.py
+++ b/tests/cover/test_unreadable_objects.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from tests.common.node_settings_file import config_document
-from tests.common.odd_values import NESTED, SURROGATE, UNREADABLE
+from tests.common.odd_values import LARGE_INTEGER, NESTED, SURROGATE, UNREADABLE
 from tests.common.steering_parts import REGION_OF
 from tests.common.users_store import UsersStore
 from wagtailpoint.daemon.store_state import StoreState
@@ -103,6 +103,10 @@
         """Guards against instances that learn no change any more, for one string of an entry."""
         self.check_isolated(SURROGATE)
 
+    def test_integer_that_no_message_can_hold(self) -> None:
+        """Guards against watchers that end, with their requests, when they pass on an entry."""
+        self.check_isolated(LARGE_INTEGER)
+
     def test_every_unreadable_value_leaves_the_others_readable(self) -> None:
         """Guards against answers of the store that one entry makes unreadable."""
         for text in UNREADABLE:
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -4,6 +4,7 @@
 
 from tests.common.revisions import rev
 from tests.common.watch_sharing_case import BOUND_S, COUNT, KIND, WatchSharingCase
+from wagtailpoint.discovery.follower import WATCH_WAIT_S
 from wagtailpoint.discovery.history import KindChanges
 from wagtailpoint.discovery.watch_order import watcher_count
 from wagtailpoint.discovery.watch_sharing import SOURCE_COUNT, WatchAnswer, WatchQuestion
@@ -199,6 +200,18 @@
 
         self.run_with(test)
 
+    def test_change_that_cannot_be_sent_ends_no_instance(self) -> None:
+        """Guards against watchers that end when they pass on a value they can't encode."""
+
+        async def test() -> None:
+            await self.put("odd", 2**127)
+            await trio.sleep(BOUND_S)
+            await self.put("new")
+            await trio.sleep(2 * WATCH_WAIT_S)
+            self.assertEqual(self.known(), [{"first", "odd", "new"}] * COUNT)
+
+        self.run_with(test)
+
     def test_watcher_that_is_cut_off_without_noticing(self) -> None:
         """Guards against missed changes while one watcher's connection to the store is silent.
 
