Platform: an empty list of workspaces admits no key

Cause: decode_config took an empty list for an absent one (`if wire.Tenants`), and a route table without workspaces needs no key. The logs show the new version in force on all instances, which rules out an outdated configuration and a skipped proof of freshness.

Change: only a document without the field needs no keys; with an empty list no key is valid, and `null` makes the configuration invalid, so that the one in force stays. Everything behind the decoder compares with None already.

test_without_workspaces_callers_need_no_key stated the fault as the rule, for documents with an empty list. It is replaced by three: absent (as before), empty (every key is refused, no key is refused, public routes are open) and null (refused).

Related paths looked at: empty home regions and an empty split have a meaning of their own, which the comments now state; an allowance of 0 is none by the users' page; key check, freshness proof, allowances and outgoing headers compare with None.

Tests: the two new ones in test_platform_documents, and test_last_workspace_is_removed with three processes.

--- a/src/wagtailpoint/platform/documents.py
+++ b/src/wagtailpoint/platform/documents.py
@@ -55,10 +55,12 @@
     Attempts: int = 1
     Priority: int = 0
     Sticky: bool = False
+    # Any region if empty.
     HomeRegions: list[str] | None = None
     # Whether callers need no key.
     Public: bool = False
     Service: str | None = None
+    # Replaces ``Service``, unless it is empty.
     Split: list[_Part] | None = None
 
 
@@ -101,7 +103,8 @@
     Services: list[_Service]
     Limits: _Limits
     VirtualHosts: list[_VirtualHost]
-    Tenants: list[_Tenant] | None = None
+    # Without this field callers need no key; with an empty list no key is valid.
+    Tenants: list[_Tenant] | msgspec.UnsetType = msgspec.UNSET
 
 
 _Count = Annotated[int, msgspec.Meta(ge=0)]
@@ -148,7 +151,9 @@
                 header_timeout_s=wire.Limits.HeaderTimeoutS,
                 idle_timeout_s=wire.Limits.IdleTimeoutS,
             ),
-            workspaces=_workspaces_by_key(wire.Tenants) if wire.Tenants else None,
+            workspaces=(
+                None if wire.Tenants is msgspec.UNSET else _workspaces_by_key(wire.Tenants)
+            ),
         )
     )
 
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -19,6 +19,7 @@
 from wagtailpoint.platform.documents import decode_config, decode_server
 from wagtailpoint.platform.settings import decode_node_settings
 from wagtailpoint.ports.platform import StoredObject
+from wagtailpoint.routing.access import AccessRefusal, check_access
 from wagtailpoint.routing.table import RouteKind, SplitPart
 from wagtailpoint.routing.workspaces import WorkspacePolicy, key_digest
 
@@ -84,9 +85,26 @@
         public = {route.name: route.public for route in table.hosts["ficu95.example"]}
         self.assertEqual(public, {"r-1": True, "r-2": False})
 
-    def test_without_workspaces_callers_need_no_key(self) -> None:
-        for document in (config_document(), config_document(Tenants=[])):
-            self.assertIsNone(decode_config(stored_object(document)).unwrap().workspaces)
+    def test_without_a_list_of_workspaces_callers_need_no_key(self) -> None:
+        self.assertIsNone(decode_config(stored_object(config_document())).unwrap().workspaces)
+
+    def test_empty_list_of_workspaces_admits_no_key(self) -> None:
+        """Guards against revoked and unknown keys that work once the last workspace is removed."""
+        table = decode_config(stored_object(config_document(Tenants=[]))).unwrap()
+        self.assertEqual(table.workspaces, {})
+        route = table.find("ficu95.example", "/look/1")
+        assert route is not None
+        for key, refusal in (
+            (key_digest(b"revoked"), AccessRefusal.UNKNOWN_KEY),
+            (None, AccessRefusal.NO_KEY),
+        ):
+            self.assertIs(check_access(table, route, key, proved=True), refusal)
+        self.assertIsNone(check_access(table, route._replace(public=True), None, proved=True))
+
+    def test_null_is_no_list_of_workspaces(self) -> None:
+        """Guards against an empty list that its writer encodes as null and that opens routes."""
+        error = decode_config(stored_object(config_document(Tenants=None))).unwrap_err()
+        self.assertIn("Tenants", str(error))
 
     def test_keys_do_not_appear_in_representations_or_errors(self) -> None:
         """Guards against a key in a log line or an error."""
--- a/tests/integration/test_workspace_keys.py
+++ b/tests/integration/test_workspace_keys.py
@@ -97,6 +97,24 @@
 
         self.run_with(config("00000007", KEY), test)
 
+    def test_last_workspace_is_removed(self) -> None:
+        """Guards against all keys working once a configuration takes away the last workspace."""
+
+        async def test(instances: list[Instance]) -> None:
+            await wait_until(
+                lambda: self.all_reply(instances, 200),
+                SERVE_AGAIN_TIMEOUT_S * 3,
+                "all serve the key",
+            )
+            self.store.put("config", "main", unsplit_config_document("00000009", Tenants=[]))
+            await wait_until(lambda: self.all_reply(instances, 401), REVOKE_S, "the key is gone")
+            self.seen.clear()
+            self.assertTrue(await self.all_reply(instances, 401))
+            self.assertTrue(await self.all_reply(instances, 401, "unknown"))
+            self.assertEqual(self.seen, [])
+
+        self.run_with(config("00000007", KEY), test)
+
     def test_allowance_is_shared_by_all_instances(self) -> None:
         """Guards against each instance granting the full allowance independently."""
         rate, burst, slack = 4.0, 4.0, 20.0
