Store: go on with a listing behind objects that can't be read

Cause: a listing continued from the name of the last readable object of a page; a page without one counted as the last, whatever the store said.

Here the name is read apart from all else, also if it has unpaired surrogates or the revision can't be read; and a page that announces more without a new name to continue from is an error, not the end.

Related paths: the pages that check a watch are read by the same method, and the product's own object API has no pages.

Tests: test_listing_continues_behind_unreadable_objects fails on (KeyError, RecursionError); test_listing_continues_behind_unreadable_names and test_listing_that_can_not_continue_is_none fail on the commit before.

--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -22,7 +22,7 @@
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.metrics import Metrics
-from wagtailpoint.platform.wire_objects import WireEvents, WireObjects, WirePage
+from wagtailpoint.platform.wire_objects import WireEvents, WireObjects, WirePage, read_name
 from wagtailpoint.ports.platform import (
     ABSENT,
     Conflict,
@@ -114,7 +114,8 @@
     ) -> Result[Page, PlatformUnavailable]:
         self._count(operation, kind)
         fields = {"AllowStale": "1"} if may_be_stale else {}
-        query = urlencode(fields | ({"after": after} if after else {}))
+        fields |= {"after": after} if after else {}
+        query = urlencode(fields, errors="surrogatepass")
         call = Call("GET", f"{_path(kind)}?{query}".rstrip("?"))
         outcome = await self._read(call, may_be_stale=may_be_stale)
         if isinstance(outcome, Err):
@@ -124,8 +125,14 @@
             return decoded_page
         wire, era = decoded_page.ok_value, _era_of(outcome.ok_value)
         objects = self._objects.read_all(kind, wire.items, era)
-        # A page without a valid object has no name from which to continue.
-        last = objects[-1].name if wire.HasMore and objects else None
+        last = None
+        if wire.HasMore:
+            # Also of an object that is left out: without it the page would look like the last one.
+            last = read_name(wire.items[-1]) if wire.items else None
+            if last in (None, after):
+                return Err(
+                    PlatformUnavailable(f"{kind}: no name follows {after!r}, but objects do")
+                )
         return Ok(Page(Revision(era, wire.StoreRevision), objects, after, last))
 
     async def put(
--- a/src/wagtailpoint/platform/wire_objects.py
+++ b/src/wagtailpoint/platform/wire_objects.py
@@ -1,5 +1,6 @@
 """Reading of objects in the answers of the platform's store, which is open to any writer."""
 
+import json
 import zlib
 from collections.abc import Sequence
 from typing import Annotated, Any, Final, Literal
@@ -41,11 +42,32 @@
     Spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
+class _NameText(msgspec.Struct):
+    Name: msgspec.Raw
+
+
+class _NamedObject(msgspec.Struct):
+    Metadata: _NameText
+
+
 class _Event(msgspec.Struct):
     Object: msgspec.Raw
     Deleted: bool = False
 
 
+def read_name(wire: msgspec.Raw) -> str | None:
+    """Return the name of an object, which may have surrogates; None if it has none."""
+    decoded = decode_parts(wire, _NamedObject)
+    if isinstance(decoded, Err):
+        return None
+    try:
+        # Unlike msgspec, it decodes unpaired surrogates.
+        name = json.loads(bytes(decoded.ok_value.Metadata.Name))
+    except (ValueError, RecursionError):
+        return None
+    return name if isinstance(name, str) else None
+
+
 class WireObjects:
     """Reads objects and events, each without regard to the others.
 
--- a/tests/common/users_store.py
+++ b/tests/common/users_store.py
@@ -128,7 +128,10 @@
         if self.refusal_status is not None:
             return self.refusal_status, {"Error": "refused"}
         parts = urlsplit(target)
-        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        query = {
+            name: values[0]
+            for name, values in parse_qs(parts.query, errors="surrogatepass").items()
+        }
         kind, _, name = parts.path.removeprefix("/api/objects/").partition("/")
         if method == "GET" and name:
             current = self._objects.get((kind, name))
--- a/tests/cover/test_unreadable_objects.py
+++ b/tests/cover/test_unreadable_objects.py
@@ -3,6 +3,7 @@
 import random
 import unittest
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import msgspec
 import trio
@@ -11,7 +12,7 @@
 from tests.common.node_settings_file import config_document
 from tests.common.odd_values import LARGE_INTEGER, NESTED, SURROGATE, UNREADABLE
 from tests.common.steering_parts import REGION_OF
-from tests.common.users_store import UsersStore
+from tests.common.users_store import PAGE_SIZE, UsersStore
 from wagtailpoint.daemon.store_state import StoreState
 from wagtailpoint.discovery.fleet import Fleet
 from wagtailpoint.discovery.follower import KindFollower
@@ -140,6 +141,48 @@
 
         self.run_with(test)
 
+    def test_listing_continues_behind_unreadable_objects(self) -> None:
+        """Guards against restarted instances that know no backend server, for a page of others."""
+        for text in UNREADABLE:
+            with self.subTest(text=text[:20]):
+                for number in range(2 * PAGE_SIZE):
+                    self.store.put(KIND, f"h-{number}", msgspec.Raw(text.encode()))
+                self.store.put(KIND, "i-1", {"n": 1})
+                self.assertEqual(self.read_objects(KIND)["i-1"].value, {"n": 1})
+
+    def test_listing_continues_behind_unreadable_names(self) -> None:
+        """Guards against listings that end with a page on which no name can be read."""
+        names = [r'"h\ud800"', r'"h\udcff"', r'"h\udcff2"']
+        page = self.store._page
+
+        def with_odd_names(kind: str, after: str) -> dict[str, Any]:
+            if after == "":
+                items = [msgspec.Raw(b'{"Metadata":{"Name":%s}}' % n.encode()) for n in names[:2]]
+            elif after == "h\udcff":
+                items = [msgspec.Raw(b'{"Metadata":{"Name":%s}}' % names[2].encode())]
+            else:
+                self.assertEqual(after, "h\udcff2")
+                return page(kind, "h")
+            return {"items": items, "HasMore": True, "StoreRevision": 9}
+
+        self.store._page = with_odd_names  # type: ignore[method-assign]
+        self.store.put(KIND, "i-1", {"n": 1})
+        self.assertEqual(list(self.read_objects(KIND)), ["i-1"])
+
+    def test_listing_that_can_not_continue_is_none(self) -> None:
+        """Guards against a listing that passes for complete, and one that is read without end."""
+        items: list[Any] = []
+
+        def page(kind: str, after: str) -> dict[str, Any]:
+            return {"items": items, "HasMore": True, "StoreRevision": 9}
+
+        async def test(client: ObjectStore) -> None:
+            for items[:] in ([], [7], [{"Metadata": {"Name": 7}}], [{"Metadata": {"Name": "h"}}]):
+                self.assertTrue((await client.list(kind=KIND)).is_err())
+
+        self.store._page = page  # type: ignore[method-assign]
+        self.run_with(test)
+
     def test_conflict_with_an_unreadable_object(self) -> None:
         """Guards against a write that is repeated without end where it could replace the object."""
         self.store.put(KIND, "i-1", msgspec.Raw(NESTED.encode()))
