Leases, claims: survive what another writer has written

A lease of another writer, or one that it had overwritten, ended each instance that read it: KeyError or TypeError in `stored.value["holder"]`, in the task that keeps the allowance slots, at each restart again (the listing of the previous holders comes first). An overwritten claim of a key ended the request with an error in place of a refusal.

Change: read_value converts what is stored to the type that its reader expects, or says why not; all readers use it (leases, claims, registrations, progress of moves, quarantined requests, configurations, entries). An unreadable lease may be held by someone: it is taken only when it has been unchanged for its whole duration, never as a vacant one. An unreadable claim may stand for a run elsewhere: the key is refused as outcome-unknown.

Errors about documents have a limited length; before, one line of the log was as long as the field that it was about. A configuration's version has at most 15 hexadecimal digits: a longer one broke the metrics page, by reading.

Tests: test_unreadable_leases_end_no_instance (slots), test_unreadable_lease_is_taken_after_its_duration, test_unreadable_claim_refuses_the_key, test_errors_have_a_limited_length, and two versions in test_invalid_configuration_names_the_field.

--- a/src/wagtailpoint/adapters/json_parts.py
+++ b/src/wagtailpoint/adapters/json_parts.py
@@ -12,12 +12,12 @@
 import msgspec
 from result import Err, Ok, Result
 
+from wagtailpoint.errors import describe_error
+
 MAX_NESTING: Final = 32
 """Maximum nesting of arrays and objects in a value. Encoding, comparison and ``repr`` recurse into
 a value, on a stack that may be nearly used up where they are called."""
 
-MAX_REASON_CHARACTERS: Final = 200
-
 _STRING: Final = r'"(?:[^"\\]++|\\.)*+"'
 _NEXT_BRACKETS: Final = re.compile(rf'(?:[^"\[\]{{}}]++|{_STRING})*+([\[{{]+|[\]}}]+)', re.DOTALL)
 """The next run of brackets of one kind, behind strings and whatever else has no meaning here."""
@@ -41,7 +41,7 @@
         return Ok(msgspec.json.decode(text, type=wire_type))
     except Exception as error:
         # Not only `DecodeError`: nesting raises RecursionError.
-        return Err(describe(error))
+        return Err(describe_error(error))
 
 
 def decode_value(text: msgspec.Raw) -> Result[Any, str]:
@@ -63,7 +63,7 @@
         # JSON has integers of any length, MessagePack only those of 64 bits.
         msgspec.msgpack.encode(decoded.ok_value)
     except Exception as error:
-        return Err(describe(error))
+        return Err(describe_error(error))
     return decoded
 
 
@@ -124,11 +124,6 @@
     return _split(text, "[")
 
 
-def describe(error: Exception) -> str:
-    """Return the text of an error, of limited length."""
-    return str(error)[:MAX_REASON_CHARACTERS] or type(error).__name__
-
-
 def _decode_part(text: str, wire_type: Any) -> Result[Any, str]:
     if wire_type is msgspec.Raw:
         return Ok(msgspec.Raw(text))
@@ -136,7 +131,7 @@
         try:
             return Ok([msgspec.Raw(item) for item in split_array(text)])
         except ValueError as error:
-            return Err(describe(error))
+            return Err(describe_error(error))
     if isinstance(wire_type, type) and issubclass(wire_type, msgspec.Struct):
         return decode_parts(text, wire_type)
     return decode(text, wire_type)
--- a/src/wagtailpoint/config/reader.py
+++ b/src/wagtailpoint/config/reader.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable, Mapping
 from typing import Any, NamedTuple, TypeVar
 
-import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -21,6 +20,7 @@
 from wagtailpoint.errors import PlatformUnavailable
 from wagtailpoint.ports.platform import ABSENT, Platform, StoredObject
 from wagtailpoint.revision import Revision
+from wagtailpoint.stored_value import read_value
 
 _MAX_CONCURRENT_FETCHES = 8
 
@@ -139,10 +139,9 @@
 
 def convert_value(value: Any, wire_type: type[_T]) -> Result[_T, PlatformUnavailable]:
     """Convert a stored value to ``wire_type``; an error if it doesn't match the type."""
-    try:
-        return Ok(msgspec.convert(value, wire_type))
-    except msgspec.ValidationError as error:
-        return Err(PlatformUnavailable(f"invalid {wire_type.__name__.lower()}: {error}"))
+    return read_value(value, wire_type).map_err(
+        lambda error: PlatformUnavailable(f"invalid {wire_type.__name__.lower()}: {error}")
+    )
 
 
 def contents_by_hash(snapshot: Snapshot | None) -> dict[str, Any]:
--- a/src/wagtailpoint/discovery/registration.py
+++ b/src/wagtailpoint/discovery/registration.py
@@ -13,6 +13,7 @@
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
+from wagtailpoint.stored_value import read_value
 
 INSTANCES_KIND = "wagtailpoint-instances"
 RETRY_DELAY_S = 0.5
@@ -38,11 +39,11 @@
 
 def read_registered(stored: StoredObject) -> Registered | None:
     """Decode an instance's registration; return None and log the error if it is invalid."""
-    try:
-        return msgspec.convert(stored.value, Registered)
-    except msgspec.ValidationError as error:
-        log_event("instance-unreadable", level="WARNING", name=stored.name, error=error)
+    read = read_value(stored.value, Registered)
+    if isinstance(read, Err):
+        log_event("instance-unreadable", level="WARNING", name=stored.name, error=read.err_value)
         return None
+    return read.ok_value
 
 
 class Registration:
--- a/src/wagtailpoint/errors.py
+++ b/src/wagtailpoint/errors.py
@@ -4,10 +4,17 @@
 values, not exceptions (see ``wagtailpoint.admission``), because they are an ordinary outcome.
 """
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from wagtailpoint.verdict import Verdict
 
+MAX_DESCRIPTION_CHARACTERS: Final = 200
+
+
+def describe_error(error: Exception) -> str:
+    """Return the text of an error about input, which may repeat the input, in limited length."""
+    return str(error)[:MAX_DESCRIPTION_CHARACTERS] or type(error).__name__
+
 
 class WagtailpointError(Exception):
     """Base class of all exceptions raised by wagtailpoint."""
--- a/src/wagtailpoint/idempotency/claims.py
+++ b/src/wagtailpoint/idempotency/claims.py
@@ -16,9 +16,11 @@
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
 from wagtailpoint.idempotency.keys import RequestKey
 from wagtailpoint.idempotency.outcome import DUPLICATE_RETRY_AFTER_S
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
 from wagtailpoint.revision import Revision
+from wagtailpoint.stored_value import read_value
 from wagtailpoint.verdict import Verdict
 
 CLAIM_KIND = "key-claim"
@@ -177,9 +179,11 @@
                 return None
 
     def _resolve(self, stored: StoredObject) -> Claimed | NotClaimed:
-        holder = ClaimValue(
-            incarnation=stored.value["incarnation"], address=stored.value["address"]
-        )
+        read = read_value(stored.value, ClaimValue)
+        if isinstance(read, Err):
+            log_event("claim-unreadable", level="WARNING", name=stored.name, error=read.err_value)
+            return NotClaimed(_claim_unreadable(), None)
+        holder = read.ok_value
         if holder["incarnation"] == self._value["incarnation"]:
             return self._record_held(stored)
         return NotClaimed(_claimed_elsewhere(holder), holder)
@@ -220,6 +224,17 @@
     )
 
 
+def _claim_unreadable() -> Refusal:
+    return Refusal(
+        HTTPStatus.CONFLICT,
+        RefusalCode.OUTCOME_UNKNOWN,
+        "the claim of the key can't be read, so that the request may have run elsewhere; read the "
+        "outcome from the service",
+        Verdict.MAY_HAVE_RUN,
+        DUPLICATE_RETRY_AFTER_S,
+    )
+
+
 def _claimed_elsewhere(holder: ClaimValue) -> Refusal:
     return Refusal(
         HTTPStatus.CONFLICT,
--- a/src/wagtailpoint/limits/allowance_slots.py
+++ b/src/wagtailpoint/limits/allowance_slots.py
@@ -18,7 +18,7 @@
     LEASE_KIND,
     Holder,
     Lease,
-    holder_from_value,
+    read_lease,
 )
 from wagtailpoint.membership import Membership
 from wagtailpoint.membership.member import Member, capacity_sort_key
@@ -203,7 +203,7 @@
             log_event("allowance-slots-unread", level="WARNING", error=listing.err_value)
             return
         for stored in listing.ok_value.objects:
-            holder = holder_from_value(stored.value["holder"])
+            holder = read_lease(stored).holder
             if holder is not None:
                 self._previous_holders[stored.name] = PeerAddress(holder.address, holder.port)
         self._candidates = {}
--- a/src/wagtailpoint/limits/lease.py
+++ b/src/wagtailpoint/limits/lease.py
@@ -16,9 +16,11 @@
 from wagtailpoint.discovery.store_era import StoreEra
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
 from wagtailpoint.limits.conditional import PutResult, put_settled
+from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
 from wagtailpoint.revision import NO_REVISION, Revision
+from wagtailpoint.stored_value import read_value
 
 LEASE_KIND: Final = "lease"
 LAPSE_FRACTION: Final = 0.9
@@ -129,6 +131,30 @@
     write: str
 
 
+class StoredLease(NamedTuple):
+    """A lease as read from the store.
+
+    Attributes:
+        holder: Holder of the lease; None if it is vacant, or unknown.
+        write: Identity of the write; empty if it is unknown.
+        is_readable: Whether the value is that of a lease.
+    """
+
+    holder: Holder | None
+    write: str
+    is_readable: bool = True
+
+
+def read_lease(stored: StoredObject) -> StoredLease:
+    """Read a stored lease; log a warning if its value is not that of a lease."""
+    read = read_value(stored.value, LeaseValue)
+    if isinstance(read, Err):
+        log_event("lease-unreadable", level="WARNING", name=stored.name, error=read.err_value)
+        return StoredLease(None, "", is_readable=False)
+    value = read.ok_value
+    return StoredLease(holder_from_value(value["holder"]), value["write"])
+
+
 class NotHeld(NamedTuple):
     """A protected write was not sent because the lease is not held.
 
@@ -259,23 +285,24 @@
     async def _evaluate(self, stored: StoredObject) -> None:
         if not self._sightings.record(self._name, stored.version):
             return
-        value: LeaseValue = stored.value
-        holder = holder_from_value(value["holder"])
+        lease = read_lease(stored)
+        holder = lease.holder
         if self._may_be_lost_to_another():
             return
         if holder == self._own and self._fence != NO_REVISION:
             self._adopt(stored)
             await self._write(self._own, stored.version)
             return
-        if self.held() and value["write"] in self._past_writes:
+        if self.held() and lease.write in self._past_writes:
             # A copy, which has what this process replaced.
             await self._write(self._own, stored.version)
             return
-        self._past_writes.append(value["write"])
+        if lease.is_readable:
+            self._past_writes.append(lease.write)
         self._counted_from = None
         # Two processes cannot listen at the same address and port, so an earlier holder there has
-        # ended.
-        vacant = holder is None or holder.place == self._own.place
+        # ended. An unreadable lease may be that of a newer version, and is waited for.
+        vacant = lease.is_readable and (holder is None or holder.place == self._own.place)
         if vacant or self._sightings.unchanged_s(self._name) >= self._lease_s:
             self._fence = NO_REVISION
             await self._write(self._own, stored.version)
@@ -298,6 +325,6 @@
 
     def _adopt(self, stored: StoredObject) -> None:
         self._version = stored.version
-        sent = self._writes.sent_at(stored.value["write"])
+        sent = self._writes.sent_at(read_lease(stored).write)
         if sent is not None:
             self._counted_from = max(sent, self._counted_from or sent)
--- a/src/wagtailpoint/moves/progress.py
+++ b/src/wagtailpoint/moves/progress.py
@@ -4,13 +4,14 @@
 from hashlib import blake2b
 from typing import Any, Final, NamedTuple, TypedDict
 
-import msgspec
 from result import Err, Ok, Result
 
 from wagtailpoint.config.model import Move
+from wagtailpoint.errors import describe_error
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import StoredObject
 from wagtailpoint.revision import Revision
+from wagtailpoint.stored_value import read_value
 
 PROGRESS_KIND: Final = "move-progress"
 NOT_BEGUN: Final = -1
@@ -95,11 +96,14 @@
 
 def read_progress(stored: StoredObject) -> Result[MoveProgress, str]:
     """Parse a stored progress; the error names the object and what is wrong with it."""
+    read = read_value(stored.value, ProgressValue)
+    if isinstance(read, Err):
+        return Err(f"{stored.kind}/{stored.name}: {read.err_value}")
+    value = read.ok_value
     try:
-        value = msgspec.convert(stored.value, ProgressValue)
         state = MoveState(value["state"])
     except ValueError as error:
-        return Err(f"{stored.kind}/{stored.name}: {error}")
+        return Err(f"{stored.kind}/{stored.name}: {describe_error(error)}")
     writer = PeerAddress(value["writer"], value["writer_port"], value["writer_incarnation"])
     return Ok(
         MoveProgress(
--- a/src/wagtailpoint/platform/documents.py
+++ b/src/wagtailpoint/platform/documents.py
@@ -1,13 +1,13 @@
 """Decoding of the documents in the platform's store into this system's types."""
 
 from collections.abc import Collection, Sequence
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 
 import msgspec
 from result import Err, Ok, Result
 
 from wagtailpoint.discovery.entries import RegisteredServer, ServerEntry
-from wagtailpoint.errors import InvalidInput, Mistake
+from wagtailpoint.errors import InvalidInput, Mistake, describe_error
 from wagtailpoint.limits.allowance import Allowance
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.ports.backend import BackendAddress
@@ -21,12 +21,16 @@
     SplitPart,
 )
 from wagtailpoint.routing.workspaces import WorkspacePolicy, WorkspacesByKey, key_digest
+from wagtailpoint.stored_value import read_value
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
 SERVERS_KIND = "servers"
 EVACUATIONS_KIND = "evacuations"
 
+MAX_NAME_CHARACTERS = 100
+"""Maximum length of a name from a document in an error."""
+
 MAX_SLOTS = 100_000
 MAX_COLD_S = 24 * 3600.0
 """Entries with larger values were not written by a backend server."""
@@ -99,7 +103,7 @@
 
 
 class _Config(msgspec.Struct):
-    Version: str
+    Version: Annotated[str, msgspec.Meta(pattern="^[0-9A-Fa-f]{1,15}$")]
     Services: list[_Service]
     Limits: _Limits
     VirtualHosts: list[_VirtualHost]
@@ -126,14 +130,13 @@
 
 def decode_config(stored: StoredObject) -> Result[RouteTable, InvalidInput]:
     """Decode the configuration document into a route table."""
-    try:
-        wire = msgspec.convert(stored.value, _Config)
-        version = int(wire.Version, 16)
-    except (msgspec.ValidationError, ValueError) as error:
-        return Err(_invalid_document(stored, error))
+    read = read_value(stored.value, _Config)
+    if isinstance(read, Err):
+        return Err(_invalid_document(stored, read.err_value))
+    wire = read.ok_value
     return Ok(
         RouteTable(
-            version=version,
+            version=int(wire.Version, 16),
             hosts=_routes_by_host(wire.VirtualHosts),
             services={
                 service.Name: ServicePolicy(
@@ -165,13 +168,16 @@
 
     The store is open to any writer: an entry without a usable backend server is an error.
     """
+    read = read_value(stored.value, _Server)
+    if isinstance(read, Err):
+        return Err(_invalid_document(stored, read.err_value))
+    wire = read.ok_value
     try:
-        wire = msgspec.convert(stored.value, _Server)
         address = Endpoint.parse(wire.Address)
-    except (msgspec.ValidationError, ValueError) as error:
-        return Err(_invalid_document(stored, error))
+    except ValueError as error:
+        return Err(_invalid_document(stored, describe_error(error)))
     if wire.Zone not in failure_domains:
-        return Err(_invalid_document(stored, f"failure domain {wire.Zone!r}"))
+        return Err(_invalid_document(stored, f"failure domain {wire.Zone[:MAX_NAME_CHARACTERS]!r}"))
     entry = ServerEntry(
         server_id=stored.name,
         service=wire.Service,
@@ -237,6 +243,6 @@
     return frozenset.intersection(*region_sets) if region_sets else None
 
 
-def _invalid_document(stored: StoredObject, error: Any) -> InvalidInput:
-    name = f"{stored.kind}/{stored.name}"
-    return InvalidInput([Mistake(name, str(error), "a document in the platform's format")])
+def _invalid_document(stored: StoredObject, error: str) -> InvalidInput:
+    name = f"{stored.kind}/{stored.name[:MAX_NAME_CHARACTERS]}"
+    return InvalidInput([Mistake(name, error, "a document in the platform's format")])
--- a/src/wagtailpoint/quarantine/stored.py
+++ b/src/wagtailpoint/quarantine/stored.py
@@ -14,6 +14,7 @@
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
 from wagtailpoint.revision import Revision
+from wagtailpoint.stored_value import read_value
 
 KIND: Final = "wagtailpoint-quarantine"
 
@@ -45,11 +46,11 @@
 
 def decode_report(stored: StoredObject) -> CrashReport | None:
     """Decode a quarantined request; log a warning and return None if it is invalid."""
-    try:
-        value = msgspec.convert(stored.value, _Value)
-    except msgspec.ValidationError as error:
-        log_event("quarantine-unreadable", level="WARNING", name=stored.name, error=error)
+    read = read_value(stored.value, _Value)
+    if isinstance(read, Err):
+        log_event("quarantine-unreadable", level="WARNING", name=stored.name, error=read.err_value)
         return None
+    value = read.ok_value
     starts = tuple(ServerStart(server_id, started_ms) for server_id, started_ms in value.servers)
     return CrashReport(stored.name, value.method, value.host, value.target, starts)
 
--- a/tests/cover/test_allowances.py
+++ b/tests/cover/test_allowances.py
@@ -15,9 +15,11 @@
     RENEW_INTERVAL_S,
     SETTLE_S,
     SLOTS_PER_REGION,
+    Slot,
     slots_for_workspace,
 )
 from wagtailpoint.limits.lease import LEASE_KIND
+from wagtailpoint.ports.platform import ABSENT
 
 SLACK = 20.0
 SETTLED_S = SETTLE_S + 3.0
@@ -169,6 +171,28 @@
 
         self.run_group({"w": Allowance(5.0, 5.0)}, test)
 
+    def test_unreadable_leases_end_no_instance(self) -> None:
+        """Guards against restarted instances that end for a lease of another writer."""
+
+        async def test(group: AllowanceGroup, nursery: trio.Nursery) -> None:
+            for number in range(len(group.instances)):
+                group.kill(number)
+            store = group.platform.store
+            overwritten = store.get(LEASE_KIND, Slot("a", 0).name)
+            assert overwritten is not None
+            store.put(LEASE_KIND, overwritten.name, [], overwritten.version)
+            for value in (None, 7, {}, {"holder": 7, "write": ""}):
+                store.put(LEASE_KIND, f"odd-{value}", value, ABSENT)
+            await trio.sleep(1.0)
+            for number in range(len(group.instances)):
+                group.restart(number, nursery)
+            await trio.sleep(LEASE_S + SETTLED_S)
+            self.assertEqual(
+                sum(instance.slots_held for instance in group.instances), 3 * SLOTS_PER_REGION
+            )
+
+        self.run_group({"w": Allowance(5.0, 5.0)}, test)
+
     def test_lost_holder_is_replaced_after_its_lease(self) -> None:
         async def test(group: AllowanceGroup, nursery: trio.Nursery) -> None:
             lost = next(n for n, instance in enumerate(group.instances) if instance.slots_held)
--- a/tests/cover/test_claims.py
+++ b/tests/cover/test_claims.py
@@ -3,12 +3,14 @@
 import unittest
 
 import trio
+from loguru import logger
 
 from tests.common.fake_clock import FakeClock
 from tests.common.fake_platform import FakePlatform
 from wagtailpoint.admission.refusal import RefusalCode
 from wagtailpoint.idempotency.claims import CLAIM_KIND, Claimed, Claims, NotClaimed
 from wagtailpoint.idempotency.keys import RequestKey
+from wagtailpoint.ports.platform import ABSENT
 from wagtailpoint.verdict import Verdict
 
 KEY = RequestKey("surakkha", "release-1")
@@ -17,6 +19,8 @@
 
 class ClaimsTest(unittest.TestCase):
     def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
         self.platform = FakePlatform()
         self.clock = FakeClock()
         self.first = self.make_claims("a" * 16)
@@ -63,6 +67,15 @@
         self.platform.down = False
         self.assertIsInstance(self.claim(self.first), Claimed)
 
+    def test_unreadable_claim_refuses_the_key(self) -> None:
+        """Guards against a request that runs twice, or an error, for a claim of another writer."""
+        name = KEY.digest().hex()
+        for value in (None, 7, {}, {"incarnation": "a" * 16}, {"incarnation": 7, "address": "x"}):
+            with self.subTest(value=value):
+                self.setUp()
+                self.platform.store.put(CLAIM_KIND, name, value, ABSENT)
+                self.check_refused(self.first, RefusalCode.OUTCOME_UNKNOWN, Verdict.MAY_HAVE_RUN)
+
     def test_claim_permits_one_run_only(self) -> None:
         """Guards against a process that runs the request of its claim twice.
 
--- a/tests/cover/test_lease.py
+++ b/tests/cover/test_lease.py
@@ -1,20 +1,33 @@
 """Tests of leases that make one process the only writer."""
 
 import unittest
+from typing import Any, Final
 
 from loguru import logger
 
 from tests.common.object_store import ObjectStore
 from tests.common.stepped_platform import SteppedProcess, World
 from wagtailpoint.discovery.store_era import StoreEra
-from wagtailpoint.limits.lease import Holder, Lease
+from wagtailpoint.limits.lease import LEASE_KIND, Holder, Lease
 from wagtailpoint.observe.metrics import Metrics
 
 LEASE_S = 10.0
+UNREADABLE_LEASES: Final[tuple[Any, ...]] = (
+    None,
+    7,
+    [],
+    {},
+    {"holder": None},
+    {"holder": 7, "write": "1-1"},
+    {"holder": {"address": "127.0.0.1"}, "write": "1-1"},
+    {"holder": None, "write": 7},
+)
 
 
 class LeaseTest(unittest.TestCase):
     def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
         self.world = World()
         self.processes = [
             SteppedProcess(self.world, Holder("127.0.0.1", port, port), rate=1.0, offset=0.0)
@@ -65,6 +78,24 @@
         self.assertTrue(self.step(1))
         self.assertGreater(self.leases[1].fence, fence)
 
+    def test_unreadable_lease_is_taken_after_its_duration(self) -> None:
+        """Guards against instances that end for a lease that another writer has overwritten."""
+        for value in UNREADABLE_LEASES:
+            with self.subTest(value=value):
+                self.setUp()
+                self.assertTrue(self.step(0))
+                stored = self.world.store.get(LEASE_KIND, "move")
+                assert stored is not None
+                self.world.store.put(LEASE_KIND, "move", value, stored.version)
+                self.assertFalse(self.step(1))
+                self.world.now += LEASE_S - 0.1
+                # Its renewal fails, and by now it may have been overtaken.
+                self.assertFalse(self.step(0))
+                self.assertFalse(self.step(1))
+                self.world.now += 0.2
+                self.assertTrue(self.step(1))
+                self.assertFalse(self.step(0))
+
     def test_delayed_release_does_not_free_a_held_lease(self) -> None:
         """Guards against two processes that write under one lease.
 
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -131,6 +131,8 @@
     def test_invalid_configuration_names_the_field(self) -> None:
         for changes, expected in (
             ({"Version": "seven"}, "main"),
+            ({"Version": "f" * 5000}, "main"),
+            ({"Version": "-1"}, "main"),
             ({"Limits": {}}, "MaxHeaderBytes"),
             ({"VirtualHosts": [{"Host": "h", "PathRoutes": [{"Name": "r"}]}]}, "PathPrefix"),
         ):
@@ -180,12 +182,31 @@
             {"Address": "10.1.2.3:0"},
             {"Address": "10.1.2.3:99999"},
             {"Address": "10.1.2.300:80"},
+            {"Address": "10.1.2.3:" + "9" * 5000},
+            {"Address": "10.1.2.3:٨٠"},
+            {"Address": "10.1.2.3:-80"},
+            {"Address": "10.1.2.3:80 "},
+            {"Address": "10.1.2:80"},
+            {"Address": "0x0a.1.2.3:80"},
+            {"Address": "desk.example:80"},
+            {"Address": "[::1]:80"},
+            {"Address": "\x0010.1.2.3:80"},
             {"Address": ":80"},
             {"Address": 80},
+            {"Service": 10**400},
+            {"ColdLeftS": 10**400},
+            {"ColdLeftS": float("nan")},
         ):
             value = server_document("10.1.2.3:80") | changes
             self.assertTrue(self.decode(value).is_err(), changes)
 
+    def test_errors_have_a_limited_length(self) -> None:
+        """Guards against log lines as long as the entry that they are about."""
+        long = "x" * 100_000
+        for changes in ({"Address": long}, {"Zone": long}, {"State": long}, {long: 1, "Zone": 1}):
+            error = self.decode(server_document("10.1.2.3:80") | changes).unwrap_err()
+            self.assertLess(len(str(error)), 500)
+
     def test_missing_fields(self) -> None:
         complete = server_document("10.1.2.3:80")
         self.assertTrue(self.decode(complete).is_ok())
