Untrusted input: read numbers and documents of others in one place

Callers got a 500 in place of a backend server's 200 whose X-Cold-Ms or Keep-Alive had hundreds of digits: int() refuses thousands of digits with ValueError, and a division of hundreds raises OverflowError, after the request had run. A settings file with nested arrays ended a running instance at its next poll (RecursionError). A Retry-After of the platform in a refusal, with hundreds of digits, was an infinite delay: the watcher of the product's own configuration never asked again.

Change: untrusted_input.parse_count takes 1 to 20 ASCII digits, decode_json returns any error of the decoder as a reason of limited length. They replace int() after isdigit() and `except DecodeError` in headers of responses, relay openings, Retry-After, client blocks, entry addresses of the command line, refusals and lookups in the caller library, load reports, settings files and configurations passed between instances.

Tests: test_odd_numbers_in_headers_of_a_response failed before in 4 of 12 cases (500), test_nested_file_is_ignored in 2 of 12 (RecursionError), test_long_requested_delay_is_shortened without the limit; test_untrusted_input holds the other paths; two more inputs in test_invalid_input_ends_one_connection passed before, too, since the relay catches what one connection raises.

--- a/src/wagtailpoint/adapters/backend_headers.py
+++ b/src/wagtailpoint/adapters/backend_headers.py
@@ -4,6 +4,7 @@
 
 from wagtailpoint.ports.backend import BackendAddress, BackendRequest, Headers
 from wagtailpoint.proxy.headers import HOP_BY_HOP
+from wagtailpoint.untrusted_input import parse_count
 
 REQUEST_ID_HEADER = b"wagtailpoint-request-id"
 DEADLINE_HEADER = b"wagtailpoint-deadline-ms"
@@ -70,8 +71,7 @@
 
 def retry_after_s(headers: Headers) -> float | None:
     """Return the value of ``Retry-After`` in seconds; None if it is absent or a date."""
-    value = first_value(headers, b"retry-after")
-    return float(value) if value is not None and value.isdigit() else None
+    return parse_count(first_value(headers, b"retry-after") or b"")
 
 
 def is_draining(headers: Headers) -> bool:
--- a/src/wagtailpoint/adapters/backend_http.py
+++ b/src/wagtailpoint/adapters/backend_http.py
@@ -26,6 +26,7 @@
     FailureReason,
     LoadReport,
 )
+from wagtailpoint.untrusted_input import decode_json
 from wagtailpoint.verdict import Verdict
 
 MAX_IDLE_CONNECTIONS = 12
@@ -306,9 +307,9 @@
             content += chunk
             if len(content) > MAX_REPORT_BYTES:
                 return bad
-        report = msgspec.json.decode(content, type=_Report)
-    except (BodyBroken, msgspec.DecodeError):
+    except BodyBroken:
         return bad
-    if response.status != OK_STATUS:
+    report = decode_json(content, _Report)
+    if isinstance(report, Err) or response.status != OK_STATUS:
         return bad
-    return Ok(LoadReport(**report))
+    return Ok(LoadReport(**report.ok_value))
--- a/src/wagtailpoint/adapters/json_parts.py
+++ b/src/wagtailpoint/adapters/json_parts.py
@@ -13,6 +13,7 @@
 from result import Err, Ok, Result
 
 from wagtailpoint.errors import describe_error
+from wagtailpoint.untrusted_input import decode_json
 
 MAX_NESTING: Final = 32
 """Maximum nesting of arrays and objects in a value. Encoding, comparison and ``repr`` recurse into
@@ -27,23 +28,9 @@
 
 _CONTAINERS: Final = (list, dict)
 
-_T = TypeVar("_T")
 _Struct = TypeVar("_Struct", bound=msgspec.Struct)
 
 
-def decode(text: str | bytes | msgspec.Raw, wire_type: type[_T]) -> Result[_T, str]:
-    """Decode a JSON document.
-
-    Returns:
-        The value, or the reason why it can't be decoded, of limited length.
-    """
-    try:
-        return Ok(msgspec.json.decode(text, type=wire_type))
-    except Exception as error:
-        # Not only `DecodeError`: nesting raises RecursionError.
-        return Err(describe_error(error))
-
-
 def decode_value(text: msgspec.Raw) -> Result[Any, str]:
     """Decode a value of any form.
 
@@ -51,7 +38,7 @@
         The value, or the reason why it is unusable: it can't be decoded, is nested in more than
         ``MAX_NESTING`` levels, or has an integer that instances can't send each other.
     """
-    decoded = decode(text, Any)
+    decoded = decode_json(text, Any)
     if isinstance(decoded, Err):
         return decoded
     # Nearly all values have too few brackets for that, in strings or not.
@@ -80,7 +67,7 @@
     Returns:
         The object, or the reason why a field that is not raw can't be decoded.
     """
-    whole = decode(text, wire_type)
+    whole = decode_json(text, wire_type)
     if isinstance(whole, Ok):
         return whole
     try:
@@ -109,7 +96,7 @@
     values = _split(text, "{")
     fields = {}
     for key, value in zip(values[::2], values[1::2], strict=True):
-        name = decode(key, str)
+        name = decode_json(key, str)
         if isinstance(name, Ok):
             fields[name.ok_value] = value
     return fields
@@ -134,7 +121,7 @@
             return Err(describe_error(error))
     if isinstance(wire_type, type) and issubclass(wire_type, msgspec.Struct):
         return decode_parts(text, wire_type)
-    return decode(text, wire_type)
+    return decode_json(text, wire_type)
 
 
 def _split(text: str, opening: str) -> list[str]:
--- a/src/wagtailpoint/adapters/object_calls.py
+++ b/src/wagtailpoint/adapters/object_calls.py
@@ -18,6 +18,7 @@
 from wagtailpoint.adapters.json_parts import decode_parts
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
 from wagtailpoint.tcp_options import LIVENESS_OPTIONS
+from wagtailpoint.untrusted_input import parse_count
 
 _MAX_CONNECTIONS = 32
 
@@ -69,8 +70,7 @@
     @property
     def retry_after_s(self) -> float | None:
         """The value of ``Retry-After`` in seconds; None if it is absent or a date."""
-        value = self.header(b"retry-after")
-        return float(value) if value is not None and value.isdigit() else None
+        return parse_count(self.header(b"retry-after") or b"")
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its name in lower case."""
--- a/src/wagtailpoint/caller/answer.py
+++ b/src/wagtailpoint/caller/answer.py
@@ -2,10 +2,9 @@
 
 from typing import Any, NamedTuple
 
-import msgspec
-
 from wagtailpoint import headers
 from wagtailpoint.caller.exchange import EntryAddress, Headers, Reply, find_header
+from wagtailpoint.untrusted_input import decode_json, parse_count
 from wagtailpoint.verdict import Verdict
 
 
@@ -49,17 +48,14 @@
 def read_retry_after_s(header_fields: Headers) -> float:
     """Return the value of ``Retry-After`` in seconds; 0 if it is absent or a date."""
     value = find_header(header_fields, headers.RETRY_AFTER) or b""
-    return float(value) if value.isdigit() else 0.0
+    return float(parse_count(value) or 0)
 
 
 def refusal_code(status: int, body: bytes) -> str | None:
     """Return the code in a refusal's JSON body; None if the body has none."""
     if status < 400:
         return None
-    try:
-        decoded: Any = msgspec.json.decode(body)
-    except msgspec.DecodeError:
-        return None
+    decoded = decode_json(body, Any).unwrap_or(None)
     code = decoded.get("code") if isinstance(decoded, dict) else None
     return code if isinstance(code, str) else None
 
--- a/src/wagtailpoint/caller/entries.py
+++ b/src/wagtailpoint/caller/entries.py
@@ -5,13 +5,14 @@
 from typing import NamedTuple
 from urllib.parse import urlencode
 
-import msgspec
 import trio
+from result import Err
 
 from wagtailpoint.caller.exchange import EntryAddress, Exchanges, Outgoing, Reply
 from wagtailpoint.errors import NoEntryAvailable
 from wagtailpoint.lookup.answer import LookupAnswer, LookupEntry
 from wagtailpoint.retries.policy import order_for_retry
+from wagtailpoint.untrusted_input import decode_json
 
 LOOKUP_PATH = "/v1/lookup"
 _LOOKUP_TIMEOUT_S = 1.0
@@ -112,11 +113,10 @@
             return reply.reason
         if reply.status != _OK:
             return f"status-{reply.status}"
-        try:
-            answer = msgspec.json.decode(reply.body, type=LookupAnswer)
-        except msgspec.DecodeError as error:
-            return f"unreadable: {error}"
-        return answer if answer["entries"] else "no-entries"
+        read = decode_json(reply.body, LookupAnswer)
+        if isinstance(read, Err):
+            return f"unreadable: {read.err_value}"
+        return read.ok_value if read.ok_value["entries"] else "no-entries"
 
 
 def _to_known_entry(entry: LookupEntry) -> KnownEntry:
--- a/src/wagtailpoint/cli/profile.py
+++ b/src/wagtailpoint/cli/profile.py
@@ -10,6 +10,7 @@
 from wagtailpoint.checking import MAX_PORT, ObjectReader, is_ip_number, parse_json
 from wagtailpoint.errors import InvalidInput, Mistake
 from wagtailpoint.settings import PlatformAddress
+from wagtailpoint.untrusted_input import parse_count
 
 
 class EntryAddress(NamedTuple):
@@ -51,10 +52,11 @@
         """
         if isinstance(value, EntryAddress):
             return value
-        address, _, port = str(value).rpartition(":")
+        address, _, port_text = str(value).rpartition(":")
+        port = parse_count(port_text)
         address = address.removeprefix("[").removesuffix("]")
-        if is_ip_number(address) and port.isdigit() and 0 < int(port) <= MAX_PORT:
-            return EntryAddress(address, int(port))
+        if is_ip_number(address) and port is not None and 0 < port <= MAX_PORT:
+            return EntryAddress(address, port)
         return self.fail(
             f"given {value!r}, expected IP-NUMBER:PORT such as 10.0.0.7:8080", param, ctx
         )
--- a/src/wagtailpoint/cli/session.py
+++ b/src/wagtailpoint/cli/session.py
@@ -6,7 +6,6 @@
 from typing import Any, NamedTuple
 
 import httpcore
-import msgspec
 import trio
 from result import Err, Ok, Result
 
@@ -24,6 +23,7 @@
 from wagtailpoint.ports.platform import ListedInstance, Platform
 from wagtailpoint.settings import PlatformAddress
 from wagtailpoint.tcp_options import LIVENESS_OPTIONS
+from wagtailpoint.untrusted_input import decode_json
 
 PLATFORM_TIMEOUT_S = 5.0
 ENTRY_TIMEOUT_S = 3.0
@@ -73,10 +73,9 @@
     if response.status != _HTTP_OK:
         text = response.content.decode(errors="replace")[:200]
         return Err(EntryUnreachable(f"{entry}: answered {response.status} {text}"))
-    try:
-        return Ok(msgspec.json.decode(response.content))
-    except msgspec.DecodeError as error:
-        return Err(EntryUnreachable(f"{entry}: answer is no JSON: {error}"))
+    return decode_json(response.content, Any).map_err(
+        lambda error: EntryUnreachable(f"{entry}: answer is no JSON: {error}")
+    )
 
 
 class Tools(NamedTuple):
--- a/src/wagtailpoint/cli/workspace_commands.py
+++ b/src/wagtailpoint/cli/workspace_commands.py
@@ -123,5 +123,5 @@
     """
     try:
         return json.loads(value)
-    except json.JSONDecodeError:
+    except (ValueError, RecursionError):
         return value
--- a/src/wagtailpoint/config/reader.py
+++ b/src/wagtailpoint/config/reader.py
@@ -20,7 +20,7 @@
 from wagtailpoint.errors import PlatformUnavailable
 from wagtailpoint.ports.platform import ABSENT, Platform, StoredObject
 from wagtailpoint.revision import Revision
-from wagtailpoint.stored_value import read_value
+from wagtailpoint.untrusted_input import read_value
 
 _MAX_CONCURRENT_FETCHES = 8
 
--- a/src/wagtailpoint/config/watcher.py
+++ b/src/wagtailpoint/config/watcher.py
@@ -26,6 +26,9 @@
 MIN_BACKOFF_S = 0.2
 MAX_BACKOFF_S = 10.0
 
+MAX_RETRY_AFTER_S = 60.0
+"""A longer delay that the platform asks for is shortened to this."""
+
 
 class ConfigWatcher:
     """Delivers each newer configuration once.
@@ -154,7 +157,7 @@
     async def _back_off(self, failure: Exception) -> None:
         pause_s = self._backoff_s * self._rng.uniform(0.5, 1.5)
         if isinstance(failure, PlatformUnavailable) and failure.retry_after_s is not None:
-            pause_s += failure.retry_after_s
+            pause_s += min(failure.retry_after_s, MAX_RETRY_AFTER_S)
         self._backoff_s = min(self._backoff_s * 2, MAX_BACKOFF_S)
         log_event(
             "config-watch-failed", level="WARNING", pause_s=f"{pause_s:.2f}", reason=repr(failure)
--- a/src/wagtailpoint/discovery/entries.py
+++ b/src/wagtailpoint/discovery/entries.py
@@ -1,9 +1,12 @@
 """The entries of backend servers, as decoded from the store."""
 
-from typing import NamedTuple
+from typing import Final, NamedTuple
 
 from wagtailpoint.ports.backend import BackendAddress
 
+MAX_COLD_S: Final = 24 * 3600.0
+"""A longer cold time was not stated by a backend server."""
+
 
 class ServerStart(NamedTuple):
     """One start of a backend server; measurements of an earlier start do not apply to it.
--- a/src/wagtailpoint/discovery/registration.py
+++ b/src/wagtailpoint/discovery/registration.py
@@ -13,7 +13,7 @@
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
-from wagtailpoint.stored_value import read_value
+from wagtailpoint.untrusted_input import read_value
 
 INSTANCES_KIND = "wagtailpoint-instances"
 RETRY_DELAY_S = 0.5
--- a/src/wagtailpoint/limits/lease.py
+++ b/src/wagtailpoint/limits/lease.py
@@ -20,7 +20,7 @@
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
 from wagtailpoint.revision import NO_REVISION, Revision
-from wagtailpoint.stored_value import read_value
+from wagtailpoint.untrusted_input import read_value
 
 LEASE_KIND: Final = "lease"
 LAPSE_FRACTION: Final = 0.9
--- a/src/wagtailpoint/lookup/prefixes.py
+++ b/src/wagtailpoint/lookup/prefixes.py
@@ -7,6 +7,7 @@
 from typing import NamedTuple
 
 from wagtailpoint.errors import InvalidInput, Mistake
+from wagtailpoint.untrusted_input import parse_count
 
 IPV4_BITS = 32
 IPV6_BITS = 128
@@ -170,10 +171,10 @@
     """
     address, _, length_text = text.partition("/")
     bits, number = parse_address(address)
-    if not length_text.isdigit() or int(length_text) > bits:
+    length = parse_count(length_text)
+    if length is None or length > bits:
         expected = f"ADDRESS/LENGTH with a length of 0 to {bits}"
         raise InvalidInput([Mistake("network", repr(text[:80]), expected)])
-    length = int(length_text)
     shift = bits - length
     return bits, number >> shift << shift << _LENGTH_BITS | length
 
--- a/src/wagtailpoint/membership/config_delta.py
+++ b/src/wagtailpoint/membership/config_delta.py
@@ -3,12 +3,14 @@
 import hashlib
 import zlib
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import msgspec
+from result import Err
 
 from wagtailpoint.config.manifest import ChangeInfo, Snapshot, changed_keys, compute_hash
 from wagtailpoint.config.packed import pack
+from wagtailpoint.untrusted_input import decode_json
 
 MAX_HISTORY_STEPS = 256
 MAX_DELTA_BYTES = 64 << 20
@@ -40,7 +42,7 @@
     deletes: tuple[str, ...]
 
 
-_decoder = msgspec.json.Decoder(_WireDelta)
+_T = TypeVar("_T")
 
 
 def add_content_hashes(snapshot: Snapshot) -> Snapshot:
@@ -74,16 +76,17 @@
     """
     unpacker = zlib.decompressobj()
     try:
-        delta = _decoder.decode(unpacker.decompress(data, MAX_DELTA_BYTES))
-    except (zlib.error, msgspec.MsgspecError) as error:
-        raise BrokenDelta(f"cannot decode delta of {len(data)} bytes: {error}") from error
+        unpacked = unpacker.decompress(data, MAX_DELTA_BYTES)
+    except zlib.error as error:
+        raise BrokenDelta(f"cannot unpack delta of {len(data)} bytes: {error}") from error
+    delta = _decode(unpacked, _WireDelta)
     objects = dict(base.objects) if base is not None else {}
     hashes = dict(base.content_hashes) if base is not None else {}
     for key in delta.deletes:
         objects.pop(key, None)
         hashes.pop(key, None)
     for key, raw in delta.puts.items():
-        objects[key] = pack(msgspec.json.decode(raw))
+        objects[key] = pack(_decode(raw, Any))
         hashes[key] = compute_hash(objects[key])
     if compute_digest(hashes) != digest:
         raise BrokenDelta(
@@ -92,6 +95,13 @@
     return Snapshot(change=change, objects=objects, content_hashes=hashes)
 
 
+def _decode(data: bytes | msgspec.Raw, wire_type: type[_T]) -> _T:
+    decoded = decode_json(data, wire_type)
+    if isinstance(decoded, Err):
+        raise BrokenDelta(f"cannot decode delta: {decoded.err_value}")
+    return decoded.ok_value
+
+
 class DeltaHistory:
     """The objects that changed at each of the last version changes of this instance."""
 
--- a/src/wagtailpoint/moves/progress.py
+++ b/src/wagtailpoint/moves/progress.py
@@ -11,7 +11,7 @@
 from wagtailpoint.ports.peers import PeerAddress
 from wagtailpoint.ports.platform import StoredObject
 from wagtailpoint.revision import Revision
-from wagtailpoint.stored_value import read_value
+from wagtailpoint.untrusted_input import read_value
 
 PROGRESS_KIND: Final = "move-progress"
 NOT_BEGUN: Final = -1
--- a/src/wagtailpoint/platform/documents.py
+++ b/src/wagtailpoint/platform/documents.py
@@ -6,7 +6,7 @@
 import msgspec
 from result import Err, Ok, Result
 
-from wagtailpoint.discovery.entries import RegisteredServer, ServerEntry
+from wagtailpoint.discovery.entries import MAX_COLD_S, RegisteredServer, ServerEntry
 from wagtailpoint.errors import InvalidInput, Mistake, describe_error
 from wagtailpoint.limits.allowance import Allowance
 from wagtailpoint.node_settings import Endpoint
@@ -21,7 +21,7 @@
     SplitPart,
 )
 from wagtailpoint.routing.workspaces import WorkspacePolicy, WorkspacesByKey, key_digest
-from wagtailpoint.stored_value import read_value
+from wagtailpoint.untrusted_input import read_value
 
 CONFIG_KIND = "config"
 CONFIG_NAME = "main"
@@ -32,8 +32,7 @@
 """Maximum length of a name from a document in an error."""
 
 MAX_SLOTS = 100_000
-MAX_COLD_S = 24 * 3600.0
-"""Entries with larger values were not written by a backend server."""
+"""Entries with a larger number were not written by a backend server."""
 
 _HEADER_VALUE_PATTERN = "^[!-~]+$"
 """Pattern of a workspace name, which is sent in a header."""
--- a/src/wagtailpoint/platform/settings.py
+++ b/src/wagtailpoint/platform/settings.py
@@ -10,6 +10,7 @@
 from wagtailpoint.errors import InvalidInput, Mistake
 from wagtailpoint.membership.member import MAX_CAPACITY
 from wagtailpoint.node_settings import Endpoint, NodeSettings, ServiceBounds
+from wagtailpoint.untrusted_input import decode_json, read_value
 
 SETTINGS_VARIABLE = "WAGTAILPOINT_NODE_FILE"
 
@@ -101,10 +102,10 @@
 
 def decode_node_settings(text: bytes) -> Result[NodeSettings, InvalidInput]:
     """Decode the contents of the settings file; the error lists the mistakes of all sections."""
-    try:
-        document = msgspec.json.decode(text)
-    except msgspec.DecodeError as error:
-        return Err(InvalidInput([Mistake("settings", str(error), "JSON")]))
+    decoded = decode_json(text, Any)
+    if isinstance(decoded, Err):
+        return Err(InvalidInput([Mistake("settings", decoded.err_value, "JSON")]))
+    document = decoded.ok_value
     mistakes = _section_mistakes(document)
     if mistakes:
         return Err(InvalidInput(mistakes))
@@ -121,10 +122,9 @@
         return [Mistake("settings", type(document).__name__, "an object")]
     mistakes = []
     for field in msgspec.structs.fields(_File):
-        try:
-            msgspec.convert(document.get(field.name), field.type)
-        except msgspec.ValidationError as error:
-            reason, _, location = str(error).partition(" - at ")
+        read = read_value(document.get(field.name), field.type)
+        if isinstance(read, Err):
+            reason, _, location = read.err_value.partition(" - at ")
             path = field.name + location.strip("`").removeprefix("$")
             mistakes.append(Mistake(path, reason, "a field in the platform's format"))
     return mistakes
--- a/src/wagtailpoint/proxy/backend_connection.py
+++ b/src/wagtailpoint/proxy/backend_connection.py
@@ -16,6 +16,7 @@
 from wagtailpoint.proxy.caller_input import CallerGone
 from wagtailpoint.proxy.headers import HeaderNames, end_to_end_headers, header_value
 from wagtailpoint.proxy.request_encoding import OutgoingRequest, encode_head
+from wagtailpoint.untrusted_input import parse_count
 from wagtailpoint.verdict import Verdict
 
 READ_BYTES = 64 * 1024
@@ -363,8 +364,9 @@
     def _update_idle_timeout(self, headers: Headers) -> None:
         for field in (header_value(headers, b"keep-alive") or b"").split(b","):
             name, _, value = field.strip().partition(b"=")
-            if name.lower() == b"timeout" and value.isdigit():
-                self._idle_timeout_s = IDLE_TIMEOUT_FRACTION * int(value)
+            timeout_s = parse_count(value) if name.lower() == b"timeout" else None
+            if timeout_s is not None:
+                self._idle_timeout_s = IDLE_TIMEOUT_FRACTION * timeout_s
 
 
 def _may_have_run(reason: FailureReason, detail: str = "") -> ExchangeFailed:
--- a/src/wagtailpoint/quarantine/stored.py
+++ b/src/wagtailpoint/quarantine/stored.py
@@ -14,7 +14,7 @@
 from wagtailpoint.ports.platform import ABSENT, Conflict, Platform, StoredObject
 from wagtailpoint.quarantine.quarantine import CrashReport, Quarantine
 from wagtailpoint.revision import Revision
-from wagtailpoint.stored_value import read_value
+from wagtailpoint.untrusted_input import read_value
 
 KIND: Final = "wagtailpoint-quarantine"
 
--- a/src/wagtailpoint/relay/protocol.py
+++ b/src/wagtailpoint/relay/protocol.py
@@ -14,6 +14,7 @@
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.limits.requested_backoff import RETRY_AFTER, read_backoff
 from wagtailpoint.ports.backend import BackendAddress, FailureReason, Headers
+from wagtailpoint.untrusted_input import parse_count
 
 SENDER: Final = b"relay-sender"
 SERVER: Final = b"relay-server"
@@ -160,13 +161,15 @@
 
 def _parse_number(headers: Headers, name: bytes) -> int:
     value = _value(headers, name)
-    if not value.isdigit():
-        raise InvalidOpening(f"{name.decode()}: given {value!r}, expected a whole number")
-    return int(value)
+    number = parse_count(value)
+    if number is None:
+        raise InvalidOpening(f"{name.decode()}: given {value[:40]!r}, expected a whole number")
+    return number
 
 
 def _parse_address(text: str) -> BackendAddress:
-    address, colon, port = text.rpartition(":")
-    if not colon or not port.isdecimal():
-        raise InvalidOpening(f"given target {text!r}, expected ADDRESS:PORT")
-    return BackendAddress(address, int(port))
+    address, colon, port_text = text.rpartition(":")
+    port = parse_count(port_text)
+    if not colon or port is None:
+        raise InvalidOpening(f"given target {text[:80]!r}, expected ADDRESS:PORT")
+    return BackendAddress(address, port)
--- a/tests/cover/test_config_watcher.py
+++ b/tests/cover/test_config_watcher.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Awaitable, Callable
 from typing import Any
+from unittest.mock import patch
 
 import trio
 from loguru import logger
@@ -13,7 +14,7 @@
 from tests.common.fake_platform import FakePlatform, WatchAnswer
 from wagtailpoint.config.manifest import HEAD_KIND, Snapshot
 from wagtailpoint.config.store import ConfigStore
-from wagtailpoint.config.watcher import ConfigWatcher
+from wagtailpoint.config.watcher import WATCH_WAIT_S, ConfigWatcher
 from wagtailpoint.errors import PlatformUnavailable, WatchTooOld
 from wagtailpoint.revision import NO_REVISION
 
@@ -180,6 +181,22 @@
 
         self.run_with(test)
 
+    def test_long_requested_delay_is_shortened(self) -> None:
+        """Guards against a watcher that follows no change any more after one odd refusal."""
+
+        async def test(_: ConfigWatcher) -> None:
+            await self.change(1)
+            await self.until(1)
+            with patch.object(
+                self.platform, "watch", return_value=Err(PlatformUnavailable(retry_after_s=1e18))
+            ):
+                self.platform.cut_watches()
+                await trio.sleep(WATCH_WAIT_S)
+            await self.change(2)
+            await self.until(2)
+
+        self.run_with(test)
+
     def test_polls_while_not_watching_and_can_be_switched(self) -> None:
         async def test(watcher: ConfigWatcher) -> None:
             await self.change(1)
--- a/tests/cover/test_dispatcher.py
+++ b/tests/cover/test_dispatcher.py
@@ -54,6 +54,21 @@
         self.assertTrue(seen.startswith(b"GET /r/x?y=1 HTTP/1.1\r\n"))
         self.assertIn(b"x-expect-instance: i-1", seen)
 
+    def test_odd_numbers_in_headers_of_a_response(self) -> None:
+        """Guards against an answer that is lost as a header has thousands of digits."""
+        for number in ("9" * 400, "9" * 5000, "²", "-1", "1e9", ""):
+            for header in (f"X-Cold-Ms: {number}", f"Keep-Alive: timeout={number}"):
+                with self.subTest(header=header[:30]):
+
+                    def answer(request: bytes, header: str = header) -> bytes:
+                        return response(b"ok", echo_id_header(request), header)
+
+                    self.setUp()
+                    scripts = {"i-1": Backend(answer).script}
+                    for reply in self.replies(scripts, get("/r/x"), get("/r/y")):
+                        self.assertTrue(reply.startswith(b"HTTP/1.1 200"), reply)
+                        self.assertTrue(reply.endswith(b"\r\n\r\nok"))
+
     def test_remaining_time_is_passed_to_the_backend_server(self) -> None:
         backend = Backend(ok)
         short, long = get("/r/x", "X-Deadline-Ms: 700"), get("/r/x", "X-Deadline-Ms: 60000")
--- a/tests/cover/test_json_parts.py
+++ b/tests/cover/test_json_parts.py
@@ -9,13 +9,13 @@
 from tests.common.odd_values import NESTED, SURROGATE, UNREADABLE
 from wagtailpoint.adapters.json_parts import (
     MAX_NESTING,
-    decode,
     decode_parts,
     decode_value,
     split_array,
     split_object,
 )
 from wagtailpoint.errors import MAX_DESCRIPTION_CHARACTERS
+from wagtailpoint.untrusted_input import decode_json
 
 
 class _Inner(msgspec.Struct):
@@ -89,7 +89,7 @@
 
     def test_reason_has_a_limited_length(self) -> None:
         """Guards against log lines as long as the value that they are about."""
-        reason = decode(json.dumps({"x" * 10_000: 1}), dict[str, str]).unwrap_err()
+        reason = decode_json(json.dumps({"x" * 10_000: 1}), dict[str, str]).unwrap_err()
         self.assertLessEqual(len(reason), MAX_DESCRIPTION_CHARACTERS)
 
     def test_nesting_is_limited(self) -> None:
--- a/tests/cover/test_relay.py
+++ b/tests/cover/test_relay.py
@@ -386,6 +386,8 @@
                 head + b"\r\n",
                 head + b"relay-sender: one\r\nrelay-server: i-1\r\n\r\n",
                 head + b"relay-sender: \xb2\r\nrelay-server: i-1\r\n\r\n",
+                head + b"relay-sender: " + b"9" * 5000 + b"\r\nrelay-server: i-1\r\n\r\n",
+                b"CONNECT 127.0.0.1:" + b"9" * 5000 + b" HTTP/1.1\r\nhost: x\r\n" + names,
                 b"CONNECT nowhere HTTP/1.1\r\nhost: x\r\n" + names,
                 head + b"relay-sender: 7\r\nrelay-server: \xff\xfe\r\n\r\n",
                 head + b"x: " + b"a" * (2 * MAX_HEAD_BYTES),
--- a/tests/cover/test_settings_file.py
+++ b/tests/cover/test_settings_file.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from tests.common.node_settings_file import node_settings_document
+from tests.common.odd_values import UNREADABLE
 from wagtailpoint.daemon.settings_file import SettingsFile
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.platform.settings import read_node_settings
@@ -67,6 +68,15 @@
         self.file.reload(signalled=False)
         self.assertEqual(self.file.bounds.retry_slack, 20)
 
+    def test_nested_file_is_ignored(self) -> None:
+        """Guards against instances that end when a settings file with nested arrays is reloaded."""
+        for text in UNREADABLE:
+            with self.subTest(text=text[:20]):
+                self.path.write_text(text)
+                self.file.reload(signalled=True)
+                self.assertEqual(self.file.bounds.retry_slack, 58)
+                self.assertIn("reload-refused", self.lines[-1])
+
     def test_unchanged_file_is_logged_only_after_a_signal(self) -> None:
         self.file.reload(signalled=False)
         self.assertEqual(self.lines, [])
