Tasks: run again after a fault, in place of ending the process

Change: restarting_tasks runs registration, the followers of the store, its check, watch sharing, quarantine, limits, loads, announcements, workspaces and the settings file again after an error, 0.5 s later and up to 15 s later if errors follow each other. Each error is counted as task-failed.TASK and logged with type, text of limited length and line, as a fault of the program. The product's own instance has the same for its list of instances, configuration, quarantine, limits, moves and claims. Tasks without which an instance can't serve still end the process: membership, links, servers, relays.

Ruled out: restarting only the loop inside the follower; a nursery that an error has cancelled can't go on.

Watch sharing keeps the time of its first start, so that its restart does not make watchers stop for two seconds. The loop that removes expired claims moved to Claims.run.

--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -29,6 +29,7 @@
 from wagtailpoint.daemon.server_limits import ServerLimits, make_bound_senders
 from wagtailpoint.daemon.servers import ConfiguredServers, has_server
 from wagtailpoint.daemon.shared_quarantine import SharedQuarantine
+from wagtailpoint.daemon.task_restarts import restarting_tasks
 from wagtailpoint.entry.forwarding import Forwarder
 from wagtailpoint.entry.gate import RequestGate
 from wagtailpoint.entry.plan import Plan
@@ -64,7 +65,6 @@
 """Upper bound for one backend server, of all instances together. Each probe costs processor time
 of the backend server and of the instance."""
 FACTS_INTERVAL_S = 0.25
-CLAIMS_CLEANUP_INTERVAL_S = 10.0
 CLAIM_RETENTION_EPOCHS = 3
 CONNECTIONS_PER_REQUEST = 2
 """Connections accepted for each open request that the limits allow; most connections are idle."""
@@ -211,18 +211,23 @@
         for task in (
             self._peers.run,
             self._membership.run,
-            self._instance_list.run,
             self._config.run,
-            self._spread.run,
-            self._watcher.run,
             self._prober.run,
-            self._quarantine.run,
-            self._quarantine.poll,
-            self._limits.run,
             self._pauses.run,
-            self._move_tasks.run,
             self._publish_facts,
-            self._clean_claims,
+            *restarting_tasks(
+                {
+                    "instance-list": self._instance_list.run,
+                    "config-spread": self._spread.run,
+                    "config-watcher": self._watcher.run,
+                    "quarantine": self._quarantine.run,
+                    "quarantine-poll": self._quarantine.poll,
+                    "limits": self._limits.run,
+                    "moves": self._move_tasks.run,
+                    "claims": self._claims.run,
+                },
+                metrics=self._metrics,
+            ),
         ):
             self._nursery.start_soon(task)
         with self._stop.listen():
@@ -299,11 +304,6 @@
             return 1.0
         return min(1.0, self._gate.open_requests / self._settings.limits.open_requests)
 
-    async def _clean_claims(self) -> None:
-        while True:
-            await trio.sleep(CLAIMS_CLEANUP_INTERVAL_S)
-            await self._claims.remove_expired()
-
     def _own_fact(self, incarnation: str) -> Fact:
         settings = self._settings
         return Fact(
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -1,6 +1,6 @@
 """An instance on the platform's object store: construction of its parts, and its tasks."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -28,6 +28,7 @@
 from wagtailpoint.daemon.steering_placement import make_placement
 from wagtailpoint.daemon.steering_stop import SteeringStop
 from wagtailpoint.daemon.store_state import STORE_TIMEOUT_S, StoreState
+from wagtailpoint.daemon.task_restarts import Task, restarting_tasks
 from wagtailpoint.daemon.workspace_rules import WorkspaceRules
 from wagtailpoint.discovery.entries import ServerStart
 from wagtailpoint.discovery.fleet import Fleet
@@ -279,16 +280,7 @@
                 tasks: list[Callable[[], Awaitable[None]]] = [
                     self._peers.run,
                     self._membership.run,
-                    partial(self._registration.run, lambda: self._count_alive() <= 1),
-                    *(follower.run for follower in self._followers.values()),
-                    self._lost_registrations.run,
-                    self._sharing.run,
-                    self._quarantine.run,
-                    self._limits.run,
-                    self._loads.run,
-                    self._announcements.run,
-                    self._workspaces.run,
-                    self._store_check.run,
+                    *self._restarting_tasks(),
                     self._paths.run,
                     *make_probes(
                         fleet=self._fleet,
@@ -301,7 +293,6 @@
                     self._removed.run,
                     partial(self._role.report_load, self._requests.protection.load),
                     self._requests.room.run,
-                    self._settings_file.run,
                 ]
                 for task in tasks:
                     nursery.start_soon(task)
@@ -320,6 +311,23 @@
                 serving.cancel_scope.cancel()
             nursery.cancel_scope.cancel()
 
+    def _restarting_tasks(self) -> Sequence[Task]:
+        """Return the tasks that read what others have written or sent."""
+        tasks: dict[str, Task] = {
+            "registration": partial(self._registration.run, lambda: self._count_alive() <= 1),
+            **{f"store.{kind}": follower.run for kind, follower in self._followers.items()},
+            "store-check": self._store_check.run,
+            "lost-registrations": self._lost_registrations.run,
+            "watch-sharing": self._sharing.run,
+            "quarantine": self._quarantine.run,
+            "limits": self._limits.run,
+            "loads": self._loads.run,
+            "announcements": self._announcements.run,
+            "workspaces": self._workspaces.run,
+            "settings-file": self._settings_file.run,
+        }
+        return restarting_tasks(tasks, metrics=self._metrics)
+
     def _count_alive(self) -> int:
         return sum(member.state != "dead" for member in self._membership.members())
 
--- a/src/wagtailpoint/discovery/watch_sharing.py
+++ b/src/wagtailpoint/discovery/watch_sharing.py
@@ -149,7 +149,8 @@
 
     async def run(self) -> None:
         """Ask sources and answer questions until cancelled."""
-        self._started_at = trio.current_time()
+        # A later run does not begin anew: watchers would stop watching for some seconds.
+        self._started_at = min(self._started_at, trio.current_time())
         async with trio.open_nursery() as nursery:
             for number in range(SOURCE_COUNT):
                 nursery.start_soon(self._poll_source, number)
--- a/src/wagtailpoint/idempotency/claims.py
+++ b/src/wagtailpoint/idempotency/claims.py
@@ -10,6 +10,7 @@
 from http import HTTPStatus
 from typing import NamedTuple, TypedDict
 
+import trio
 from result import Err, Ok
 
 from wagtailpoint.admission.refusal import Refusal, RefusalCode, refuse
@@ -26,6 +27,7 @@
 CLAIM_KIND = "key-claim"
 CLAIM_RETRY_AFTER_S = 2.0
 _MAX_WRITE_ATTEMPTS = 3
+_CLEANUP_INTERVAL_S = 10.0
 
 
 class ClaimValue(TypedDict):
@@ -142,6 +144,12 @@
             self._held[name] = held._replace(used=False)
             await self._remove(name, held)
 
+    async def run(self) -> None:
+        """Remove expired claims until cancelled."""
+        while True:
+            await trio.sleep(_CLEANUP_INTERVAL_S)
+            await self.remove_expired()
+
     async def remove_expired(self) -> int:
         """Remove the expired claims; return how many were removed."""
         claimed_before = self._clock.monotonic() - self._retention_s
