Tests: a backend server that stops in the head of its response

Other operators saw a 200 with an empty or short body, framed as whole, when a backend server stopped in the middle of its answer's head and closed. Here it can't happen: h11 raises for a connection that ends in a head, on both request paths, and the outcome is may-have-run. No change of the code.

Tests: test_head_that_ends_early_is_rejected (each end of three heads, closed and reset), test_head_that_ends_early (the product's own path), and test_head_of_a_response_that_ends_early (through the dispatcher: 502).

--- a/tests/cover/test_backend_connection.py
+++ b/tests/cover/test_backend_connection.py
@@ -103,6 +103,27 @@
         assert isinstance(failed, ExchangeFailed)
         self.assertIs(failed.verdict, Verdict.MAY_HAVE_RUN)
 
+    def test_head_that_ends_early_is_rejected(self) -> None:
+        """Guards against a 200 with an empty body when a backend server stops in its head."""
+        for framing in ("Content-Length: 5", "Transfer-Encoding: chunked", "Server: x"):
+            lines = ("HTTP/1.1 200 OK", OWN_ID, "X-Response-Seal: s", framing)
+            head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+            for end in range(len(head)):
+                for is_reset in (False, True):
+                    with self.subTest(framing=framing, end=end, is_reset=is_reset):
+                        self.check_rejected(head[:end], is_reset=is_reset)
+
+    def check_rejected(self, data: bytes, *, is_reset: bool) -> None:
+        async def script(stream: ScriptedStream) -> None:
+            await stream.request()
+            await stream.send(data)
+            if is_reset:
+                await reset_connection(stream.stream)
+
+        (failed,) = exchange_all(script, outgoing())
+        assert isinstance(failed, ExchangeFailed), failed
+        self.assertIs(failed.verdict, Verdict.MAY_HAVE_RUN)
+
     def test_body_without_length_is_complete_only_after_a_clean_close(self) -> None:
         """Guards against a truncated document being forwarded as complete.
 
--- a/tests/cover/test_backend_http.py
+++ b/tests/cover/test_backend_http.py
@@ -12,7 +12,8 @@
 from tests.common.backend_standin import bulk_bytes, serve_worker
 from tests.common.backend_worker import Mode, Worker
 from tests.common.fault_proxy import Address, FaultProxy
-from tests.common.sockets import loopback_address
+from tests.common.scripted_server import ScriptedStream, scripted_server
+from tests.common.sockets import loopback_address, reset_connection
 from wagtailpoint import Verdict
 from wagtailpoint.adapters.backend_http import HttpBackends
 from wagtailpoint.adapters.backend_pool import MAX_REUSE_IDLE_S
@@ -217,6 +218,35 @@
 
         run_with_standin(test)
 
+    def test_head_that_ends_early(self) -> None:
+        """Guards against a 200 with an empty body when a backend server stops in its head."""
+        lines = ("HTTP/1.1 200 OK", "Wagtailpoint-Request-Id: r", "Content-Length: 5")
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+        async def check(data: bytes, *, is_reset: bool) -> None:
+            async def script(stream: ScriptedStream) -> None:
+                await stream.request()
+                await stream.send(data)
+                if is_reset:
+                    await reset_connection(stream.stream)
+
+            backends = HttpBackends(body_stall_s=0.3)
+            async with (
+                scripted_server(script) as address,
+                backends.exchange(address, request_of("r")) as answered,
+            ):
+                failure = answered.unwrap_err()
+            self.assertIs(failure.verdict, Verdict.MAY_HAVE_RUN)
+
+        async def run() -> None:
+            with trio.fail_after(30):
+                for end in range(len(head)):
+                    for is_reset in (False, True):
+                        with self.subTest(end=end, is_reset=is_reset):
+                            await check(head[:end], is_reset=is_reset)
+
+        trio.run(run)
+
     def test_shed_answer_of_another_request(self) -> None:
         """A shed answer without the request's id may belong to another request."""
 
--- a/tests/cover/test_dispatcher.py
+++ b/tests/cover/test_dispatcher.py
@@ -69,6 +69,21 @@
                         self.assertTrue(reply.startswith(b"HTTP/1.1 200"), reply)
                         self.assertTrue(reply.endswith(b"\r\n\r\nok"))
 
+    def test_head_of_a_response_that_ends_early(self) -> None:
+        """Guards against a 200 with an empty body when a backend server stops in its head."""
+        for end in (1, 12, 17, 30, -60, -20, -9, -6, -5):
+
+            def answer(request: bytes, end: int = end) -> bytes:
+                return response(b"hello", echo_id_header(request), "X-Response-Seal: s")[:end]
+
+            async def script(stream: ScriptedStream, answer: Answer = answer) -> None:
+                await stream.send(answer(await stream.request()) or b"")
+
+            with self.subTest(end=end):
+                self.setUp()
+                (reply,) = self.replies({"i-1": script, "i-2": script}, get("/r/x"))
+                self.assertTrue(reply.startswith(b"HTTP/1.1 502"), reply)
+
     def test_remaining_time_is_passed_to_the_backend_server(self) -> None:
         backend = Backend(ok)
         short, long = get("/r/x", "X-Deadline-Ms: 700"), get("/r/x", "X-Deadline-Ms: 60000")
