Store: leave out the content of entries that are longer than any backend server's

Two entries of another writer with 700 kB of valid JSON each made the state of the backend servers longer than a message between instances (1 MiB): answers to instances that have lost the store, and whole states for those that were away, were dropped as too large. By reading, instances would then watch the store themselves, and one without the store would learn nothing.

Change: the content of an object of kind servers counts as unreadable beyond 16 KiB; a backend server's entry has about 200 bytes. Configurations keep the store's own limit.

Test: test_large_entries_leave_room_for_the_others; without the limit the state has 1.4 MB.

--- a/src/wagtailpoint/platform/documents.py
+++ b/src/wagtailpoint/platform/documents.py
@@ -1,6 +1,6 @@
 """Decoding of the documents in the platform's store into this system's types."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import Annotated, Literal
 
 import msgspec
@@ -28,6 +28,11 @@
 SERVERS_KIND = "servers"
 EVACUATIONS_KIND = "evacuations"
 
+MAX_BYTES_BY_KIND: Mapping[str, int] = {SERVERS_KIND: 16 * 1024}
+"""Maximum length of an object's content, for kinds of which there are many. Every instance keeps
+the entries of all backend servers, which have about 200 bytes, and sends them to others in one
+message of limited length."""
+
 MAX_NAME_CHARACTERS = 100
 """Maximum length of a name from a document in an error."""
 
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -22,6 +22,7 @@
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
 from wagtailpoint.node_settings import Endpoint
 from wagtailpoint.observe.metrics import Metrics
+from wagtailpoint.platform.documents import MAX_BYTES_BY_KIND
 from wagtailpoint.platform.wire_objects import WireEvents, WireObjects, WirePage, read_name
 from wagtailpoint.ports.platform import (
     ABSENT,
@@ -60,7 +61,9 @@
         self._calls = ObjectCalls(addresses=[address], timeout_s=timeout_s)
         self._era = era
         self._metrics = metrics
-        self._objects = WireObjects(unreadable=UnreadableObjects(metrics=metrics))
+        self._objects = WireObjects(
+            unreadable=UnreadableObjects(metrics=metrics), max_bytes_by_kind=MAX_BYTES_BY_KIND
+        )
 
     async def aclose(self) -> None:
         """Close all connections."""
--- a/src/wagtailpoint/platform/wire_objects.py
+++ b/src/wagtailpoint/platform/wire_objects.py
@@ -1,8 +1,9 @@
 """Reading of objects in the answers of the platform's store, which is open to any writer."""
 
 import json
+import math
 import zlib
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Annotated, Any, Final, Literal
 
 import msgspec
@@ -75,13 +76,18 @@
     an evacuation does; and without it the object would look removed.
     """
 
-    def __init__(self, *, unreadable: UnreadableObjects) -> None:
+    def __init__(
+        self, *, unreadable: UnreadableObjects, max_bytes_by_kind: Mapping[str, int]
+    ) -> None:
         """Initialise the reader.
 
         Args:
             unreadable: Counts and logs what can't be read.
+            max_bytes_by_kind: Maximum length of the content of some kinds; longer ones count as
+                unreadable.
         """
         self._unreadable = unreadable
+        self._max_bytes_by_kind = max_bytes_by_kind
 
     def read(self, kind: str, wire: msgspec.Raw, era: int) -> Result[StoredObject, str]:
         """Read an object.
@@ -95,11 +101,17 @@
             return decoded
         found = decoded.ok_value
         revision = Revision(era, found.Metadata.Revision)
-        value: Result[Any, str] = decode_value(found.Spec)
+        value = self._read_content(kind, found.Spec)
         if isinstance(value, Err):
             self._unreadable.record(kind, found.Metadata.Name, revision, value.err_value)
         return Ok(StoredObject(kind, found.Metadata.Name, revision, value.unwrap_or(None)))
 
+    def _read_content(self, kind: str, content: msgspec.Raw) -> Result[Any, str]:
+        max_bytes = self._max_bytes_by_kind.get(kind, math.inf)
+        if len(content) > max_bytes:
+            return Err(f"given {len(content)} bytes, expected {max_bytes} at most")
+        return decode_value(content)
+
     def read_all(self, kind: str, wire: Sequence[msgspec.Raw], era: int) -> list[StoredObject]:
         """Read the objects of a page, without those whose names can't be read."""
         found = [self.read(kind, item, era) for item in wire]
--- a/tests/cover/test_unreadable_objects.py
+++ b/tests/cover/test_unreadable_objects.py
@@ -20,6 +20,7 @@
 from wagtailpoint.discovery.store_era import StoreEra
 from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.platform.store import ObjectStore
+from wagtailpoint.ports.peers import MAX_MESSAGE_BYTES
 from wagtailpoint.ports.platform import StoredObject
 from wagtailpoint.revision import NO_REVISION, Revision
 
@@ -183,6 +184,19 @@
         self.store._page = page  # type: ignore[method-assign]
         self.run_with(test)
 
+    def test_large_entries_leave_room_for_the_others(self) -> None:
+        """Guards against states of the store that instances can't send each other any more."""
+        for number in range(2):
+            value = {"Service": "x" * 700_000, "born": number}
+            self.store.put(KIND, f"odd-{number}", value)
+        self.store.put(KIND, "i-1", {"n": 1})
+        objects = self.read_objects(KIND)
+        self.assertEqual(len(objects), 3)
+        self.assertEqual(objects["i-1"].value, {"n": 1})
+        self.assertLess(len(msgspec.msgpack.encode(list(objects.values()))), MAX_MESSAGE_BYTES)
+        self.store.put("config", "main", {"x": "x" * 700_000})
+        self.assertIsNotNone(self.read_objects("config")["main"].value)
+
     def test_conflict_with_an_unreadable_object(self) -> None:
         """Guards against a write that is repeated without end where it could replace the object."""
         self.store.put(KIND, "i-1", msgspec.Raw(NESTED.encode()))
