--- a/src/wagtailpoint/discovery/store_check.py
+++ b/src/wagtailpoint/discovery/store_check.py
@@ -20,7 +20,10 @@
     """A store that can be read cheaply."""
 
     async def peek(self, *, kind: str, after: str) -> Result[Page, PlatformUnavailable]:
-        """Read a page of a kind's objects, from a name on; the page may be some seconds old."""
+        """Read a page of a kind's objects, from a name on; the page may be some seconds old.
+
+        The values of the objects may be left out.
+        """
         ...
 
 
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's object store; implements ``ports.platform.Platform``."""
 
 import re
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from http import HTTPStatus
 from typing import Any, Final
 from urllib.parse import quote, urlencode
@@ -83,8 +83,12 @@
         return self._read_object(answer, kind)
 
     async def peek(self, *, kind: str, after: str) -> Result[Page, PlatformUnavailable]:
-        """Read one page of names after ``after`` at low cost; it may be some seconds old."""
-        return await self._page("check", kind, after, may_be_stale=True)
+        """Read one page of names after ``after`` at low cost; it may be some seconds old.
+
+        Only names and versions are read; the values are None.
+        """
+        read = self._objects.read_versions
+        return await self._page("check", kind, after, read=read, may_be_stale=True)
 
     async def list(
         self, *, kind: str, may_be_stale: bool = False
@@ -102,7 +106,9 @@
         versions: list[Revision] = []
         after: str | None = ""
         while after is not None:
-            page = await self._page(operation, kind, after, may_be_stale=may_be_stale)
+            page = await self._page(
+                operation, kind, after, read=self._objects.read_all, may_be_stale=may_be_stale
+            )
             if isinstance(page, Err):
                 return page
             versions.append(page.ok_value.version)
@@ -113,7 +119,13 @@
         return Ok(Listing(min(versions), list(objects_by_name.values())))
 
     async def _page(
-        self, operation: str, kind: str, after: str, *, may_be_stale: bool
+        self,
+        operation: str,
+        kind: str,
+        after: str,
+        *,
+        read: Callable[[str, Sequence[msgspec.Raw], int], Sequence[StoredObject]],
+        may_be_stale: bool,
     ) -> Result[Page, PlatformUnavailable]:
         self._count(operation, kind)
         fields = {"AllowStale": "1"} if may_be_stale else {}
@@ -127,7 +139,7 @@
         if isinstance(decoded_page, Err):
             return decoded_page
         wire, era = decoded_page.ok_value, _era_of(outcome.ok_value)
-        objects = self._objects.read_all(kind, wire.items, era)
+        objects = read(kind, wire.items, era)
         last = None
         if wire.HasMore:
             # Also of an object that is left out: without it the page would look like the last one.
--- a/src/wagtailpoint/platform/wire_objects.py
+++ b/src/wagtailpoint/platform/wire_objects.py
@@ -43,6 +43,10 @@
     Spec: msgspec.Raw = msgspec.Raw(b"null")
 
 
+class _ObjectVersion(msgspec.Struct):
+    Metadata: _Metadata
+
+
 class _NameText(msgspec.Struct):
     Name: msgspec.Raw
 
@@ -117,6 +121,17 @@
         found = [self.read(kind, item, era) for item in wire]
         return [stored.ok_value for stored in found if isinstance(stored, Ok)]
 
+    def read_versions(self, kind: str, wire: Sequence[msgspec.Raw], era: int) -> list[StoredObject]:
+        """Read names and revisions of the objects of a page; their values are None."""
+        found = []
+        for item in wire:
+            decoded = decode_parts(item, _ObjectVersion)
+            if isinstance(decoded, Ok):
+                metadata = decoded.ok_value.Metadata
+                version = Revision(era, metadata.Revision)
+                found.append(StoredObject(kind, metadata.Name, version, None))
+        return found
+
     def read_events(self, kind: str, wire: Sequence[msgspec.Raw], era: int) -> list[WatchEvent]:
         """Read the events of a watch, without those of objects whose names can't be read."""
         events = []
