JSON parts: linear time for text that breaks off; objects of the own API counted

Found by reading the change once more: the search for the next brackets began again from each character behind the last ones. An instance would have been busy for minutes with an answer that was cut short, for example one without a length. The search now goes on from the last match only.

The product's own object API logged an unreadable object at each read. It is counted and logged once for each revision, as on the platform.

--- a/src/wagtailpoint/adapters/json_parts.py
+++ b/src/wagtailpoint/adapters/json_parts.py
@@ -150,13 +150,14 @@
         if plain is None:
             raise ValueError(f"given {text[start : start + 20]!r}, expected a value")
         return plain.end()
-    depth = 0
-    for run in _NEXT_BRACKETS.finditer(text, start):
-        brackets = run[1]
+    depth, end = 0, start
+    # Not `finditer`, which searches again from each character behind the last brackets.
+    while run := _NEXT_BRACKETS.match(text, end):
+        brackets, end = run[1], run.end()
         depth += len(brackets) if brackets[0] in "[{" else -len(brackets)
         if depth <= 0:
             # The run of closing brackets may end with those of outer values.
-            return run.end() + depth
+            return end + depth
     raise ValueError("given the beginning of a value, expected its end")
 
 
--- a/src/wagtailpoint/adapters/platform_http.py
+++ b/src/wagtailpoint/adapters/platform_http.py
@@ -1,5 +1,6 @@
 """Client of the platform's object API over HTTP: paths and bodies of its calls."""
 
+import zlib
 from collections.abc import Sequence
 from http import HTTPStatus
 from types import TracebackType
@@ -17,8 +18,9 @@
     decode_answer,
     refusal_error,
 )
+from wagtailpoint.adapters.unreadable_objects import UnreadableObjects
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
-from wagtailpoint.observe.log import log_event
+from wagtailpoint.observe.metrics import Metrics
 from wagtailpoint.ports.platform import (
     Conflict,
     ListedInstance,
@@ -75,9 +77,17 @@
         addresses: The addresses on which the platform listens, as (address, port).
         timeout_s: Maximum duration of a call over all addresses, in seconds; a watch may take its
             waiting time in addition.
+        metrics: Counts the objects that can't be read, by kind.
     """
 
-    def __init__(self, *, addresses: Sequence[tuple[str, int]], timeout_s: float) -> None:
+    def __init__(
+        self,
+        *,
+        addresses: Sequence[tuple[str, int]],
+        timeout_s: float,
+        metrics: Metrics | None = None,
+    ) -> None:
+        self._unreadable = UnreadableObjects(metrics=metrics or Metrics())
         self._calls = ObjectCalls(addresses=addresses, timeout_s=timeout_s)
 
     async def __aenter__(self) -> Self:
@@ -110,7 +120,7 @@
         if answer.status != HTTPStatus.OK:
             return Err(refusal_error(answer))
         return decode_answer(answer, _WireObject).and_then(
-            lambda wire: _requested_object(wire, kind, name)
+            lambda wire: self._requested_object(wire, kind, name)
         )
 
     async def list(
@@ -119,7 +129,7 @@
         """Read all objects of a kind; ``may_be_stale`` has no effect on this store."""
         outcome = await self._calls.read(Call("GET", f"/objects/{_quoted(kind)}"))
         return outcome.and_then(lambda answer: decode_answer(answer, _WireListing)).map(
-            lambda wire: Listing(_revision(wire.version), _read_objects(wire.objects))
+            lambda wire: Listing(_revision(wire.version), self._read_objects(wire.objects))
         )
 
     async def put(
@@ -150,7 +160,7 @@
         return decode_answer(outcome.ok_value, _WireBatch).map(
             lambda wire: WatchBatch(
                 _revision(wire.version),
-                _read_events(wire.events),
+                self._read_events(wire.events),
             )
         )
 
@@ -172,7 +182,7 @@
             return outcome
         answer = outcome.ok_value
         if answer.status == HTTPStatus.CONFLICT:
-            return _conflict(answer, kind, name)
+            return self._conflict(answer, kind, name)
         written = decode_answer(answer, _WireWritten)
         if isinstance(written, Ok) and _is_about(written.ok_value, kind, name):
             return written
@@ -182,47 +192,63 @@
             )
         )
 
+    def _requested_object(
+        self, wire: _WireObject, kind: str, name: str
+    ) -> Result[StoredObject | None, PlatformUnavailable]:
+        if not _is_about(wire, kind, name):
+            problem = f"requested {kind}/{name}, the answer is for {wire.name}"
+            return Err(PlatformUnavailable(problem))
+        return Ok(self._to_stored(wire))
 
-def _revision(number: int) -> Revision:
-    """Return a revision of this store, which never returns to a copy."""
-    return Revision(0, number)
-
-
-def _to_stored(wire: _WireObject) -> StoredObject:
-    """Return an object; its value is None if it can't be read."""
-    value = decode_value(wire.value)
-    if isinstance(value, Err):
-        _log_unreadable(f"{wire.kind}/{wire.name}", value.err_value)
-    return StoredObject(wire.kind, wire.name, _revision(wire.version), value.unwrap_or(None))
-
-
-def _read_objects(wire: Sequence[msgspec.Raw]) -> list[StoredObject]:
-    """Read objects one by one, without those whose names can't be read."""
-    found = []
-    for item in wire:
-        decoded = decode_parts(item, _WireObject)
-        if isinstance(decoded, Err):
-            _log_unreadable("", decoded.err_value)
-            continue
-        found.append(_to_stored(decoded.ok_value))
-    return found
-
-
-def _read_events(wire: Sequence[msgspec.Raw]) -> list[WatchEvent]:
-    """Read events one by one, without those of objects whose names can't be read."""
-    events = []
-    for item in wire:
-        decoded = decode_parts(item, _WireEvent)
+    def _conflict(
+        self, answer: Answer, kind: str, name: str
+    ) -> Result[_WireWritten, Conflict | OutcomeUnknown | PlatformUnavailable]:
+        if answer.body == b"null":
+            return Err(Conflict(None))
+        decoded = decode_parts(answer.body.decode(errors="replace"), _WireObject)
         if isinstance(decoded, Err):
-            _log_unreadable("", decoded.err_value)
-            continue
-        found = _read_objects([decoded.ok_value.object])
-        events += [WatchEvent(decoded.ok_value.action, stored) for stored in found]
-    return events
+            reason = f"the platform's answer to a conflict can't be decoded: {decoded.err_value}"
+            return Err(OutcomeUnknown(reason))
+        current = decoded.ok_value
+        if not _is_about(current, kind, name):
+            return Err(OutcomeUnknown(f"wrote {kind}/{name}, the answer is for {current.name}"))
+        return Err(Conflict(self._to_stored(current)))
+
+    def _to_stored(self, wire: _WireObject) -> StoredObject:
+        """Return an object; its value is None if it can't be read."""
+        version = _revision(wire.version)
+        value = decode_value(wire.value)
+        if isinstance(value, Err):
+            self._unreadable.record(wire.kind, wire.name, version, value.err_value)
+        return StoredObject(wire.kind, wire.name, version, value.unwrap_or(None))
+
+    def _read_objects(self, wire: Sequence[msgspec.Raw]) -> Sequence[StoredObject]:
+        """Read objects one by one, without those whose names can't be read."""
+        found = []
+        for item in wire:
+            decoded = decode_parts(item, _WireObject)
+            if isinstance(decoded, Err):
+                self._unreadable.record("", "", zlib.crc32(item), decoded.err_value)
+                continue
+            found.append(self._to_stored(decoded.ok_value))
+        return found
+
+    def _read_events(self, wire: Sequence[msgspec.Raw]) -> Sequence[WatchEvent]:
+        """Read events one by one, without those of objects whose names can't be read."""
+        events = []
+        for item in wire:
+            decoded = decode_parts(item, _WireEvent)
+            if isinstance(decoded, Err):
+                self._unreadable.record("", "", zlib.crc32(item), decoded.err_value)
+                continue
+            found = self._read_objects([decoded.ok_value.object])
+            events += [WatchEvent(decoded.ok_value.action, stored) for stored in found]
+        return events
 
 
-def _log_unreadable(name: str, error: str) -> None:
-    log_event("object-unreadable", level="WARNING", name=name, error=error)
+def _revision(number: int) -> Revision:
+    """Return a revision of this store, which never returns to a copy."""
+    return Revision(0, number)
 
 
 def _quoted(part: str) -> str:
@@ -236,26 +262,3 @@
 def _is_about(wire: _WireObject | _WireWritten, kind: str, name: str) -> bool:
     """Return whether an answer is for the requested object, not for another request."""
     return (wire.kind, wire.name) == (kind, name)
-
-
-def _requested_object(
-    wire: _WireObject, kind: str, name: str
-) -> Result[StoredObject | None, PlatformUnavailable]:
-    if not _is_about(wire, kind, name):
-        return Err(PlatformUnavailable(f"requested {kind}/{name}, the answer is for {wire.name}"))
-    return Ok(_to_stored(wire))
-
-
-def _conflict(
-    answer: Answer, kind: str, name: str
-) -> Result[_WireWritten, Conflict | OutcomeUnknown | PlatformUnavailable]:
-    if answer.body == b"null":
-        return Err(Conflict(None))
-    decoded = decode_parts(answer.body.decode(errors="replace"), _WireObject)
-    if isinstance(decoded, Err):
-        reason = f"the platform's answer to a conflict can't be decoded: {decoded.err_value}"
-        return Err(OutcomeUnknown(reason))
-    current = decoded.ok_value
-    if not _is_about(current, kind, name):
-        return Err(OutcomeUnknown(f"wrote {kind}/{name}, the answer is for {current.name}"))
-    return Err(Conflict(_to_stored(current)))
--- a/src/wagtailpoint/daemon/instance.py
+++ b/src/wagtailpoint/daemon/instance.py
@@ -89,6 +89,7 @@
         self._platform = HttpPlatform(
             addresses=[(replica.address, replica.port) for replica in settings.platform],
             timeout_s=timings.platform_timeout_s,
+            metrics=self._metrics,
         )
         self._peers = NngPeers(
             address=PeerAddress(settings.address, settings.peer_port, int(incarnation, 16)),
--- a/tests/cover/test_json_parts.py
+++ b/tests/cover/test_json_parts.py
@@ -64,6 +64,12 @@
             with self.subTest(text=text), self.assertRaises(ValueError):
                 split_object(text)
 
+    def test_long_text_that_breaks_off(self) -> None:
+        """Guards against an instance that is busy for minutes with a page that was cut short."""
+        for text in ("x", "[]", '""', '"x', "\\", '"\\'):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                split_array('[{"a":[' + text * 500_000)
+
 
 class DecodeTest(unittest.TestCase):
     def test_fields_are_decoded_alone_beside_an_unreadable_one(self) -> None:
--- a/tests/cover/test_platform_http.py
+++ b/tests/cover/test_platform_http.py
@@ -6,12 +6,14 @@
 from typing import TypeVar
 
 import trio
+from loguru import logger
 from result import Result
 
+from tests.common.odd_values import UNREADABLE
 from tests.common.revisions import rev
 from wagtailpoint.adapters.platform_http import HttpPlatform
-from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
-from wagtailpoint.ports.platform import ABSENT, Conflict, StoredObject
+from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable, WatchTooOld
+from wagtailpoint.ports.platform import ABSENT, Conflict, Listing, StoredObject, WatchBatch
 
 T = TypeVar("T")
 
@@ -78,6 +80,16 @@
     return await platform.get(kind="thing", name="x")
 
 
+async def list_things(platform: HttpPlatform) -> Result[Listing, PlatformUnavailable]:
+    return await platform.list(kind="thing")
+
+
+async def watch_things(
+    platform: HttpPlatform,
+) -> Result[WatchBatch, WatchTooOld | PlatformUnavailable]:
+    return await platform.watch(kinds=["thing"], from_version=rev(6), wait_s=1.0)
+
+
 class WriteTest(unittest.TestCase):
     def test_invalid_answer_leaves_the_outcome_unknown(self) -> None:
         """Guards against a write that took effect but is reported as certainly not made.
@@ -124,6 +136,31 @@
         self.assertTrue(call_platform(servers, put).is_ok())
 
 
+class UnreadableObjectTest(unittest.TestCase):
+    def setUp(self) -> None:
+        logger.disable("wagtailpoint")
+        self.addCleanup(logger.enable, "wagtailpoint")
+
+    def test_unreadable_value_leaves_the_others_readable(self) -> None:
+        """Guards against instances that end, or learn no change, for a value of another writer."""
+        readable = [StoredObject("thing", name, rev(7), [1]) for name in ("x", "z")]
+        expected = [readable[0], StoredObject("thing", "y", rev(7), None), readable[1]]
+        for text in UNREADABLE:
+            odd = CROSSED.replace(b"[1]", text.encode())
+            objects = (OBJECT, odd, b"7", OBJECT.replace(b'"x"', b'"z"'))
+            events = [b'{"action":"put","object":%s}' % each for each in objects]
+            with self.subTest(text=text[:20]):
+                listing = http(200, b'{"version":9,"objects":[%s]}' % b",".join(objects))
+                listed = call_platform([ScriptedServer(listing)], list_things)
+                self.assertEqual(listed.unwrap().objects, expected)
+                batch = http(200, b'{"version":9,"events":[%s]}' % b",".join(events))
+                watched = call_platform([ScriptedServer(batch)], watch_things).unwrap()
+                self.assertEqual([event.stored for event in watched.events], expected)
+                conflict = http(409, odd.replace(b'"y"', b'"x"'))
+                refused = call_platform([ScriptedServer(conflict)], put).unwrap_err()
+                self.assertEqual(refused, Conflict(expected[1]._replace(name="x")))
+
+
 class ReadTest(unittest.TestCase):
     def test_foreign_404_page_does_not_mean_that_an_object_is_deleted(self) -> None:
         """Guards against instances that take the configuration for deleted.
