--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -55,6 +55,12 @@
 RELOAD: Final[Literal["reload"]] = "reload"
 MAX_UNRELOADED_S: Final = 6.0
 
+ODD_OBJECT: Final[Literal["odd-object"]] = "odd-object"
+MAX_PLAIN_S: Final = 3.0
+MIN_ODD_S: Final = 1.0
+MAX_ODD_S: Final = 10.0
+"""The times between two objects of another writer, and for which one is in the store."""
+
 Load = Literal["machines", "workspaces"]
 LOADS: Final[tuple[Load, ...]] = get_args(Load)
 MACHINES, WORKSPACES = LOADS
@@ -92,7 +98,7 @@
     kind: (
         FaultKind
         | Literal["config", "backend-reset", "limit", "rest", "store-return", "reload"]
-        | Literal["slow-machine", "flood"]
+        | Literal["slow-machine", "flood", "odd-object"]
     )
     instance: int
     duration_s: float
@@ -295,6 +301,17 @@
     return steps
 
 
+def draw_odd_objects(*, seed: int, seconds: float) -> list[Step]:
+    """Draw when another writer stores an object, independently of the seed's other steps."""
+    random = Random(f"{seed}-{ODD_OBJECT}")
+    steps = []
+    at_s = 0.0
+    while (at_s := at_s + random.uniform(0.1, MAX_PLAIN_S)) < seconds:
+        duration_s = min(random.uniform(MIN_ODD_S, MAX_ODD_S), seconds - at_s)
+        steps.append(Step(at_s, ODD_OBJECT, 0, duration_s))
+    return steps
+
+
 def draw_all(*, seed: int, seconds: float, instances: int, domains: int) -> list[AnyStep]:
     """Draw the steps of a seed, of all kinds, in chronological order.
 
@@ -310,6 +327,7 @@
         *draw_limits(seed=seed, seconds=seconds),
         *draw_rests(seed=seed, seconds=seconds),
         *draw_returns(seed=seed, seconds=seconds),
+        *draw_odd_objects(seed=seed, seconds=seconds),
         *draw_cuts(seed=seed, seconds=seconds, instances=instances, domains=domains),
         *draw_stops(seed=seed, seconds=seconds, instances=instances),
         *draw_reloads(seed=seed, seconds=seconds, instances=instances),
--- a/bench/soak/soak.py
+++ b/bench/soak/soak.py
@@ -16,10 +16,12 @@
 from bench.soak.findings import CONFIG_APPLY_S, SETTLE_S, Findings
 from bench.soak.instance import Instance
 from bench.soak.long_caller import LongCaller
+from bench.soak.odd_writer import OddWriter
 from bench.soak.schedule import (
     BACKEND_FAULT,
     FLOOD,
     LIMIT,
+    ODD_OBJECT,
     RELOAD,
     REST,
     RETURN,
@@ -165,6 +167,7 @@
         self._findings = findings
         self._random = random
         self._slack = slack
+        self._odd_writer = OddWriter(store=deployment.store, random=Random(f"{seed}-{ODD_OBJECT}"))
         self._stopper = Stopper(instances=deployment.instances, findings=findings)
 
     async def run(self, steps: Sequence[AnyStep], seconds: float) -> None:
@@ -276,6 +279,8 @@
             await self._deployment.ask_for_rest(step.duration_s)
         elif step.kind == SLOW_MACHINE:
             await self._deployment.slow_machine(step.duration_s)
+        elif step.kind == ODD_OBJECT:
+            await self._odd_writer.write(step.duration_s)
         elif step.kind == RETURN:
             await self._return_store(step.duration_s)
         else:
