Tests: eight processes beside unreadable entries of another writer

Eight instances of one region, two of which watch the store for the others, get twelve entries that can't be read, before the entry of the only backend server.

--- a/tests/integration/test_steering_group.py
+++ b/tests/integration/test_steering_group.py
@@ -4,9 +4,11 @@
 from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 
+import msgspec
 import trio
 
 from tests.common.node_settings_file import server_document, unsplit_config_document
+from tests.common.odd_values import UNREADABLE
 from tests.common.scripted_server import ScriptedStream, response, scripted_server
 from tests.common.steering_group import Instance, all_return_status, steering_group, wait_until
 from tests.common.users_store import UsersStore
@@ -102,6 +104,37 @@
 
         self.run_with(test)
 
+    def test_unreadable_entries_end_no_instance_and_hide_no_change(self) -> None:
+        """Guards against instances that end, or follow no change, for entries of another writer."""
+
+        async def test(instances: list[Instance]) -> None:
+            for number, text in enumerate(UNREADABLE):
+                # Before the entry of the backend server, so that the first pages have only these.
+                self.store.put("servers", f"h-{number}", msgspec.Raw(text.encode()))
+                await trio.sleep(0.3)
+            self.assertTrue(await all_return_status(instances, 200))
+            spec = self.store.spec("servers", "i-1")
+            self.store.put("servers", "i-1", {**spec, "State": "draining"})
+            await wait_until(
+                lambda: all_return_status(instances, 503), IN_FORCE_S, "nothing is sent there"
+            )
+            self.store.put("servers", "i-1", spec | {"born": 7})
+            await wait_until(
+                lambda: all_return_status(instances, 200), IN_FORCE_S, "it is used again"
+            )
+            self.assertEqual(
+                [instance.process.exit_code for instance in instances], [None] * INSTANCES
+            )
+            for instance in instances:
+                instance.process.kill()
+                instance.process.start()
+            await self.settle(instances)
+            logs = "".join(instance.process.log for instance in instances)
+            self.assertIn("event=object-unreadable", logs)
+            self.assertNotIn("event=task-failed", logs)
+
+        self.run_with(test)
+
     def test_outage_of_the_store_ends_for_all(self) -> None:
         """Guards against a change that is missed after the store refused all calls for seconds."""
 
