Entries: a start beyond the year 9999 was not stated by a backend server

An entry of another writer under a backend server's id, valid but for a start in nanoseconds, was the newest for good: of two entries the one with the later start counts, so that all further ones of the backend server were ignored, its drain included. No caller has reported it; found by going through the figures of an entry.

Change: a start after the year 9999 makes the entry unusable, as a negative one does.

Tests: test_start_in_nanoseconds_of_another_writer and two figures in test_entries_that_no_backend_server_wrote; both failed before.

--- a/src/wagtailpoint/platform/documents.py
+++ b/src/wagtailpoint/platform/documents.py
@@ -39,6 +39,10 @@
 MAX_SLOTS = 100_000
 """Entries with a larger number were not written by a backend server."""
 
+MAX_STARTED_MS = 253_402_300_799_999
+"""The end of the year 9999. Of two entries of a backend server the one with the later start counts,
+so that none would count any more after one in nanoseconds."""
+
 _HEADER_VALUE_PATTERN = "^[!-~]+$"
 """Pattern of a workspace name, which is sent in a header."""
 
@@ -129,7 +133,7 @@
     # Number of heartbeats since the start.
     Sequence: _Count = 0
     # Start time in milliseconds since 1970.
-    born: _Count = 0
+    born: Annotated[int, msgspec.Meta(ge=0, le=MAX_STARTED_MS)] = 0
 
 
 def decode_config(stored: StoredObject) -> Result[RouteTable, InvalidInput]:
--- a/tests/cover/test_platform_documents.py
+++ b/tests/cover/test_platform_documents.py
@@ -179,6 +179,8 @@
             {"born": "yesterday"},
             {"born": 1.5},
             {"born": -1},
+            {"born": 1_790_000_000_000_000_000},
+            {"born": 2**62},
             {"Address": "10.1.2.3:0"},
             {"Address": "10.1.2.3:99999"},
             {"Address": "10.1.2.300:80"},
--- a/tests/cover/test_store_state.py
+++ b/tests/cover/test_store_state.py
@@ -92,6 +92,14 @@
 
         trio.run(test, clock=MockClock())
 
+    def test_start_in_nanoseconds_of_another_writer(self) -> None:
+        """Guards against a backend server whose entries are ignored after one with a late start."""
+        own = self.server(born=1_790_000_000_000, Sequence=3)
+        self.assertEqual(self.apply(i_1=own), ["i_1"])
+        odd = self.server(born=1_790_000_000_000_000_000, State="draining")
+        self.assertEqual(self.apply(i_1=odd), [])
+        self.assertEqual(self.apply(i_1=own | {"Sequence": 4}), ["i_1"])
+
     def test_outdated_heartbeats_are_ignored(self) -> None:
         self.apply(i_1=self.server(Sequence=5, State="draining"))
         self.assertEqual(self.apply(i_1=self.server(Sequence=4)), [])
