--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -31,6 +31,7 @@
 }
 LIMITS = {"CpuShare": 0.86, "CpuCores": 1, "MemoryMb": 300, "MaxFds": 4100, "LinkMbps": 1000.0,
           "DiskMb": 0}
+CLAIM_PORT = 19999
 
 
 def is_free(address, port):
@@ -133,9 +134,17 @@
                          address=f"127.{self.octet}.1.{number + 1}", zone=zone)
                 for number, zone in enumerate(instance_zones)
             ]
+            # Held until the end of the run, so that no other run takes the same addresses.
+            self.claim = socket.socket()
+            try:
+                self.claim.bind((f"127.{self.octet}.0.2", CLAIM_PORT))
+            except OSError:
+                self.claim.close()
+                continue
             wanted = [*self.ports.values(), *range(base + 10, base + 26), 9190]
             if all(is_free(each.address, port) for each in self.instances for port in wanted):
                 return
+            self.claim.close()
 
     def settings_of(self, instance):
         control = self.ports["ControlAddr"]
@@ -218,3 +227,4 @@
             if worker._server is not None:
                 worker.crash()
         self.store.stop()
+        self.claim.close()
