Review: case 6, a large configuration is never in force over a narrow link

With a configuration of 0.9 MB and links of 5 Mbit/s no later version is ever in force at any instance (CONFIG).

--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -11,6 +11,25 @@
 PAGE_BYTES = 1_000_000
 
 
+class Link:
+    """A link of limited bandwidth, shared by all connections over it."""
+
+    CHUNK_BYTES = 4096
+
+    def __init__(self, *, mbps):
+        self._bytes_per_s = mbps * 1e6 / 8
+        self._free_at = 0.0
+
+    async def send(self, writer, data):
+        for begin in range(0, len(data), self.CHUNK_BYTES):
+            chunk = data[begin:begin + self.CHUNK_BYTES]
+            now = time.monotonic()
+            self._free_at = max(now, self._free_at) + len(chunk) / self._bytes_per_s
+            await asyncio.sleep(self._free_at - now)
+            writer.write(chunk)
+            await writer.drain()
+
+
 class Store:
     """Keeps objects by kind and name; each change raises one revision counter."""
 
@@ -23,6 +42,8 @@
         self._history_s = history_s
         self._changed = asyncio.Event()
         self._server = None
+        # Returns the link of a connection; None for one without a limit.
+        self.link_of = lambda writer: None
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, self.address, self.port)
@@ -73,6 +94,7 @@
     _oldest = 100
 
     async def _serve(self, reader, writer):
+        link = self.link_of(writer)
         try:
             while True:
                 head = await read_head(reader)
@@ -80,10 +102,12 @@
                     break
                 body = await read_body(reader, head)
                 status, answer = await self._answer(head, body)
-                writer.write(
-                    response(status, [("Content-Type", "application/json")], answer.encode())
-                )
-                await writer.drain()
+                data = response(status, [("Content-Type", "application/json")], answer.encode())
+                if link is not None:
+                    await link.send(writer, data)
+                else:
+                    writer.write(data)
+                    await writer.drain()
         except (BadMessage, OSError, asyncio.IncompleteReadError):
             pass
         finally:
