Relays: state the end of the backend server's connection

An instance that is cut off reaches backend servers through others. An answer without a length ends with its connection, and the kernel closes the connections of a killed relay in order, so the end of the relay was taken for that of the backend server. The same held for a relay that stops as planned, whose pipe was cancelled and closed in order, and for a relay whose send met the reset of the backend server: its next read says end of input. Ruled out: a reset by the relay where it is able to, since a killed process is not.

The relay now sends its bytes in frames, and an empty frame states the end. Any other end of a relayed connection is a reset, in RelayedStream, so for all that reads it: answers that are buffered, skipped or passed on in parts, and HTTP/1.0. Frames are agreed upon at the opening; with a relay of an older version no end is stated, and an older user of this one gets a reset.

Answers with a length or chunks are read as before; direct connections are not touched.

--- a/src/wagtailpoint/proxy/backend_connection.py
+++ b/src/wagtailpoint/proxy/backend_connection.py
@@ -16,6 +16,7 @@
 from wagtailpoint.proxy.caller_input import CallerGone
 from wagtailpoint.proxy.headers import HeaderNames, end_to_end_headers, header_value
 from wagtailpoint.proxy.request_encoding import OutgoingRequest, encode_head
+from wagtailpoint.relay.marked_end import RelayedStream
 from wagtailpoint.untrusted_input import parse_count
 from wagtailpoint.verdict import Verdict
 
@@ -100,7 +101,7 @@
     def __init__(
         self,
         *,
-        stream: trio.SocketStream,
+        stream: trio.SocketStream | RelayedStream,
         names: HeaderNames,
         relay: str = "",
         leaves_region: bool = False,
@@ -166,6 +167,8 @@
         if trio.current_time() - self._idle_since > self._idle_timeout_s:
             return True
         # An idle connection that is readable was closed, or has received unsolicited bytes.
+        if isinstance(self._stream, RelayedStream):
+            return self._stream.has_input()
         return self._stream.socket.is_readable()
 
     async def close(self) -> None:
--- a/src/wagtailpoint/proxy/backend_dialer.py
+++ b/src/wagtailpoint/proxy/backend_dialer.py
@@ -10,6 +10,7 @@
 from wagtailpoint.placement.distances import Distances
 from wagtailpoint.ports.backend import BackendAddress, FailureReason
 from wagtailpoint.proxy.backend_connection import ExchangeFailed
+from wagtailpoint.relay.marked_end import RelayedStream
 from wagtailpoint.relay.reachability import Reachability
 from wagtailpoint.tcp_options import set_liveness_options
 from wagtailpoint.verdict import Verdict
@@ -32,7 +33,7 @@
         leaves_region: Whether that instance is in another region than the backend server.
     """
 
-    stream: trio.SocketStream
+    stream: trio.SocketStream | RelayedStream
     relay: str = ""
     leaves_region: bool = False
 
--- a/src/wagtailpoint/relay/client.py
+++ b/src/wagtailpoint/relay/client.py
@@ -16,6 +16,7 @@
 from wagtailpoint.proxy.backend_connection import ExchangeFailed
 from wagtailpoint.proxy.backend_dialer import OpenedStream, connect_timeout_s, open_stream
 from wagtailpoint.relay.confirmations import RelayConfirmations
+from wagtailpoint.relay.marked_end import RelayedStream
 from wagtailpoint.relay.peer_choice import order_relays
 from wagtailpoint.relay.protocol import (
     FAILURE_OF_STATUS,
@@ -167,7 +168,8 @@
         if answer is not None and answer.status == HTTPStatus.OK and stream is not None:
             self._confirmations.record(member.address, asked_at)
             leaves_region = member.region != self._region_of.get(entry.failure_domain, "")
-            return OpenedStream(stream, f"{member.address}#{answer.number}", leaves_region)
+            relayed = RelayedStream(stream=stream, has_frames=answer.has_frames)
+            return OpenedStream(relayed, f"{member.address}#{answer.number}", leaves_region)
         if answer is not None and answer.status == HTTPStatus.TOO_MANY_REQUESTS:
             self._record_backoff(entry.start.key, answer.backoff_s)
             raise ExchangeFailed(Verdict.NOT_RUN, FailureReason.BACKING_OFF, "at the relay")
--- a/src/wagtailpoint/relay/path_checker.py
+++ b/src/wagtailpoint/relay/path_checker.py
@@ -213,7 +213,7 @@
             return error.reason is FailureReason.BACKING_OFF
         return await self._works(opened.stream, entry, opening=opening)
 
-    async def _works(self, stream: trio.SocketStream, entry: ServerEntry, *, opening: bool) -> bool:
+    async def _works(self, stream: trio.abc.Stream, entry: ServerEntry, *, opening: bool) -> bool:
         """Return whether a connection reaches its backend server; close it."""
         path = self._health_path(entry.service)
         try:
@@ -228,7 +228,7 @@
             with trio.CancelScope(shield=True):
                 await trio.aclose_forcefully(stream)
 
-    async def _answers(self, stream: trio.SocketStream, entry: ServerEntry, path: str) -> bool:
+    async def _answers(self, stream: trio.abc.Stream, entry: ServerEntry, path: str) -> bool:
         """Return whether a backend server answers a health check, with whatever bytes."""
         parser = h11.Connection(h11.CLIENT)
         headers = [("host", str(entry.address)), ("connection", "close")]
@@ -238,13 +238,13 @@
         parser.send(h11.EndOfMessage())
         data = await stream.receive_some(READ_BYTES)
         with suppress(h11.RemoteProtocolError):
-            parser.receive_data(data)
+            parser.receive_data(bytes(data))
             head = parser.next_event()
             if isinstance(head, h11.Response):
                 self._on_head(entry, head.status_code, list(head.headers))
         return bool(data)
 
-    async def _ends_within(self, stream: trio.SocketStream, seconds: float) -> bool:
+    async def _ends_within(self, stream: trio.abc.Stream, seconds: float) -> bool:
         with trio.move_on_after(seconds):
             return not await stream.receive_some(READ_BYTES)
         return False
--- a/src/wagtailpoint/relay/pipe.py
+++ b/src/wagtailpoint/relay/pipe.py
@@ -7,6 +7,8 @@
 
 import trio
 
+from wagtailpoint.relay.marked_end import END, encode_frame
+
 READ_BYTES: Final = 64 * 1024
 
 READ_AHEAD: Final = 4
@@ -40,15 +42,25 @@
     """Passes bytes between a near connection, whose peer opened the pipe, and a far one.
 
     The end of the near side ends the far one at once, as its peer has given up. The end of the far
-    side is passed on behind all bytes before it, and a reset as a reset: an answer without a length
-    is complete if its connection ends, and cut if it is reset.
+    side is passed on behind all bytes before it, and stated: an answer without a length is complete
+    if the backend server ended its connection. Any other end looks like a reset to the near side.
     """
 
-    def __init__(self, *, near: trio.SocketStream, far: trio.SocketStream) -> None:
-        """Initialise a pipe between two open connections."""
+    def __init__(
+        self, *, near: trio.SocketStream, far: trio.SocketStream, has_frames: bool
+    ) -> None:
+        """Initialise a pipe between two open connections.
+
+        Args:
+            near: The connection whose peer opened the pipe.
+            far: The connection to the backend server.
+            has_frames: Whether the near side expects frames; see ``RelayedStream``.
+        """
+        self._has_frames = has_frames
         self._near = near
         self._far = far
         self._ended_by: EndedBy | None = None
+        self._near_bytes = 0
         self._sent_bytes = 0
         self._received_bytes = 0
         self._scope = trio.CancelScope()
@@ -59,6 +71,7 @@
         Args:
             early_bytes: Bytes that the near side sent already.
         """
+        self._near_bytes = len(early_bytes)
         try:
             with self._scope:
                 async with trio.open_nursery() as nursery:
@@ -77,6 +90,7 @@
     async def _read_near(self, chunks_in: trio.MemorySendChannel[bytes]) -> None:
         try:
             while data := await self._near.receive_some(READ_BYTES):
+                self._near_bytes += len(data)
                 await chunks_in.send(bytes(data))
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._end("near-reset")
@@ -98,14 +112,14 @@
                 pass
 
     async def _pass_back(self) -> None:
-        try:
-            while data := await self._far.receive_some(READ_BYTES):
-                await self._send_near(data)
-        except (trio.BrokenResourceError, trio.ClosedResourceError):
-            self._end("far-reset")
+        ended_by = await self._pass_back_until_end()
+        self._ended_by = self._ended_by or ended_by
+        if not self._has_frames and ended_by == "far-reset":
+            self._scope.cancel()
             return
         # Closing a connection with unread bytes resets it, and may destroy what was sent before.
-        self._ended_by = self._ended_by or "far-end"
+        if self._has_frames and ended_by == "far-end":
+            await self._send_near(END)
         try:
             await self._near.send_eof()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
@@ -114,17 +128,27 @@
             await trio.sleep_forever()
         self._scope.cancel()
 
+    async def _pass_back_until_end(self) -> EndedBy:
+        try:
+            while data := await self._far.receive_some(READ_BYTES):
+                await self._send_near(encode_frame(data) if self._has_frames else data)
+                self._received_bytes += len(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return "far-reset"
+        # The kernel reports a reset once: after a send that it ended, reads say end of input.
+        return "far-end" if self._sent_bytes == self._near_bytes else "far-reset"
+
     async def _send_near(self, data: bytes | bytearray) -> None:
         try:
             await self._near.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             self._end("near-reset")
             await trio.sleep_forever()
-        self._received_bytes += len(data)
 
     async def _close(self) -> None:
         with trio.CancelScope(shield=True):
-            if self._ended_by == "far-reset":
+            # Also if the pipe is cancelled: the end of this process is not that of the far side.
+            if self._ended_by in (None, "far-reset"):
                 with suppress(OSError, trio.ClosedResourceError):
                     self._near.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
             await trio.aclose_forcefully(self._near)
--- a/src/wagtailpoint/relay/protocol.py
+++ b/src/wagtailpoint/relay/protocol.py
@@ -14,11 +14,15 @@
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.limits.requested_backoff import RETRY_AFTER, read_backoff
 from wagtailpoint.ports.backend import BackendAddress, FailureReason, Headers
+from wagtailpoint.proxy.headers import header_value
 from wagtailpoint.untrusted_input import parse_count
 
 SENDER: Final = b"relay-sender"
 SERVER: Final = b"relay-server"
 NUMBER: Final = b"relay-number"
+FRAMES: Final = b"relay-frames"
+"""Present in a request whose sender expects frames behind the answer, and in the answer of a relay
+that sends them; see ``wagtailpoint.relay.marked_end``."""
 
 MAX_HEAD_BYTES: Final = 2048
 READ_BYTES: Final = 1024
@@ -42,11 +46,13 @@
         sender: The incarnation of the instance that asks.
         server_id: The id of the backend server.
         address: Its address as the sender knows it.
+        wants_frames: Whether the sender expects frames behind the answer.
     """
 
     sender: int
     server_id: str
     address: BackendAddress
+    wants_frames: bool = False
 
 
 class RelayAnswer(NamedTuple):
@@ -57,11 +63,13 @@
         number: The number of the connection at the relay; 0 if it is not open.
         backoff_s: Seconds for which the backend server wants no requests from the relay, with
             status 429.
+        has_frames: Whether the relay sends frames behind the answer.
     """
 
     status: int
     number: int
     backoff_s: float = 0.0
+    has_frames: bool = False
 
 
 def encode_request(sender: int, entry: ServerEntry) -> bytes:
@@ -74,16 +82,20 @@
             (b"host", authority),
             (SENDER, str(sender).encode()),
             (SERVER, entry.server_id.encode()),
+            (FRAMES, b"1"),
         ],
     )
     return h11.Connection(h11.CLIENT).send(request) or b""
 
 
-def encode_answer(status: HTTPStatus, number: int = 0, backoff_s: float = 0.0) -> bytes:
+def encode_answer(
+    status: HTTPStatus, number: int = 0, backoff_s: float = 0.0, *, has_frames: bool = False
+) -> bytes:
     """Encode an answer; see ``RelayAnswer`` for the arguments."""
     lines = [f"HTTP/1.1 {status.value} {status.phrase}"]
     if status is HTTPStatus.OK:
         lines.append(f"{NUMBER.decode()}: {number}")
+        lines += [f"{FRAMES.decode()}: 1"] if has_frames else []
     else:
         lines += ["content-length: 0", "connection: close"]
     if backoff_s:
@@ -113,6 +125,7 @@
             sender=_parse_number(headers, SENDER),
             server_id=_value(headers, SERVER).decode("latin-1"),
             address=_parse_address(head.target.decode("latin-1")),
+            wants_frames=header_value(headers, FRAMES) is not None,
         ),
         parser.trailing_data[0],
     )
@@ -136,7 +149,12 @@
         return RelayAnswer(head.status_code, 0, backoff_s)
     if parser.trailing_data[0]:
         raise InvalidOpening("the backend server sent bytes before a request")
-    return RelayAnswer(head.status_code, _parse_number(list(head.headers), NUMBER))
+    headers = list(head.headers)
+    return RelayAnswer(
+        head.status_code,
+        _parse_number(headers, NUMBER),
+        has_frames=header_value(headers, FRAMES) is not None,
+    )
 
 
 async def _read_head(
@@ -153,10 +171,10 @@
 
 
 def _value(headers: Headers, name: bytes) -> bytes:
-    for found, value in headers:
-        if found == name:
-            return value
-    raise InvalidOpening(f"given no header {name.decode()}, expected one")
+    value = header_value(headers, name)
+    if value is None:
+        raise InvalidOpening(f"given no header {name.decode()}, expected one")
+    return value
 
 
 def _parse_number(headers: Headers, name: bytes) -> int:
--- a/src/wagtailpoint/relay/server.py
+++ b/src/wagtailpoint/relay/server.py
@@ -189,11 +189,14 @@
         log_event("relay-begins", number=number, peer=peer, server=entry.server_id)
         self._metrics.count("relay.opened")
         try:
-            await near.send_all(encode_answer(HTTPStatus.OK, number))
+            await near.send_all(
+                encode_answer(HTTPStatus.OK, number, has_frames=request.wants_frames)
+            )
         except trio.BrokenResourceError:
             await trio.aclose_forcefully(far)
             raise
-        result = await Pipe(near=near, far=far).run(early_bytes)
+        pipe = Pipe(near=near, far=far, has_frames=request.wants_frames)
+        result = await pipe.run(early_bytes)
         log_event(
             "relay-ends",
             number=number,
--- a/tests/cover/test_relay_confirmations.py
+++ b/tests/cover/test_relay_confirmations.py
@@ -9,10 +9,11 @@
 from trio.testing import MockClock
 
 from tests.common.fake_peers import FakeNetwork, FakePeers
+from tests.common.relay_case import LIMIT_S, RELAY_PORT, RelayCase
 from tests.common.relay_parts import GOES_ON_S, make_confirmations, make_relay_client
 from tests.common.scripted_server import scripted_server
 from tests.common.steering_parts import make_distances, make_peer, make_server
-from tests.cover.test_relay import LIMIT_S, RELAY_PORT, RelayCase, echo
+from tests.cover.test_relay import echo
 from wagtailpoint.discovery.entries import ServerEntry
 from wagtailpoint.platform.header_names import HEADER_NAMES
 from wagtailpoint.ports.backend import FailureReason
