Backend connections: an end of input after a failed send proves nothing

Callers got a part of an early answer as a whole one (reported by the users, MIXED): a backend server answered a long upload at once with a 200 without a length, sent a part and reset the connection. The kernel reports a reset once. The send of the upload met it and passed over the failure, as the answer may have arrived before; the next read said end of input, which ends an answer without a length.

An end of input now counts as a reset unless the request was sent whole. The check is where input is read (_next_event), so it holds for answers that are buffered, skipped and passed on in parts, for HTTP/1.0, and for short requests sent at once. Answers with a length or chunks are complete without an end of input and are taken as before, also 413 to an upload that nobody read.

--- a/src/wagtailpoint/proxy/backend_connection.py
+++ b/src/wagtailpoint/proxy/backend_connection.py
@@ -356,6 +356,9 @@
         event: object = self._parser.next_event()
         while event is h11.NEED_DATA:
             data = await self._stream.receive_some(READ_BYTES)
+            if not data and not self._request_sent:
+                # The kernel reports a reset once. If a send met it, the read says end of input.
+                raise trio.BrokenResourceError("connection ended before the request was sent")
             self._end_received = not data
             if data:
                 self._on_heard(on_new_connection=not self._has_heard)
