Store: time long answers by their progress; checks don't compete with them

The contents take 1.5 s on the link; each call had 0.4 to 1.2 s for the whole answer, so every try was given up and began anew. While a watch waited, checks for names fetched the contents again and were behind the watch's answer on the link; without an answer within 0.8 s they gave up the watch ("another call got no answer while a watch waited"). With the grown configuration over wide links, and with a small one over narrow links, the same changes were in force at once: neither the store nor the versions were at fault.

- A call's time-out applies to the beginning of the answer, then to the time without a byte, with a floor of 64 KiB/s on average.
Answers that trickle or stall are still given up, and one without end at 16 MiB: before, 138 MB of one were kept within the time-out of 0.4 s.
- Checks wait while a long answer arrives, fail only if nothing arrives, and take a twentieth of the link (LinkMbps of the settings); over wide links they are as frequent as before.
- The question that proves the configuration waits in the same way.
- The answer to a watch has every content since.
Beyond 1.5 MiB the objects are listed.

Uploads get time by their length.

--- a/src/wagtailpoint/adapters/object_calls.py
+++ b/src/wagtailpoint/adapters/object_calls.py
@@ -4,8 +4,13 @@
 the first byte of a request is written to the socket. Before that, nothing can have changed
 (``PlatformUnavailable``); after it, only an answer of the platform itself shows the outcome, and
 without one the outcome is unknown (``OutcomeUnknown``).
+
+The time-out of a call applies to the beginning of its answer. From then on it limits the time
+without a byte, and the body has to arrive at ``MIN_BYTES_PER_S`` on average: a body of 1 MB takes
+1.7 s on a link of 5 Mbit/s, and longer beside other traffic.
 """
 
+import math
 from collections.abc import Sequence
 from http import HTTPStatus
 from typing import Any, NamedTuple, TypeVar, cast
@@ -26,6 +31,12 @@
 # close idle connections after 5 s and more, so they are closed here well before.
 _IDLE_TIMEOUT_S = 2.0
 
+MIN_BYTES_PER_S = 64 * 1024
+"""Minimum average rate at which the body of an answer arrives; a tenth of a link of 5 Mbit/s."""
+
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+"""A longer answer is given up, so that an endless one does not take the instance's memory."""
+
 _FIRST_BYTE_EVENT = "send_request_headers.started"
 
 # With these statuses the platform itself states that it did not execute the call. No other failure
@@ -47,12 +58,21 @@
 
 
 class Call(NamedTuple):
-    """One call of the object API; calls that write are never sent twice."""
+    """One call of the object API; calls that write are never sent twice.
+
+    Attributes:
+        method: For example ``GET``.
+        target: Path and query.
+        body: The body of the request.
+        wait_s: Time for which the platform may hold the call, in seconds.
+        max_bytes: Maximum length of the answer's body.
+    """
 
     method: str
     target: str
     body: bytes = b""
     wait_s: float = 0.0
+    max_bytes: int = MAX_ANSWER_BYTES
 
     @property
     def writes(self) -> bool:
@@ -74,12 +94,16 @@
 
     def header(self, name: bytes) -> bytes | None:
         """Return the first value of a header, given its name in lower case."""
-        return next((value for key, value in self.headers if key.lower() == name), None)
+        return _header(self.headers, name)
 
 
 CallError = OutcomeUnknown | PlatformUnavailable
 
 
+class AnswerTooLong(PlatformUnavailable):
+    """The body of an answer is longer than the call accepts."""
+
+
 class ObjectCalls:
     """Makes calls of an object API at several addresses; tries the next when one is down."""
 
@@ -88,14 +112,16 @@
 
         Args:
             addresses: The addresses on which the platform listens, as (address, port).
-            timeout_s: Maximum duration of a call over all addresses, in seconds; a watch may take
-                its waiting time in addition.
+            timeout_s: Maximum time to the beginning of an answer over all addresses, in seconds; a
+                watch may take its waiting time in addition.
         """
         if not addresses:
             raise ValueError("addresses: given none, expected at least one (address, port)")
         self._addresses = tuple(addresses)
         self._timeout_s = timeout_s
         self._preferred = 0
+        self._bodies_in_progress = 0
+        self._received_at = -math.inf
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             keepalive_expiry=_IDLE_TIMEOUT_S,
@@ -104,6 +130,16 @@
             socket_options=LIVENESS_OPTIONS,
         )
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a body of several parts is arriving."""
+        return self._bodies_in_progress > 0
+
+    @property
+    def received_at(self) -> float:
+        """When a part of a body of several parts arrived last, by trio's clock."""
+        return self._received_at
+
     async def aclose(self) -> None:
         """Close all connections."""
         await self._pool.aclose()
@@ -155,9 +191,10 @@
 
         location = f"{address[0]}:{address[1]}"
         problem = "no answer within the timeout"
-        with trio.move_on_after(limit_s + call.wait_s):
+        upload_s = len(call.body) / MIN_BYTES_PER_S
+        with trio.move_on_after(limit_s + upload_s + call.wait_s) as scope:
             try:
-                response = await self._pool.request(
+                async with self._pool.stream(
                     call.method,
                     f"http://{location}{call.target}",
                     headers=[("Host", location), ("Content-Type", "application/json")],
@@ -166,14 +203,58 @@
                         "trace": trace,
                         "timeout": {"connect": connect_s, "pool": connect_s},
                     },
-                )
+                ) as response:
+                    body = await self._read_body(response, call, scope, limit_s)
+                    return Ok(Answer(response.status, body, response.headers))
+            except AnswerTooLong as error:
+                if not call.writes:
+                    return Err(error)
+                problem = str(error)
             except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException) as e:
                 problem = repr(e)
-            else:
-                return Ok(Answer(response.status, response.content, response.headers))
         message = f"{call.method} {call.target} at {location}: {problem}"
         return Err(OutcomeUnknown(message) if may_have_sent else PlatformUnavailable(message))
 
+    async def _read_body(
+        self, response: httpcore.Response, call: Call, scope: trio.CancelScope, stall_s: float
+    ) -> bytes:
+        """Read the body of an answer; cancel ``scope`` when it arrives too slowly.
+
+        Raises:
+            AnswerTooLong: It is longer than the call accepts.
+        """
+        length = parse_count(_header(response.headers, b"content-length") or b"") or 0
+        _check_length(length, call)
+        body = bytearray()
+        began_at = trio.current_time()
+        scope.deadline = began_at + stall_s
+        is_long = False
+        try:
+            async for part in response.aiter_stream():
+                body += part
+                _check_length(len(body), call)
+                now = trio.current_time()
+                slow_at = began_at + stall_s + len(body) / MIN_BYTES_PER_S
+                scope.deadline = min(now + stall_s, slow_at)
+                if len(body) > len(part) or len(body) < length:
+                    self._bodies_in_progress += not is_long
+                    is_long = True
+                    self._received_at = now
+        finally:
+            self._bodies_in_progress -= is_long
+        return bytes(body)
+
+
+def _header(headers: Sequence[tuple[bytes, bytes]], name: bytes) -> bytes | None:
+    return next((value for key, value in headers if key.lower() == name), None)
+
+
+def _check_length(length: int, call: Call) -> None:
+    if length > call.max_bytes:
+        raise AnswerTooLong(
+            f"{call.method} {call.target}: given {length} bytes, expected {call.max_bytes} at most"
+        )
+
 
 def decode_answer(answer: Answer, wire_type: type[_Struct]) -> Result[_Struct, PlatformUnavailable]:
     """Decode the body of a successful answer; parts of type ``Raw`` are left undecoded."""
--- a/src/wagtailpoint/daemon/steering.py
+++ b/src/wagtailpoint/daemon/steering.py
@@ -79,7 +79,9 @@
         self._platform = ObjectStore(
             address=settings.store, timeout_s=STORE_TIMEOUT_S, metrics=self._metrics, era=self._era
         )
-        self._store_check = StoreCheck(store=self._platform, random=self._random)
+        self._store_check = StoreCheck(
+            store=self._platform, random=self._random, link_mbps=settings.link_mbps
+        )
         self._registration = Registration(
             platform=self._platform,
             era=self._era,
--- a/src/wagtailpoint/daemon/workspace_rules.py
+++ b/src/wagtailpoint/daemon/workspace_rules.py
@@ -6,7 +6,7 @@
 import trio
 
 from wagtailpoint.daemon.store_state import StoreState
-from wagtailpoint.discovery.confirmation import Confirmation
+from wagtailpoint.discovery.confirmation import Confirmation, ReceivingPlatform
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.freshness import Freshness
 from wagtailpoint.discovery.store_era import StoreEra
@@ -18,7 +18,6 @@
 from wagtailpoint.node_settings import ServiceBounds
 from wagtailpoint.ports.clock import Clock
 from wagtailpoint.ports.peers import Peers
-from wagtailpoint.ports.platform import Platform
 from wagtailpoint.proxy.key_check import KeyCheck
 from wagtailpoint.revision import NO_REVISION, Revision
 from wagtailpoint.routing.table import RouteTable
@@ -33,7 +32,7 @@
         state: StoreState,
         bounds: Callable[[], ServiceBounds],
         region_of: Mapping[str, str],
-        platform: Platform,
+        platform: ReceivingPlatform,
         peers: Peers,
         membership: Membership,
         era: StoreEra,
--- a/src/wagtailpoint/discovery/confirmation.py
+++ b/src/wagtailpoint/discovery/confirmation.py
@@ -3,11 +3,12 @@
 import math
 from collections.abc import Callable
 from random import Random
-from typing import Final
+from typing import Final, Protocol
 
 import trio
 from result import Err, Result
 
+from wagtailpoint.discovery.answer_wait import Receiver, wait_for_answer
 from wagtailpoint.discovery.follower import KindFollower
 from wagtailpoint.discovery.freshness import Freshness
 from wagtailpoint.discovery.history import KindChanges
@@ -32,6 +33,11 @@
 ANSWER_TIMEOUT_S: Final = 1.0
 """A failing store may accept a call and never answer it, even after it has recovered."""
 
+
+class ReceivingPlatform(Platform, Receiver, Protocol):
+    """A store that can be watched, and knows of its answers under way."""
+
+
 WatchResult = Result[WatchBatch, WatchTooOld | PlatformUnavailable]
 
 
@@ -47,7 +53,7 @@
         self,
         *,
         follower: KindFollower,
-        platform: Platform,
+        platform: ReceivingPlatform,
         freshness: Freshness,
         is_needed: Callable[[], bool],
         is_watcher: Callable[[], bool],
@@ -89,6 +95,9 @@
         follower = self._follower
         if not follower.has_state or not self._is_needed() or follower.lost_for_s > 0.0:
             return False
+        if self._platform.is_receiving:
+            # Perhaps the change that the answer would contain, too.
+            return False
         age_s = self._freshness.age_s
         if age_s == math.inf:
             return True
@@ -99,9 +108,13 @@
         """Ask the store once; return whether it answered."""
         kind, version = self._follower.kind, self._follower.version
         asked_at = self._freshness.now()
-        answered: WatchResult = Err(PlatformUnavailable("no answer in time"))
-        with trio.move_on_after(ANSWER_TIMEOUT_S):
-            answered = await self._platform.watch(kinds=[kind], from_version=version, wait_s=0.0)
+
+        async def ask() -> WatchResult:
+            return await self._platform.watch(kinds=[kind], from_version=version, wait_s=0.0)
+
+        answered = await wait_for_answer(ask, store=self._platform, timeout_s=ANSWER_TIMEOUT_S)
+        if answered is None:
+            answered = Err(PlatformUnavailable("no answer in time"))
         if isinstance(answered, Err):
             log_event("unconfirmed", kind=kind, version=version, error=answered.err_value)
             return False
--- a/src/wagtailpoint/discovery/store_check.py
+++ b/src/wagtailpoint/discovery/store_check.py
@@ -1,5 +1,6 @@
 """Reads the store periodically while watches or retries wait for its answer."""
 
+import math
 from collections.abc import Callable
 from random import Random
 from typing import Final, Protocol
@@ -7,6 +8,7 @@
 import trio
 from result import Ok, Result
 
+from wagtailpoint.discovery.answer_wait import Receiver, wait_for_answer
 from wagtailpoint.errors import PlatformUnavailable
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.platform import Page
@@ -15,8 +17,14 @@
 CHECK_TIMEOUT_S: Final = 0.8
 """The store answers in 4 ms, and 60 to 80 times slower when it is failing."""
 
+MAX_LINK_FRACTION: Final = 0.05
+"""Maximum fraction of the instance's link that the pages of one kind take. Pages come with the
+contents of the objects, though only names and versions are compared."""
 
-class PeekingStore(Protocol):
+BYTES_PER_MBIT: Final = 125_000
+
+
+class PeekingStore(Receiver, Protocol):
     """A store that can be read cheaply."""
 
     async def peek(self, *, kind: str, after: str) -> Result[Page, PlatformUnavailable]:
@@ -33,6 +41,7 @@
     def __init__(self, *, check_page: Callable[[Page], None]) -> None:
         self.check_page = check_page
         self.after = ""
+        self.due_at = -math.inf
 
 
 class StoreCheck:
@@ -46,15 +55,19 @@
 
     A follower that has lost the store waits here for its return. A call that may be answered with
     stale data costs a tenth of a watch, and one call serves all kinds.
+
+    Nothing is read while a long answer arrives, which shows that the store answers.
     """
 
-    def __init__(self, *, store: PeekingStore, random: Random) -> None:
+    def __init__(self, *, store: PeekingStore, random: Random, link_mbps: float = math.inf) -> None:
         """Initialise the check without any kind to read.
 
         Args:
             store: The store to read.
             random: Source of the jitter.
+            link_mbps: Capacity of the instance's link, in Mbit/s.
         """
+        self._bytes_per_s = MAX_LINK_FRACTION * BYTES_PER_MBIT * link_mbps
         self._store = store
         self._random = random
         self._kinds: dict[str, _KindCursor] = {}
@@ -98,22 +111,30 @@
             raise ValueError("kinds: given none, expected at least one, added by `add_kind`")
         while True:
             for name, kind in list(self._kinds.items()):
-                page = await self._peek(name, kind) if self._waiting else None
+                page = await self._peek(name, kind) if self._is_due(kind) else None
                 # An event may arrive some time after a page that shows its change.
                 await trio.sleep(CHECK_INTERVAL_S * self._random.uniform(0.8, 1.2))
                 if page is not None:
                     kind.check_page(page)
 
+    def _is_due(self, kind: _KindCursor) -> bool:
+        if not self._waiting or self._store.is_receiving:
+            return False
+        return trio.current_time() >= kind.due_at
+
     async def _peek(self, name: str, kind: _KindCursor) -> Page | None:
-        peeked: Result[Page, PlatformUnavailable] | None = None
-        with trio.move_on_after(CHECK_TIMEOUT_S):
-            peeked = await self._store.peek(kind=name, after=kind.after)
+        async def peek() -> Result[Page, PlatformUnavailable]:
+            return await self._store.peek(kind=name, after=kind.after)
+
+        peeked = await wait_for_answer(peek, store=self._store, timeout_s=CHECK_TIMEOUT_S)
         answering = isinstance(peeked, Ok)
         self._record_answer(answering)
         if not isinstance(peeked, Ok):
             return None
-        kind.after = peeked.ok_value.last or ""
-        return peeked.ok_value
+        page = peeked.ok_value
+        kind.after = page.last or ""
+        kind.due_at = trio.current_time() + page.received_bytes / self._bytes_per_s
+        return page
 
     def _record_answer(self, answering: bool) -> None:
         if answering:
--- a/src/wagtailpoint/node_settings.py
+++ b/src/wagtailpoint/node_settings.py
@@ -80,6 +80,7 @@
         store: The endpoint of the platform's object store.
         most_descriptors: Maximum number of open file descriptors.
         capacity: Its capacity relative to other instances, in processor cores.
+        link_mbps: Capacity of its link, in Mbit/s; infinite if it is unknown.
         bounds: Bounds that all instances have to meet.
     """
 
@@ -97,4 +98,5 @@
     store: Endpoint
     most_descriptors: int
     capacity: float
+    link_mbps: float
     bounds: ServiceBounds
--- a/src/wagtailpoint/platform/settings.py
+++ b/src/wagtailpoint/platform/settings.py
@@ -148,6 +148,7 @@
         store=Endpoint.parse(wire.Platform.Platform.Address),
         most_descriptors=wire.Self.Limits.MaxFds,
         capacity=_capacity(wire.Self.Limits),
+        link_mbps=wire.Self.Limits.LinkMbps or math.inf,
         bounds=ServiceBounds(
             grace_s=bounds.GraceS,
             retry_ratio=bounds.BudgetRatio,
--- a/src/wagtailpoint/platform/store.py
+++ b/src/wagtailpoint/platform/store.py
@@ -11,6 +11,7 @@
 
 from wagtailpoint.adapters.object_calls import (
     Answer,
+    AnswerTooLong,
     Call,
     ObjectCalls,
     decode_answer,
@@ -42,6 +43,10 @@
 
 _OBJECTS = "/api/objects"
 
+MAX_WATCH_BYTES: Final = 1536 * 1024
+"""Maximum length of the answer to a watch, which has each content that an object has had since. It
+leaves room for one object of the greatest length, 1 MiB; beyond that a listing is shorter."""
+
 
 class ObjectStore:
     """Client of the platform's object store; a watch covers one kind of object."""
@@ -53,8 +58,8 @@
 
         Args:
             address: The address of the store.
-            timeout_s: Maximum duration of a call, in seconds; a watch may take its waiting time in
-                addition.
+            timeout_s: Maximum time to the beginning of an answer, and without a part of it, in
+                seconds; a watch may take its waiting time in addition.
             metrics: Counts the calls by operation and kind, as every call is charged for.
             era: Receives the eras of the answers.
         """
@@ -65,6 +70,16 @@
             unreadable=UnreadableObjects(metrics=metrics), max_bytes_by_kind=MAX_BYTES_BY_KIND
         )
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether a body of several parts is arriving."""
+        return self._calls.is_receiving
+
+    @property
+    def received_at(self) -> float:
+        """When a part of a body of several parts arrived last, by trio's clock."""
+        return self._calls.received_at
+
     async def aclose(self) -> None:
         """Close all connections."""
         await self._calls.aclose()
@@ -148,7 +163,8 @@
                 return Err(
                     PlatformUnavailable(f"{kind}: no name follows {after!r}, but objects do")
                 )
-        return Ok(Page(Revision(era, wire.StoreRevision), objects, after, last))
+        received_bytes = len(outcome.ok_value.body)
+        return Ok(Page(Revision(era, wire.StoreRevision), objects, after, last, received_bytes))
 
     async def put(
         self, *, kind: str, name: str, value: Any, if_version: Revision
@@ -188,7 +204,11 @@
         (kind,) = kinds
         self._count("watch", kind)
         query = urlencode({"Watch": from_version.number, "WaitMs": int(wait_s * 1000)})
-        outcome = await self._read(Call("GET", f"{_path(kind)}?{query}", wait_s=wait_s))
+        target = f"{_path(kind)}?{query}"
+        call = Call("GET", target, wait_s=wait_s, max_bytes=MAX_WATCH_BYTES)
+        outcome = await self._read(call)
+        if isinstance(outcome, Err) and isinstance(outcome.err_value, AnswerTooLong):
+            return Err(WatchTooOld(f"{outcome.err_value}; list again"))
         if isinstance(outcome, Err):
             return outcome
         if outcome.ok_value.status == HTTPStatus.GONE:
--- a/src/wagtailpoint/ports/platform.py
+++ b/src/wagtailpoint/ports/platform.py
@@ -82,12 +82,14 @@
         objects: The objects, by name.
         after: The exclusive lower bound of the range of names.
         last: The inclusive upper bound of the range; None if it is unbounded.
+        received_bytes: The length of the answer that contained the page; 0 if unknown.
     """
 
     version: Revision
     objects: Sequence[StoredObject]
     after: str
     last: str | None
+    received_bytes: int = 0
 
     def covers(self, name: str) -> bool:
         """Return whether a name is in the page's range."""
--- a/tests/common/fake_platform.py
+++ b/tests/common/fake_platform.py
@@ -1,5 +1,6 @@
 """An in-memory ``Platform`` that can be down, lose answers, answer stale data and be raced."""
 
+import math
 from collections import Counter, deque
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Any
@@ -44,6 +45,8 @@
         page_size: The number of objects on a page of ``peek``.
         list_delay_s: The delay of the answer to a listing, in seconds.
         listed: The list of instances.
+        is_receiving: Whether a long answer is arriving.
+        received_at: When a part of a long answer arrived last.
         counts: The number of calls by (method, kind); a waiting watch counts as one call.
     """
 
@@ -64,6 +67,8 @@
         self.page_size = 50
         self.list_delay_s = 0.0
         self.listed: Sequence[ListedInstance] = ()
+        self.is_receiving = False
+        self.received_at = -math.inf
         self.counts: Counter[tuple[str, str]] = Counter()
         self._late: list[tuple[str, str, Any, Revision]] = []
         self._stale: ObjectStore | None = None
