Messages between instances: long replies are fetched in compressed parts

So instances that follow the store through others had no part in the commit before.

A reply of more than 32 KiB is announced, and the one that asks fetches it compressed in parts of 64 KiB, with a time for each. Parts that have arrived are kept when one is lost. It is below all requests between instances (states, changes, configurations of the own interface). The number of a request says whether its sender fetches parts, so that older instances get whole replies as before.

--- a/src/wagtailpoint/adapters/peer_codec.py
+++ b/src/wagtailpoint/adapters/peer_codec.py
@@ -93,8 +93,29 @@
     return {kind: Traffic(count, sizes[kind]) for kind, count in messages.items()}
 
 
+def encode_body(message: Message) -> bytes:
+    """Encode a message without its envelope.
+
+    Raises:
+        OverflowError, RecursionError, TypeError: A value in the message can't be encoded.
+    """
+    return _encoder.encode(message)
+
+
+def decode_body(kind: str, body: bytes) -> Message | None:
+    """Decode a message without its envelope; return None if it is invalid or of unknown kind."""
+    message_type = get_message_type(kind)
+    if message_type is None:
+        return None
+    try:
+        return _body_decoder(kind, message_type).decode(body)  # type: ignore[no-any-return]
+    except Exception:
+        return None
+
+
 def encode(
     message: Message,
+    body: bytes,
     *,
     sender: PeerAddress,
     to: PeerAddress,
@@ -102,11 +123,7 @@
     number: int,
     reply_to: int,
 ) -> bytes:
-    """Encode a message with its envelope.
-
-    Raises:
-        OverflowError, RecursionError, TypeError: A value in the message can't be encoded.
-    """
+    """Encode the envelope of a message with its encoded body."""
     envelope = Envelope(
         kind=get_message_kind(type(message)),
         address=sender.address,
@@ -116,7 +133,7 @@
         stamp=stamp,
         number=number,
         reply_to=reply_to,
-        body=msgspec.Raw(_encoder.encode(message)),
+        body=msgspec.Raw(body),
     )
     return _encoder.encode(envelope)
 
--- a/src/wagtailpoint/adapters/peer_dispatch.py
+++ b/src/wagtailpoint/adapters/peer_dispatch.py
@@ -6,7 +6,19 @@
 import trio
 from result import Err, Ok, Result
 
-from wagtailpoint.adapters.peer_codec import Meter, decode, encode
+from wagtailpoint.adapters.peer_codec import Meter, decode, decode_body, encode, encode_body
+from wagtailpoint.adapters.reply_parts import (
+    ACCEPTS_PARTS,
+    MAX_INLINE_BYTES,
+    MAX_REPLY_BYTES,
+    PART_TIMEOUT_S,
+    FetchedParts,
+    KeptReplies,
+    LargeReply,
+    PartRequest,
+    ReplyPart,
+    decode_reply,
+)
 from wagtailpoint.observe.hlc import HybridClock
 from wagtailpoint.observe.log import log_event
 from wagtailpoint.ports.peers import (
@@ -44,6 +56,9 @@
         self._handlers: dict[type[Message], Handler] = {}
         self._pending: dict[int, _PendingRequest] = {}
         self._numbers = count(1)
+        self._kept_replies = KeptReplies()
+        self._fetched_parts = FetchedParts()
+        self.handle(PartRequest, lambda received: self._kept_replies.part(received.message))
 
     @property
     def address(self) -> PeerAddress:
@@ -70,8 +85,44 @@
     async def request(
         self, to: PeerAddress, message: Message, *, timeout_s: float
     ) -> Result[Any, PeerFailure]:
-        """Send a message and wait for its reply."""
-        number = next(self._numbers)
+        """Send a message and wait for its reply.
+
+        A long reply is fetched in parts, for each of which ``PART_TIMEOUT_S`` applies.
+        """
+        replied = await self._exchange(to, message, timeout_s=timeout_s)
+        if isinstance(replied, Ok) and isinstance(replied.ok_value, LargeReply):
+            return await self._fetch(to, replied.ok_value)
+        return replied
+
+    async def _fetch(self, to: PeerAddress, reply: LargeReply) -> Result[Any, PeerFailure]:
+        if reply.size > MAX_REPLY_BYTES:
+            self._meter.record_dropped("too-large")
+            return Err(PeerFailure.TIMEOUT)
+        received = self._fetched_parts.received(reply)
+        while (offset := len(received)) < reply.size:
+            request = PartRequest(reply.digest, offset)
+            replied = await self._exchange(to, request, timeout_s=PART_TIMEOUT_S)
+            if isinstance(replied, Err):
+                return replied
+            part = replied.ok_value
+            if not isinstance(part, ReplyPart) or not part.data:
+                self._meter.record_dropped("part-gone")
+                return Err(PeerFailure.TIMEOUT)
+            # Another request for the same reply may have added it meanwhile.
+            if offset == len(received):
+                received += part.data
+        self._fetched_parts.discard(reply)
+        body = decode_reply(reply, received)
+        message = None if body is None else decode_body(reply.kind, body)
+        if message is None:
+            self._meter.record_dropped("undecodable")
+            return Err(PeerFailure.TIMEOUT)
+        return Ok(message)
+
+    async def _exchange(
+        self, to: PeerAddress, message: Message, *, timeout_s: float
+    ) -> Result[Any, PeerFailure]:
+        number = next(self._numbers) | ACCEPTS_PARTS
         pending = _PendingRequest()
         self._pending[number] = pending
         try:
@@ -102,8 +153,17 @@
     def _send(self, to: PeerAddress, message: Message, *, number: int, reply_to: int) -> bool:
         # The sending task follows the store or answers peers, and has to survive one message.
         try:
+            body = encode_body(message)
+            if (
+                reply_to & ACCEPTS_PARTS
+                and len(body) > MAX_INLINE_BYTES
+                and not isinstance(message, ReplyPart)
+            ):
+                message = self._kept_replies.keep(get_message_kind(type(message)), body)
+                body = encode_body(message)
             data = encode(
                 message,
+                body,
                 sender=self._address,
                 to=to,
                 stamp=self._clock.now(),
--- a/src/wagtailpoint/ports/peers.py
+++ b/src/wagtailpoint/ports/peers.py
@@ -108,7 +108,7 @@
         received: The traffic received, by kind.
         dropped: Messages that never reached a handler, by reason: ``link-full``, ``too-large``,
             ``undecodable``, ``unknown-kind``, ``other-incarnation``, ``no-handler``,
-            ``late-reply``, ``handler-failed``.
+            ``late-reply``, ``handler-failed``, ``part-gone``.
     """
 
     sent: Mapping[str, Traffic]
--- a/tests/common/fake_peers.py
+++ b/tests/common/fake_peers.py
@@ -1,5 +1,6 @@
 """Links between instances in memory that can be cut, with instances that can be frozen."""
 
+import math
 from collections.abc import Iterable
 from itertools import product
 
@@ -22,6 +23,12 @@
         self._frozen: set[str] = set()
         self._kept: list[tuple[str, PeerAddress, bytes]] = []
         self.delivered_bytes = 0
+        self._bytes_per_s: dict[str, float] = {}
+        self._free_at: dict[str, float] = {}
+
+    def narrow(self, address: str, *, mbps: float) -> None:
+        """Limit the rate at which an address receives, to ``mbps`` Mbit/s."""
+        self._bytes_per_s[address] = mbps * 125_000
 
     def cut(self, senders: Iterable[str], receivers: Iterable[str]) -> None:
         """Drop all messages from senders to receivers; the opposite direction still works."""
@@ -61,7 +68,10 @@
         elif (sender, to.address) not in self._cut:
             listener = self._listening.get((to.address, to.port))
             if listener is not None:
-                listener.inbox.send_nowait((trio.current_time() + LATENCY_S, data))
+                free_at = max(trio.current_time(), self._free_at.get(to.address, 0.0))
+                free_at += len(data) / self._bytes_per_s.get(to.address, math.inf)
+                self._free_at[to.address] = free_at
+                listener.inbox.send_nowait((free_at + LATENCY_S, data))
                 self.delivered_bytes += len(data)
 
 
--- a/tests/common/narrow_link.py
+++ b/tests/common/narrow_link.py
@@ -1,5 +1,7 @@
 """A link of limited bandwidth, which all connections over it share."""
 
+from random import Random
+
 import trio
 
 CHUNK_BYTES = 4096
@@ -26,3 +28,8 @@
             await trio.sleep_until(self._free_at)
             await stream.send_all(chunk)
             self.sent_bytes += len(chunk)
+
+
+def incompressible(length: int) -> str:
+    """Return a text of ``length`` characters that compresses to half of its length at best."""
+    return Random(1).randbytes(length // 2).hex()
--- a/tests/cover/test_watch_sharing.py
+++ b/tests/cover/test_watch_sharing.py
@@ -2,8 +2,10 @@
 
 import trio
 
+from tests.common.narrow_link import incompressible
 from tests.common.revisions import rev
 from tests.common.watch_sharing_case import BOUND_S, COUNT, KIND, WatchSharingCase
+from wagtailpoint.adapters.reply_parts import LargeReply, ReplyPart
 from wagtailpoint.discovery.follower import WATCH_WAIT_S
 from wagtailpoint.discovery.history import KindChanges
 from wagtailpoint.discovery.watch_order import watcher_count
@@ -107,7 +109,7 @@
         async def test() -> None:
             before = self.bytes_to_watchers()
             for number in range(5):
-                await self.put(f"s{number}", value="x" * LARGE_BYTES)
+                await self.put(f"s{number}", value=incompressible(LARGE_BYTES))
                 await trio.sleep(1.0)
             self.assertEqual(self.known(), [{"first", *(f"s{n}" for n in range(5))}] * COUNT)
             self.assertLess(self.bytes_to_watchers() - before, LARGE_BYTES)
@@ -115,9 +117,10 @@
         self.run_with(test)
 
     def bytes_to_watchers(self) -> int:
-        """Return the bytes of the answers that the watchers got from other instances."""
-        kind = get_message_kind(WatchAnswer)
-        received = [watcher.peers.counts.received.get(kind) for watcher in self.watchers]
+        """Return the bytes of the answers, and their parts, that the watchers got from others."""
+        kinds = [get_message_kind(kind) for kind in (WatchAnswer, LargeReply, ReplyPart)]
+        counts = [watcher.peers.counts.received for watcher in self.watchers]
+        received = [count.get(kind) for count in counts for kind in kinds]
         return sum(traffic.bytes for traffic in received if traffic is not None)
 
     def test_changes_arrive_after_all_watchers_are_killed(self) -> None:
