Response heads: one check, before they are parsed, for all that read responses

Here a line whose name begins with a blank or a tab was joined to the field before it, also to the seal, and passed on as a success; so were statuses from 600 to 999, versions such as HTTP/2.0 and 0.9, control bytes in values and in the reason, and heads with both framings. A status 000 and odd bytes within a name were refused already. The parser joins obsolete folded lines and is loose about the rest; nothing looked at the bytes before it.

response_head.py now decides which bytes are a head: as they arrive, before the parser has them, for each response on a connection and behind skipped ones. RFC 9112, section 5.2, leaves a proxy the choice of 502 for folded lines. It is used by the exchanges with backend servers on both request paths, load probes, calls of the platform, the caller library, the command line, the opening of relayed connections and the checks of the path. The caller library also refuses a body without a length, as httpcore passes over a failed send and reads the end of input that follows it.

--- a/src/wagtailpoint/adapters/backend_headers.py
+++ b/src/wagtailpoint/adapters/backend_headers.py
@@ -79,13 +79,5 @@
     return first_value(headers, DRAINING_HEADER) == b"1"
 
 
-def has_delimited_body(method: str, status: int, headers: Headers) -> bool:
-    """Return whether a complete response body can be told from a broken connection."""
-    if method == "HEAD" or status in (204, 304):
-        return True
-    names = {name.lower() for name, _ in headers}
-    return b"content-length" in names or b"transfer-encoding" in names
-
-
 def _without(headers: Headers, names: Iterable[bytes]) -> list[tuple[bytes, bytes]]:
     return [(name, value) for name, value in headers if name.lower() not in names]
--- a/src/wagtailpoint/adapters/backend_http.py
+++ b/src/wagtailpoint/adapters/backend_http.py
@@ -26,6 +26,7 @@
     FailureReason,
     LoadReport,
 )
+from wagtailpoint.response_head import has_delimited_body
 from wagtailpoint.untrusted_input import decode_json
 from wagtailpoint.verdict import Verdict
 
@@ -277,7 +278,7 @@
                 headers=headers if bears_own_id else (),
             )
         )
-    if not backend_headers.has_delimited_body(request.method, response.status, headers):
+    if not has_delimited_body(request.method, response.status, headers):
         return Err(BackendFailure(Verdict.MAY_HAVE_RUN, FailureReason.BAD_RESPONSE))
     return Ok(response)
 
--- a/src/wagtailpoint/adapters/backend_stream.py
+++ b/src/wagtailpoint/adapters/backend_stream.py
@@ -7,7 +7,9 @@
 import httpcore
 import trio
 
+from wagtailpoint.adapters.checked_network import feed_checked
 from wagtailpoint.ports.backend import BackendAddress
+from wagtailpoint.response_head import HeadCheck
 from wagtailpoint.tcp_options import set_liveness_options
 
 
@@ -25,6 +27,7 @@
         self._may_have_sent = False
         self._closed_by_peer = False
         self._response_began = False
+        self._head_check = HeadCheck()
 
     @property
     def closed_before_response(self) -> bool:
@@ -45,9 +48,15 @@
         """Reset the state of the previous request."""
         self._may_have_sent = False
         self._response_began = False
+        self._head_check = HeadCheck()
 
     async def read(self, max_bytes: int, timeout: float | None = None) -> bytes:  # noqa: ASYNC109
-        """Read up to ``max_bytes`` bytes; no bytes mean the end of the stream."""
+        """Read up to ``max_bytes`` bytes; no bytes mean the end of the stream.
+
+        Raises:
+            httpcore.ReadError: The connection was reset.
+            httpcore.RemoteProtocolError: What arrived is no head of a response.
+        """
         try:
             data = await self._stream.receive_some(max_bytes)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
@@ -55,6 +64,7 @@
             raise httpcore.ReadError(str(error)) from error
         self._closed_by_peer = not data
         self._response_began = self._response_began or bool(data)
+        feed_checked(self._head_check, data)
         return bytes(data)
 
     async def write(self, buffer: bytes, timeout: float | None = None) -> None:  # noqa: ASYNC109
--- a/src/wagtailpoint/adapters/object_calls.py
+++ b/src/wagtailpoint/adapters/object_calls.py
@@ -20,6 +20,7 @@
 import trio
 from result import Err, Ok, Result
 
+from wagtailpoint.adapters.checked_network import CheckedNetwork
 from wagtailpoint.adapters.json_parts import decode_parts
 from wagtailpoint.errors import OutcomeUnknown, PlatformUnavailable
 from wagtailpoint.tcp_options import LIVENESS_OPTIONS
@@ -125,6 +126,7 @@
         self._pool = httpcore.AsyncConnectionPool(
             max_connections=_MAX_CONNECTIONS,
             keepalive_expiry=_IDLE_TIMEOUT_S,
+            network_backend=CheckedNetwork(),
             # A connection can fail without a reset; a watch on it would wait for its whole time and
             # miss every change.
             socket_options=LIVENESS_OPTIONS,
--- a/src/wagtailpoint/caller/exchange.py
+++ b/src/wagtailpoint/caller/exchange.py
@@ -9,6 +9,8 @@
 import trio
 
 from wagtailpoint import headers
+from wagtailpoint.adapters.checked_network import CheckedNetwork
+from wagtailpoint.response_head import has_delimited_body
 from wagtailpoint.tcp_options import LIVENESS_OPTIONS
 
 Headers = Sequence[tuple[bytes, bytes]]
@@ -135,6 +137,7 @@
             max_connections=None,
             keepalive_expiry=_KEEPALIVE_TIMEOUT_S,
             retries=0,
+            network_backend=CheckedNetwork(),
             socket_options=LIVENESS_OPTIONS,
         )
 
@@ -218,6 +221,9 @@
         opened = OpenReply(response=response)
         try:
             _check_request_id(response, request_id)
+            if not has_delimited_body(outgoing.method, response.status, response.headers):
+                # httpcore passes over a failed send; a reset then looks like the end of the body.
+                raise BrokenReply("no-length")
             if response.status >= _MIN_REFUSAL_STATUS:
                 return await opened.read()
         except BaseException:
--- a/src/wagtailpoint/cli/session.py
+++ b/src/wagtailpoint/cli/session.py
@@ -9,6 +9,7 @@
 import trio
 from result import Err, Ok, Result
 
+from wagtailpoint.adapters.checked_network import CheckedNetwork
 from wagtailpoint.adapters.platform_http import HttpPlatform
 from wagtailpoint.cli.failures import EntryUnreachable, InvalidMergedConfig, wrong_input
 from wagtailpoint.cli.profile import EntryAddress, Profile
@@ -62,7 +63,9 @@
     limit = dict.fromkeys(("connect", "read", "write", "pool"), ENTRY_TIMEOUT_S)
     try:
         with trio.fail_after(ENTRY_TIMEOUT_S):
-            async with httpcore.AsyncConnectionPool(socket_options=LIVENESS_OPTIONS) as pool:
+            async with httpcore.AsyncConnectionPool(
+                socket_options=LIVENESS_OPTIONS, network_backend=CheckedNetwork()
+            ) as pool:
                 response = await pool.request(
                     "GET", f"http://{address}:{entry.port}{target}", extensions={"timeout": limit}
                 )
--- a/src/wagtailpoint/proxy/backend_connection.py
+++ b/src/wagtailpoint/proxy/backend_connection.py
@@ -17,6 +17,7 @@
 from wagtailpoint.proxy.headers import HeaderNames, end_to_end_headers, header_value
 from wagtailpoint.proxy.request_encoding import OutgoingRequest, encode_head
 from wagtailpoint.relay.marked_end import RelayedStream
+from wagtailpoint.response_head import HeadCheck, InvalidHead
 from wagtailpoint.untrusted_input import parse_count
 from wagtailpoint.verdict import Verdict
 
@@ -123,6 +124,7 @@
         self._has_heard = False
         self._names = names
         self._parser = h11.Connection(h11.CLIENT)
+        self._head_check = HeadCheck()
         self._request_sent = True
         self._is_unused = True
         self._response_complete = True
@@ -216,6 +218,7 @@
         The parser is given the request without its body, so that it accepts a response before the
         body has been sent.
         """
+        self._head_check = HeadCheck()
         self._parser = h11.Connection(h11.CLIENT)
         self._parser.send(
             h11.Request(method=request.method, target="/", headers=[(b"host", b"backend")])
@@ -224,6 +227,7 @@
 
     async def _send_whole(self, request: OutgoingRequest) -> None:
         # The encoder also parses the response, as the request is complete before that is read.
+        self._head_check = HeadCheck()
         self._parser, head = encode_head(request)
         body = self._parser.send(h11.Data(data=request.body)) or b""
         end = self._parser.send(h11.EndOfMessage()) or b""
@@ -275,6 +279,8 @@
             return _may_have_run(FailureReason.BAD_RESPONSE, str(error))
         except (OSError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
             return _may_have_run(FailureReason.RESET, str(error))
+        except InvalidHead as error:
+            return _may_have_run(FailureReason.BAD_RESPONSE, str(error))
         except ExchangeFailed as error:
             return error
         return _may_have_run(FailureReason.CROSSED_ANSWER)
@@ -308,6 +314,7 @@
             raise _may_have_run(FailureReason.CROSSED_ANSWER)
         self._reset_parser(request)
         if left:
+            self._head_check.feed(left)
             self._parser.receive_data(left)
 
     async def _read_reply(self, response: h11.Response) -> BackendReply:
@@ -363,6 +370,7 @@
             if data:
                 self._on_heard(on_new_connection=not self._has_heard)
                 self._has_heard = True
+            self._head_check.feed(data)
             self._parser.receive_data(data)
             event = self._parser.next_event()
         return event
--- a/src/wagtailpoint/relay/path_checker.py
+++ b/src/wagtailpoint/relay/path_checker.py
@@ -15,6 +15,7 @@
 from wagtailpoint.proxy.backend_dialer import BackendDialer
 from wagtailpoint.relay.client import RelayClient
 from wagtailpoint.relay.reachability import MIN_SERVERS, Path, PathCheck, Reachability
+from wagtailpoint.response_head import HeadCheck, InvalidHead
 
 CHECK_INTERVAL_S: Final = 0.25
 RECHECK_INTERVAL_S: Final = 0.5
@@ -237,7 +238,8 @@
         )
         parser.send(h11.EndOfMessage())
         data = await stream.receive_some(READ_BYTES)
-        with suppress(h11.RemoteProtocolError):
+        with suppress(h11.RemoteProtocolError, InvalidHead):
+            HeadCheck().feed(data)
             parser.receive_data(bytes(data))
             head = parser.next_event()
             if isinstance(head, h11.Response):
--- a/src/wagtailpoint/relay/protocol.py
+++ b/src/wagtailpoint/relay/protocol.py
@@ -15,6 +15,7 @@
 from wagtailpoint.limits.requested_backoff import RETRY_AFTER, read_backoff
 from wagtailpoint.ports.backend import BackendAddress, FailureReason, Headers
 from wagtailpoint.proxy.headers import header_value
+from wagtailpoint.response_head import HeadCheck, InvalidHead
 from wagtailpoint.untrusted_input import parse_count
 
 SENDER: Final = b"relay-sender"
@@ -160,12 +161,16 @@
 async def _read_head(
     stream: trio.SocketStream, parser: h11.Connection
 ) -> h11.Request | h11.Response | None:
+    check = HeadCheck() if parser.our_role is h11.CLIENT else None
     try:
         event = parser.next_event()
         while event is h11.NEED_DATA:
-            parser.receive_data(await stream.receive_some(READ_BYTES))
+            data = await stream.receive_some(READ_BYTES)
+            if check is not None:
+                check.feed(data)
+            parser.receive_data(data)
             event = parser.next_event()
-    except h11.RemoteProtocolError as error:
+    except (h11.RemoteProtocolError, InvalidHead) as error:
         raise InvalidOpening(str(error)) from error
     return event if isinstance(event, h11.Request | h11.Response) else None
 
