Tests: late requests of a planned stop that take longer than any before

Reported by operators of systems like this (LOST): requests that came late in the grace of a planned stop, in calm, were passed on and cut with no answer at its end. Here such a request is admitted only if its deadline comes before the end or requests of its route took far less than what is left, and backend servers are given no more time than that.

--- a/tests/common/partitioned_servers.py
+++ b/tests/common/partitioned_servers.py
@@ -1,5 +1,6 @@
 """Stand-in backend servers that can be cut off from instances, ask for rest, and leave."""
 
+import math
 from collections import Counter
 from collections.abc import Collection, Iterator
 from random import Random
@@ -88,6 +89,8 @@
         senders: The addresses from which each request arrived.
         object_bytes: The size of an answer's body.
         slots: How many requests each backend server that starts runs at once, by its entry.
+        keeps_deadlines: Whether they stop their work at the deadline that a request came with, and
+            answer 504.
     """
 
     def __init__(self, *, store: UsersStore, partition: Partition, random: Random) -> None:
@@ -105,6 +108,7 @@
         self.senders: dict[str, str] = {}
         self.object_bytes = OBJECT_BYTES
         self.slots = SLOTS
+        self.keeps_deadlines = False
         self._store = store
         self._partition = partition
         self._random = random
@@ -194,8 +198,12 @@
             self.runs[request_id] += 1
             self.runs_at[server_id] += 1
             self.senders[request_id] = sender
-            if not await self._work(stream, request_id, target):
+            limit_s = float(fields["x-deadline-ms"]) / 1000 if self.keeps_deadlines else math.inf
+            if not await self._work(stream, request_id, target, limit_s):
                 return
+            if self._run_s(target) > limit_s:
+                await stream.send(response(b"", *answer_headers, status="504 Gateway Timeout"))
+                continue
             answer = f"{request_id} {len(body)} ".encode().ljust(self.object_bytes, b".")
             await stream.send(response(answer, *answer_headers))
             if server_id in self.leaving:
@@ -219,13 +227,17 @@
             headers.append(f"Retry-After: {self.rest_s:g}")
         return response(b"", *headers, status="503 Service Unavailable")
 
-    async def _work(self, stream: ScriptedStream, request_id: str, target: str) -> bool:
-        """Work on a request; return False if its connection ended meanwhile."""
-        run_s = self._random.uniform(MIN_RUN_S, MAX_RUN_S)
+    def _run_s(self, target: str) -> float:
         if "/slow-" in target:
-            run_s = float(target.partition("/slow-")[2].partition("/")[0]) / 1000
+            return float(target.partition("/slow-")[2].partition("/")[0]) / 1000
+        return self._random.uniform(MIN_RUN_S, MAX_RUN_S)
+
+    async def _work(
+        self, stream: ScriptedStream, request_id: str, target: str, limit_s: float
+    ) -> bool:
+        """Work on a request; return False if its connection ended meanwhile."""
         began = trio.current_time()
-        with trio.move_on_after(run_s):
+        with trio.move_on_after(min(self._run_s(target), limit_s)):
             await trio.lowlevel.wait_readable(stream.stream.socket)
             now = trio.current_time()
             self.cancelled.append(Cancelled(request_id, now - began, now))
--- a/tests/common/staying_callers.py
+++ b/tests/common/staying_callers.py
@@ -73,6 +73,10 @@
         self._random = random
         self._stopping = False
 
+    def change_habits(self, habits: CallerHabits) -> None:
+        """Ask for other work from now on."""
+        self._habits = habits
+
     def stop(self) -> None:
         """Send no further requests; the open ones go on."""
         self._stopping = True
--- a/tests/common/stop_group.py
+++ b/tests/common/stop_group.py
@@ -146,6 +146,7 @@
     servers: int = SERVERS,
     slots: int = SLOTS,
     object_bytes: int | None = None,
+    keeps_deadlines: bool = False,
     warm_up_s: float = WARM_UP_S,
     contracts: Sequence[str] = (),
     seed: int = 1,
@@ -159,6 +160,7 @@
         servers: The number of backend servers.
         slots: How many requests each backend server runs at once.
         object_bytes: The size of an answer; None for the usual one.
+        keeps_deadlines: Whether the backend servers stop their work at a request's deadline.
         warm_up_s: The time for which callers use the group before a test, in seconds.
         contracts: The contracts that the instances' settings list.
         seed: The seed of the callers and backend servers.
@@ -169,6 +171,7 @@
         store.put("config", "main", _config())
         backends = PartitionedServers(store=store, partition=partition, random=Random(seed))
         backends.slots = slots
+        backends.keeps_deadlines = keeps_deadlines
         if object_bytes is not None:
             backends.object_bytes = object_bytes
         try:
