--- a/src/wagtailpoint/adapters/peer_dispatch.py
+++ b/src/wagtailpoint/adapters/peer_dispatch.py
@@ -56,7 +56,7 @@
         self._handlers: dict[type[Message], Handler] = {}
         self._pending: dict[int, _PendingRequest] = {}
         self._numbers = count(1)
-        self._kept_replies = KeptReplies()
+        self._kept_replies = KeptReplies(now=trio.current_time)
         self._fetched_parts = FetchedParts()
         self.handle(PartRequest, lambda received: self._kept_replies.part(received.message))
 
--- a/src/wagtailpoint/adapters/reply_parts.py
+++ b/src/wagtailpoint/adapters/reply_parts.py
@@ -9,6 +9,7 @@
 import hashlib
 import zlib
 from collections import OrderedDict
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from wagtailpoint.ports.peers import register_message
@@ -27,6 +28,9 @@
 MAX_KEPT_BYTES: Final = 16 * 1024 * 1024
 """Maximum length of all compressed replies that are kept for others."""
 
+KEPT_S: Final = 10.0
+"""Time for which a reply is kept after its last part was asked for."""
+
 MAX_FETCHED: Final = 4
 """Number of replies of which parts are kept."""
 
@@ -66,32 +70,58 @@
 register_message("reply-part", ReplyPart)
 
 
+class _Kept(NamedTuple):
+    data: bytes
+    until: float
+
+
 class KeptReplies:
-    """The replies that others may fetch; the oldest ones are discarded beyond a total length."""
+    """The replies that others may fetch, for some time and up to a total length."""
 
-    def __init__(self) -> None:
-        """Initialise without a reply."""
-        self._by_digest: OrderedDict[bytes, bytes] = OrderedDict()
+    def __init__(self, *, now: Callable[[], float]) -> None:
+        """Initialise without a reply.
+
+        Args:
+            now: Returns the current time in seconds.
+        """
+        self._now = now
+        # The one that was asked for last is at the end.
+        self._by_digest: OrderedDict[bytes, _Kept] = OrderedDict()
         self._total_bytes = 0
 
+    @property
+    def total_bytes(self) -> int:
+        """The length of all replies that are kept."""
+        return self._total_bytes
+
     def keep(self, kind: str, body: bytes) -> LargeReply:
         """Keep an encoded reply, and return what stands for it."""
         data = zlib.compress(body, _COMPRESSION_LEVEL)
         digest = _digest(data)
-        if digest not in self._by_digest:
-            self._total_bytes += len(data)
-        self._by_digest[digest] = data
-        self._by_digest.move_to_end(digest)
-        while self._total_bytes > MAX_KEPT_BYTES and len(self._by_digest) > 1:
-            self._total_bytes -= len(self._by_digest.popitem(last=False)[1])
+        self._keep(digest, data)
         return LargeReply(kind, digest, len(data))
 
     def part(self, request: PartRequest) -> ReplyPart:
         """Return the requested part."""
-        data = self._by_digest.get(request.digest, b"")
-        if request.offset < 0:
+        kept = self._by_digest.get(request.digest)
+        if kept is None or request.offset < 0:
             return ReplyPart(b"")
-        return ReplyPart(data[request.offset : request.offset + PART_BYTES])
+        self._keep(request.digest, kept.data)
+        return ReplyPart(kept.data[request.offset : request.offset + PART_BYTES])
+
+    def _keep(self, digest: bytes, data: bytes) -> None:
+        """Keep a reply from now on, and discard those whose time is over or that are too many."""
+        now = self._now()
+        if digest not in self._by_digest:
+            self._total_bytes += len(data)
+        self._by_digest[digest] = _Kept(data, now + KEPT_S)
+        self._by_digest.move_to_end(digest)
+        while len(self._by_digest) > 1:
+            oldest = next(iter(self._by_digest.values()))
+            if oldest.until > now and self._total_bytes <= MAX_KEPT_BYTES:
+                break
+            self._by_digest.popitem(last=False)
+            self._total_bytes -= len(oldest.data)
 
 
 class FetchedParts:
--- a/tests/cover/test_reply_parts.py
+++ b/tests/cover/test_reply_parts.py
@@ -16,6 +16,7 @@
 from tests.common.watch_sharing_case import COUNT, WatchSharingCase
 from wagtailpoint.adapters.reply_parts import (
     ACCEPTS_PARTS,
+    KEPT_S,
     MAX_KEPT_BYTES,
     MAX_REPLY_BYTES,
     PART_BYTES,
@@ -186,7 +187,7 @@
 
     def test_only_the_announced_reply_is_decoded(self) -> None:
         """Guards against parts of two replies, and against one that grows without bound."""
-        replies = KeptReplies()
+        replies = KeptReplies(now=lambda: 0.0)
         reply = replies.keep("test-tell", b"good")
         data = replies.part(PartRequest(reply.digest, 0)).data
         self.assertEqual(decode_reply(reply, data), b"good")
@@ -201,12 +202,26 @@
 
     def test_kept_replies_are_bounded(self) -> None:
         """Guards against memory for replies that nobody fetches."""
-        replies = KeptReplies()
+        replies = KeptReplies(now=lambda: 0.0)
         kept = [replies.keep("test-tell", Random(n).randbytes(2_000_000)) for n in range(20)]
         found = [bool(replies.part(PartRequest(reply.digest, 0)).data) for reply in kept]
         self.assertLessEqual(sum(found) * 2_000_000, MAX_KEPT_BYTES)
+        self.assertEqual(replies.total_bytes, sum(found) * kept[0].size)
         self.assertTrue(found[-1])
 
+    def test_replies_are_kept_for_some_time(self) -> None:
+        """Guards against memory for replies that were fetched long ago."""
+        now = 0.0
+        replies = KeptReplies(now=lambda: now)
+        first, second = (replies.keep("test-tell", bytes(n)) for n in (100_000, 200_000))
+        now = KEPT_S - 1.0
+        self.assertTrue(replies.part(PartRequest(first.digest, 0)).data)
+        now = KEPT_S + 1.0
+        third = replies.keep("test-tell", bytes(300_000))
+        self.assertEqual(replies.part(PartRequest(second.digest, 0)).data, b"")
+        self.assertTrue(replies.part(PartRequest(first.digest, 0)).data)
+        self.assertEqual(replies.total_bytes, first.size + third.size)
+
 
 class LargeChangeTest(WatchSharingCase):
     def test_large_change_reaches_all_instances_over_narrow_links(self) -> None:
--- a/tests/cover/test_tcp_options.py
+++ b/tests/cover/test_tcp_options.py
@@ -66,9 +66,9 @@
             calls = ObjectCalls(addresses=[(address.address, address.port)], timeout_s=1.0)
             (await calls.read(Call("GET", "/"))).unwrap()
             connection: Any = calls._pool.connections[0]
-            stream: trio.SocketStream = connection._connection._network_stream._stream
+            opened = connection._connection._network_stream.get_extra_info("socket")
             for option, value in TCP_OPTIONS:
-                self.assertEqual(stream.getsockopt(socket.IPPROTO_TCP, option), value)
+                self.assertEqual(opened.getsockopt(socket.IPPROTO_TCP, option), value)
             await calls.aclose()
 
         async def answer_all(stream: ScriptedStream) -> None:
